--- /dev/null
+++ b/cmd/almondseam/main.go
@@ -0,0 +1,8 @@
+package main
+
+/*
+#include <stdlib.h>
+*/
+import "C"
+
+func main() {}
--- /dev/null
+++ b/core/api/error_test.go
@@ -0,0 +1,33 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A foreign error proves nothing about the request, so the caller must not be
+// told that it did not run.
+func TestAsErrorOfForeignErrorIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	e := AsError(io.ErrUnexpectedEOF)
+	c.Assert(e.Outcome, qt.Equals, OutcomeUnknown)
+	c.Assert(errors.Is(e, io.ErrUnexpectedEOF), qt.IsTrue)
+}
+
+func TestErrorCarriesStepAndPeer(t *testing.T) {
+	c := qt.New(t)
+	e := &Error{Step: StepQueue, Peer: "lhr-a-1", Outcome: OutcomeNotRun, Reason: ReasonQueueFull, RetryAfter: 1500 * time.Millisecond}
+	c.Assert(e.Error(), qt.Equals, "queue lhr-a-1: queue_full (retry after 1.5s)")
+}
+
+func TestEveryReasonHasAStatus(t *testing.T) {
+	c := qt.New(t)
+	for r, info := range Reasons {
+		c.Assert(info.Status >= 400, qt.IsTrue, qt.Commentf("%s", r))
+		c.Assert(info.Type, qt.Not(qt.Equals), "", qt.Commentf("%s", r))
+	}
+}
--- /dev/null
+++ b/core/api/outcome.go
@@ -0,0 +1,123 @@
+package api
+
+// Outcome is what a caller is told about a request that has ended. There are
+// exactly four.
+type Outcome string
+
+const (
+	// OutcomeCompleted: the whole answer was delivered.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeNotRun: it is proved that the request did not run and never will.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeInterrupted: it ran, part of the answer may have been delivered,
+	// and the rest will not come.
+	OutcomeInterrupted Outcome = "interrupted"
+	// OutcomeUnknown: it may or may not have run; nothing proves either.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason says why a request was refused, retried or cut short. Every reason
+// has a row in Reasons, a metric label of the same spelling and a heading in
+// docs/OPERATIONS.md.
+type Reason string
+
+// The reasons, in the order in which a request meets them.
+const (
+	ReasonBadRequest         Reason = "bad_request"
+	ReasonUnauthenticated    Reason = "unauthenticated"
+	ReasonForbidden          Reason = "forbidden"
+	ReasonUnknownModel       Reason = "unknown_model"
+	ReasonUnknownService     Reason = "unknown_service"
+	ReasonTooLarge           Reason = "too_large"
+	ReasonNoConfig           Reason = "no_config"
+	ReasonShuttingDown       Reason = "shutting_down"
+	ReasonConcurrencyLimit   Reason = "concurrency_limit"
+	ReasonTokenRateLimit     Reason = "token_rate_limit"
+	ReasonConnectionLimit    Reason = "connection_limit"
+	ReasonNoTarget           Reason = "no_target"
+	ReasonQueueFull          Reason = "queue_full"
+	ReasonDeadlineHopeless   Reason = "deadline_hopeless"
+	ReasonNeverFits          Reason = "never_fits"
+	ReasonTargetLeaving      Reason = "target_leaving"
+	ReasonTargetGone         Reason = "target_gone"
+	ReasonLinkLost           Reason = "link_lost"
+	ReasonIncarnation        Reason = "wrong_incarnation"
+	ReasonTombstoned         Reason = "tombstoned"
+	ReasonDuplicate          Reason = "duplicate"
+	ReasonEngineUnreachable  Reason = "engine_unreachable"
+	ReasonEngineRefused      Reason = "engine_refused"
+	ReasonEngineDied         Reason = "engine_died"
+	ReasonEngineTruncated    Reason = "engine_truncated"
+	ReasonReplayPassed       Reason = "replay_window_passed"
+	ReasonIntegrity          Reason = "integrity"
+	ReasonCancelled          Reason = "cancelled"
+	ReasonSlowCaller         Reason = "slow_caller"
+	ReasonTimeout            Reason = "timeout"
+	ReasonRetryBudget        Reason = "retry_budget"
+	ReasonClaimConflict      Reason = "claim_conflict"
+	ReasonClaimInProgress    Reason = "claim_in_progress"
+	ReasonClaimUndecided     Reason = "claim_undecided"
+	ReasonControlUnavailable Reason = "control_unavailable"
+	ReasonStaleFence         Reason = "stale_fence"
+	ReasonInternal           Reason = "internal"
+)
+
+// ReasonInfo gives what a caller-facing adapter needs to know of a reason.
+type ReasonInfo struct {
+	// Status is the HTTP status when no byte of an answer has been sent.
+	Status int
+	// Type is the error type of the OpenAI error object.
+	Type string
+	// Retry tells whether asking again later can help.
+	Retry bool
+}
+
+const (
+	typeInvalid    = "invalid_request_error"
+	typeAuth       = "authentication_error"
+	typePermission = "permission_error"
+	typeRate       = "rate_limit_error"
+	typeServer     = "server_error"
+	typeOverloaded = "overloaded_error"
+)
+
+// Reasons is the catalogue of reasons. It is read only after start.
+var Reasons = map[Reason]ReasonInfo{
+	ReasonBadRequest:         {400, typeInvalid, false},
+	ReasonUnauthenticated:    {401, typeAuth, false},
+	ReasonForbidden:          {403, typePermission, false},
+	ReasonUnknownModel:       {404, typeInvalid, false},
+	ReasonUnknownService:     {404, typeInvalid, false},
+	ReasonTooLarge:           {413, typeInvalid, false},
+	ReasonNoConfig:           {503, typeServer, true},
+	ReasonShuttingDown:       {503, typeServer, true},
+	ReasonConcurrencyLimit:   {429, typeRate, true},
+	ReasonTokenRateLimit:     {429, typeRate, true},
+	ReasonConnectionLimit:    {503, typeOverloaded, true},
+	ReasonNoTarget:           {503, typeServer, true},
+	ReasonQueueFull:          {503, typeOverloaded, true},
+	ReasonDeadlineHopeless:   {503, typeOverloaded, true},
+	ReasonNeverFits:          {400, typeInvalid, false},
+	ReasonTargetLeaving:      {503, typeServer, true},
+	ReasonTargetGone:         {502, typeServer, true},
+	ReasonLinkLost:           {502, typeServer, true},
+	ReasonIncarnation:        {502, typeServer, true},
+	ReasonTombstoned:         {503, typeServer, true},
+	ReasonDuplicate:          {409, typeInvalid, false},
+	ReasonEngineUnreachable:  {502, typeServer, true},
+	ReasonEngineRefused:      {502, typeServer, false},
+	ReasonEngineDied:         {502, typeServer, true},
+	ReasonEngineTruncated:    {502, typeServer, true},
+	ReasonReplayPassed:       {410, typeInvalid, false},
+	ReasonIntegrity:          {502, typeServer, true},
+	ReasonCancelled:          {499, typeInvalid, false},
+	ReasonSlowCaller:         {408, typeInvalid, false},
+	ReasonTimeout:            {504, typeServer, true},
+	ReasonRetryBudget:        {503, typeOverloaded, true},
+	ReasonClaimConflict:      {422, typeInvalid, false},
+	ReasonClaimInProgress:    {409, typeInvalid, true},
+	ReasonClaimUndecided:     {409, typeServer, false},
+	ReasonControlUnavailable: {503, typeServer, true},
+	ReasonStaleFence:         {409, typeInvalid, false},
+	ReasonInternal:           {500, typeServer, false},
+}
