--- /dev/null
+++ b/node/agent/agent.go
@@ -0,0 +1,331 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/wire"
+	"github.com/sourcegraph/conc"
+)
+
+// Config of an agent. Zero values take the defaults below.
+type Config struct {
+	Target      api.TargetID
+	Incarnation api.Incarnation
+	Zone        api.Zone
+	Models      []api.ModelID
+	Services    []api.ServiceID
+	Capacity    int // engine memory in tokens
+	// Unacked bounds the bytes of one stream that wait for the caller.
+	Unacked int
+	// Replay bounds the acknowledged bytes kept of one stream, and ReplayTime
+	// how long they are kept after the end.
+	Replay     int
+	ReplayTime time.Duration
+	// Grace is how long a running request is kept going without a link.
+	Grace time.Duration
+	// TombstoneTime is how long a key stays forbidden.
+	TombstoneTime time.Duration
+	// Tick is the pace of admission and sweeping.
+	Tick time.Duration
+	// LoadEvery is the pace of load reports.
+	LoadEvery time.Duration
+	// CallSlots bounds plain calls in progress.
+	CallSlots int
+	Clock     Clock
+	Observer  Observer
+}
+
+// Defaults of Config.
+const (
+	DefaultUnacked       = 32 << 10
+	DefaultReplay        = 64 << 10
+	DefaultReplayTime    = 2 * time.Minute
+	DefaultGrace         = 30 * time.Second
+	DefaultTombstoneTime = 10 * time.Minute
+	DefaultTick          = 20 * time.Millisecond
+	DefaultLoadEvery     = 250 * time.Millisecond
+	DefaultCallSlots     = 256
+)
+
+// Observer hears what the agent decides, for metrics and events. Its methods
+// may be called from several goroutines.
+type Observer interface {
+	Accepted(key wire.Key)
+	Refused(key wire.Key, reason api.Reason)
+	Ended(key wire.Key, outcome api.Outcome, reason api.Reason)
+}
+
+type noObserver struct{}
+
+func (noObserver) Accepted(wire.Key)                       {}
+func (noObserver) Refused(wire.Key, api.Reason)            {}
+func (noObserver) Ended(wire.Key, api.Outcome, api.Reason) {}
+
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.Unacked, DefaultUnacked)
+	orDefault(&c.Replay, DefaultReplay)
+	orDefault(&c.ReplayTime, DefaultReplayTime)
+	orDefault(&c.Grace, DefaultGrace)
+	orDefault(&c.TombstoneTime, DefaultTombstoneTime)
+	orDefault(&c.Tick, DefaultTick)
+	orDefault(&c.LoadEvery, DefaultLoadEvery)
+	orDefault(&c.CallSlots, DefaultCallSlots)
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Observer == nil {
+		c.Observer = noObserver{}
+	}
+	return c
+}
+
+// Agent serves one target. Make it with New, give it links with Attach, and run
+// it with Run.
+type Agent struct {
+	cfg    Config
+	target Target
+	work   conc.WaitGroup
+	seq    atomic.Uint64
+
+	mu         sync.Mutex
+	admit      Admitter
+	sessions   map[wire.Key]*session
+	latest     map[api.RequestID]wire.Key
+	tombstones map[wire.Key]time.Time
+	links      map[sender]struct{}
+	calls      int
+	leaving    bool
+	reported   time.Time
+}
+
+// New makes an agent in front of target.
+func New(cfg Config, target Target, admit Admitter) *Agent {
+	return &Agent{
+		cfg:        cfg.withDefaults(),
+		target:     target,
+		admit:      admit,
+		sessions:   make(map[wire.Key]*session),
+		latest:     make(map[api.RequestID]wire.Key),
+		tombstones: make(map[wire.Key]time.Time),
+		links:      make(map[sender]struct{}),
+	}
+}
+
+// Run paces admission and sweeps until ctx is done, then waits for the work in
+// progress to end. Cancel the work with Abort.
+func (a *Agent) Run(ctx context.Context) {
+	t := time.NewTicker(a.cfg.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			a.work.Wait()
+			return
+		case <-t.C:
+			a.Tick(a.cfg.Clock())
+		}
+	}
+}
+
+// Tick starts what may start, reports load and forgets what has expired.
+func (a *Agent) Tick(now time.Time) {
+	a.startReady(now)
+	a.reportLoad(now)
+	a.sweep(now)
+}
+
+// Attach makes a link known, announces the target on it and gives the function
+// that forgets the link again.
+func (a *Agent) Attach(to sender) (detach func()) {
+	a.mu.Lock()
+	a.links[to] = struct{}{}
+	ann := a.announcement()
+	a.mu.Unlock()
+	_ = to.Send(ann)
+	return func() { a.detach(to) }
+}
+
+func (a *Agent) detach(from sender) {
+	now := a.cfg.Clock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.links, from)
+	for _, s := range a.sessions {
+		s.detach(from, now)
+	}
+}
+
+func (a *Agent) announcement() *wire.Announce {
+	return &wire.Announce{
+		Target:      a.cfg.Target,
+		Incarnation: a.cfg.Incarnation,
+		Zone:        a.cfg.Zone,
+		Models:      a.cfg.Models,
+		Services:    a.cfg.Services,
+		Leaving:     a.leaving,
+		Capacity:    a.cfg.Capacity,
+	}
+}
+
+// Leave marks the target as leaving: every link is told, and offers are refused
+// here from now on, so that an entry with a stale view cannot place work.
+// Requests that have not started are handed back as not run.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	a.leaving = true
+	ann := a.announcement()
+	links := a.linkList()
+	waiting := a.takeWaiting()
+	a.mu.Unlock()
+	for _, l := range links {
+		_ = l.Send(ann)
+	}
+	for _, s := range waiting {
+		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonTargetLeaving})
+	}
+}
+
+func (a *Agent) linkList() []sender {
+	out := make([]sender, 0, len(a.links))
+	for l := range a.links {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (a *Agent) takeWaiting() []*session {
+	var out []*session
+	now := a.cfg.Clock()
+	for k, s := range a.sessions {
+		if a.admit.Cancel(k.Request, k.Attempt, now) {
+			s.stop()
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Idle tells that no request is in progress.
+func (a *Agent) Idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		if !s.hasEnded() {
+			return false
+		}
+	}
+	return true
+}
+
+// Abort cancels all work in progress: the hard stop.
+func (a *Agent) Abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		s.stop()
+	}
+}
+
+func (a *Agent) reportLoad(now time.Time) {
+	a.mu.Lock()
+	if now.Sub(a.reported) < a.cfg.LoadEvery {
+		a.mu.Unlock()
+		return
+	}
+	a.reported = now
+	running, waiting, free := a.admit.Counts()
+	links := a.linkList()
+	calls := a.calls
+	a.mu.Unlock()
+	m := &wire.Load{Running: running + calls, Waiting: waiting, Free: free}
+	for _, l := range links {
+		_ = l.Send(m)
+	}
+}
+
+func (a *Agent) sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for k, s := range a.sessions {
+		switch {
+		case s.expired(now, a.cfg.ReplayTime):
+			delete(a.sessions, k)
+			if a.latest[k.Request] == k {
+				delete(a.latest, k.Request)
+			}
+		case s.offer.Service == "" && s.abandoned(now, a.cfg.Grace):
+			a.cancelLocked(s, now)
+		}
+	}
+	for k, until := range a.tombstones {
+		if now.After(until) {
+			delete(a.tombstones, k)
+		}
+	}
+}
+
+func (a *Agent) newGeneration() api.GenerationID {
+	n := a.seq.Add(1)
+	return api.GenerationID(strconv.FormatUint(uint64(a.cfg.Incarnation), 36) + "-" + strconv.FormatUint(n, 36))
+}
+
+func (a *Agent) startReady(now time.Time) {
+	a.mu.Lock()
+	starts := a.admit.Next(now)
+	var ready []*session
+	var prio []int
+	for _, st := range starts {
+		if s, ok := a.sessions[wire.Key{Request: st.ID, Attempt: st.Attempt}]; ok {
+			ready = append(ready, s)
+			prio = append(prio, st.Priority)
+		}
+	}
+	a.mu.Unlock()
+	for i, s := range ready {
+		a.launch(s, prio[i])
+	}
+}
+
+func (a *Agent) launch(s *session, priority int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if !s.begin(cancel) {
+		cancel()
+		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
+		a.done(s, 0)
+		return
+	}
+	a.work.Go(func() {
+		defer cancel()
+		a.run(ctx, s, priority)
+	})
+}
+
+func (a *Agent) done(s *session, tokens int) {
+	now := a.cfg.Clock()
+	a.mu.Lock()
+	if s.offer.Service == "" {
+		a.admit.Done(s.offer.Key.Request, s.offer.Key.Attempt, tokens, now)
+	} else {
+		a.calls--
+	}
+	a.mu.Unlock()
+	a.startReady(now)
+}
+
+func (a *Agent) end(s *session, f *wire.Final) {
+	if s.finish(f, a.cfg.Clock()) {
+		a.cfg.Observer.Ended(s.offer.Key, f.Outcome, f.Reason)
+	}
+}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -29,7 +29,7 @@
 	handshakeLimit      = 4 << 10
 	pingsPerSilence     = 3
 	bufferSize          = 16 << 10
-	shrinkAbove         = 1 << 20
+	gatherLimit         = 256 << 10
 	controlWriteTimeout = time.Second
 )
 
@@ -46,6 +46,9 @@
 // ErrClosed is returned by Send after the link has ended.
 var ErrClosed = errors.New("link: closed")
 
+// ErrTooLarge is returned by Send for a message beyond the peer's bound.
+var ErrTooLarge = errors.New("link: message too large")
+
 var handshakeEnc = mustEnc()
 
 var handshakeDec = mustDec()
@@ -121,8 +124,9 @@
 	peer Peer
 
 	mu     sync.Mutex
-	queue  []byte // encoded, not yet taken by the writer
-	why    string // set once, at the end
+	queue  [][]byte // encoded runs of messages, not yet taken by the writer
+	queued int      // bytes in queue
+	why    string   // set once, at the end
 	wake   chan struct{}
 	closed chan struct{}
 }
@@ -160,16 +164,12 @@
 		c.mu.Unlock()
 		return c.fail(ErrClosed)
 	}
-	start := len(c.queue)
-	q, err := c.opt.Codec.Append(c.queue, m)
+	err := c.enqueue(m)
+	full := c.queued > c.opt.MaxQueue
+	c.mu.Unlock()
 	if err != nil {
-		c.queue = c.queue[:start]
-		c.mu.Unlock()
 		return c.fail(err)
 	}
-	c.queue = q
-	full := len(q) > c.opt.MaxQueue
-	c.mu.Unlock()
 	if full {
 		c.end(CloseBacklog)
 		return c.fail(ErrClosed)
@@ -181,6 +181,29 @@
 	return nil
 }
 
+// enqueue encodes m behind the last run, or into a new one when that run is
+// long enough: a run is written as one WebSocket message, which the peer reads
+// whole and refuses when it is too large.
+func (c *Conn) enqueue(m wire.Message) error {
+	last := len(c.queue) - 1
+	if last < 0 || len(c.queue[last]) >= gatherLimit {
+		c.queue = append(c.queue, nil)
+		last++
+	}
+	before := c.queue[last]
+	run, err := c.opt.Codec.Append(before, m)
+	if err == nil && int64(len(run)-len(before)) > c.opt.MaxMessage-gatherLimit {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		c.queue[last] = before
+		return err
+	}
+	c.queue[last] = run
+	c.queued += len(run) - len(before)
+	return nil
+}
+
 func (c *Conn) fail(err error) error {
 	return &api.Error{Step: api.StepLink, Peer: string(c.peer.Instance), Outcome: api.OutcomeUnknown, Reason: api.ReasonLinkLost, Err: err}
 }
@@ -272,7 +295,6 @@
 func (c *Conn) writeLoop() {
 	tick := time.NewTicker(c.opt.Silence / pingsPerSilence)
 	defer tick.Stop()
-	var spare []byte
 	for {
 		select {
 		case <-c.closed:
@@ -283,8 +305,7 @@
 				return
 			}
 		case <-c.wake:
-			var ok bool
-			if spare, ok = c.drain(spare); !ok {
+			if !c.drain() {
 				return
 			}
 		}
@@ -293,27 +314,33 @@
 
 // drain writes what is queued, with the write deadline at the silence bound: a
 // write that makes no progress for so long is a stalled link.
-func (c *Conn) drain(spare []byte) ([]byte, bool) {
+func (c *Conn) drain() bool {
 	for {
 		c.mu.Lock()
-		batch := c.queue
-		c.queue = spare[:0]
+		runs := c.queue
+		c.queue = nil
+		c.queued = 0
 		c.mu.Unlock()
-		if len(batch) == 0 {
-			return batch, true
+		if len(runs) == 0 {
+			return true
 		}
-		_ = c.ws.SetWriteDeadline(time.Now().Add(c.opt.Silence))
-		if err := c.ws.WriteMessage(websocket.BinaryMessage, batch); err != nil {
-			c.end(CloseWrite)
-			return nil, false
-		}
-		if cap(batch) > shrinkAbove {
-			batch = nil
+		for _, run := range runs {
+			if !c.write(run) {
+				return false
+			}
 		}
-		spare = batch
 	}
 }
 
+func (c *Conn) write(run []byte) bool {
+	_ = c.ws.SetWriteDeadline(time.Now().Add(c.opt.Silence))
+	if err := c.ws.WriteMessage(websocket.BinaryMessage, run); err != nil {
+		c.end(CloseWrite)
+		return false
+	}
+	return true
+}
+
 // handshakeError wraps a failure with the step and the peer's address.
 func handshakeError(addr string, err error) error {
 	return &api.Error{Step: api.StepHandshake, Peer: addr, Outcome: api.OutcomeNotRun, Reason: api.ReasonUnauthenticated, Err: err}
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -128,6 +128,8 @@
 	Key        Key           `cbor:"1,keyasint"`
 	Reason     api.Reason    `cbor:"2,keyasint"`
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+	// Detail is for the caller's eyes, such as an engine's own words.
+	Detail string `cbor:"4,keyasint,omitempty"`
 }
 
 // Phase is the state of a request at its agent, shown to waiting callers.
@@ -173,6 +175,7 @@
 	Outcome    api.Outcome      `cbor:"5,keyasint"`
 	Reason     api.Reason       `cbor:"6,keyasint,omitempty"`
 	RetryAfter time.Duration    `cbor:"7,keyasint,omitempty"`
+	Detail     string           `cbor:"8,keyasint,omitempty"`
 }
 
 // Ack tells that the caller has been given all items below Offset. It also
