Choose targets from an atomic view

Cause: an entry has to pick the targets it asks for a bid without a lock and without a scan over all targets; its reports are late.

--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -1,6 +1,7 @@
 // Package routing chooses which targets an entry asks for a request. It reads
-// an immutable View that a writer replaces as reports arrive, so a choice takes
-// no lock.
+// an immutable View that a writer replaces as targets come and go, so a choice
+// takes no lock; load lives in atomics beside it, so that a report copies
+// nothing but itself.
 package routing
 
 import (
@@ -15,7 +16,7 @@
 	ID          api.TargetID
 	Incarnation api.Incarnation
 	Zone        api.Zone
-	// Serves lists the models, or the services, that the target answers for.
+	// Models and Services list what the target answers for.
 	Models   []api.ModelID
 	Services []api.ServiceID
 	// Leaving targets get no new work.
@@ -25,15 +26,40 @@
 	Waiting  int
 	Free     int
 	Capacity int
-	// Reported is when the agent took the report.
+	// Reported is when the agent took the report, on the entry's clock. Zero
+	// means that the announcement carries no load.
+	Reported time.Time
+}
+
+// load gives the report part of t.
+func (t *Target) load() Load {
+	return Load{
+		Running: t.Running, Waiting: t.Waiting,
+		Free: t.Free, Capacity: t.Capacity, Reported: t.Reported,
+	}
+}
+
+// Load is one load report of a target.
+type Load struct {
+	// Running and Waiting count sequences.
+	Running int
+	Waiting int
+	// Free and Capacity are engine memory in tokens; Capacity zero means that
+	// the target has no such memory, as a plain service.
+	Free     int
+	Capacity int
+	// Reported is when the agent took the report, on the entry's clock.
 	Reported time.Time
 }
 
 // Query is what the choice depends on.
 type Query struct {
+	// Model or Service names what is asked for; Service goes first when both
+	// are set.
 	Model   api.ModelID
 	Service api.ServiceID
-	Zone    api.Zone
+	// Zone is the entry's own availability zone.
+	Zone api.Zone
 	// Prefix is a hash of the prompt's first tokens; zero means none.
 	Prefix uint64
 	// Prompt is the prompt's length in tokens.
@@ -41,3 +67,29 @@
 	// Avoid lists targets that already refused or failed this request.
 	Avoid []api.TargetID
 }
+
+// Candidate is one target as a choice saw it: a snapshot, so that the parts
+// that judge it see the same figures.
+type Candidate struct {
+	ID          api.TargetID
+	Incarnation api.Incarnation
+	Zone        api.Zone
+	// Load is the number of sequences on the target, the report corrected by
+	// what was sent since and drawn towards Mean as the report ages.
+	Load float64
+	// Mean is the mean load of the targets that answer for the same thing.
+	Mean float64
+	// Fill is the part of the engine's memory in use, this request included;
+	// zero where the target has no such memory.
+	Fill float64
+	// Age is how old the report is.
+	Age time.Duration
+	// Own tells that the target is in the entry's availability zone.
+	Own bool
+	// Affinity tells that prefix hashing leads to this target.
+	Affinity bool
+	// Aside tells that the target failed or refused lately, or is silent.
+	Aside bool
+	// Score is the sum of the scorers' answers; lower is better.
+	Score float64
+}
