--- /dev/null
+++ b/node/standin/server_test.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// start serves cfg on loopback for the test's duration and returns its URL.
+func start(t *testing.T, cfg Config, f Faults) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := NewServer(cfg, Options{Speed: 200, Faults: f})
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return s, "http://" + ln.Addr().String()
+}
+
+func post(t *testing.T, url, body string) (int, string, error) {
+	t.Helper()
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+const chat = `{"model":"standin","messages":[{"role":"user","content":"a note"}],"x_output_tokens":5`
+
+func TestWholeAnswer(t *testing.T) {
+	s, url := start(t, Config{Seed: 7}, Faults{})
+	status, body, err := post(t, url+"/v1/chat/completions", chat+`}`)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 200)
+	var got struct {
+		Choices []struct {
+			Message message `json:"message"`
+			Finish  string  `json:"finish_reason"`
+		} `json:"choices"`
+		Usage usage `json:"usage"`
+	}
+	qt.Assert(t, json.Unmarshal([]byte(body), &got), qt.IsNil)
+	qt.Check(t, got.Choices[0].Message.Content, qt.Equals, s.cfg.Answer("a note\n", 5))
+	qt.Check(t, got.Choices[0].Finish, qt.Equals, "stop")
+	qt.Check(t, got.Usage, qt.Equals, usage{Prompt: 2, Completion: 5, Total: 7})
+}
+
+func TestStreamedAnswer(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", "/v1/completions"} {
+		t.Run(path, func(t *testing.T) {
+			s, url := start(t, Config{Seed: 7}, Faults{})
+			_, body, err := post(t, url+path, chat+`,"prompt":"a note\n","stream":true,"max_tokens":4,"stream_options":{"include_usage":true}}`)
+			qt.Assert(t, err, qt.IsNil)
+			text, finish, used := readChunks(t, body)
+			qt.Check(t, text, qt.Equals, s.cfg.Answer("a note\n", 4))
+			qt.Check(t, finish, qt.Equals, "length")
+			qt.Check(t, used, qt.Equals, 4)
+			qt.Check(t, strings.HasSuffix(body, "data: [DONE]\n\n"), qt.IsTrue)
+		})
+	}
+}
+
+// readChunks joins the text of an SSE body.
+func readChunks(t *testing.T, body string) (text, finish string, completion int) {
+	t.Helper()
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var c struct {
+			Choices []struct {
+				Text   string  `json:"text"`
+				Delta  message `json:"delta"`
+				Finish string  `json:"finish_reason"`
+			} `json:"choices"`
+			Usage usage `json:"usage"`
+		}
+		qt.Assert(t, json.Unmarshal([]byte(data), &c), qt.IsNil)
+		completion += c.Usage.Completion
+		for _, ch := range c.Choices {
+			text += ch.Text + ch.Delta.Content
+			finish += ch.Finish
+		}
+	}
+	return text, finish, completion
+}
+
+// TestFaults: the caller's connection ends before the answer does. In the cut
+// case the request was read, so a client must not take it for one never sent.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		words  int
+		dead   bool
+	}{
+		{"dies after two tokens", Faults{DieAtRequest: 1, DieAfterTokens: 2}, 2, true},
+		{"cut after reading", Faults{CutAtRequest: 1}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, url := start(t, Config{}, c.faults)
+			_, body, err := post(t, url+"/v1/chat/completions", chat+`,"stream":true}`)
+			qt.Check(t, err, qt.IsNotNil)
+			qt.Check(t, strings.Count(body, `"content":"w`), qt.Equals, c.words)
+			qt.Check(t, s.Requests(), qt.Equals, 1)
+			_, _, err = post(t, url+"/v1/chat/completions", chat+`}`)
+			qt.Check(t, err != nil, qt.Equals, c.dead)
+		})
+	}
+}
+
+func TestOrdersAndFences(t *testing.T) {
+	cases := []struct {
+		name   string
+		ignore bool
+		status int
+	}{
+		{"old fence refused", false, 409},
+		{"old fence ignored", true, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, url := start(t, Config{IgnoreFence: c.ignore}, Faults{})
+			status, _, err := post(t, url+"/orders", `{"fence":5,"action":"load_model","value":"m2"}`)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, status, qt.Equals, 200)
+			status, _, err = post(t, url+"/orders", `{"fence":4,"action":"unload_model","value":"m2"}`)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, status, qt.Equals, c.status)
+			qt.Check(t, len(s.Orders()) == 2, qt.Equals, c.ignore)
+		})
+	}
+}
