Add the entry: placing, following and resuming a request

Cause: the path's second half; the agent alone serves nobody. Change: node/entry (answer queue, legs, bids, dispatch with retries, tombstone on silence, reattach after a lost link, resume for a returning caller).

--- a/core/stream/receiver.go
+++ b/core/stream/receiver.go
@@ -31,6 +31,9 @@
 	gen  api.GenerationID
 	next uint64
 	sum  xxhash.Digest
+	// partial is set when the first items went to an earlier receiver: the
+	// checksum covers them too, so that only the count can be compared.
+	partial bool
 }
 
 // NewReceiver makes a receiver that expects offset 0 of any generation.
@@ -40,6 +43,16 @@
 	return r
 }
 
+// NewReceiverAt makes a receiver for a caller that comes back with the items
+// below off of gen already in its hands.
+func NewReceiverAt(gen api.GenerationID, off uint64) *Receiver {
+	r := NewReceiver()
+	r.gen = gen
+	r.next = off
+	r.partial = off > 0
+	return r
+}
+
 // Generation is the generation fixed by the first item, or "".
 func (r *Receiver) Generation() api.GenerationID { return r.gen }
 
@@ -87,7 +100,7 @@
 	if count > r.next {
 		return true, nil
 	}
-	if count < r.next || sum != r.sum.Sum64() {
+	if count < r.next || !r.partial && sum != r.sum.Sum64() {
 		return false, fmt.Errorf("received %d items, final says %d", r.next, count)
 	}
 	return false, nil
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -249,7 +249,7 @@
 	links := a.linkList()
 	calls := a.calls
 	a.mu.Unlock()
-	m := &wire.Load{Running: running + calls, Waiting: waiting, Free: free}
+	m := &wire.Load{Running: running + calls, Waiting: waiting, Free: free, Capacity: a.cfg.Capacity}
 	for _, l := range links {
 		_ = l.Send(m)
 	}
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -21,7 +21,7 @@
 	case *wire.Ack:
 		a.onAck(m)
 	case *wire.Cancel:
-		a.onCancel(m)
+		a.onCancel(from, m)
 	case *wire.Tombstone:
 		a.onTombstone(from, m)
 	case *wire.Resume:
@@ -118,22 +118,36 @@
 	return admission.Verdict{Queued: true}
 }
 
+// lookup finds a session by its key; attempt 0 means the request's latest.
+func (a *Agent) lookup(k wire.Key) *session {
+	if k.Attempt == 0 {
+		k = a.latest[k.Request]
+	}
+	return a.sessions[k]
+}
+
 func (a *Agent) onAck(m *wire.Ack) {
 	a.mu.Lock()
-	s := a.sessions[m.Key]
+	s := a.lookup(m.Key)
 	a.mu.Unlock()
 	if s != nil {
 		s.ack(m.Offset)
 	}
 }
 
-func (a *Agent) onCancel(m *wire.Cancel) {
+func (a *Agent) onCancel(from sender, m *wire.Cancel) {
 	now := a.cfg.Clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.sessions[m.Key]; s != nil {
-		a.cancelLocked(s, now)
+	s := a.lookup(m.Key)
+	if s == nil {
+		return
 	}
+	if m.Hold > 0 {
+		s.hold(from, now.Add(min(m.Hold, a.cfg.Grace)-a.cfg.Grace))
+		return
+	}
+	a.cancelLocked(s, now)
 }
 
 // cancelLocked stops a session. One that was still waiting ends here as not
@@ -199,12 +213,8 @@
 func (a *Agent) find(m *wire.Resume) (*session, api.Reason) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	k := m.Key
-	if k.Attempt == 0 {
-		k = a.latest[k.Request]
-	}
-	s, ok := a.sessions[k]
-	if !ok || s.offer.Size.Customer != m.Customer {
+	s := a.lookup(m.Key)
+	if s == nil || s.offer.Size.Customer != m.Customer {
 		return nil, api.ReasonTargetGone
 	}
 	if m.Generation != "" && m.Generation != s.gen {
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -157,6 +157,10 @@
 	}
 }
 
+// hold leaves the session running without a link, as if the link had been lost
+// at since: the usual grace then counts from there.
+func (s *session) hold(from sender, since time.Time) { s.detach(from, since) }
+
 func (s *session) ack(off uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/node/entry/dispatch.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routing"
+	"almondseam.dev/node/wire"
+)
+
+// drive makes attempts until one completes or none may follow.
+func (e *Entry) drive(ctx context.Context, a *Answer, r *Request) End {
+	e.retrier.First(r.Size.Customer, r.Arrived)
+	for n := api.Attempt(1); ; n++ {
+		err := e.attempt(ctx, a, r, n)
+		if err == nil {
+			return End{Outcome: api.OutcomeCompleted}
+		}
+		failed := api.AsError(err)
+		if ctx.Err() != nil {
+			return AsEnd(e.callerLeft(failed))
+		}
+		movable := e.movable(a, r, failed)
+		again, after := e.retrier.Next(r.Size.Customer, n, failed, movable, e.cfg.Clock())
+		if !again {
+			return AsEnd(failed)
+		}
+		e.obs.Retried(r, failed.Reason)
+		if !sleep(ctx, after) {
+			return AsEnd(e.callerLeft(failed))
+		}
+	}
+}
+
+// movable tells whether a further attempt can do no harm: the last one is
+// proved not to have run, or the request may be repeated and nothing of it was
+// received, so that no two generations can meet in one answer.
+func (e *Entry) movable(a *Answer, r *Request, err *api.Error) bool {
+	if a.started() {
+		return false
+	}
+	return err.Outcome == api.OutcomeNotRun || r.Repeatable
+}
+
+// callerLeft keeps the proof of not_run, if there is one, for the record.
+func (e *Entry) callerLeft(err *api.Error) *api.Error {
+	left := *err
+	left.Reason = api.ReasonCancelled
+	return &left
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt places the request once and follows it to its end. A nil error means
+// completed.
+func (e *Entry) attempt(ctx context.Context, a *Answer, r *Request, n api.Attempt) error {
+	p, err := e.place(ctx, r, n)
+	if err != nil {
+		return err
+	}
+	if r.Claimed != nil {
+		if err := r.Claimed(p.target, p.inc, n); err != nil {
+			return err
+		}
+	}
+	tokens := r.Size.Prompt
+	e.placer.Sent(p.target, tokens, e.cfg.Clock())
+	defer func() { e.placer.Ended(p.target, tokens, e.cfg.Clock()) }()
+	g := newLeg(r, a, n, p, e.obs)
+	e.legs.add(g)
+	defer e.legs.remove(g)
+	a.setAck(func(off uint64) { _ = g.link().Send(&wire.Ack{Key: g.key, Offset: off}) })
+	defer a.setAck(nil)
+	if err := g.to.Send(e.offer(r, g)); err != nil {
+		return e.fail(g, api.StepDispatch, api.OutcomeNotRun, api.ReasonLinkLost, err)
+	}
+	err = e.follow(ctx, g)
+	if e.crowded(err) {
+		e.placer.Failed(p.target, api.AsError(err).RetryAfter, e.cfg.Clock())
+		r.Query.Avoid = append(r.Query.Avoid, p.target)
+	}
+	return err
+}
+
+// crowded tells whether a failure speaks against asking the same target again.
+func (e *Entry) crowded(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch api.AsError(err).Reason {
+	case api.ReasonCancelled, api.ReasonBadRequest, api.ReasonNeverFits:
+		return false
+	}
+	return true
+}
+
+func (e *Entry) fail(g *leg, step api.Step, o api.Outcome, reason api.Reason, err error) *api.Error {
+	return &api.Error{Step: step, Peer: string(g.target), Outcome: o, Reason: reason, Err: err}
+}
+
+func (e *Entry) offer(r *Request, g *leg) *wire.Offer {
+	return &wire.Offer{
+		Key:         g.key,
+		Incarnation: g.inc,
+		Size:        e.size(r),
+		Service:     r.Service,
+		Method:      r.Method,
+		Path:        r.Path,
+		Headers:     r.Headers,
+		Body:        r.Body,
+		Repeatable:  r.Repeatable,
+		Timeout:     r.Timeout,
+	}
+}
+
+// size is the request's size with its age and what is left of its patience.
+func (e *Entry) size(r *Request) wire.Size {
+	z := r.Size
+	z.Age = e.cfg.Clock().Sub(r.Arrived)
+	if r.Patience > 0 {
+		z.Patience = max(r.Patience-z.Age, time.Millisecond)
+	}
+	return z
+}
+
+// place chooses the target: the best of the bids, or the only candidate there
+// is. The bids are worth their round trip because load reports are late; see
+// docs/design/routing.md.
+func (e *Entry) place(ctx context.Context, r *Request, n api.Attempt) (*peer, error) {
+	ask := e.linked(e.placer.Choose(r.Query, e.cfg.Clock()))
+	if len(ask) == 0 {
+		return nil, e.noTarget(r)
+	}
+	if len(ask) == 1 || r.Service != "" {
+		return ask[0].peer, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Bid)
+	defer cancel()
+	key := wire.Key{Request: r.ID, Attempt: n}
+	got := e.bids.collect(ctx, key, e.size(r), ask)
+	if len(got) == 0 {
+		return ask[0].peer, nil // all silent: the offer's own deadline decides
+	}
+	best := routing.Compare(got)
+	if best < 0 {
+		err := routing.Refusal(got)
+		for _, b := range got {
+			e.placer.Failed(b.From.ID, b.RetryAfter, e.cfg.Clock())
+		}
+		return nil, err
+	}
+	return e.chosen(ask, got[best].From.ID), nil
+}
+
+func (e *Entry) chosen(ask []asked, id api.TargetID) *peer {
+	for _, a := range ask {
+		if a.cand.ID == id {
+			return a.peer
+		}
+	}
+	return ask[0].peer
+}
+
+func (e *Entry) linked(cands []routing.Candidate) []asked {
+	out := make([]asked, 0, len(cands))
+	for _, c := range cands {
+		if p := e.peers.get(c.ID); p != nil {
+			out = append(out, asked{c, p})
+		}
+	}
+	return out
+}
+
+const noTargetRetry = time.Second
+
+func (e *Entry) noTarget(r *Request) error {
+	name := string(r.Query.Model)
+	if r.Service != "" {
+		name = string(r.Service)
+	}
+	err := api.NotRun(api.StepRoute, name, api.ReasonNoTarget, errors.New("no target serves it at the moment"))
+	err.RetryAfter = noTargetRetry
+	return err
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routing"
+	"almondseam.dev/node/wire"
+	"github.com/sourcegraph/conc"
+)
+
+// Config of an entry. Zero values take the defaults below.
+type Config struct {
+	// Bid bounds the wait for bids, and Offer the wait for an agent's answer to
+	// an offer and to a tombstone.
+	Bid   time.Duration
+	Offer time.Duration
+	// Relink is how long a request waits for its agent to come back after a
+	// link was lost.
+	Relink time.Duration
+	Clock  func() time.Time
+}
+
+// Defaults of Config.
+const (
+	DefaultBid    = 250 * time.Millisecond
+	DefaultOffer  = 2 * time.Second
+	DefaultRelink = 10 * time.Second
+)
+
+// Entry places requests and follows them. Make it with New.
+type Entry struct {
+	cfg     Config
+	placer  Placer
+	retrier Retrier
+	obs     Observer
+	peers   *peers
+	legs    *legs
+	bids    *bids
+	work    conc.WaitGroup
+}
+
+// New makes an entry. obs may be nil.
+func New(cfg Config, placer Placer, retrier Retrier, obs Observer) *Entry {
+	if cfg.Bid == 0 {
+		cfg.Bid = DefaultBid
+	}
+	if cfg.Offer == 0 {
+		cfg.Offer = DefaultOffer
+	}
+	if cfg.Relink == 0 {
+		cfg.Relink = DefaultRelink
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if obs == nil {
+		obs = noObserver{}
+	}
+	return &Entry{
+		cfg:     cfg,
+		placer:  placer,
+		retrier: retrier,
+		obs:     obs,
+		peers:   newPeers(),
+		legs:    newLegs(),
+		bids:    newBids(),
+	}
+}
+
+// Wait returns when no request is in progress.
+func (e *Entry) Wait() { e.work.Wait() }
+
+// Targets counts the linked agents.
+func (e *Entry) Targets() int { return len(e.peers.all()) }
+
+// Reasons for the end of a request from the caller's side.
+var errCallerGone = errors.New("caller has gone")
+
+// callerHeld ends the entry's part and leaves the generation running for hold.
+type callerHeld struct{ hold time.Duration }
+
+func (callerHeld) Error() string { return "caller has gone and may come back" }
+
+// Start places a request and gives its answer. ctx ends the request when the
+// process stops hard.
+func (e *Entry) Start(ctx context.Context, r *Request) *Answer {
+	a := newAnswer()
+	ctx, a.cancel = context.WithCancelCause(ctx)
+	e.work.Go(func() {
+		defer a.cancel(nil)
+		end := e.drive(ctx, a, r)
+		e.obs.Ended(r, end)
+		a.finish(end)
+	})
+	return a
+}
+
+// Attached is what the link layer calls for one agent's link: Handle for each
+// message, in order, on one goroutine, then Closed.
+type Attached struct {
+	e    *Entry
+	to   sender
+	self *peer
+}
+
+// Attach makes a link known; its agent is not used before it has announced.
+func (e *Entry) Attach(to sender) *Attached { return &Attached{e: e, to: to} }
+
+// Closed forgets the link. Requests on it wait for the agent to come back.
+func (t *Attached) Closed() {
+	if t.self == nil {
+		return
+	}
+	if t.e.peers.drop(t.self.target, t.to) {
+		t.e.placer.Remove(t.self.target, t.self.inc)
+	}
+}
+
+// Handle takes one message.
+func (t *Attached) Handle(m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Announce:
+		t.onAnnounce(m)
+	case *wire.Load:
+		t.onLoad(m)
+	case *wire.Bid:
+		t.e.bids.answer(t.target(), m)
+	case *wire.Data:
+		if g := t.e.leg(m.Key); g != nil {
+			g.onData(m)
+		}
+	case *wire.Head:
+		if g := t.e.leg(m.Key); g != nil {
+			g.answer.setHead(m)
+		}
+	case *wire.State:
+		if g := t.e.leg(m.Key); g != nil {
+			g.answer.setPhase(m.Phase, m.Position)
+		}
+	case *wire.Accepted:
+		t.e.tell(m.Key, m)
+	case *wire.Refused:
+		t.e.tell(m.Key, m)
+	case *wire.Final:
+		t.e.tell(m.Key, m)
+	case *wire.Tombstoned:
+		t.e.tell(m.Key, m)
+	case *wire.Returned:
+		t.e.tell(m.Key, m)
+	}
+}
+
+func (e *Entry) leg(k wire.Key) *leg {
+	g := e.legs.find(k)
+	if g == nil {
+		e.obs.Dropped("late")
+	}
+	return g
+}
+
+func (e *Entry) tell(k wire.Key, m wire.Message) {
+	if g := e.leg(k); g != nil {
+		g.tell(m)
+	}
+}
+
+func (t *Attached) target() api.TargetID {
+	if t.self == nil {
+		return ""
+	}
+	return t.self.target
+}
+
+func (t *Attached) onAnnounce(m *wire.Announce) {
+	if t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target {
+		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to}
+		t.e.peers.put(t.self)
+	}
+	t.e.placer.Announce(routing.Target{
+		ID:          m.Target,
+		Incarnation: m.Incarnation,
+		Zone:        m.Zone,
+		Models:      m.Models,
+		Services:    m.Services,
+		Leaving:     m.Leaving,
+		Capacity:    m.Capacity,
+	})
+}
+
+func (t *Attached) onLoad(m *wire.Load) {
+	if t.self == nil {
+		return
+	}
+	t.e.placer.Report(t.self.target, t.self.inc, routing.Load{
+		Running:  m.Running,
+		Waiting:  m.Waiting,
+		Free:     m.Free,
+		Capacity: m.Capacity,
+		Reported: t.e.cfg.Clock(),
+	})
+}
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -54,6 +54,8 @@
 	Free int `cbor:"3,keyasint,omitempty"`
 	// Wait is the expected time until a new request would start.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Capacity is the engine's memory in tokens, 0 for a plain service.
+	Capacity int `cbor:"5,keyasint,omitempty"`
 }
 
 // Size is what the decisions need to know of a request.
@@ -186,8 +188,10 @@
 }
 
 // Cancel tells that nobody wants the answer any more.
+// Hold leaves the work running for so long, for a caller that may come back.
 type Cancel struct {
-	Key Key `cbor:"1,keyasint"`
+	Key  Key           `cbor:"1,keyasint"`
+	Hold time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Tombstone forbids a later start of the key and asks what became of it.
