--- a/core/fleetconfig/decode.go
+++ b/core/fleetconfig/decode.go
@@ -24,6 +24,7 @@
 	tagMin      = "min"
 	tagMax      = "max"
 	tagEnum     = "enum"
+	tagScope    = "scope"
 )
 
 // decoder fills a Fleet from a tree by the tags of its types.
@@ -73,6 +74,7 @@
 		key := f.Tag.Get(tagKey)
 		at := join(path, key)
 		if child := n.get(key); child != nil {
+			d.scope(child, at, f.Tag)
 			d.value(child, at, v.Field(i), f.Tag)
 			continue
 		}
@@ -82,10 +84,20 @@
 	}
 }
 
+// scope refuses an overlay's change to a value on which sites must agree. With
+// a method repeatable at one site alone, a call that is sent there and then
+// elsewhere would run twice; with a key that means two customers, one would
+// get the other's answers.
+func (d *decoder) scope(n *node, path string, tag reflect.StructTag) {
+	if d.partial && tag.Get(tagScope) != "" {
+		d.fail(n, path, "is the same at every site; change it in the base file")
+	}
+}
+
 func (d *decoder) unknownKeys(n *node, path string, t reflect.Type) {
 	known := keysOf(t)
 	if d.partial && slices.Contains(known, idKey) {
-		known = append(known, removeKey, addKey)
+		known = append(known, removeKey)
 	}
 	for _, f := range n.fields {
 		if slices.Contains(known, f.key) {
@@ -172,6 +184,9 @@
 		d.wrongKind(n, path, kindList.String())
 		return
 	}
+	if len(n.items) == 0 {
+		return // an empty list and none mean the same
+	}
 	out := reflect.MakeSlice(v.Type(), len(n.items), len(n.items))
 	seen := map[string]Pos{}
 	for i, it := range n.items {
@@ -188,11 +203,26 @@
 		if !validID(id) {
 			d.fail(it.get(idKey), at, "id wants 1 to %d letters, digits, '.', '_', '-' or '/', a letter or digit first", maxID)
 		}
+		d.removal(it, at)
 		d.structure(it, at, out.Index(i))
 	}
 	v.Set(out)
 }
 
+// removal refuses a removal that is not spelled "remove: true" alone.
+func (d *decoder) removal(it *node, path string) {
+	n := it.get(removeKey)
+	if n == nil || !d.partial {
+		return
+	}
+	if n.kind != kindBool || n.text != "true" {
+		d.fail(n, join(path, removeKey), "want true; leave the key out to keep the item")
+	}
+	if len(it.fields) > 2 {
+		d.fail(it, path, "is removed and changed at once")
+	}
+}
+
 const maxID = 64
 
 // validID keeps ids free of what paths, metric labels and headers treat
@@ -216,6 +246,9 @@
 		d.wrongKind(n, path, kindList.String())
 		return
 	}
+	if len(n.items) == 0 {
+		return // an empty list and none mean the same
+	}
 	out := reflect.MakeSlice(v.Type(), len(n.items), len(n.items))
 	seen := map[string]bool{}
 	for i, it := range n.items {
--- a/core/fleetconfig/tree.go
+++ b/core/fleetconfig/tree.go
@@ -92,12 +92,11 @@
 	return &c
 }
 
-// idKey is the key that names an item of a list; removeKey and addKey spell
-// out what an overlay does with an item.
+// idKey is the key that names an item of a list; removeKey spells out that an
+// overlay takes the item away.
 const (
 	idKey     = "id"
 	removeKey = "remove"
-	addKey    = "add"
 )
 
 // join appends a key to a path.
--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -10,12 +10,13 @@
 //
 // The comment of every field below is its row in docs/CONFIG.md. The tags are
 // the schema: yaml names the key, default fills an absent value, required
-// refuses an absent one, min, max and enum bound it.
+// refuses an absent one, min, max and enum bound it, and scope:"fleet" keeps an
+// overlay from changing it.
 type Fleet struct {
 	// Name of the fleet, the same at every site.
-	Name string `yaml:"name" required:"true"`
+	Name string `yaml:"name" scope:"fleet" required:"true"`
 	// Sites of the fleet; an overlay belongs to exactly one of them.
-	Sites []Site `yaml:"sites" required:"true"`
+	Sites []Site `yaml:"sites" scope:"fleet" required:"true"`
 	// Customers that may call, each with its keys and its share.
 	Customers []Customer `yaml:"customers"`
 	// Models that callers may ask for.
@@ -27,7 +28,7 @@
 	// Policy steers admission, routing, retries and shedding.
 	Policy Policy `yaml:"policy"`
 	// WeightStore paces the loads of model weights.
-	WeightStore WeightStore `yaml:"weight_store"`
+	WeightStore WeightStore `yaml:"weight_store" scope:"fleet"`
 	// Targets gives a rule for each kind of target that announces itself.
 	Targets []TargetRule `yaml:"targets"`
 }
@@ -47,7 +48,7 @@
 	// ID of the customer, as logs and metrics show it.
 	ID api.CustomerID `yaml:"id" required:"true"`
 	// Keys are the SHA-256 sums of the customer's API keys, 64 lowercase hex digits; never the keys themselves.
-	Keys []string `yaml:"keys" required:"true"`
+	Keys []string `yaml:"keys" scope:"fleet" required:"true"`
 	// Weight is the customer's share against the others when targets are crowded.
 	Weight int `yaml:"weight" default:"1" min:"1" max:"1000"`
 	// MaxConcurrent bounds the requests of the customer in progress at one entry.
@@ -118,7 +119,7 @@
 	// PathPrefix of the calls that go to the service; whole segments, the longest match wins.
 	PathPrefix string `yaml:"path_prefix" required:"true"`
 	// Repeatable lists the HTTP methods whose calls may be sent again; every other method runs at most once.
-	Repeatable []string `yaml:"repeatable"`
+	Repeatable []string `yaml:"repeatable" scope:"fleet"`
 	// Timeout of one call, from dispatch to the end of the answer.
 	Timeout time.Duration `yaml:"timeout" default:"30s" min:"1ms" max:"1h"`
 	// MaxBody bounds the body of one call.
--- a/core/fleetconfig/validate.go
+++ b/core/fleetconfig/validate.go
@@ -60,6 +60,9 @@
 	if !validID(c.fleet.Name) {
 		c.fail("name", "want a name of letters, digits, '.', '_' or '-'")
 	}
+	if len(c.fleet.Sites) == 0 {
+		c.fail("sites", "want at least one site")
+	}
 	owner := map[api.Zone]api.Site{}
 	for _, s := range c.fleet.Sites {
 		path := joinItem("sites", string(s.ID)) + ".zones"
@@ -70,6 +73,9 @@
 			if other, taken := owner[z]; taken {
 				c.fail(fmt.Sprintf("%s[%d]", path, i), "zone %q belongs to site %q already", z, other)
 			}
+			if !validID(string(z)) {
+				c.fail(fmt.Sprintf("%s[%d]", path, i), "want a name of letters, digits, '.', '_' or '-'")
+			}
 			owner[z] = s.ID
 		}
 	}
