almondctl: lay the command line with exit codes and the operator client

Cause: operators had no command; the binary was an empty main. Each file adds its commands through one add function called in newApp; the local config commands join at addConfig.

--- /dev/null
+++ b/cmd/almondctl/client.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/control/opapi"
+)
+
+const jsonType = "application/json"
+
+// call sends one request to the servers in turn until one answers. A member
+// that answers "unavailable" is passed over, for another may see a majority.
+//
+// Every change carries an ID of its own, so that asking a second member after
+// the first answer was lost cannot make the change twice.
+func (c *cli) call(method, path string, query url.Values, in, out any) error {
+	deadline := time.Now().Add(c.timeout)
+	last := errors.New("no server was given")
+	for _, server := range c.servers {
+		err := c.callOne(server, method, path, query, in, out, deadline)
+		var coded *exitError
+		if err == nil || errors.As(err, &coded) && coded.code != exitUnavailable {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+func (c *cli) callOne(server, method, path string, query url.Values, in, out any, deadline time.Time) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	target := url.URL{Scheme: "http", Host: server, Path: path, RawQuery: query.Encode()}
+	req.SetRequestURI(target.String())
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		req.Header.SetContentType(jsonType)
+		req.SetBody(body)
+	}
+	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	if err := client.DoDeadline(req, resp, deadline); err != nil {
+		return &exitError{exitUnavailable, fmt.Errorf("%s: %w", server, err)}
+	}
+	return decode(server, resp, out)
+}
+
+// decode reads an answer; one that is not 200 becomes an error whose exit code
+// says whether the fleet refused or could not answer.
+func decode(server string, resp *fasthttp.Response, out any) error {
+	if resp.StatusCode() == http.StatusOK {
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(resp.Body(), out); err != nil {
+			return fmt.Errorf("%s: decode answer: %w", server, err)
+		}
+		return nil
+	}
+	var e opapi.Error
+	if err := json.Unmarshal(resp.Body(), &e); err != nil || e.Reason == "" {
+		return fmt.Errorf("%s: HTTP status %d", server, resp.StatusCode())
+	}
+	code := exitRefused
+	switch e.Reason {
+	case api.ReasonControlUnavailable:
+		code = exitUnavailable
+	case api.ReasonInternal:
+		code = exitFailed
+	}
+	return &exitError{code, fmt.Errorf("%s: %s: %s (outcome %s)", server, e.Reason, e.Message, e.Outcome)}
+}
--- /dev/null
+++ b/cmd/almondctl/config.go
@@ -0,0 +1,9 @@
+package main
+
+import "github.com/alecthomas/kingpin/v2"
+
+// addConfig adds `config` and its commands. Those that work on local files are
+// in config_local.go.
+func addConfig(_ *cli, app *kingpin.Application) {
+	app.Command("config", "Check, render, compare and apply the fleet's configuration.")
+}
