--- a/core/fleetconfig/render.go
+++ b/core/fleetconfig/render.go
@@ -75,12 +75,34 @@
 func itemID(item reflect.Value) string { return item.Field(0).String() }
 
 func (r *renderer) line(text, path string) {
-	origin := defaultOrigin
-	if pos, ok := r.origins[path]; ok {
-		pos.Col = 0
-		origin = pos.String()
+	fmt.Fprintf(&r.out, "%-*s # %s\n", originColumn, text, r.origins.line(path))
+}
+
+// line gives "file:line" for a path, or "default".
+func (o Origins) line(path string) string {
+	pos, ok := o[path]
+	if !ok {
+		return defaultOrigin
+	}
+	pos.Col = 0
+	return pos.String()
+}
+
+// Value is one value in force, with its origin as Render shows it.
+type Value struct {
+	Path   string `json:"path"`
+	Value  string `json:"value"`
+	Origin string `json:"origin"`
+}
+
+// Values lists what Render shows, by path.
+func Values(f *Fleet, origins Origins) []Value {
+	values := flat(f)
+	out := make([]Value, 0, len(values))
+	for _, path := range slices.Sorted(maps.Keys(values)) {
+		out = append(out, Value{Path: path, Value: values[path], Origin: origins.line(path)})
 	}
-	fmt.Fprintf(&r.out, "%-*s # %s\n", originColumn, text, origin)
+	return out
 }
 
 // format writes one value as YAML.
