--- /dev/null
+++ b/node/callers/body.go
@@ -0,0 +1,176 @@
+package callers
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/entry"
+)
+
+// errCut makes the HTTP library close the connection without the last chunk.
+var errCut = errors.New("callers: answer cut short")
+
+// feed reads an answer for one caller and settles its account at the end.
+type feed struct {
+	ans    *entry.Answer
+	keep   time.Duration
+	hold   time.Duration
+	settle func(tokens int)
+	prompt int
+	gone   func() bool
+	items  int
+	ended  bool
+	closed bool
+}
+
+// goneEvery is the pace at which a quiet connection is looked at.
+const goneEvery = 250 * time.Millisecond
+
+// next waits for an event, looking now and then whether the caller is still
+// there: the HTTP library notices only when a write fails, and until then a
+// caller that has hung up would go on occupying a crowded engine.
+func (f *feed) next(wait time.Duration) entry.Event {
+	deadline := time.Now().Add(wait)
+	for {
+		left := time.Until(deadline)
+		e := f.ans.Next(min(max(left, 0), goneEvery))
+		if e.Kind != entry.EventIdle {
+			f.items += e.N
+			f.ended = f.ended || e.Kind == entry.EventEnd
+			return e
+		}
+		if f.gone() {
+			f.ans.Cancel(f.hold)
+		}
+		if left <= goneEvery {
+			return e
+		}
+	}
+}
+
+// Close ends the caller's part, whether the answer has ended or not.
+func (f *feed) Close() {
+	if f.closed {
+		return
+	}
+	f.closed = true
+	if !f.ended {
+		f.ans.Cancel(f.hold)
+	}
+	f.settle(f.prompt + f.items)
+}
+
+// connGone tells whether a peer has closed its end, by a look at the socket
+// that takes nothing out of it.
+func connGone(conn net.Conn) func() bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return func() bool { return false }
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return func() bool { return false }
+	}
+	return func() bool { return peekGone(raw) }
+}
+
+func peekGone(raw syscall.RawConn) bool {
+	gone := false
+	err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		wouldBlock := err == syscall.EAGAIN || err == syscall.EINTR
+		gone = n == 0 && err == nil || err != nil && !wouldBlock
+	})
+	return err != nil || gone
+}
+
+// renderer turns events into the bytes of a response body.
+type renderer interface {
+	// render appends what e tells the caller.
+	render(dst []byte, e entry.Event) ([]byte, error)
+	// end appends the last bytes; cut tells to end the connection unfinished.
+	end(dst []byte, e entry.End) (out []byte, cut bool)
+}
+
+// body is a response body that the HTTP library reads on the connection's
+// goroutine: each Read becomes one chunk, written at once. Close is called after
+// the last write, or when a write has failed because the caller has gone.
+type body struct {
+	feed  *feed
+	r     renderer
+	first *entry.Event
+	out   []byte
+	at    int
+	last  error
+	// after runs what is left when the caller has gone early; nil cancels it.
+	after func(rest func())
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	for b.at == len(b.out) {
+		if b.last != nil {
+			return 0, b.last
+		}
+		b.fill()
+	}
+	n := copy(p, b.out[b.at:])
+	b.at += n
+	return n, nil
+}
+
+func (b *body) fill() {
+	e := b.nextEvent()
+	b.out, b.at = b.out[:0], 0
+	if e.Kind == entry.EventEnd {
+		b.finish(e.End)
+		return
+	}
+	out, err := b.r.render(b.out, e)
+	if err != nil {
+		b.finish(entry.End{Outcome: api.OutcomeInterrupted, Reason: api.ReasonIntegrity, Detail: err.Error()})
+		return
+	}
+	b.out = out
+}
+
+func (b *body) finish(e entry.End) {
+	var cut bool
+	b.out, cut = b.r.end(b.out, e)
+	b.last = io.EOF
+	if cut {
+		b.last = errCut
+	}
+}
+
+func (b *body) nextEvent() entry.Event {
+	if b.first != nil {
+		e := *b.first
+		b.first = nil
+		return e
+	}
+	return b.feed.next(b.feed.keep)
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	if b.last == nil && b.after != nil {
+		b.after(b.drain)
+		return nil
+	}
+	b.feed.Close()
+	return nil
+}
+
+// drain reads the answer to its end for the record alone.
+func (b *body) drain() {
+	for b.last == nil {
+		b.fill()
+	}
+	b.feed.Close()
+}
--- /dev/null
+++ b/node/callers/server.go
@@ -0,0 +1,218 @@
+// Package callers is the callers' side of an entry: OpenAI-compatible
+// generation over HTTP and plain calls to services.
+package callers
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/node/entry"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+)
+
+// Headers that callers and this system exchange.
+const (
+	HeaderRequestID  = "Almondseam-Request-Id"
+	HeaderOutcome    = "Almondseam-Outcome"
+	HeaderReason     = "Almondseam-Reason"
+	HeaderHold       = "Almondseam-Hold"
+	HeaderPatience   = "Almondseam-Patience"
+	HeaderKind       = "X-Almondseam-Kind"
+	HeaderIdempotent = "Idempotency-Key"
+	headerXRequestID = "X-Request-Id"
+	headerLastEvent  = "Last-Event-ID"
+)
+
+// Dispatcher is the entry as this package uses it. Methods are called from
+// several goroutines.
+type Dispatcher interface {
+	Start(ctx context.Context, r *entry.Request) *entry.Answer
+	Resume(ctx context.Context, r *entry.Request, from entry.Place) (*entry.Answer, error)
+}
+
+// Limiter grants a customer a request. It is called from several goroutines and
+// makes no call to another process.
+type Limiter interface {
+	// Acquire charges an estimate of tokens. A refusal has Outcome not_run and
+	// says when to come back. settle is called once with the tokens used.
+	Acquire(c *fleetconfig.Customer, tokens int, now time.Time) (settle func(used int), err *api.Error)
+}
+
+// Claimer grants calls that must not be repeated; see core/claim.
+type Claimer interface {
+	// Claim is asked before a call is dispatched. A nil Ticket with a nil error
+	// means that the kept answer of an earlier run is to be given.
+	Claim(ctx context.Context, c ClaimRequest) (Ticket, *Kept, error)
+}
+
+// ClaimRequest names a call that must run at most once.
+type ClaimRequest struct {
+	Customer api.CustomerID
+	Key      string
+	Digest   [32]byte
+	Request  api.RequestID
+}
+
+// Ticket is a granted claim. Methods are called in order from one goroutine.
+type Ticket interface {
+	// Dispatch records the target and its incarnation before the call is sent.
+	// A new attempt is recorded only after proof that the last one did not run.
+	Dispatch(t api.TargetID, inc api.Incarnation, n api.Attempt) error
+	// Settle records how the call ended, with its answer if it is to be kept.
+	Settle(end entry.End, kept *Kept)
+}
+
+// Kept is the answer of a settled call.
+type Kept struct {
+	Status  int
+	Headers []KeptHeader
+	Body    []byte
+	Outcome api.Outcome
+}
+
+// KeptHeader is one header line of a kept answer.
+type KeptHeader struct{ Name, Value string }
+
+// Observer hears of requests that never reach the entry. Called from several
+// goroutines.
+type Observer interface {
+	Refused(c api.CustomerID, reason api.Reason)
+}
+
+type noObserver struct{}
+
+func (noObserver) Refused(api.CustomerID, api.Reason) {}
+
+// Config of the callers' interface. Zero values take the defaults below.
+type Config struct {
+	// MaxBody, MaxHeader and MaxConnections bound what is read before the
+	// configuration in force is looked at, which may be stricter.
+	MaxBody        int
+	MaxHeader      int
+	MaxConnections int
+	// ReadTimeout bounds reading one request, so that a slow writer holds a
+	// connection but not for ever; WriteTimeout one write of a slow reader.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+	Zone         api.Zone
+	Clock        func() time.Time
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxBody        = 2 << 20
+	DefaultMaxHeader      = 16 << 10
+	DefaultMaxConnections = 8192
+	DefaultReadTimeout    = 30 * time.Second
+	DefaultWriteTimeout   = 60 * time.Second
+	DefaultIdleTimeout    = 90 * time.Second
+)
+
+// Server serves callers. Make it with New.
+type Server struct {
+	cfg      Config
+	app      *fiber.App
+	live     *fleetconfig.Live
+	entry    Dispatcher
+	limiter  Limiter
+	claimer  Claimer
+	obs      Observer
+	draining atomic.Bool
+	work     conc.WaitGroup // calls that run on without their caller
+	base     context.Context
+	abort    context.CancelFunc
+}
+
+// Ports couples the server to the rest of an entry. Claimer and Observer may
+// be nil: without a Claimer calls that must not be repeated are refused.
+type Ports struct {
+	Live     *fleetconfig.Live
+	Entry    Dispatcher
+	Limiter  Limiter
+	Claimer  Claimer
+	Observer Observer
+}
+
+// New makes a server that is not yet serving.
+func New(cfg Config, p Ports) *Server {
+	cfg = cfg.withDefaults()
+	s := &Server{cfg: cfg, live: p.Live, entry: p.Entry, limiter: p.Limiter, claimer: p.Claimer, obs: p.Observer}
+	if s.obs == nil {
+		s.obs = noObserver{}
+	}
+	s.base, s.abort = context.WithCancel(context.Background())
+	s.app = fiber.New(fiber.Config{
+		AppName:           "almondseam",
+		BodyLimit:         cfg.MaxBody,
+		ReadBufferSize:    cfg.MaxHeader,
+		Concurrency:       cfg.MaxConnections,
+		ReadTimeout:       cfg.ReadTimeout,
+		WriteTimeout:      cfg.WriteTimeout,
+		IdleTimeout:       cfg.IdleTimeout,
+		ErrorHandler:      s.onError,
+		StrictRouting:     false,
+		UnescapePath:      false,
+		CaseSensitive:     true,
+		ProxyHeader:       "",
+		StreamRequestBody: false,
+	})
+	s.routes()
+	return s
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	if c.MaxHeader == 0 {
+		c.MaxHeader = DefaultMaxHeader
+	}
+	if c.MaxConnections == 0 {
+		c.MaxConnections = DefaultMaxConnections
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = DefaultReadTimeout
+	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = DefaultWriteTimeout
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	return c
+}
+
+func (s *Server) routes() {
+	s.app.Get("/v1/models", s.models)
+	s.app.Get("/v1/models/:id", s.model)
+	s.app.Post(pathChat, s.generate)
+	s.app.Post(pathCompletions, s.generate)
+	s.app.Use(s.call)
+}
+
+// Serve answers on ln until Drain.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Drain stops accepting connections, closes idle ones and waits until every
+// response has been written or ctx is done. Requests that still arrive on open
+// connections are refused as not run.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	err := s.app.ShutdownWithContext(ctx)
+	s.work.Wait()
+	return err
+}
+
+// Abort ends all requests in progress: the hard stop.
+func (s *Server) Abort() { s.abort() }
