--- /dev/null
+++ b/core/admission/running.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Progress notes that a running sequence has produced n tokens in all. Unknown
+// IDs and counts that went backwards are ignored: they come from a stream that
+// was cancelled or attached again.
+func (c *Controller) Progress(id api.RequestID, n int) {
+	s, ok := c.byID[id]
+	if !ok || !s.running || n <= s.produced {
+		return
+	}
+	if s.prefilling {
+		s.prefilling = false
+		c.prefill -= s.uncached
+	}
+	if s.preempted {
+		s.preempted = false
+		c.preempted--
+	}
+	c.lengths.Observe(keyOf(s.Request), s.produced, n, false)
+	c.stale += n - s.produced
+	c.pace.tokens += n - s.produced
+	s.produced = n
+}
+
+// Done notes that a running sequence ended. It is false when the ID is not
+// running here.
+func (c *Controller) Done(id api.RequestID) bool {
+	s, ok := c.byID[id]
+	if !ok || !s.running {
+		return false
+	}
+	// An answer that its own bound cut tells nothing of where it would end.
+	cut := s.MaxTokens > 0 && s.produced >= s.MaxTokens
+	if !cut {
+		c.lengths.Observe(keyOf(s.Request), s.produced, s.produced, true)
+	}
+	c.stop(s)
+	return true
+}
+
+// Cancel withdraws a request. It is true only when the request was queued and
+// never started, and now never will be; false for a running one, which the
+// caller has to cancel at the engine, and for an ID unknown here, of which
+// nothing is proved.
+func (c *Controller) Cancel(id api.RequestID) (neverStarted bool) {
+	c.Release(id)
+	s, ok := c.byID[id]
+	if !ok {
+		return false
+	}
+	if s.running {
+		c.stop(s)
+		return false
+	}
+	c.queue.remove(s)
+	delete(c.byID, id)
+	return true
+}
+
+// Preempted notes that the engine took a sequence's memory. The margin grows,
+// and nothing starts until the sequence produces again: a start would take the
+// memory that it waits for. An engine that only counts preemptions passes an
+// empty ID, which moves the margin alone.
+func (c *Controller) Preempted(id api.RequestID) {
+	c.preemptions++
+	c.margin = min(maxMargin, c.margin+c.cfg.MarginStep)
+	s, ok := c.byID[id]
+	if !ok || !s.running || s.preempted {
+		return
+	}
+	s.preempted = true
+	c.preempted++
+}
+
+// maxMargin bounds the margin: beyond it a run of preemptions that prediction
+// does not explain would leave the engine empty.
+const maxMargin = 6
+
+// Yield chooses the sequence that gives way when the engine is about to run out
+// of memory: free is the tokens that the engine has left. Only one that has
+// delivered nothing is returned, the latest first: it is queued again in front,
+// and the caller cancels it at the engine before it was preempted with others.
+// When all have delivered, ok is false and the engine preempts by priority.
+func (c *Controller) Yield(free int) (id api.RequestID, ok bool) {
+	if free > yieldSteps*len(c.running) || len(c.running) < 2 {
+		return "", false
+	}
+	for i := len(c.running) - 1; i >= 0; i-- {
+		s := c.running[i]
+		if !s.prefilling || s.preempted {
+			continue
+		}
+		c.unstart(s)
+		return s.ID, true
+	}
+	return "", false
+}
+
+// yieldSteps is the number of steps of growth that must be free.
+const yieldSteps = 4
+
+// unstart puts a sequence that has delivered nothing back in front of its queue.
+func (c *Controller) unstart(s *sequence) {
+	c.queue.charge(s.cust, -s.charged)
+	s.charged = 0
+	c.detach(s)
+	s.cust = c.queue.get(s.Customer, s.Weight)
+	c.queue.push(s, true)
+}
+
+// stop removes a running sequence for good and settles its customer's account.
+func (c *Controller) stop(s *sequence) {
+	c.queue.charge(s.cust, float64(s.Prompt+s.produced)-s.charged)
+	c.detach(s)
+	delete(c.byID, s.ID)
+}
+
+// detach takes s out of the running ones and of the forecast.
+func (c *Controller) detach(s *sequence) {
+	for i, o := range c.running {
+		if o == s {
+			c.running = append(c.running[:i], c.running[i+1:]...)
+			break
+		}
+	}
+	c.load.sub(&s.part)
+	c.dropPrefix(s)
+	if s.prefilling {
+		c.prefill -= s.uncached
+	}
+	if s.preempted {
+		c.preempted--
+	}
+	s.running, s.prefilling, s.preempted = false, false, false
+	s.cust.running--
+	c.queue.forget(s.cust)
+}
+
+// Snapshot is the state for a load report.
+func (c *Controller) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{
+		Running:     len(c.running),
+		Waiting:     c.queue.len,
+		Capacity:    c.cfg.Capacity,
+		Preemptions: c.preemptions,
+		Margin:      c.margin,
+		WaitNote:    c.behind(ClassNote, nil),
+		WaitTag:     c.behind(ClassTag, nil),
+	}
+	s.Free = max(0, c.cfg.Capacity-int(c.load.peak(c.margin)))
+	for class := range Class(classes) {
+		if o := c.queue.oldest(class); o != nil {
+			s.OldestWait = max(s.OldestWait, now.Sub(o.Arrived))
+		}
+	}
+	return s
+}
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -35,6 +35,10 @@
 	Prompt int
 	// Cached is the number of prompt tokens believed to be in the prefix cache.
 	Cached int
+	// Prefix names the first PrefixTokens tokens of the prompt, which running
+	// sequences of the same prefix share in memory; zero means none is shared.
+	Prefix       uint64
+	PrefixTokens int
 	// MaxTokens bounds the output in tokens; zero means no bound was given.
 	MaxTokens int
 	// Weight is the customer's share; zero counts as 1.
@@ -76,3 +80,21 @@
 	Attempt  api.Attempt
 	Priority int
 }
+
+// Snapshot is what a load report carries.
+type Snapshot struct {
+	Running int
+	Waiting int
+	// Free is the memory in tokens not expected to be used at the coming peak.
+	Free     int
+	Capacity int
+	// WaitNote and WaitTag are the expected waits of a request that came now.
+	WaitNote time.Duration
+	WaitTag  time.Duration
+	// Preemptions counts those seen; Margin is the number of standard
+	// deviations that the controller now keeps free.
+	Preemptions int
+	Margin      float64
+	// OldestWait is how long the oldest queued request has waited.
+	OldestWait time.Duration
+}
