state, order: the replicated state machine and fenced, paced orders

Cause: configuration, claims and orders must survive crashes and leader changes as one replicated state. Conclusion: the machine is ready to stand behind the agreement; agents don't take orders yet.

--- /dev/null
+++ b/core/order/table.go
@@ -0,0 +1,300 @@
+package order
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Refusals, wrapped in an api.Error.
+var (
+	// ErrStale: the fence is not that of the order in flight.
+	ErrStale = errors.New("fence is not that of the order in flight")
+	// ErrBusy: another order is in flight, or its lease has not run out.
+	ErrBusy = errors.New("another order to the target is in flight")
+	// ErrPaced: the weight store is fully used.
+	ErrPaced = errors.New("loads from the weight store are paced")
+	// ErrNone: nothing is queued for the target.
+	ErrNone = errors.New("no order is queued for the target")
+	// ErrInvalid: the order says nothing that could be carried out.
+	ErrInvalid = errors.New("order is invalid")
+	// ErrQueueFull: too many orders wait for the target.
+	ErrQueueFull = errors.New("too many orders wait for the target")
+)
+
+// Table holds all orders. See the package comment.
+type Table struct {
+	limits  Limits
+	byID    map[string]*Order
+	targets map[api.TargetID]*lane
+	ended   []*Order
+	loads   int
+	// soonest is no later than the first lease to run out, so that Expire looks
+	// at the targets only when it may find one.
+	soonest int64
+	// tokens is what may be read from the weight store at refilled; it goes
+	// below zero when a load is larger than the burst.
+	tokens   int64
+	refilled int64
+}
+
+// lane is the orders of one target.
+type lane struct {
+	queued   []*Order
+	inFlight *Order
+}
+
+// NewTable gives an empty table.
+func NewTable(l Limits) *Table {
+	return &Table{
+		limits:  l,
+		byID:    make(map[string]*Order),
+		targets: make(map[api.TargetID]*lane),
+		tokens:  l.LoadBurst,
+	}
+}
+
+// Apply carries out a command whose log index is fence, at replicated time now.
+// The order is a copy of the one that the command was about.
+func (t *Table) Apply(fence api.Fence, now int64, c Command) (Order, error) {
+	t.Expire(now)
+	switch c.Op {
+	case OpSubmit:
+		return t.submit(fence, c)
+	case OpTake:
+		return t.take(now, c)
+	case OpRenew:
+		return t.renew(now, c)
+	case OpFinish:
+		return t.finish(now, c)
+	}
+	return Order{}, refuse(api.ReasonBadRequest, "", 0, ErrInvalid)
+}
+
+func (t *Table) submit(fence api.Fence, c Command) (Order, error) {
+	if known := t.byID[c.ID]; known != nil {
+		if known.Spec != c.Spec {
+			return *known, refuse(api.ReasonBadRequest, c.Spec.Target, 0, fmt.Errorf("%w: ID %q was used for another order", ErrInvalid, c.ID))
+		}
+		return *known, nil
+	}
+	if c.ID == "" || c.Spec.Target == "" || !c.Spec.Action.valid() || c.Spec.Bytes < 0 {
+		return Order{}, refuse(api.ReasonBadRequest, c.Spec.Target, 0, ErrInvalid)
+	}
+	l := t.targets[c.Spec.Target]
+	if l == nil {
+		l = &lane{}
+		t.targets[c.Spec.Target] = l
+	}
+	if len(l.queued) >= t.limits.MaxQueued {
+		return Order{}, refuse(api.ReasonQueueFull, c.Spec.Target, 0, ErrQueueFull)
+	}
+	o := &Order{ID: c.ID, Fence: fence, Spec: c.Spec, State: StateQueued, Author: c.Author}
+	t.byID[o.ID] = o
+	l.queued = append(l.queued, o)
+	return *o, nil
+}
+
+// take hands out the next order. While one is in flight the same incarnation
+// gets it again, for its answer may have been lost; another incarnation has to
+// wait for the lease: the earlier agent may still be about to pass the order to
+// a target that ignores fences.
+func (t *Table) take(now int64, c Command) (Order, error) {
+	l := t.targets[c.Target]
+	if l == nil || l.inFlight == nil && len(l.queued) == 0 {
+		return Order{}, refuse(api.ReasonNoTarget, c.Target, 0, ErrNone)
+	}
+	if o := l.inFlight; o != nil {
+		if o.Incarnation == c.Incarnation {
+			return *o, nil
+		}
+		return Order{}, refuse(api.ReasonStaleFence, c.Target, t.untilFree(o, now), ErrBusy)
+	}
+	o := l.queued[0]
+	if wait, ok := t.pace(now, o.Spec); !ok {
+		return Order{}, refuse(api.ReasonQueueFull, c.Target, wait, ErrPaced)
+	}
+	l.queued = l.queued[1:]
+	l.inFlight = o
+	o.State = StateIssued
+	o.Incarnation = c.Incarnation
+	o.Lease = now + t.limits.Lease.Milliseconds()
+	t.soonest = min(t.soonest, o.Lease)
+	return *o, nil
+}
+
+// pace takes the load's bytes from the fleet's bucket, or tells how long to wait.
+func (t *Table) pace(now int64, s Spec) (time.Duration, bool) {
+	if !s.Action.loads() {
+		return 0, true
+	}
+	t.refill(now)
+	if t.loads >= t.limits.MaxLoads {
+		return t.limits.Lease, false
+	}
+	need := min(s.Bytes, t.limits.LoadBurst)
+	if t.tokens < need {
+		seconds := float64(need-t.tokens) / float64(t.limits.LoadBytesPerSecond)
+		return time.Duration(seconds * float64(time.Second)), false
+	}
+	t.tokens -= s.Bytes
+	t.loads++
+	return 0, true
+}
+
+func (t *Table) refill(now int64) {
+	passed := now - t.refilled
+	t.refilled = now
+	full := (t.limits.LoadBurst - t.tokens) * 1000 / t.limits.LoadBytesPerSecond
+	if passed > full {
+		t.tokens = t.limits.LoadBurst
+		return
+	}
+	t.tokens += passed * t.limits.LoadBytesPerSecond / 1000
+}
+
+func (t *Table) renew(now int64, c Command) (Order, error) {
+	o, err := t.inFlight(c)
+	if err != nil {
+		return Order{}, err
+	}
+	o.Lease = now + t.limits.Lease.Milliseconds()
+	return *o, nil
+}
+
+func (t *Table) finish(now int64, c Command) (Order, error) {
+	o, err := t.inFlight(c)
+	if err != nil {
+		return Order{}, err
+	}
+	state := StateDone
+	if c.Failed {
+		state = StateFailed
+	}
+	t.end(o, now, state, c.Message)
+	return *o, nil
+}
+
+func (t *Table) inFlight(c Command) (*Order, error) {
+	l := t.targets[c.Target]
+	if l == nil || l.inFlight == nil || l.inFlight.Fence != c.Fence || l.inFlight.Incarnation != c.Incarnation {
+		return nil, refuse(api.ReasonStaleFence, c.Target, 0, ErrStale)
+	}
+	return l.inFlight, nil
+}
+
+func (t *Table) end(o *Order, now int64, s State, message string) {
+	l := t.targets[o.Spec.Target]
+	l.inFlight = nil
+	if len(l.queued) == 0 {
+		delete(t.targets, o.Spec.Target)
+	}
+	if o.Spec.Action.loads() {
+		t.loads--
+	}
+	o.State = s
+	o.Ended = now
+	o.Message = message
+	t.ended = append(t.ended, o)
+	if len(t.ended) > t.limits.MaxEnded {
+		delete(t.byID, t.ended[0].ID)
+		t.ended = t.ended[1:]
+	}
+}
+
+// Expire ends the orders in flight whose lease and margin have run out.
+func (t *Table) Expire(now int64) {
+	if now < t.soonest {
+		return
+	}
+	var late []*Order
+	t.soonest = math.MaxInt64
+	for _, l := range t.targets {
+		o := l.inFlight
+		if o == nil {
+			continue
+		}
+		if t.untilFree(o, now) <= 0 {
+			late = append(late, o)
+		} else {
+			t.soonest = min(t.soonest, o.Lease)
+		}
+	}
+	sort.Slice(late, func(i, j int) bool { return late[i].Fence < late[j].Fence })
+	for _, o := range late {
+		t.end(o, now, StateExpired, "lease ran out")
+	}
+}
+
+func (t *Table) untilFree(o *Order, now int64) time.Duration {
+	return time.Duration(o.Lease-now+1)*time.Millisecond + t.limits.Margin
+}
+
+// List gives all orders known, by fence.
+func (t *Table) List() []Order {
+	out := make([]Order, 0, len(t.byID))
+	for _, o := range t.byID {
+		out = append(out, *o)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fence < out[j].Fence })
+	return out
+}
+
+// Image is the table's content in a snapshot. Ended lists the IDs of ended
+// orders in the order of their end.
+type Image struct {
+	Orders   []Order  `cbor:"1,keyasint"`
+	Ended    []string `cbor:"2,keyasint"`
+	Tokens   int64    `cbor:"3,keyasint"`
+	Refilled int64    `cbor:"4,keyasint"`
+}
+
+// Snapshot gives the table's content. Equal tables give equal images.
+func (t *Table) Snapshot() Image {
+	img := Image{Orders: t.List(), Tokens: t.tokens, Refilled: t.refilled}
+	for _, o := range t.ended {
+		img.Ended = append(img.Ended, o.ID)
+	}
+	return img
+}
+
+// Restore gives the table that Snapshot was taken of.
+func Restore(limits Limits, img Image) *Table {
+	t := NewTable(limits)
+	t.tokens, t.refilled = img.Tokens, img.Refilled
+	for i := range img.Orders {
+		t.restore(&img.Orders[i])
+	}
+	for _, id := range img.Ended {
+		t.ended = append(t.ended, t.byID[id])
+	}
+	return t
+}
+
+func (t *Table) restore(o *Order) {
+	t.byID[o.ID] = o
+	if o.State.ended() {
+		return
+	}
+	l := t.targets[o.Spec.Target]
+	if l == nil {
+		l = &lane{}
+		t.targets[o.Spec.Target] = l
+	}
+	if o.State == StateQueued {
+		l.queued = append(l.queued, o)
+		return
+	}
+	l.inFlight = o
+	if o.Spec.Action.loads() {
+		t.loads++
+	}
+}
+
+func refuse(reason api.Reason, target api.TargetID, after time.Duration, err error) error {
+	return &api.Error{Step: api.StepOrder, Peer: string(target), Outcome: api.OutcomeNotRun, Reason: reason, RetryAfter: after, Err: err}
+}
--- /dev/null
+++ b/core/state/config.go
@@ -0,0 +1,241 @@
+package state
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"almondseam.dev/core/api"
+)
+
+// ConfigPut asks for a new configuration on top of revision Base. The document
+// is opaque here; whoever proposes it has validated it. ChangeID is the
+// operator's own and names this change for ever: sent again, it gets its first
+// answer.
+type ConfigPut struct {
+	ChangeID string       `cbor:"1,keyasint"`
+	Author   string       `cbor:"2,keyasint"`
+	Base     api.Revision `cbor:"3,keyasint"`
+	Document []byte       `cbor:"4,keyasint"`
+}
+
+// ConfigResult answers a ConfigPut. Revision is the one made, or on a refusal
+// the one that stood in the way, with its author and change ID.
+type ConfigResult struct {
+	Accepted bool         `cbor:"1,keyasint"`
+	Repeated bool         `cbor:"2,keyasint,omitempty"`
+	Revision api.Revision `cbor:"3,keyasint"`
+	Author   string       `cbor:"4,keyasint,omitempty"`
+	ChangeID string       `cbor:"5,keyasint,omitempty"`
+	Reason   api.Reason   `cbor:"6,keyasint,omitempty"`
+	Message  string       `cbor:"7,keyasint,omitempty"`
+}
+
+// Config is one accepted revision.
+type Config struct {
+	Revision api.Revision `cbor:"1,keyasint"`
+	ChangeID string       `cbor:"2,keyasint"`
+	Author   string       `cbor:"3,keyasint"`
+	Index    uint64       `cbor:"4,keyasint"`
+	// Wall is the leader's wall clock at acceptance, Unix milliseconds.
+	Wall int64 `cbor:"5,keyasint"`
+	Size int   `cbor:"6,keyasint"`
+	// Document is nil once only the history line is kept.
+	Document []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// ConfigLimits bound what is remembered of configurations.
+type ConfigLimits struct {
+	// MaxDocument bounds one document in bytes.
+	MaxDocument int
+	// Documents and History are how many revisions are kept whole, and as a
+	// line of history.
+	Documents int
+	History   int
+	// Changes is how many change IDs are remembered. At 13,000 changes a day
+	// the default covers two and a half days.
+	Changes int
+}
+
+// DefaultConfigLimits suit documents of up to a few hundred kilobytes.
+func DefaultConfigLimits() ConfigLimits {
+	return ConfigLimits{MaxDocument: 512 << 10, Documents: 8, History: 512, Changes: 32_768}
+}
+
+// change is the memory of one change ID: a digest of what was asked, and the
+// first answer.
+type change struct {
+	ChangeID string       `cbor:"1,keyasint"`
+	Digest   [32]byte     `cbor:"2,keyasint"`
+	Result   ConfigResult `cbor:"3,keyasint"`
+}
+
+// configs holds the accepted revisions, newest last, and the change memory in
+// the order of arrival.
+type configs struct {
+	limits  ConfigLimits
+	kept    []Config
+	changes []change
+	byID    map[string]change
+}
+
+func newConfigs(l ConfigLimits) configs {
+	return configs{limits: l, byID: make(map[string]change)}
+}
+
+func (c *configs) current() Config {
+	if len(c.kept) == 0 {
+		return Config{}
+	}
+	return c.kept[len(c.kept)-1]
+}
+
+// put accepts or refuses a change, and remembers the answer.
+//
+// Failure: the answer to an accepted change is lost and the operator sends it
+// again. Symptom without the memory: it is refused as a race that the operator
+// lost to nobody but himself, or, rebased by hand, applied twice over a change
+// made in between. The memory is part of the snapshot, so neither a compaction
+// nor a new leader forgets it.
+func (c *configs) put(index uint64, wall int64, p *ConfigPut) ConfigResult {
+	digest := p.digest()
+	if known, ok := c.byID[p.ChangeID]; ok {
+		return repeat(known, digest)
+	}
+	if bad := c.check(p); bad != nil {
+		return *bad
+	}
+	r := c.decide(index, wall, p)
+	c.remember(change{ChangeID: p.ChangeID, Digest: digest, Result: r})
+	return r
+}
+
+func repeat(known change, digest [32]byte) ConfigResult {
+	if known.Digest != digest {
+		return ConfigResult{
+			Revision: known.Result.Revision,
+			Reason:   api.ReasonBadRequest,
+			Message:  fmt.Sprintf("change ID %q was used for another change", known.ChangeID),
+		}
+	}
+	r := known.Result
+	r.Repeated = true
+	return r
+}
+
+func (c *configs) check(p *ConfigPut) *ConfigResult {
+	bad := ConfigResult{Revision: c.current().Revision, Reason: api.ReasonBadRequest}
+	switch {
+	case p.ChangeID == "":
+		bad.Message = "change ID is empty"
+	case len(p.Document) == 0:
+		bad.Message = "document is empty"
+	case len(p.Document) > c.limits.MaxDocument:
+		bad.Reason = api.ReasonTooLarge
+		bad.Message = fmt.Sprintf("document has %d bytes; %d are allowed", len(p.Document), c.limits.MaxDocument)
+	default:
+		return nil
+	}
+	return &bad
+}
+
+func (c *configs) decide(index uint64, wall int64, p *ConfigPut) ConfigResult {
+	cur := c.current()
+	if p.Base != cur.Revision {
+		return ConfigResult{
+			Revision: cur.Revision,
+			Author:   cur.Author,
+			ChangeID: cur.ChangeID,
+			Reason:   api.ReasonStaleFence,
+			Message:  fmt.Sprintf("based on revision %d, but revision %d by %s (change %s) is in force", p.Base, cur.Revision, cur.Author, cur.ChangeID),
+		}
+	}
+	next := Config{
+		Revision: cur.Revision + 1,
+		ChangeID: p.ChangeID,
+		Author:   p.Author,
+		Index:    index,
+		Wall:     wall,
+		Size:     len(p.Document),
+		Document: p.Document,
+	}
+	c.kept = append(c.kept, next)
+	c.trim()
+	return ConfigResult{Accepted: true, Revision: next.Revision, Author: p.Author, ChangeID: p.ChangeID}
+}
+
+func (c *configs) trim() {
+	if old := len(c.kept) - 1 - c.limits.Documents; old >= 0 {
+		c.kept[old].Document = nil
+	}
+	if len(c.kept) > c.limits.History {
+		c.kept = append([]Config(nil), c.kept[1:]...)
+	}
+}
+
+func (c *configs) remember(ch change) {
+	c.byID[ch.ChangeID] = ch
+	c.changes = append(c.changes, ch)
+	if len(c.changes) > c.limits.Changes {
+		delete(c.byID, c.changes[0].ChangeID)
+		c.changes = c.changes[1:]
+	}
+}
+
+func (p *ConfigPut) digest() [32]byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %q\n", p.Base, p.Author)
+	h.Write(p.Document)
+	return [32]byte(h.Sum(nil))
+}
+
+// Current gives the configuration in force; its Revision is 0 when there is none.
+func (s *State) Current() Config { return s.config.current() }
+
+// History gives the revisions still known, oldest first. It is read-only.
+func (s *State) History() []Config { return s.config.kept }
+
+// Revision gives an accepted revision whose document is still kept.
+func (s *State) Revision(r api.Revision) (Config, bool) {
+	for i := len(s.config.kept) - 1; i >= 0; i-- {
+		c := s.config.kept[i]
+		if c.Revision == r {
+			return c, c.Document != nil
+		}
+	}
+	return Config{}, false
+}
+
+// Patch turns one document into the next: all but the first Prefix and the last
+// Suffix bytes are replaced by Middle. A change of configuration is mostly local
+// to one place, so a patch is small, and it needs no knowledge of the format.
+type Patch struct {
+	Prefix int      `cbor:"1,keyasint"`
+	Suffix int      `cbor:"2,keyasint"`
+	Middle []byte   `cbor:"3,keyasint,omitempty"`
+	Sum    [32]byte `cbor:"4,keyasint"`
+}
+
+// MakePatch gives the patch from one document to another.
+func MakePatch(from, to []byte) Patch {
+	shorter := min(len(from), len(to))
+	p := Patch{Sum: sha256.Sum256(to)}
+	for p.Prefix < shorter && from[p.Prefix] == to[p.Prefix] {
+		p.Prefix++
+	}
+	for p.Suffix < shorter-p.Prefix && from[len(from)-1-p.Suffix] == to[len(to)-1-p.Suffix] {
+		p.Suffix++
+	}
+	p.Middle = to[p.Prefix : len(to)-p.Suffix]
+	return p
+}
+
+// Apply gives the patched document; false when from isn't the document that the
+// patch was made of.
+func (p Patch) Apply(from []byte) ([]byte, bool) {
+	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix+p.Suffix > len(from) {
+		return nil, false
+	}
+	to := bytes.Join([][]byte{from[:p.Prefix], p.Middle, from[len(from)-p.Suffix:]}, nil)
+	return to, sha256.Sum256(to) == p.Sum
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,104 @@
+package state
+
+import (
+	"fmt"
+	"sort"
+
+	"almondseam.dev/core/claim"
+	"almondseam.dev/core/order"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// format is raised when a snapshot can no longer be read by older versions.
+const format = 1
+
+// maxItems bounds the arrays in a snapshot.
+const maxItems = 1 << 22
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxNestedLevels:  16,
+		MaxArrayElements: maxItems,
+		MaxMapPairs:      maxItems,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+type image struct {
+	Format  int            `cbor:"1,keyasint"`
+	Index   uint64         `cbor:"2,keyasint"`
+	Now     int64          `cbor:"3,keyasint"`
+	Configs []Config       `cbor:"4,keyasint"`
+	Changes []change       `cbor:"5,keyasint"`
+	Claims  []claim.Record `cbor:"6,keyasint"`
+	Orders  order.Image    `cbor:"7,keyasint"`
+	Members []MemberInfo   `cbor:"8,keyasint"`
+}
+
+// Encode gives the bytes of a command.
+func Encode(c Command) ([]byte, error) { return encMode.Marshal(c) }
+
+// Snapshot gives the whole state. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	img := image{
+		Format:  format,
+		Index:   s.index,
+		Now:     s.now,
+		Configs: s.config.kept,
+		Changes: s.config.changes,
+		Claims:  s.claims.Snapshot(),
+		Orders:  s.orders.Snapshot(),
+	}
+	for _, m := range s.members {
+		img.Members = append(img.Members, m)
+	}
+	sort.Slice(img.Members, func(i, j int) bool { return img.Members[i].ID < img.Members[j].ID })
+	return encMode.Marshal(img)
+}
+
+// Restore gives the state that a snapshot was taken of. Empty data is the state
+// before the first command.
+func Restore(l Limits, data []byte) (*State, error) {
+	s := New(l)
+	if len(data) == 0 {
+		return s, nil
+	}
+	var img image
+	if err := decMode.Unmarshal(data, &img); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	if img.Format != format {
+		return nil, fmt.Errorf("%w: %d", ErrFormat, img.Format)
+	}
+	s.index = img.Index
+	s.now = img.Now
+	s.config.kept = img.Configs
+	s.config.changes = img.Changes
+	for _, ch := range img.Changes {
+		s.config.byID[ch.ChangeID] = ch
+	}
+	s.claims = claim.Restore(l.Claim, img.Claims)
+	s.orders = order.Restore(l.Order, img.Orders)
+	for _, m := range img.Members {
+		s.members[m.ID] = m
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,162 @@
+// Package state is the replicated state machine of the control group: the
+// fleet's configuration, claims, orders and what the members tell of themselves.
+//
+// Apply is deterministic: it reads no clock and draws no random number. Time is
+// the replicated clock, in milliseconds, which the leader stamps into each
+// command and which never goes back. A State is not safe for concurrent use.
+package state
+
+import (
+	"errors"
+	"fmt"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
+	"almondseam.dev/core/order"
+)
+
+// Limits bound the state. Every member must use the same ones, for they decide
+// what Apply answers.
+type Limits struct {
+	Claim  claim.Limits
+	Order  order.Limits
+	Config ConfigLimits
+}
+
+// DefaultLimits are those of the sizes in the users' target.
+func DefaultLimits() Limits {
+	return Limits{
+		Claim:  claim.DefaultLimits(),
+		Order:  order.DefaultLimits(),
+		Config: DefaultConfigLimits(),
+	}
+}
+
+// MemberInfo is what a control member tells of itself, for operators.
+type MemberInfo struct {
+	ID       uint64   `cbor:"1,keyasint"`
+	Operator string   `cbor:"2,keyasint,omitempty"`
+	Zone     api.Zone `cbor:"3,keyasint,omitempty"`
+}
+
+// Command is one entry of the replicated log. Exactly one of the pointers is
+// set; none at all is a tick, which only moves the clock.
+//
+// Every command may be proposed twice, when the answer to the first was lost:
+// a configuration is known by its change ID, a claim by its claimant, an order
+// by its ID, and the rest say the same thing when said again.
+type Command struct {
+	// Now is the replicated clock in milliseconds, stamped by the leader.
+	Now int64 `cbor:"1,keyasint"`
+	// Wall is the leader's wall clock in Unix milliseconds. It is kept to be
+	// shown, and nothing is decided by it.
+	Wall   int64          `cbor:"2,keyasint,omitempty"`
+	Config *ConfigPut     `cbor:"3,keyasint,omitempty"`
+	Claim  *claim.Request `cbor:"4,keyasint,omitempty"`
+	Report *claim.Report  `cbor:"5,keyasint,omitempty"`
+	Order  *order.Command `cbor:"6,keyasint,omitempty"`
+	Member *MemberInfo    `cbor:"7,keyasint,omitempty"`
+}
+
+// Result is what one command came to. Reason is empty when it took effect, or
+// had done so before.
+type Result struct {
+	Reason  api.Reason      `cbor:"1,keyasint,omitempty"`
+	Message string          `cbor:"2,keyasint,omitempty"`
+	Config  *ConfigResult   `cbor:"3,keyasint,omitempty"`
+	Claim   *claim.Decision `cbor:"4,keyasint,omitempty"`
+	Order   *order.Order    `cbor:"5,keyasint,omitempty"`
+}
+
+// ErrFormat reports a snapshot that this version can't read.
+var ErrFormat = errors.New("unknown format of the state's snapshot")
+
+// State is the composite. See the package comment.
+type State struct {
+	limits  Limits
+	index   uint64
+	now     int64
+	config  configs
+	claims  *claim.Table
+	orders  *order.Table
+	members map[uint64]MemberInfo
+}
+
+// New gives the state before the first command.
+func New(l Limits) *State {
+	return &State{
+		limits:  l,
+		config:  newConfigs(l.Config),
+		claims:  claim.NewTable(l.Claim),
+		orders:  order.NewTable(l.Order),
+		members: make(map[uint64]MemberInfo),
+	}
+}
+
+// Index is the log index of the last command applied.
+func (s *State) Index() uint64 { return s.index }
+
+// Now is the replicated clock.
+func (s *State) Now() int64 { return s.now }
+
+// Claims gives the claims, to be read between two calls of Apply.
+func (s *State) Claims() *claim.Table { return s.claims }
+
+// Orders gives the orders, to be read between two calls of Apply.
+func (s *State) Orders() *order.Table { return s.orders }
+
+// Members gives what each control member told of itself.
+func (s *State) Members() map[uint64]MemberInfo { return s.members }
+
+// Apply carries out the command at a log index. A command that can't be decoded
+// is refused in the same way on every member. An index at or below the last one
+// is refused too: applying it again could grant a claim twice.
+func (s *State) Apply(index uint64, data []byte) Result {
+	if index <= s.index {
+		return Result{Reason: api.ReasonInternal, Message: fmt.Sprintf("log index %d comes after %d", index, s.index)}
+	}
+	s.index = index
+	var c Command
+	if err := decMode.Unmarshal(data, &c); err != nil {
+		return Result{Reason: api.ReasonBadRequest, Message: err.Error()}
+	}
+	s.now = max(s.now, c.Now)
+	s.claims.Expire(s.now)
+	s.orders.Expire(s.now)
+	return s.apply(index, &c)
+}
+
+func (s *State) apply(index uint64, c *Command) Result {
+	switch {
+	case c.Config != nil:
+		r := s.config.put(index, c.Wall, c.Config)
+		return Result{Reason: r.Reason, Message: r.Message, Config: &r}
+	case c.Claim != nil:
+		d := s.claims.Claim(index, s.now, *c.Claim)
+		return Result{Reason: d.Verdict.Reason(), Claim: &d}
+	case c.Report != nil:
+		return s.report(index, c.Report)
+	case c.Order != nil:
+		return s.order(index, c.Order)
+	case c.Member != nil:
+		s.members[c.Member.ID] = *c.Member
+	}
+	return Result{}
+}
+
+func (s *State) report(index uint64, r *claim.Report) Result {
+	rec, err := s.claims.Report(index, s.now, *r)
+	if err != nil {
+		return Result{Reason: api.ReasonClaimConflict, Message: err.Error()}
+	}
+	return Result{Claim: &claim.Decision{Record: rec}}
+}
+
+func (s *State) order(index uint64, c *order.Command) Result {
+	o, err := s.orders.Apply(api.Fence(index), s.now, *c)
+	if err != nil {
+		e := api.AsError(err)
+		return Result{Reason: e.Reason, Message: err.Error(), Order: &o}
+	}
+	return Result{Order: &o}
+}
--- /dev/null
+++ b/core/state/state_test.go
@@ -0,0 +1,230 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
+	"almondseam.dev/core/order"
+)
+
+// log applies commands with rising indexes.
+type log struct {
+	t     testing.TB
+	s     *State
+	index uint64
+}
+
+func newLog(t testing.TB) *log { return &log{t: t, s: New(DefaultLimits())} }
+
+func (l *log) apply(c Command) Result {
+	data, err := Encode(c)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.index++
+	return l.s.Apply(l.index, data)
+}
+
+func (l *log) put(id, author string, base api.Revision, doc string) ConfigResult {
+	return *l.apply(Command{Config: &ConfigPut{ChangeID: id, Author: author, Base: base, Document: []byte(doc)}}).Config
+}
+
+// reload takes the state through its snapshot, as a new or lagging member does.
+func (l *log) reload() {
+	data, err := l.s.Snapshot()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	if l.s, err = Restore(DefaultLimits(), data); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+// Two operators hold revision 1 and both send a change. Exactly one wins; the
+// other is told who was first and with which change.
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	c.Assert(l.put("c0", "ana", 0, "one").Revision, qt.Equals, api.Revision(1))
+	won := l.put("c1", "ana", 1, "two")
+	lost := l.put("c2", "bilal", 1, "other")
+	c.Assert(won.Accepted, qt.IsTrue)
+	c.Assert(lost.Accepted, qt.IsFalse)
+	c.Assert(lost.Reason, qt.Equals, api.ReasonStaleFence)
+	c.Assert([]string{lost.Author, lost.ChangeID}, qt.DeepEquals, []string{"ana", "c1"})
+	c.Assert(lost.Message, qt.Contains, "revision 2 by ana (change c1)")
+	c.Assert(string(l.s.Current().Document), qt.Equals, "two")
+}
+
+// The answer to a change is lost and the operator sends it again, after another
+// change, and after the member that answers was restored from a snapshot. Both
+// an accepted and a refused change get their first answer.
+func TestResentChangeGetsItsFirstAnswer(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	first := l.put("c0", "ana", 0, "one")
+	lost := l.put("c9", "bilal", 0, "other")
+	l.put("c1", "chloe", 1, "two")
+	l.reload()
+	again := l.put("c0", "ana", 0, "one")
+	c.Assert(again.Repeated, qt.IsTrue)
+	again.Repeated = false
+	c.Assert(again, qt.DeepEquals, first)
+	lostAgain := l.put("c9", "bilal", 0, "other")
+	lostAgain.Repeated = false
+	c.Assert(lostAgain, qt.DeepEquals, lost)
+	c.Assert(l.s.Current().Revision, qt.Equals, api.Revision(2))
+	reused := l.put("c0", "ana", 2, "three")
+	c.Assert(reused.Accepted, qt.IsFalse)
+	c.Assert(reused.Message, qt.Contains, "used for another change")
+}
+
+func TestRefusedDocuments(t *testing.T) {
+	big := make([]byte, DefaultConfigLimits().MaxDocument+1)
+	for _, tc := range []struct {
+		name string
+		put  ConfigPut
+		want api.Reason
+	}{
+		{"no change ID", ConfigPut{Document: []byte("x")}, api.ReasonBadRequest},
+		{"empty", ConfigPut{ChangeID: "a"}, api.ReasonBadRequest},
+		{"too large", ConfigPut{ChangeID: "a", Document: big}, api.ReasonTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newLog(t)
+			r := l.apply(Command{Config: &tc.put})
+			qt.Assert(t, r.Reason, qt.Equals, tc.want)
+			qt.Assert(t, l.s.Current().Revision, qt.Equals, api.Revision(0))
+		})
+	}
+}
+
+func TestOldEntriesAndGarbageChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	data, err := Encode(Command{Config: &ConfigPut{ChangeID: "a", Document: []byte("x")}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.s.Apply(7, data).Reason, qt.Equals, api.Reason(""))
+	c.Assert(l.s.Apply(7, data).Reason, qt.Equals, api.ReasonInternal)
+	c.Assert(l.s.Apply(8, []byte{0xff}).Reason, qt.Equals, api.ReasonBadRequest)
+	c.Assert(l.s.Current().Revision, qt.Equals, api.Revision(1))
+}
+
+// A new leader's clock starts at what was applied, but a command stamped by an
+// old leader may still be in the log behind it. The clock must not go back, or a
+// claim would count as younger than it is.
+func TestClockNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	l.apply(Command{Now: 500})
+	l.apply(Command{Now: 300})
+	c.Assert(l.s.Now(), qt.Equals, int64(500))
+}
+
+func TestHistoryKeepsNewestDocuments(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	limits := DefaultConfigLimits()
+	total := limits.History + 10
+	for i := range total {
+		r := l.put(fmt.Sprint("c", i), "ana", api.Revision(i), fmt.Sprint("doc", i))
+		c.Assert(r.Accepted, qt.IsTrue)
+	}
+	c.Assert(l.s.History(), qt.HasLen, limits.History)
+	_, kept := l.s.Revision(api.Revision(total - limits.Documents + 1))
+	c.Assert(kept, qt.IsTrue)
+	_, kept = l.s.Revision(api.Revision(total - limits.Documents))
+	c.Assert(kept, qt.IsFalse)
+}
+
+func TestPatch(t *testing.T) {
+	for _, tc := range []struct{ name, from, to string }{
+		{"same", "abc", "abc"},
+		{"from nothing", "", "abc"},
+		{"to nothing", "abc", ""},
+		{"middle", "limit: 10\n", "limit: 20\n"},
+		{"repeated byte added", "aaa", "aaaa"},
+		{"repeated byte removed", "aaaa", "aaa"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := MakePatch([]byte(tc.from), []byte(tc.to))
+			got, ok := p.Apply([]byte(tc.from))
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(string(got), qt.Equals, tc.to)
+			// On another document it gives the right result or none.
+			got, ok = p.Apply([]byte("x" + tc.from + "y"))
+			c.Assert(!ok || string(got) == tc.to, qt.IsTrue)
+			c.Assert(ok, qt.Equals, p.Prefix+p.Suffix == 0)
+		})
+	}
+}
+
+// Random commands on two members, one of which is restored from a snapshot now
+// and then. They answer alike and end with equal bytes; the revision never goes
+// back and no key has two live grants.
+func TestMembersAgree(t *testing.T) {
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		a, b := newLog(t), newLog(t)
+		revision := api.Revision(0)
+		grants := map[string]uint64{}
+		for step := range 200 {
+			cmd := randomCommand(r, step, revision, grants)
+			ra, rb := a.apply(cmd), b.apply(cmd)
+			if fmt.Sprintf("%+v", ra.Config) != fmt.Sprintf("%+v", rb.Config) || ra.Reason != rb.Reason {
+				t.Fatalf("seed %d step %d: %+v and %+v", seed, step, ra, rb)
+			}
+			if now := a.s.Current().Revision; now < revision {
+				t.Fatalf("seed %d step %d: revision went from %d to %d", seed, step, revision, now)
+			}
+			revision = a.s.Current().Revision
+			checkGrant(t, seed, cmd, ra, grants)
+			if r.IntN(20) == 0 {
+				b.reload()
+			}
+		}
+		sa, _ := a.s.Snapshot()
+		sb, _ := b.s.Snapshot()
+		if !bytes.Equal(sa, sb) {
+			t.Fatalf("seed %d: snapshots differ", seed)
+		}
+	}
+}
+
+func randomCommand(r *rand.Rand, step int, revision api.Revision, grants map[string]uint64) Command {
+	now := int64(step) * 2000
+	key := fmt.Sprint("k", r.IntN(3))
+	switch r.IntN(4) {
+	case 0:
+		return Command{Now: now, Config: &ConfigPut{ChangeID: fmt.Sprint("c", r.IntN(60)), Base: revision - api.Revision(r.IntN(2)), Document: []byte{1, byte(step)}}}
+	case 1:
+		return Command{Now: now, Claim: &claim.Request{Key: claim.Key{Customer: "c", Name: key}, Claimant: fmt.Sprint(step)}}
+	case 2:
+		outcome := []api.Outcome{api.OutcomeNotRun, api.OutcomeUnknown, api.OutcomeNotRun, api.OutcomeNotRun, api.OutcomeCompleted}[r.IntN(5)]
+		return Command{Now: now, Report: &claim.Report{Key: claim.Key{Customer: "c", Name: key}, Grant: grants[key], Outcome: outcome}}
+	}
+	return Command{Now: now, Order: &order.Command{Op: order.OpSubmit, ID: fmt.Sprint("o", r.IntN(9)), Spec: order.Spec{Target: "t", Action: order.ActionChangeRole, Role: key}}}
+}
+
+// checkGrant follows the grant in force of each key: a second one may come only
+// after the first was released.
+func checkGrant(t *testing.T, seed uint64, cmd Command, r Result, grants map[string]uint64) {
+	if cmd.Report != nil && r.Reason == "" && cmd.Report.Outcome == api.OutcomeNotRun {
+		delete(grants, cmd.Report.Key.Name)
+	}
+	if cmd.Claim == nil || r.Claim.Verdict != claim.Granted {
+		return
+	}
+	key := cmd.Claim.Key.Name
+	if held := grants[key]; held != 0 {
+		t.Fatalf("seed %d: key %s granted at %d while grant %d is in force", seed, key, r.Claim.Record.Grant, held)
+	}
+	grants[key] = r.Claim.Record.Grant
+}
