Generate the configuration reference page from the types

Cause: a page written by hand drifts from what the parser accepts. Measured: go test ./cmd/almondctl passes; the test compares page and output.

--- a/cmd/almondctl/config_local.go
+++ b/cmd/almondctl/config_local.go
@@ -37,6 +37,7 @@
 	addCheck(c, config)
 	addRender(c, config)
 	addDiff(c, config)
+	addReference(c, config)
 }
 
 func addCheck(c *cli, config *kingpin.CmdClause) {
@@ -68,6 +69,21 @@
 	})
 }
 
+func addReference(c *cli, config *kingpin.CmdClause) {
+	cmd := config.Command("reference", "Print the reference page of the configuration (docs/CONFIG.md).")
+	cmd.Action(func(*kingpin.ParseContext) error {
+		c.run = func() error {
+			page, err := fleetconfig.Reference()
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprint(c.stdout, page)
+			return err
+		}
+		return nil
+	})
+}
+
 // readConfig reads a configuration folder; it checks nothing yet.
 func readConfig(dir string) (*configFiles, error) {
 	paths, err := filepath.Glob(filepath.Join(dir, "*"+fileExt))
--- a/cmd/almondctl/config_local_test.go
+++ b/cmd/almondctl/config_local_test.go
@@ -108,3 +108,14 @@
 	c.Assert(code, qt.Equals, exitFailed)
 	c.Assert(errs, qt.Contains, "kech.yaml:4:5: customers[styling-kech].wait: unknown key")
 }
+
+// The committed page is what the types' comments say today. After a change of
+// the types: go run ./cmd/almondctl config reference > docs/CONFIG.md
+func TestReferencePageIsUpToDate(t *testing.T) {
+	c := qt.New(t)
+	code, page, _ := run("config", "reference")
+	c.Assert(code, qt.Equals, exitOK)
+	committed, err := os.ReadFile("../../docs/CONFIG.md")
+	c.Assert(err, qt.IsNil)
+	c.Assert(page, qt.Equals, string(committed))
+}
