Run the whole path: almondseam run and solo

Cause: the first milestone is a request served from end to end. Change: events catalogue, metrics with every reason counted from 0, operations port, wiring of the entry and agent roles, kingpin commands run and solo; an agent that leaves waits until the entry has the end of every request. Conclusion: the path stands thin; failures and costs are next.

--- /dev/null
+++ b/cmd/almondseam/run.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/ops"
+	"almondseam.dev/node/process"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+const runHelp = `Run a process with one or more roles.
+
+Examples:
+  almondseam run --role=entry --instance=lhr-a-e1 --zone=lhr-a --fleet-key-file=fleet.key \
+      --config=examples/sur-sangat/base.yaml --config=examples/sur-sangat/lhr.yaml
+  almondseam run --role=agent --instance=lhr-a-g1 --zone=lhr-a --fleet-key-file=fleet.key \
+      --seed=127.0.0.1:8081 --target=lhr-a-g1 --target-address=127.0.0.1:9000 --model=programme-writer
+
+The first SIGTERM or SIGINT drains the process: no request in progress is cut
+off. The second stops it hard.`
+
+// runCommand is `almondseam run`.
+type runCommand struct {
+	cmd *kingpin.CmdClause
+	set settings
+}
+
+func newRunCommand(app *kingpin.Application) *runCommand {
+	c := &runCommand{cmd: app.Command("run", runHelp)}
+	c.set.flags(c.cmd)
+	return c
+}
+
+func (c *runCommand) execute(out streams) int {
+	if err := c.set.check(); err != nil {
+		return out.usage(err)
+	}
+	level, err := zerolog.ParseLevel(c.set.logLevel)
+	if err != nil {
+		return out.usage(fmt.Errorf("--log-level: %w", err))
+	}
+	log := zerolog.New(out.err).Level(level).With().Timestamp().Str("instance", c.set.instance).Logger()
+	n := &node{set: &c.set, log: &log, metrics: metrics.New(&log)}
+	if err := n.start(); err != nil {
+		events.ProcessFailed.Log(&log).Err(err).Send()
+		var usage *usageError
+		if errors.As(err, &usage) {
+			return out.usage(err)
+		}
+		return exitFailed
+	}
+	return n.wait()
+}
+
+// usageError marks a start that failed for a setting's sake.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
+
+// role is a running role of a process.
+type role interface {
+	Start()
+	Stop(ctx context.Context) error
+}
+
+// node is one process with its roles.
+type node struct {
+	set     *settings
+	log     *zerolog.Logger
+	metrics *metrics.Set
+	roles   []role
+	entry   *process.Entry
+	ops     *ops.Server
+	work    conc.WaitGroup
+	// atStop runs after the roles have stopped.
+	atStop []func()
+}
+
+func (n *node) start() error {
+	if err := n.startOps(); err != nil {
+		return err
+	}
+	if n.set.has(roleEntry) {
+		e, err := n.newEntry()
+		if err != nil {
+			return err
+		}
+		n.entry = e
+		n.roles = append(n.roles, e)
+	}
+	if n.set.has(roleAgent) {
+		n.roles = append(n.roles, n.newAgent())
+	}
+	for _, r := range n.roles {
+		r.Start()
+	}
+	return nil
+}
+
+func (n *node) startOps() error {
+	ln, err := net.Listen("tcp", n.set.ops)
+	if err != nil {
+		return &usageError{fmt.Errorf("--ops-listen: %w", err)}
+	}
+	n.ops = ops.New(n.metrics.Registry, n.ready)
+	n.work.Go(func() { _ = n.ops.Serve(ln) })
+	return nil
+}
+
+func (n *node) ready() (bool, string) {
+	if n.entry != nil && n.entry.Targets() == 0 {
+		return false, "no target is linked"
+	}
+	return true, ""
+}
+
+func (n *node) newEntry() (*process.Entry, error) {
+	snap, err := loadConfig(n.set.conf, api.Site(n.set.site))
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--config: %w", err)}
+	}
+	live := &fleetconfig.Live{}
+	live.Publish(snap)
+	cln, err := net.Listen("tcp", n.set.callers)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--listen: %w", err)}
+	}
+	lln, err := net.Listen("tcp", n.set.links)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--link-listen: %w", err)}
+	}
+	return process.NewEntry(process.EntrySettings{
+		Instance: api.InstanceID(n.set.instance),
+		Zone:     n.set.zoneID(),
+		Key:      []byte(n.set.key),
+		Callers:  cln,
+		Links:    lln,
+	}, process.EntryPorts{Live: live, Metrics: n.metrics, Log: n.log}), nil
+}
+
+func (n *node) newAgent() *process.Agent {
+	return process.NewAgent(process.AgentSettings{
+		Instance:     api.InstanceID(n.set.instance),
+		Zone:         n.set.zoneID(),
+		Key:          []byte(n.set.key),
+		Seeds:        n.set.seeds,
+		Target:       api.TargetID(n.set.target),
+		TargetAddr:   n.set.address,
+		Models:       convert[api.ModelID](n.set.models),
+		Services:     convert[api.ServiceID](n.set.services),
+		Capacity:     n.set.capacity,
+		Capabilities: n.set.capabilities(),
+	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
+}
+
+// wait runs until a signal and then drains every role, the first started last.
+func (n *node) wait() int {
+	sig := make(chan os.Signal, 2)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	var failed <-chan error
+	if n.entry != nil {
+		failed = n.entry.Failed()
+	}
+	select {
+	case <-sig:
+	case err := <-failed:
+		events.ProcessFailed.Log(n.log).Err(err).Send()
+		return exitFailed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
+	defer cancel()
+	go func() {
+		<-sig
+		cancel()
+	}()
+	return n.stop(ctx)
+}
+
+// stopNow drains within the process's limit, without a signal.
+func (n *node) stopNow() int {
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
+	defer cancel()
+	return n.stop(ctx)
+}
+
+func (n *node) stop(ctx context.Context) int {
+	code := exitOK
+	for i := len(n.roles) - 1; i >= 0; i-- {
+		if err := n.roles[i].Stop(ctx); err != nil {
+			code = exitFailed
+		}
+	}
+	for _, f := range n.atStop {
+		f()
+	}
+	_ = n.ops.Close(ctx)
+	n.work.Wait()
+	return code
+}
+
+// loadConfig reads the base file and at most one overlay.
+func loadConfig(files []string, site api.Site) (*fleetconfig.Snapshot, error) {
+	read := make([]fleetconfig.File, len(files))
+	for i, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		read[i] = fleetconfig.File{Name: name, Data: data}
+	}
+	switch len(read) {
+	case 1:
+		f, err := fleetconfig.Parse(read[0])
+		if err != nil {
+			return nil, err
+		}
+		return fleetconfig.Compile(f).At(localRevision, site), nil
+	case 2:
+		f, _, err := fleetconfig.Merge(read[0], read[1])
+		if err != nil {
+			return nil, err
+		}
+		return fleetconfig.Compile(f).At(localRevision, site), nil
+	}
+	return nil, errors.New("give the base file and at most one overlay")
+}
+
+// localRevision marks a configuration that comes from files.
+const localRevision api.Revision = 1
--- /dev/null
+++ b/cmd/almondseam/settings.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/agent"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// The roles of a process.
+const (
+	roleEntry   = "entry"
+	roleAgent   = "agent"
+	roleControl = "control"
+)
+
+// settings are the flags of `run`; each is also an environment variable, named
+// ALMONDSEAM_RUN_ and the flag's name.
+type settings struct {
+	roles    []string
+	instance string
+	zone     string
+	site     string
+	key      string
+	keyFile  string
+	logLevel string
+	drain    time.Duration
+	ops      string
+
+	callers string
+	links   string
+	conf    []string
+
+	seeds    []string
+	target   string
+	address  string
+	models   []string
+	services []string
+	capacity int
+	priority bool
+	fences   bool
+}
+
+func (s *settings) flags(c *kingpin.CmdClause) {
+	c.Flag("role", "Role of the process; may be given more than once.").Required().EnumsVar(&s.roles, roleEntry, roleAgent, roleControl)
+	c.Flag("instance", "Name of this instance, unique in the fleet.").Required().StringVar(&s.instance)
+	c.Flag("zone", "Availability zone of this instance.").Required().StringVar(&s.zone)
+	c.Flag("site", "Site whose overlay applies here.").StringVar(&s.site)
+	c.Flag("fleet-key", "Key that all processes of the fleet share; better given by --fleet-key-file.").StringVar(&s.key)
+	c.Flag("fleet-key-file", "File that holds the fleet key.").StringVar(&s.keyFile)
+	c.Flag("log-level", "Least level that is logged.").Default("info").EnumVar(&s.logLevel, "debug", "info", "warn", "error")
+	c.Flag("drain", "Longest time a graceful stop waits for requests in progress.").Default("10m").DurationVar(&s.drain)
+	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
+	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
+	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
+	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
+	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
+	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
+	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
+	c.Flag("model", "agent: model that the target serves; may be given more than once.").StringsVar(&s.models)
+	c.Flag("service", "agent: plain service that the target serves; may be given more than once.").StringsVar(&s.services)
+	c.Flag("capacity", "agent: memory of the engine in tokens.").Default("40000").IntVar(&s.capacity)
+	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
+	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
+}
+
+func (s *settings) has(role string) bool {
+	for _, r := range s.roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// check finds what kingpin can't: settings that go together. Its errors name
+// the flag.
+func (s *settings) check() error {
+	if err := s.loadKey(); err != nil {
+		return err
+	}
+	if s.has(roleAgent) {
+		if err := s.checkAgent(); err != nil {
+			return err
+		}
+	}
+	if s.has(roleEntry) && len(s.conf) == 0 {
+		return errors.New("--config: the entry role needs a configuration file")
+	}
+	return nil
+}
+
+func (s *settings) checkAgent() error {
+	switch {
+	case s.target == "":
+		return errors.New("--target: the agent role needs the target's name")
+	case s.address == "":
+		return errors.New("--target-address: the agent role needs the target's address")
+	case len(s.seeds) == 0:
+		return errors.New("--seed: the agent role needs the link address of at least one entry")
+	case len(s.models)+len(s.services) == 0:
+		return errors.New("--model or --service: the agent role needs to know what the target serves")
+	case s.capacity <= 0:
+		return errors.New("--capacity: must be positive")
+	}
+	for _, addr := range append([]string{s.address}, s.seeds...) {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("--seed, --target-address: %w", err)
+		}
+	}
+	return nil
+}
+
+const minKey = 16
+
+func (s *settings) loadKey() error {
+	if s.keyFile != "" {
+		b, err := os.ReadFile(s.keyFile)
+		if err != nil {
+			return fmt.Errorf("--fleet-key-file: %w", err)
+		}
+		s.key = strings.TrimSpace(string(b))
+	}
+	if len(s.key) < minKey {
+		return fmt.Errorf("--fleet-key or --fleet-key-file: a key of at least %d characters is needed", minKey)
+	}
+	return nil
+}
+
+func convert[T ~string](in []string) []T {
+	out := make([]T, len(in))
+	for i, v := range in {
+		out[i] = T(v)
+	}
+	return out
+}
+
+func (s *settings) capabilities() agent.Capabilities {
+	return agent.Capabilities{Priority: s.priority, ChecksFence: s.fences}
+}
+
+func (s *settings) zoneID() api.Zone { return api.Zone(s.zone) }
--- /dev/null
+++ b/cmd/almondseam/solo.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/process"
+	"almondseam.dev/node/standin"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+)
+
+const soloHelp = `Run all roles and the stand-in engine in one process on loopback.
+
+It asks for one generation, shows its tokens as they come, and then stays up
+for curl until it is interrupted.`
+
+// soloCommand is `almondseam solo`.
+type soloCommand struct {
+	cmd    *kingpin.CmdClause
+	listen string
+	once   bool
+	tokens int
+}
+
+func newSoloCommand(app *kingpin.Application) *soloCommand {
+	c := &soloCommand{cmd: app.Command("solo", soloHelp)}
+	c.cmd.Flag("listen", "Address for callers.").Default("127.0.0.1:8080").StringVar(&c.listen)
+	c.cmd.Flag("once", "Stop after the first generation.").BoolVar(&c.once)
+	c.cmd.Flag("tokens", "Length of the first generation.").Default("60").IntVar(&c.tokens)
+	return c
+}
+
+// What solo is set up with. The key is no secret: it opens a stand-in on
+// loopback.
+const (
+	soloKey      = "sk-solo"
+	soloModel    = "standin"
+	soloFleetKey = "solo-fleet-key-on-loopback"
+	soloConfig   = `
+name: solo
+sites:
+  - {id: solo, region: loopback, zones: [solo-a]}
+customers:
+  - {id: newcomer, keys: [%q], max_concurrent: 64}
+models:
+  - {id: standin, context_tokens: 32000, max_output_tokens: 16000}
+`
+)
+
+func (c *soloCommand) execute(out streams) int {
+	log := zerolog.New(zerolog.ConsoleWriter{Out: out.err, NoColor: true}).Level(zerolog.WarnLevel).With().Timestamp().Logger()
+	n := &node{set: &settings{drain: 10 * time.Second, ops: "127.0.0.1:0"}, log: &log, metrics: metrics.New(&log)}
+	addr, err := c.start(n)
+	if err != nil {
+		fmt.Fprintf(out.err, "almondseam: solo: %v\n", err)
+		return exitFailed
+	}
+	fmt.Fprintf(out.out, "almondseam solo: callers at http://%s, API key %s\n\n", addr, soloKey)
+	if err := c.firstGeneration(out, addr); err != nil {
+		fmt.Fprintf(out.err, "almondseam: solo: %v\n", err)
+		return exitFailed
+	}
+	if c.once {
+		return n.stopNow()
+	}
+	fmt.Fprintf(out.out, soloHint, addr, soloKey, soloModel)
+	return n.wait()
+}
+
+const soloHint = `
+Still up. In another terminal:
+  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Notes for the evening recital"}]}'
+Stop with Ctrl-C.
+`
+
+func (c *soloCommand) start(n *node) (string, error) {
+	if err := n.startOps(); err != nil {
+		return "", err
+	}
+	eln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	engine := standin.NewServer(standin.Config{Model: soloModel}, standin.Options{})
+	n.work.Go(func() { _ = engine.Serve(eln) })
+	n.atStop = append(n.atStop, func() { _ = engine.Close() })
+	callers, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return "", err
+	}
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	f, err := fleetconfig.Parse(fleetconfig.File{Name: "solo.yaml", Data: fmt.Appendf(nil, soloConfig, fleetconfig.KeySum(soloKey))})
+	if err != nil {
+		return "", err
+	}
+	live := &fleetconfig.Live{}
+	live.Publish(fleetconfig.Compile(f).At(localRevision, "solo"))
+	n.entry = process.NewEntry(process.EntrySettings{
+		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Callers: callers, Links: links,
+	}, process.EntryPorts{Live: live, Metrics: n.metrics, Log: n.log})
+	ag := process.NewAgent(process.AgentSettings{
+		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Seeds: []string{links.Addr().String()},
+		Target: "solo-engine", TargetAddr: eln.Addr().String(), Models: []api.ModelID{soloModel},
+	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
+	n.roles = append(n.roles, n.entry, ag)
+	for _, r := range n.roles {
+		r.Start()
+	}
+	return callers.Addr().String(), n.waitTarget()
+}
+
+const soloStart = 5 * time.Second
+
+// waitTarget returns when the first target is linked.
+func (n *node) waitTarget() error {
+	for end := time.Now().Add(soloStart); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if n.entry.Targets() > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("no target was linked within %s", soloStart)
+}
+
+// firstGeneration asks for a generation as a caller does and shows it.
+func (c *soloCommand) firstGeneration(out streams, addr string) error {
+	body, err := json.Marshal(map[string]any{
+		"model": soloModel, "stream": true, "x_output_tokens": c.tokens,
+		"messages": []map[string]string{{"role": "user", "content": "Programme notes for tonight's recital, please."}},
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+soloKey)
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", resp.Status)
+	}
+	tokens, err := showTokens(out, bufio.NewScanner(resp.Body))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out.out, "\n\n%d tokens in %s\n", tokens, time.Since(start).Round(time.Millisecond))
+	return nil
+}
+
+func showTokens(out streams, lines *bufio.Scanner) (int, error) {
+	tokens := 0
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return tokens, nil
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Error *struct {
+				Message string `json:"message"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return tokens, err
+		}
+		if chunk.Error != nil {
+			return tokens, fmt.Errorf("the stream ended with an error: %s", chunk.Error.Message)
+		}
+		for _, ch := range chunk.Choices {
+			if ch.Delta.Content != "" {
+				tokens++
+				fmt.Fprint(out.out, ch.Delta.Content)
+			}
+		}
+	}
+	return tokens, fmt.Errorf("the stream ended without its end mark: %w", lines.Err())
+}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -207,9 +208,8 @@
 
 func (a *Agent) takeWaiting() []*session {
 	var out []*session
-	now := a.cfg.Clock()
 	for k, s := range a.sessions {
-		if a.admit.Cancel(k.Request, k.Attempt, now) {
+		if s.offer.Service == "" && a.admit.Cancel(k.Request) {
 			s.stop()
 			out = append(out, s)
 		}
@@ -217,12 +217,13 @@
 	return out
 }
 
-// Idle tells that no request is in progress.
+// Idle tells that no request is in progress and no entry waits for an end.
 func (a *Agent) Idle() bool {
+	now := a.cfg.Clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range a.sessions {
-		if !s.hasEnded() {
+		if !s.settled(now, a.cfg.Grace) {
 			return false
 		}
 	}
@@ -245,11 +246,17 @@
 		return
 	}
 	a.reported = now
-	running, waiting, free := a.admit.Counts()
+	snap := a.admit.Snapshot(now)
 	links := a.linkList()
 	calls := a.calls
 	a.mu.Unlock()
-	m := &wire.Load{Running: running + calls, Waiting: waiting, Free: free, Capacity: a.cfg.Capacity}
+	m := &wire.Load{
+		Running:  snap.Running + calls,
+		Waiting:  snap.Waiting,
+		Free:     snap.Free,
+		Capacity: a.cfg.Capacity,
+		Wait:     snap.WaitNote,
+	}
 	for _, l := range links {
 		_ = l.Send(m)
 	}
@@ -266,7 +273,7 @@
 				delete(a.latest, k.Request)
 			}
 		case s.offer.Service == "" && s.abandoned(now, a.cfg.Grace):
-			a.cancelLocked(s, now)
+			a.cancelLocked(s)
 		}
 	}
 	for k, until := range a.tombstones {
@@ -283,45 +290,64 @@
 
 func (a *Agent) startReady(now time.Time) {
 	a.mu.Lock()
-	starts := a.admit.Next(now)
-	var ready []*session
-	var prio []int
-	for _, st := range starts {
-		if s, ok := a.sessions[wire.Key{Request: st.ID, Attempt: st.Attempt}]; ok {
-			ready = append(ready, s)
-			prio = append(prio, st.Priority)
-		}
+	starts := slices.Clone(a.admit.Next(now))
+	ready := make([]*session, len(starts))
+	for i, st := range starts {
+		ready[i] = a.sessions[wire.Key{Request: st.ID, Attempt: st.Attempt}]
 	}
+	late := a.takeExpired()
 	a.mu.Unlock()
 	for i, s := range ready {
-		a.launch(s, prio[i])
+		a.launch(s, starts[i].Priority)
+	}
+	for _, s := range late {
+		s.stop()
+		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonDeadlineHopeless})
 	}
 }
 
+// takeExpired gives the sessions that waited in the queue past their deadline.
+func (a *Agent) takeExpired() []*session {
+	var out []*session
+	for _, id := range a.admit.Expired() {
+		if s := a.lookup(wire.Key{Request: id}); s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (a *Agent) launch(s *session, priority int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	if !s.begin(cancel) {
 		cancel()
-		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
-		a.done(s, 0)
+		a.close(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
 		return
 	}
 	a.work.Go(func() {
 		defer cancel()
-		a.run(ctx, s, priority)
+		a.close(s, a.run(ctx, s, priority))
 	})
 }
 
-func (a *Agent) done(s *session, tokens int) {
-	now := a.cfg.Clock()
+// close ends a session that was launched and lets the next ones start. The room
+// that it held is given up before its end is told: a caller that asks again at
+// once must not find its own request still in the way.
+func (a *Agent) close(s *session, f *wire.Final) {
 	a.mu.Lock()
-	if s.offer.Service == "" {
-		a.admit.Done(s.offer.Key.Request, s.offer.Key.Attempt, tokens, now)
-	} else {
+	switch {
+	case s.offer.Service != "":
 		a.calls--
+	case a.latest[s.offer.Key.Request] != s.offer.Key:
+		// A later attempt of the request is here; the admitter knows that one.
+	case f.Outcome == api.OutcomeCompleted:
+		a.admit.Done(s.offer.Key.Request)
+	default:
+		a.admit.Cancel(s.offer.Key.Request)
 	}
 	a.mu.Unlock()
-	a.startReady(now)
+	a.end(s, f)
+	a.startReady(a.cfg.Clock())
 }
 
 func (a *Agent) end(s *session, f *wire.Final) {
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -131,7 +131,7 @@
 	s := a.lookup(m.Key)
 	a.mu.Unlock()
 	if s != nil {
-		s.ack(m.Offset)
+		s.ack(m.Offset, m.End)
 	}
 }
 
@@ -147,14 +147,13 @@
 		s.hold(from, now.Add(min(m.Hold, a.cfg.Grace)-a.cfg.Grace))
 		return
 	}
-	a.cancelLocked(s, now)
+	a.cancelLocked(s)
 }
 
 // cancelLocked stops a session. One that was still waiting ends here as not
 // run; a running one ends when its work returns.
-func (a *Agent) cancelLocked(s *session, now time.Time) (notRun bool) {
-	k := s.offer.Key
-	waiting := s.offer.Service == "" && a.admit.Cancel(k.Request, k.Attempt, now)
+func (a *Agent) cancelLocked(s *session) (notRun bool) {
+	waiting := s.offer.Service == "" && !s.hasStarted() && a.admit.Cancel(s.offer.Key.Request)
 	s.stop()
 	if waiting {
 		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
@@ -184,7 +183,7 @@
 		a.tombstones[m.Key] = now.Add(a.cfg.TombstoneTime)
 		return true
 	}
-	if a.cancelLocked(s, now) {
+	if a.cancelLocked(s) {
 		return true
 	}
 	s.mu.Lock()
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -73,21 +73,26 @@
 	Preemptions uint64
 }
 
-// Admitter decides what starts when. It is called under the agent's lock, with
-// the time passed in; see core/admission.
+// Admitter decides what starts when; core/admission.Controller is one. It is
+// called under the agent's lock, with the time passed in.
 type Admitter interface {
 	Bid(r admission.Request, now time.Time) admission.Bid
 	Offer(r admission.Request, now time.Time) admission.Verdict
-	// Next gives the sequences to start now.
+	// Next gives the sequences to start now, and Expired, once, the queued
+	// requests whose deadline passed before they started.
 	Next(now time.Time) []admission.Start
-	// Progress tells that a sequence has delivered tokens in all.
-	Progress(id api.RequestID, a api.Attempt, tokens int, now time.Time)
-	// Done tells that a sequence ended, after tokens in all.
-	Done(id api.RequestID, a api.Attempt, tokens int, now time.Time)
-	// Cancel removes a waiting request; it tells whether it had not started.
-	Cancel(id api.RequestID, a api.Attempt, now time.Time) bool
-	// Counts gives running and waiting sequences and free memory in tokens.
-	Counts() (running, waiting, free int)
+	Expired() []api.RequestID
+	// Progress tells that a sequence has produced n tokens in all.
+	Progress(id api.RequestID, n int)
+	// Done tells that a running sequence ended by itself; Cancel that it was
+	// withdrawn, with true only if it had never started.
+	Done(id api.RequestID) bool
+	Cancel(id api.RequestID) (neverStarted bool)
+	// Preempted tells that the engine took a sequence's memory; an empty ID
+	// means that it does not say whose.
+	Preempted(id api.RequestID)
+	// Snapshot is the state for a load report.
+	Snapshot(now time.Time) admission.Snapshot
 }
 
 // Clock gives the time; tests pass their own.
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -32,8 +32,10 @@
 	head    *wire.Head
 	final   *wire.Final
 	started bool
-	cancel  context.CancelFunc // set when started
-	stopped bool
+	// received is set when the entry has the final frame.
+	received bool
+	cancel   context.CancelFunc // set when started
+	stopped  bool
 	// orphaned is when the last link was lost, zero while one is attached.
 	orphaned time.Time
 	ended    time.Time
@@ -80,6 +82,14 @@
 	s.sent = off + uint64(n)
 }
 
+func (s *session) tellStarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.to != nil {
+		_ = s.to.Send(&wire.State{Key: s.offer.Key, Phase: wire.PhaseStarted})
+	}
+}
+
 func (s *session) setHead(h *wire.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,9 +171,10 @@
 // at since: the usual grace then counts from there.
 func (s *session) hold(from sender, since time.Time) { s.detach(from, since) }
 
-func (s *session) ack(off uint64) {
+func (s *session) ack(off uint64, end bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.received = s.received || end
 	if s.buf.Ack(off) == nil {
 		s.room.Broadcast()
 	}
@@ -199,10 +210,23 @@
 	return s.stopped
 }
 
-func (s *session) hasEnded() bool {
+func (s *session) hasStarted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.final != nil
+	return s.started
+}
+
+// settled tells that nothing is left to be done: the request has ended and the
+// entry has the end. Nobody waits for one whose link has been gone for grace. An
+// agent that left before would take the last tokens with it.
+func (s *session) settled(now time.Time, grace time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.final == nil {
+		return false
+	}
+	lost := !s.orphaned.IsZero() && now.Sub(s.orphaned) > grace
+	return s.received || lost
 }
 
 // expired tells that the session may be forgotten, and abandoned that nobody
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -107,6 +107,7 @@
 		f.g.refetch()
 		return false, nil
 	}
+	_ = f.g.link().Send(&wire.Ack{Key: f.g.key, Offset: m.Count, End: true})
 	if err != nil {
 		return true, f.e.fail(f.g, api.StepRelay, api.OutcomeInterrupted, api.ReasonIntegrity, err)
 	}
--- /dev/null
+++ b/node/events/events.go
@@ -0,0 +1,55 @@
+// Package events is the catalogue of what the processes log. Every log line
+// carries a number from here; docs/EVENTS.md gives each number's meaning and
+// the first step of whoever is on call.
+package events
+
+import (
+	"github.com/rs/zerolog"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// ID never changes its meaning and is never used again.
+	ID    int
+	Level zerolog.Level
+	// Text is the message; Step is what to do first.
+	Text string
+	Step string
+}
+
+// Log starts a line of the event on l. The caller adds fields and calls Send.
+func (e Event) Log(l *zerolog.Logger) *zerolog.Event {
+	return l.WithLevel(e.Level).Int("event", e.ID).Str("what", e.Text)
+}
+
+// The catalogue. Numbers from 100 are of processes, from 200 of links, from 300
+// of requests, from 400 of targets, from 500 of control, from 600 of
+// configuration.
+var (
+	ProcessStarted   = Event{100, zerolog.InfoLevel, "process started", "None."}
+	ProcessDraining  = Event{101, zerolog.InfoLevel, "process draining: no new work, requests in progress go on", "None; a second signal stops it hard."}
+	ProcessDrained   = Event{102, zerolog.InfoLevel, "process drained", "None."}
+	ProcessHardStop  = Event{103, zerolog.WarnLevel, "process stopped hard, requests in progress were cut off", "Find who sent the second signal, or why draining took longer than its limit."}
+	ProcessFailed    = Event{104, zerolog.ErrorLevel, "process failed", "Read the error field; settings are the usual cause."}
+	LinkUp           = Event{200, zerolog.InfoLevel, "link up", "None."}
+	LinkDown         = Event{201, zerolog.WarnLevel, "link down", "Read the why field: silence means a stalled network, backlog a peer that does not read, malformed a version or a fault."}
+	LinkDialFailed   = Event{202, zerolog.WarnLevel, "link could not be opened", "Check the address and that the peer is up; it is tried again with growing waits."}
+	LinkRefused      = Event{203, zerolog.WarnLevel, "link refused in the handshake", "Check that both ends were given the same fleet key."}
+	RequestEnded     = Event{300, zerolog.DebugLevel, "request ended", "None."}
+	RequestFailed    = Event{301, zerolog.InfoLevel, "request ended without its whole answer", "Look the reason up in OPERATIONS.md."}
+	RequestRetried   = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
+	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
+	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
+	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
+	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+)
+
+// All lists the catalogue in the order of its numbers.
+func All() []Event {
+	return []Event{
+		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed,
+		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
+		RequestEnded, RequestFailed, RequestRetried,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed,
+	}
+}
--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,144 @@
+// Package metrics holds the Prometheus metrics of a process and hears, through
+// the observer ports, what the other packages decide. Every refusal and retry
+// reason is counted from the start with 0, so that an alarm can tell "none"
+// from "not measured".
+package metrics
+
+import (
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/entry"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+	"github.com/rs/zerolog"
+)
+
+const namespace = "almondseam"
+
+// Set is the metrics of one process with the log they go along with.
+type Set struct {
+	Registry *prometheus.Registry
+	log      *zerolog.Logger
+
+	links      *prometheus.GaugeVec
+	linkClosed *prometheus.CounterVec
+	handshakes prometheus.Counter
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	ended      *prometheus.CounterVec
+	dropped    *prometheus.CounterVec
+	agentEnded *prometheus.CounterVec
+}
+
+// New makes a set with a registry of its own.
+func New(log *zerolog.Logger) *Set {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	f := promauto.With(reg)
+	s := &Set{
+		Registry:   reg,
+		log:        log,
+		links:      f.NewGaugeVec(gauge("links", "Links that are up, by the role of the peer."), []string{"role"}),
+		linkClosed: f.NewCounterVec(counter("link_closed_total", "Links that ended, by how."), []string{"why"}),
+		handshakes: f.NewCounter(counter("link_refused_total", "Links that were refused in the handshake.")),
+		refusals:   f.NewCounterVec(counter("refusals_total", "Requests refused or ended short, by reason."), []string{"reason"}),
+		retries:    f.NewCounterVec(counter("retries_total", "Attempts after the first, by the reason of the one before."), []string{"reason"}),
+		ended:      f.NewCounterVec(counter("requests_ended_total", "Requests that an entry placed, by outcome."), []string{"outcome"}),
+		dropped:    f.NewCounterVec(counter("frames_dropped_total", "Frames that an entry did not take, by why."), []string{"why"}),
+		agentEnded: f.NewCounterVec(counter("agent_requests_ended_total", "Requests that an agent took, by outcome."), []string{"outcome"}),
+	}
+	s.zero()
+	return s
+}
+
+func gauge(name, help string) prometheus.GaugeOpts {
+	return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func counter(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func (s *Set) zero() {
+	for r := range api.Reasons {
+		s.refusals.WithLabelValues(string(r))
+		s.retries.WithLabelValues(string(r))
+	}
+	for _, o := range []api.Outcome{api.OutcomeCompleted, api.OutcomeNotRun, api.OutcomeInterrupted, api.OutcomeUnknown} {
+		s.ended.WithLabelValues(string(o))
+		s.agentEnded.WithLabelValues(string(o))
+	}
+}
+
+// LinkUp counts a link that has come up.
+func (s *Set) LinkUp(p link.Peer) {
+	s.links.WithLabelValues(string(p.Role)).Inc()
+	events.LinkUp.Log(s.log).Str("peer", string(p.Instance)).Str("role", string(p.Role)).Send()
+}
+
+// LinkClosed implements link.Observer.
+func (s *Set) LinkClosed(p link.Peer, why string) {
+	s.links.WithLabelValues(string(p.Role)).Dec()
+	s.linkClosed.WithLabelValues(why).Inc()
+	events.LinkDown.Log(s.log).Str("peer", string(p.Instance)).Str("why", why).Send()
+}
+
+// HandshakeFailed implements link.Observer.
+func (s *Set) HandshakeFailed(err error) {
+	s.handshakes.Inc()
+	events.LinkRefused.Log(s.log).Err(err).Send()
+}
+
+// Refused implements callers.Observer.
+func (s *Set) Refused(_ api.CustomerID, reason api.Reason) {
+	s.refusals.WithLabelValues(string(reason)).Inc()
+}
+
+// Entry is the view that an entry reports to.
+type Entry struct{ *Set }
+
+// Ended implements entry.Observer.
+func (s Entry) Ended(r *entry.Request, end entry.End) {
+	s.ended.WithLabelValues(string(end.Outcome)).Inc()
+	e := events.RequestEnded
+	if end.Outcome != api.OutcomeCompleted {
+		e = events.RequestFailed
+	}
+	e.Log(s.log).Str("request", string(r.ID)).Str("customer", string(r.Size.Customer)).
+		Str("outcome", string(end.Outcome)).Str("reason", string(end.Reason)).
+		Str("peer", end.Peer).Str("detail", end.Detail).Send()
+}
+
+// Retried implements entry.Observer.
+func (s Entry) Retried(r *entry.Request, reason api.Reason) {
+	s.retries.WithLabelValues(string(reason)).Inc()
+	events.RequestRetried.Log(s.log).Str("request", string(r.ID)).Str("reason", string(reason)).Send()
+}
+
+// Dropped implements entry.Observer.
+func (s Entry) Dropped(why string) { s.dropped.WithLabelValues(why).Inc() }
+
+// Agent is the view that an agent reports to.
+type Agent struct{ *Set }
+
+// Accepted implements agent.Observer.
+func (Agent) Accepted(wire.Key) {}
+
+// Refused implements agent.Observer.
+func (s Agent) Refused(_ wire.Key, reason api.Reason) {
+	s.refusals.WithLabelValues(string(reason)).Inc()
+}
+
+// Ended implements agent.Observer.
+func (s Agent) Ended(k wire.Key, o api.Outcome, reason api.Reason) {
+	s.agentEnded.WithLabelValues(string(o)).Inc()
+	e := events.RequestEnded
+	if o != api.OutcomeCompleted {
+		e = events.RequestFailed
+	}
+	e.Log(s.log).Str("request", string(k.Request)).Uint32("attempt", uint32(k.Attempt)).
+		Str("outcome", string(o)).Str("reason", string(reason)).Send()
+}
--- /dev/null
+++ b/node/ops/ops.go
@@ -0,0 +1,43 @@
+// Package ops is the operations port of a process: metrics, liveness and
+// readiness over HTTP.
+package ops
+
+import (
+	"context"
+	"net"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Ready tells whether the process can serve, with what is missing if not. It is
+// called from several goroutines.
+type Ready func() (ok bool, missing string)
+
+// Server serves the operations port.
+type Server struct{ app *fiber.App }
+
+// New makes a server over a registry.
+func New(reg *prometheus.Registry, ready Ready) *Server {
+	app := fiber.New(fiber.Config{AppName: "almondseam-ops"})
+	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(reg, promhttp.HandlerOpts{})))
+	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get("/readyz", func(c fiber.Ctx) error {
+		ok, missing := ready()
+		if !ok {
+			return c.Status(fiber.StatusServiceUnavailable).SendString(missing + "\n")
+		}
+		return c.SendString("ready\n")
+	})
+	return &Server{app: app}
+}
+
+// Serve answers on ln until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Close stops the server.
+func (s *Server) Close(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
--- /dev/null
+++ b/node/process/agent.go
@@ -0,0 +1,165 @@
+package process
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/admission"
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/estimate"
+	"almondseam.dev/node/agent"
+	"almondseam.dev/node/engine"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/wire"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+// AgentSettings are the process settings of the agent role.
+type AgentSettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	// Seeds are the entries' link addresses.
+	Seeds []string
+	// Target is announced under this name; TargetAddr is where it listens.
+	Target     api.TargetID
+	TargetAddr string
+	Models     []api.ModelID
+	Services   []api.ServiceID
+	// Capacity is the engine's memory in tokens.
+	Capacity     int
+	Capabilities agent.Capabilities
+}
+
+// AgentPorts are what an agent process needs beside its settings.
+type AgentPorts struct {
+	Metrics *metrics.Set
+	Log     *zerolog.Logger
+}
+
+// Agent is a running agent role.
+type Agent struct {
+	set    AgentSettings
+	ports  AgentPorts
+	agent  *agent.Agent
+	work   conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// defaultCapacity is assumed of an engine whose memory is not given.
+const defaultCapacity = 40_000
+
+// NewAgent makes the role; Start runs it. The incarnation is the time of the
+// start in milliseconds: an agent has no disk, and a clock that is set back
+// across a restart is the one case in which an older number could come again.
+func NewAgent(set AgentSettings, ports AgentPorts) *Agent {
+	if set.Capacity == 0 {
+		set.Capacity = defaultCapacity
+	}
+	a := &Agent{set: set, ports: ports}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	target := engine.New(engine.Config{Addr: set.TargetAddr, Capabilities: set.Capabilities})
+	admit := admission.New(admission.Config{Capacity: set.Capacity}, estimate.New(estimate.Config{}))
+	a.agent = agent.New(agent.Config{
+		Target:      set.Target,
+		Incarnation: api.Incarnation(time.Now().UnixMilli()),
+		Zone:        set.Zone,
+		Models:      set.Models,
+		Services:    set.Services,
+		Capacity:    set.Capacity,
+		Observer:    metrics.Agent{Set: ports.Metrics},
+	}, target, admit)
+	return a
+}
+
+// Start opens the links and takes work.
+func (a *Agent) Start() {
+	a.work.Go(func() { a.agent.Run(a.ctx) })
+	for _, addr := range a.set.Seeds {
+		a.work.Go(func() { a.keepLink(addr) })
+	}
+	events.ProcessStarted.Log(a.ports.Log).Str("role", string(link.RoleAgent)).
+		Str("target", string(a.set.Target)).Str("address", a.set.TargetAddr).Send()
+}
+
+// Waits between dials: doubled from the first to the last, each cut by a random
+// half, so that the agents of a zone do not all come back in the same instant.
+const (
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 5 * time.Second
+)
+
+// keepLink holds a link to one entry open until the agent stops.
+func (a *Agent) keepLink(addr string) {
+	wait := firstRedial
+	for a.ctx.Err() == nil {
+		start := time.Now()
+		a.runLink(addr)
+		if time.Since(start) > lastRedial {
+			wait = firstRedial
+		}
+		jittered := wait/2 + rand.N(wait/2)
+		select {
+		case <-time.After(jittered):
+		case <-a.ctx.Done():
+		}
+		wait = min(2*wait, lastRedial)
+	}
+}
+
+func (a *Agent) runLink(addr string) {
+	conn, err := link.Dial(a.ctx, addr, link.Options{
+		Key:      a.set.Key,
+		Self:     link.Peer{Instance: a.set.Instance, Zone: a.set.Zone, Role: link.RoleAgent},
+		Codec:    wire.NewCodec(wire.PathProtos()...),
+		Observer: a.ports.Metrics,
+	})
+	if err != nil {
+		if a.ctx.Err() == nil {
+			events.LinkDialFailed.Log(a.ports.Log).Str("peer", addr).Err(err).Send()
+		}
+		return
+	}
+	a.ports.Metrics.LinkUp(conn.Peer())
+	detach := a.agent.Attach(conn)
+	defer detach()
+	conn.Run(a.ctx, func(m wire.Message) { a.agent.Handle(conn, m) })
+}
+
+// drainPoll is the pace at which a leaving agent looks whether it is idle.
+const drainPoll = 50 * time.Millisecond
+
+// Stop drains: the target leaves, work that has not started is handed back as
+// not run, and what runs goes on to its end or until ctx is done; then it stops
+// hard.
+func (a *Agent) Stop(ctx context.Context) error {
+	events.ProcessDraining.Log(a.ports.Log).Str("role", string(link.RoleAgent)).Send()
+	a.agent.Leave()
+	err := a.waitIdle(ctx)
+	if err != nil {
+		events.ProcessHardStop.Log(a.ports.Log).Err(err).Send()
+		a.agent.Abort()
+	}
+	a.cancel()
+	a.work.Wait()
+	events.ProcessDrained.Log(a.ports.Log).Str("role", string(link.RoleAgent)).Send()
+	return err
+}
+
+func (a *Agent) waitIdle(ctx context.Context) error {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for !a.agent.Idle() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/process/entry.go
@@ -0,0 +1,139 @@
+// Package process wires the parts of each role into a running process.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/routing"
+	"almondseam.dev/node/callers"
+	"almondseam.dev/node/entry"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/wire"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// EntrySettings are the process settings of the entry role.
+type EntrySettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	// Callers and Links are where callers and agents connect.
+	Callers net.Listener
+	Links   net.Listener
+	// Drain bounds a graceful shutdown.
+	Drain time.Duration
+}
+
+// EntryPorts are what an entry process needs beside its settings. Nil ports
+// take the parts that need no control group.
+type EntryPorts struct {
+	Live    *fleetconfig.Live
+	Limiter callers.Limiter
+	Claimer callers.Claimer
+	Metrics *metrics.Set
+	Log     *zerolog.Logger
+}
+
+// Entry is a running entry role.
+type Entry struct {
+	set     EntrySettings
+	ports   EntryPorts
+	entry   *entry.Entry
+	callers *callers.Server
+	links   *fasthttp.Server
+	work    conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	failed  chan error
+}
+
+// NewEntry makes the role; Start runs it.
+func NewEntry(set EntrySettings, ports EntryPorts) *Entry {
+	e := &Entry{set: set, ports: ports, failed: make(chan error, 2)}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	placer := entry.NewTablePlacer(routing.Options{})
+	e.entry = entry.New(entry.Config{}, placer, entry.Attempts{Most: 3}, metrics.Entry{Set: ports.Metrics})
+	if ports.Limiter == nil {
+		ports.Limiter = openLimiter{}
+	}
+	e.callers = callers.New(callers.Config{Zone: set.Zone}, callers.Ports{
+		Live:     ports.Live,
+		Entry:    e.entry,
+		Limiter:  ports.Limiter,
+		Claimer:  ports.Claimer,
+		Observer: ports.Metrics,
+	})
+	acceptor := link.NewAcceptor(link.Options{
+		Key:      set.Key,
+		Self:     link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry},
+		Codec:    wire.NewCodec(wire.PathProtos()...),
+		Observer: ports.Metrics,
+	}, e.serveLink)
+	e.links = &fasthttp.Server{Handler: acceptor.Handler, Name: "almondseam"}
+	return e
+}
+
+// openLimiter lets everything pass.
+type openLimiter struct{}
+
+// Acquire implements callers.Limiter.
+func (openLimiter) Acquire(*fleetconfig.Customer, int, time.Time) (func(int), *api.Error) {
+	return func(int) {}, nil
+}
+
+// Start serves callers and agents. Failed tells of a listener that gave up.
+func (e *Entry) Start() {
+	e.work.Go(func() { e.serve("callers", e.callers.Serve(e.set.Callers)) })
+	e.work.Go(func() { e.serve("links", e.links.Serve(e.set.Links)) })
+	events.ProcessStarted.Log(e.ports.Log).Str("role", string(link.RoleEntry)).
+		Str("callers", e.set.Callers.Addr().String()).Str("links", e.set.Links.Addr().String()).Send()
+}
+
+func (e *Entry) serve(what string, err error) {
+	if err == nil || e.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	e.failed <- fmt.Errorf("%s: %w", what, err)
+}
+
+// Failed gives the error of a listener that gave up.
+func (e *Entry) Failed() <-chan error { return e.failed }
+
+// Targets counts the linked agents.
+func (e *Entry) Targets() int { return e.entry.Targets() }
+
+func (e *Entry) serveLink(c *link.Conn) {
+	e.ports.Metrics.LinkUp(c.Peer())
+	at := e.entry.Attach(c)
+	defer at.Closed()
+	c.Run(e.ctx, at.Handle)
+}
+
+// Stop drains: no new connection is taken, requests in progress go on until
+// they end or ctx is done; then it stops hard.
+func (e *Entry) Stop(ctx context.Context) error {
+	events.ProcessDraining.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
+	err := e.callers.Drain(ctx)
+	if err != nil {
+		events.ProcessHardStop.Log(e.ports.Log).Err(err).Send()
+		e.callers.Abort()
+	}
+	e.entry.Wait()
+	e.cancel()
+	if cerr := e.links.Shutdown(); err == nil {
+		err = cerr
+	}
+	e.work.Wait()
+	events.ProcessDrained.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
+	return err
+}
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -181,10 +181,12 @@
 }
 
 // Ack tells that the caller has been given all items below Offset. It also
-// grants the agent credit for as many new bytes.
+// grants the agent credit for as many new bytes. End tells that the final frame
+// has arrived as well, so that a leaving agent may go.
 type Ack struct {
 	Key    Key    `cbor:"1,keyasint"`
 	Offset uint64 `cbor:"2,keyasint"`
+	End    bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // Cancel tells that nobody wants the answer any more.
