Break the path in tests, and mend what broke

Cause: the promises of a request need failures that show them. Two faults came up: a caller that hung up left its session waiting for an acknowledgement that nobody would send, so its agent could never finish draining; an entry that was stopped hard cancelled its generations, so no caller could come back. Change: a cancelled session is forsaken (no acknowledgement is awaited); an entry that stops hard leaves its generations running for 30 s, as a crash does.

--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -150,9 +150,10 @@
 	a.cancelLocked(s)
 }
 
-// cancelLocked stops a session. One that was still waiting ends here as not
-// run; a running one ends when its work returns.
+// cancelLocked stops a session that nobody waits for any more. One that was
+// still waiting ends here as not run; a running one ends when its work returns.
 func (a *Agent) cancelLocked(s *session) (notRun bool) {
+	s.forsake()
 	waiting := s.offer.Service == "" && !s.hasStarted() && a.admit.Cancel(s.offer.Key.Request)
 	s.stop()
 	if waiting {
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -32,7 +32,7 @@
 	head    *wire.Head
 	final   *wire.Final
 	started bool
-	// received is set when the entry has the final frame.
+	// received is set when the entry has the final frame or waits for none.
 	received bool
 	cancel   context.CancelFunc // set when started
 	stopped  bool
@@ -180,6 +180,14 @@
 	}
 }
 
+// forsake notes that no entry waits for the end: it will not be acknowledged,
+// and a leaving agent must not wait for that.
+func (s *session) forsake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = true
+}
+
 // stop cancels the work, started or not.
 func (s *session) stop() {
 	s.mu.Lock()
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -169,13 +169,20 @@
 	return false, nil
 }
 
+// stopHold leaves requests running when this entry is stopped hard: their
+// callers may come back through another one, as after a crash.
+const stopHold = 30 * time.Second
+
 // leave tells the agent that the caller has gone. What the request's outcome
 // was is not proved any more.
 func (f *follower) leave(ctx context.Context) error {
-	m := &wire.Cancel{Key: f.g.key}
+	m := &wire.Cancel{Key: f.g.key, Hold: stopHold}
 	var held callerHeld
-	if errors.As(context.Cause(ctx), &held) {
+	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &held):
 		m.Hold = held.hold
+	case errors.Is(cause, errCallerGone):
+		m.Hold = 0
 	}
 	_ = f.g.link().Send(m)
 	return f.e.fail(f.g, api.StepDeliver, f.lost(), api.ReasonCancelled, context.Cause(ctx))
--- /dev/null
+++ b/node/process/path_test.go
@@ -0,0 +1,352 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/callers"
+	"almondseam.dev/node/standin"
+	qt "github.com/frankban/quicktest"
+)
+
+func TestGenerationArrivesWhole(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), e.links)
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 200)
+	s.readAll()
+	f.c.Assert(s.done, qt.IsTrue)
+	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "notes", 200))
+}
+
+// One of two engines reads its first request and closes the connection without
+// a token. Nothing was delivered, so the request is started on the other target,
+// and every caller gets one engine's whole answer without noticing.
+func TestEngineDiesBeforeFirstTokenMovesTheRequest(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{Faults: standin.Faults{CutAtRequest: 1}}), e.links)
+	f.agent("g2", f.engine(standin.Config{Seed: 2}, standin.Options{}), e.links)
+	f.untilTargets(e, 2)
+	var wg sync.WaitGroup
+	var from1 atomic.Int64
+	for range 12 {
+		wg.Go(func() {
+			s := f.open(e.url, testKey, "notes", 50)
+			s.readAll()
+			f.c.Check(s.done, qt.IsTrue)
+			if s.text.String() == answerOf(1, "notes", 50) {
+				from1.Add(1)
+				return
+			}
+			f.c.Check(s.text.String(), qt.Equals, answerOf(2, "notes", 50))
+		})
+	}
+	wg.Wait()
+	f.c.Assert(from1.Load() > 0, qt.IsTrue, qt.Commentf("the faulty engine was never asked"))
+}
+
+// The engine is killed after 40 tokens were delivered. The caller must be told
+// that the answer was interrupted: another engine would write another answer,
+// and the end of one must never be joined to the beginning of the other.
+func TestEngineDiesMidAnswerInterruptsAndNeverSplices(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	die := standin.Faults{DieAtRequest: 1, DieAfterTokens: 40}
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{Faults: die}), e.links)
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 200)
+	s.read(10)
+	f.agent("g2", f.engine(standin.Config{Seed: 2}, standin.Options{}), e.links)
+	s.readAll()
+	f.c.Assert(s.done, qt.IsFalse)
+	f.c.Assert(s.err, qt.IsNotNil)
+	f.c.Assert(s.err.Outcome, qt.Equals, api.OutcomeInterrupted)
+	f.c.Assert(strings.HasPrefix(answerOf(1, "notes", 200), s.text.String()), qt.IsTrue)
+}
+
+// The link between agent and entry is cut again and again while tokens flow.
+// The agent dials anew, the entry asks for the rest from its offset, and the
+// caller gets every token once, in order.
+func TestCutLinkResumesWithoutLossOrRepeat(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	v := f.valve(e.links)
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), v.addr())
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 600)
+	for i := 1; i <= 4; i++ {
+		s.read(i * 60)
+		v.cut()
+	}
+	s.readAll()
+	f.c.Assert(s.err, qt.IsNil)
+	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "notes", 600))
+}
+
+// The link stalls with frames in flight and then delivers them late. The caller
+// sees comment lines meanwhile and afterwards the rest, once and in order.
+func TestStalledLinkDeliversLate(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	v := f.valve(e.links)
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), v.addr())
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 400)
+	s.read(30)
+	v.stall()
+	for s.lines.Scan() {
+		if strings.HasPrefix(s.lines.Text(), ": ") {
+			break // a sign of life while nothing arrives
+		}
+		if data, ok := strings.CutPrefix(s.lines.Text(), "data: "); ok {
+			s.take(data)
+		}
+	}
+	v.resume()
+	s.readAll()
+	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "notes", 400))
+}
+
+// The agent process is replaced in mid-answer: its successor has another
+// incarnation and knows nothing of the request. The caller is told interrupted.
+func TestAgentReplacedMidAnswerInterrupts(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	eng := f.engine(standin.Config{Seed: 1}, standin.Options{})
+	_, stop := f.agent("g1", eng, e.links)
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 4000)
+	s.read(20)
+	_ = stop(0)
+	f.agent("g1", eng, e.links)
+	s.readAll()
+	f.c.Assert(s.err, qt.IsNotNil)
+	f.c.Assert(s.err.Outcome, qt.Equals, api.OutcomeInterrupted)
+}
+
+// The entry dies. The caller comes back through the other entry with its
+// request ID and last event ID and gets the rest of the same generation, which
+// the agent has kept going. Another customer with the same IDs gets nothing.
+func TestCallerComesBackThroughAnotherEntry(t *testing.T) {
+	f := newFleet(t)
+	e1, e2 := f.entry("e1"), f.entry("e2")
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), e1.links, e2.links)
+	f.untilTargets(e1, 1)
+	f.untilTargets(e2, 1)
+	s := f.open(e1.url, testKey, "notes", 800)
+	s.read(50)
+	_ = e1.stop(0)
+	id, last := s.resp.Header.Get(callers.HeaderRequestID), s.lastID
+	back := []header{{callers.HeaderRequestID, id}, {"Last-Event-ID", last}}
+	stranger := f.open(e2.url, otherKey, "notes", 800, back...)
+	f.c.Assert(stranger.err, qt.IsNotNil)
+	f.c.Assert(stranger.err.Code, qt.Equals, api.ReasonTargetGone)
+	rest := f.open(e2.url, testKey, "notes", 800, back...)
+	rest.readAll()
+	f.c.Assert(rest.err, qt.IsNil)
+	f.c.Assert(rest.done, qt.IsTrue)
+	f.c.Assert(s.text.String()+rest.text.String(), qt.Equals, answerOf(1, "notes", 800))
+}
+
+const openStreams = 200
+
+// SIGTERM reaches the entry while 200 streams are open. None may be cut off:
+// the listener closes, every stream runs to its end, then the process goes.
+func TestEntryStopCutsNoStream(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), e.links)
+	f.untilTargets(e, 1)
+	all := openMany(f, e.url, 60)
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.stop(patience) }()
+	checkMany(f, all, 60)
+	f.c.Assert(<-stopped, qt.IsNil)
+}
+
+// SIGTERM reaches the agent while 200 streams are placed there. What runs goes
+// on to its end; what still waits is handed back as not run and is started on
+// the other target. No caller notices, and the leaving target gets no new work.
+func TestAgentStopCutsNoStream(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	eng1 := f.engine(standin.Config{Seed: 1}, standin.Options{})
+	_, stop1 := f.agent("g1", eng1, e.links)
+	f.untilTargets(e, 1)
+	all := openMany(f, e.url, 60)
+	f.agent("g2", f.engine(standin.Config{Seed: 1}, standin.Options{}), e.links)
+	f.untilTargets(e, 2)
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop1(patience) }()
+	checkMany(f, all, 60)
+	f.c.Assert(<-stopped, qt.IsNil)
+}
+
+func openMany(f *fleet, url string, tokens int) []*streamed {
+	all := make([]*streamed, openStreams)
+	var wg sync.WaitGroup
+	for i := range all {
+		wg.Go(func() { all[i] = f.open(url, testKey, fmt.Sprintf("note %d", i), tokens) })
+	}
+	wg.Wait()
+	return all
+}
+
+func checkMany(f *fleet, all []*streamed, tokens int) {
+	f.t.Helper()
+	var wg sync.WaitGroup
+	for _, s := range all {
+		wg.Go(s.readAll)
+	}
+	wg.Wait()
+	for i, s := range all {
+		f.c.Assert(s.err, qt.IsNil, qt.Commentf("stream %d", i))
+		f.c.Assert(s.text.String(), qt.Equals, answerOf(1, fmt.Sprintf("note %d", i), tokens))
+	}
+}
+
+// A bookings service reads a booking and closes the connection without an
+// answer. The call may have been made, so nobody may send it again: the service
+// must see it exactly once, and the caller is told that the outcome is unknown.
+func TestBookingIsNeverSentTwice(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	svc := newClosingService(f)
+	f.agent("b1", svc.addr, e.links)
+	f.agent("b2", svc.addr, e.links)
+	f.untilTargets(e, 2)
+	status, outcome := f.post(e.url + "/bookings/seat/7")
+	f.c.Assert(status, qt.Equals, http.StatusBadGateway)
+	f.c.Assert(outcome, qt.Equals, string(api.OutcomeUnknown))
+	f.c.Assert(svc.seen.Load(), qt.Equals, int64(1))
+}
+
+// The same service on a repeatable method: the call is tried again on the other
+// target, since running it twice does no harm.
+func TestRepeatableCallIsTriedAgain(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	svc := newClosingService(f)
+	f.agent("b1", svc.addr, e.links)
+	f.agent("b2", svc.addr, e.links)
+	f.untilTargets(e, 2)
+	req, err := http.NewRequest(http.MethodGet, e.url+"/bookings/seat/7", nil)
+	f.c.Assert(err, qt.IsNil)
+	f.do(req)
+	f.c.Assert(svc.seen.Load() > 1, qt.IsTrue)
+}
+
+func (f *fleet) post(url string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
+	f.c.Assert(err, qt.IsNil)
+	return f.do(req)
+}
+
+func (f *fleet) do(req *http.Request) (int, string) {
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := testClient.Do(req)
+	f.c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	f.c.Assert(err, qt.IsNil)
+	return resp.StatusCode, resp.Header.Get(callers.HeaderOutcome)
+}
+
+// closingService reads each request whole and closes the connection.
+type closingService struct {
+	addr string
+	seen atomic.Int64
+}
+
+func newClosingService(f *fleet) *closingService {
+	ln := listenLoopback(f.c)
+	s := &closingService{addr: ln.Addr().String()}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.seen.Add(1)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	f.t.Cleanup(func() { _ = srv.Close() })
+	return s
+}
+
+// A caller hangs up. Its generation must not go on occupying a crowded engine:
+// it is cancelled there although no token is due to be written.
+func TestCallerGoneCancelsTheGeneration(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	stall := standin.Faults{StallAtRequest: 1, StallAfterTokens: 5}
+	a, _ := f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{Faults: stall}), e.links)
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 500)
+	s.read(5)
+	f.c.Assert(a.agent.Idle(), qt.IsFalse)
+	f.c.Assert(s.resp.Body.Close(), qt.IsNil)
+	f.until("the agent is idle", a.agent.Idle)
+}
+
+func TestCallerMistakes(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{}), e.links)
+	f.untilTargets(e, 1)
+	tests := []struct {
+		name, key, path, body string
+		status                int
+		code                  api.Reason
+	}{
+		{"no key", "", "/v1/chat/completions", `{}`, 401, api.ReasonUnauthenticated},
+		{"wrong key", "sk-nobody", "/v1/chat/completions", `{}`, 401, api.ReasonUnauthenticated},
+		{"no JSON", testKey, "/v1/chat/completions", `{"model":`, 400, api.ReasonBadRequest},
+		{"no messages", testKey, "/v1/chat/completions", `{"model":"standin"}`, 400, api.ReasonBadRequest},
+		{"unknown model", testKey, "/v1/chat/completions", `{"model":"other","messages":[{}]}`, 404, api.ReasonUnknownModel},
+		{"negative bound", testKey, "/v1/chat/completions", `{"model":"standin","messages":[{}],"max_tokens":-1}`, 400, api.ReasonBadRequest},
+		{"prompt too long", testKey, "/v1/completions", `{"model":"standin","prompt":"` + strings.Repeat("long ", 40000) + `"}`, 413, api.ReasonTooLarge},
+		{"unknown path", testKey, "/nothing/here", `{}`, 404, api.ReasonUnknownService},
+		{"path outside its prefix", testKey, "/bookings/../nothing", `{}`, 404, api.ReasonUnknownService},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			req, err := http.NewRequest(http.MethodPost, e.url+tc.path, strings.NewReader(tc.body))
+			c.Assert(err, qt.IsNil)
+			if tc.key != "" {
+				req.Header.Set("Authorization", "Bearer "+tc.key)
+			}
+			resp, err := testClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			c.Assert(resp.StatusCode, qt.Equals, tc.status)
+			c.Assert(resp.Header.Get(callers.HeaderOutcome), qt.Equals, string(api.OutcomeNotRun))
+			c.Assert(resp.Header.Get(callers.HeaderReason), qt.Equals, string(tc.code))
+		})
+	}
+}
+
+// A plain HTTP client that is not an agent connects to the port for links, and
+// so does an agent of another fleet. Neither gets anything; the entry goes on.
+func TestLinkPortRefusesStrangers(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	resp, err := testClient.Get("http://" + e.links + "/link")
+	f.c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	f.c.Assert(resp.StatusCode >= 400, qt.IsTrue)
+	conn, err := net.Dial("tcp", e.links)
+	f.c.Assert(err, qt.IsNil)
+	_ = conn.Close()
+	f.c.Assert(e.Targets(), qt.Equals, 0)
+}
