--- /dev/null
+++ b/node/durable/osfs.go
@@ -0,0 +1,90 @@
+package durable
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dirMode  = 0o750
+	fileMode = 0o640
+)
+
+// OS is the FS of the operating system.
+type OS struct{}
+
+// MkdirAll makes dir and syncs the folder that holds it, so that the new entry
+// survives. Parents above that are expected to exist or to be of no concern.
+func (o OS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return err
+	}
+	return o.SyncDir(filepath.Dir(dir))
+}
+
+// Lock takes an exclusive flock, which the kernel drops with the process.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("%w: %w", ErrLocked, err)
+	}
+	return f, nil
+}
+
+// Create makes an empty file.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+// ReadFile gives the whole file.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// ReadDir gives the names in dir.
+func (OS) ReadDir(dir string) ([]string, error) {
+	list, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(list))
+	for i, e := range list {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// Truncate cuts the file and syncs it.
+func (OS) Truncate(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	if err := f.Truncate(size); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// Rename replaces to by from.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove deletes the file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir syncs the folder itself.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return f.Sync()
+}
