--- a/core/order/order.go
+++ b/core/order/order.go
@@ -144,3 +144,6 @@
 		MaxEnded:           2048,
 	}
 }
+
+// ForOperators tells whether only operators may give the command.
+func (c Command) ForOperators() bool { return c.Op == OpSubmit }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -51,6 +51,7 @@
 	Claims  []claim.Record `cbor:"6,keyasint"`
 	Orders  order.Image    `cbor:"7,keyasint"`
 	Members []MemberInfo   `cbor:"8,keyasint"`
+	Drains  []Drain        `cbor:"9,keyasint"`
 }
 
 // Encode gives the bytes of a command.
@@ -66,6 +67,7 @@
 		Changes: s.config.changes,
 		Claims:  s.claims.Snapshot(),
 		Orders:  s.orders.Snapshot(),
+		Drains:  s.Drains(),
 	}
 	for _, m := range s.members {
 		img.Members = append(img.Members, m)
@@ -100,5 +102,8 @@
 	for _, m := range img.Members {
 		s.members[m.ID] = m
 	}
+	for _, d := range img.Drains {
+		s.drains[d.Target] = d
+	}
 	return s, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
@@ -56,6 +57,7 @@
 	Report *claim.Report  `cbor:"5,keyasint,omitempty"`
 	Order  *order.Command `cbor:"6,keyasint,omitempty"`
 	Member *MemberInfo    `cbor:"7,keyasint,omitempty"`
+	Drain  *Drain         `cbor:"8,keyasint,omitempty"`
 }
 
 // Result is what one command came to. Reason is empty when it took effect, or
@@ -66,6 +68,8 @@
 	Config  *ConfigResult   `cbor:"3,keyasint,omitempty"`
 	Claim   *claim.Decision `cbor:"4,keyasint,omitempty"`
 	Order   *order.Order    `cbor:"5,keyasint,omitempty"`
+	// RetryAfter tells when asking again makes sense, zero when unknown.
+	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // ErrFormat reports a snapshot that this version can't read.
@@ -80,6 +84,7 @@
 	claims  *claim.Table
 	orders  *order.Table
 	members map[uint64]MemberInfo
+	drains  map[api.TargetID]Drain
 }
 
 // New gives the state before the first command.
@@ -90,6 +95,7 @@
 		claims:  claim.NewTable(l.Claim),
 		orders:  order.NewTable(l.Order),
 		members: make(map[uint64]MemberInfo),
+		drains:  make(map[api.TargetID]Drain),
 	}
 }
 
@@ -140,6 +146,8 @@
 		return s.order(index, c.Order)
 	case c.Member != nil:
 		s.members[c.Member.ID] = *c.Member
+	case c.Drain != nil:
+		return s.drain(*c.Drain)
 	}
 	return Result{}
 }
@@ -156,7 +164,7 @@
 	o, err := s.orders.Apply(api.Fence(index), s.now, *c)
 	if err != nil {
 		e := api.AsError(err)
-		return Result{Reason: e.Reason, Message: err.Error(), Order: &o}
+		return Result{Reason: e.Reason, Message: err.Error(), Order: &o, RetryAfter: e.RetryAfter}
 	}
 	return Result{Order: &o}
 }
--- /dev/null
+++ b/node/control/client.go
@@ -0,0 +1,357 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
+	"almondseam.dev/core/order"
+	"almondseam.dev/core/state"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	defaultReportEvery = 2 * time.Second
+	retryMin           = 20 * time.Millisecond
+	retryMax           = 500 * time.Millisecond
+	// tryFor bounds one attempt. A stopped member keeps its connections open,
+	// so that without the bound a call would wait for the link's silence.
+	tryFor = 2 * time.Second
+)
+
+// ClientOptions of a Client.
+type ClientOptions struct {
+	// Seeds are addresses of control members, host:port. More are learnt.
+	Seeds []string
+	Link  link.Options
+	// OnConfig is called with each newer revision, in rising order, on one
+	// goroutine. It must not block for long. Document is read-only.
+	OnConfig func(revision api.Revision, document []byte)
+	// Report gives what is told of this process; it may be nil.
+	Report      func() Report
+	ReportEvery time.Duration
+}
+
+// Client is an entry's road to the control group. It keeps one link, to the
+// leader if one is known. Run drives it; the other methods may be called from
+// several goroutines and retry within their context.
+type Client struct {
+	opt ClientOptions
+
+	mu      sync.Mutex
+	conn    *link.Conn
+	up      chan struct{} // closed while a link is up
+	next    string        // address to dial next, empty for any seed
+	seq     uint64
+	waiting map[uint64]chan *Reply
+
+	// revision and document are what was last delivered, whole asks for no
+	// patch next; Run's goroutine only.
+	revision api.Revision
+	document []byte
+	whole    bool
+}
+
+// NewClient makes a client.
+func NewClient(opt ClientOptions) *Client {
+	if opt.OnConfig == nil {
+		opt.OnConfig = func(api.Revision, []byte) {}
+	}
+	if opt.ReportEvery == 0 {
+		opt.ReportEvery = defaultReportEvery
+	}
+	return &Client{opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply)}
+}
+
+// Run keeps the link up until ctx is done.
+func (c *Client) Run(ctx context.Context) {
+	pause := retryMin
+	for ctx.Err() == nil {
+		if c.once(ctx) {
+			pause = retryMin
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// once dials one member and stays until the link ends.
+func (c *Client) once(ctx context.Context) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
+	conn, err := link.Dial(dialCtx, c.address(), c.opt.Link)
+	cancel()
+	if err != nil {
+		return false
+	}
+	c.attach(conn)
+	_ = conn.Send(&Watch{From: c.revision, Whole: c.whole})
+	var wg conc.WaitGroup
+	wg.Go(func() { c.reportLoop(ctx, conn) })
+	conn.Run(ctx, func(m wire.Message) { c.handle(conn, m) })
+	c.detach(conn)
+	wg.Wait()
+	return true
+}
+
+// address gives the leader's address if it was told, else any seed.
+func (c *Client) address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr := c.next; addr != "" {
+		c.next = ""
+		return addr
+	}
+	return c.opt.Seeds[rand.IntN(len(c.opt.Seeds))]
+}
+
+func (c *Client) attach(conn *link.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	close(c.up)
+}
+
+// detach fails every call that waits for an answer on the link.
+func (c *Client) detach(conn *link.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != conn {
+		return
+	}
+	c.conn = nil
+	c.up = make(chan struct{})
+	for id, ch := range c.waiting {
+		delete(c.waiting, id)
+		close(ch)
+	}
+}
+
+func (c *Client) handle(conn *link.Conn, m wire.Message) {
+	switch m := m.(type) {
+	case *Reply:
+		c.reply(conn, m)
+	case *Update:
+		c.update(conn, m)
+	case *Leader:
+		if !m.Self && m.Addr != "" {
+			c.move(conn, m.Addr)
+		}
+	}
+}
+
+func (c *Client) reply(conn *link.Conn, r *Reply) {
+	c.mu.Lock()
+	ch := c.waiting[r.ID]
+	delete(c.waiting, r.ID)
+	c.mu.Unlock()
+	if ch != nil {
+		ch <- r
+	}
+	if r.Leader != "" {
+		c.move(conn, r.Leader)
+	}
+}
+
+// move dials another member next and ends the present link. The pause before
+// dialling is jittered, so that all entries don't fall upon a new leader at once.
+func (c *Client) move(conn *link.Conn, addr string) {
+	c.mu.Lock()
+	c.next = addr
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// update delivers a newer configuration. A patch that doesn't fit what is held
+// here ends the link; the next one begins with a whole document. The revision
+// stays, so that a member which lags can't take this process back.
+func (c *Client) update(conn *link.Conn, u *Update) {
+	if u.Revision <= c.revision {
+		return
+	}
+	document := u.Document
+	if u.Patch != nil {
+		var ok bool
+		if u.Base == c.revision {
+			document, ok = u.Patch.Apply(c.document)
+		}
+		if !ok {
+			c.whole = true
+			conn.Close()
+			return
+		}
+	}
+	c.revision, c.document, c.whole = u.Revision, document, false
+	c.opt.OnConfig(u.Revision, document)
+}
+
+func (c *Client) reportLoop(ctx context.Context, conn *link.Conn) {
+	if c.opt.Report == nil {
+		return
+	}
+	t := time.NewTicker(c.opt.ReportEvery)
+	defer t.Stop()
+	for {
+		r := c.opt.Report()
+		_ = conn.Send(&r)
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// call sends a request until a member gives an answer other than "not here",
+// or ctx ends. Whatever may be repeated safely may be given to it, which is all
+// that a Request can hold. sure tells whether every attempt is known to have
+// had no effect.
+func (c *Client) call(ctx context.Context, req Request) (reply *Reply, sure bool) {
+	sure = true
+	pause := retryMin
+	last := &Reply{Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable, Message: "no member of the control group was reached"}
+	for ctx.Err() == nil {
+		r, sent := c.try(ctx, req)
+		if r != nil && r.Reason != api.ReasonControlUnavailable && r.Reason != api.ReasonQueueFull {
+			return r, sure
+		}
+		if r != nil {
+			last = r
+			sent = r.Outcome != api.OutcomeNotRun
+		}
+		if sent {
+			sure = false
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMax)
+	}
+	return last, sure
+}
+
+// try makes one attempt. Without a reply, sent tells whether the request may
+// have reached a member.
+func (c *Client) try(ctx context.Context, req Request) (r *Reply, sent bool) {
+	c.mu.Lock()
+	up := c.up
+	c.mu.Unlock()
+	select {
+	case <-up:
+	case <-ctx.Done():
+		return nil, false
+	}
+	ch := make(chan *Reply, 1)
+	c.mu.Lock()
+	conn := c.conn
+	c.seq++
+	req.ID = c.seq
+	c.waiting[req.ID] = ch
+	c.mu.Unlock()
+	defer c.forget(req.ID)
+	if conn == nil || conn.Send(&req) != nil {
+		return nil, false
+	}
+	limit := time.NewTimer(tryFor)
+	defer limit.Stop()
+	select {
+	case r = <-ch:
+		return r, true
+	case <-limit.C:
+		conn.Close()
+	case <-ctx.Done():
+	}
+	return nil, true
+}
+
+func (c *Client) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+// unavailable builds the error of a request that got no answer.
+func unavailable(step api.Step, r *Reply, outcome api.Outcome) error {
+	return &api.Error{Step: step, Outcome: outcome, Reason: r.Reason, RetryAfter: r.RetryAfter, Err: errors.New(r.Message)}
+}
+
+// Claim asks for the grant of a call. An error means that this asker holds no
+// grant and must not dispatch; as nobody else may dispatch on its behalf, the
+// call's outcome is then not_run. The claim may have been recorded all the
+// same, so Claim gives it back in the background of the next calls: see Abandon.
+func (c *Client) Claim(ctx context.Context, req claim.Request) (claim.Decision, error) {
+	r, _ := c.call(ctx, Request{Command: &state.Command{Claim: &req}})
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Claim == nil {
+		return claim.Decision{}, unavailable(api.StepClaim, r, api.OutcomeNotRun)
+	}
+	return *r.Result.Claim, nil
+}
+
+// Abandon gives back a claim whose grant was never learnt, so that the same key
+// can be tried again at once. Call it when Claim has failed.
+func (c *Client) Abandon(ctx context.Context, key claim.Key, claimant string) error {
+	return c.Settle(ctx, claim.Report{Key: key, Claimant: claimant, Outcome: api.OutcomeNotRun})
+}
+
+// Settle reports what became of a grant. It may be repeated.
+func (c *Client) Settle(ctx context.Context, rep claim.Report) error {
+	r, _ := c.call(ctx, Request{Command: &state.Command{Report: &rep}})
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil {
+		return unavailable(api.StepClaim, r, api.OutcomeUnknown)
+	}
+	if r.Result.Reason != "" {
+		return &api.Error{Step: api.StepClaim, Outcome: api.OutcomeNotRun, Reason: r.Result.Reason, Err: errors.New(r.Result.Message)}
+	}
+	return nil
+}
+
+// Order carries out an agent's order command.
+func (c *Client) Order(ctx context.Context, cmd order.Command) (order.Order, error) {
+	r, sure := c.call(ctx, Request{Command: &state.Command{Order: &cmd}})
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil {
+		outcome := api.OutcomeUnknown
+		if sure {
+			outcome = api.OutcomeNotRun
+		}
+		return order.Order{}, unavailable(api.StepOrder, r, outcome)
+	}
+	if r.Result.Reason != "" {
+		return order.Order{}, &api.Error{Step: api.StepOrder, Outcome: api.OutcomeNotRun, Reason: r.Result.Reason, RetryAfter: r.Result.RetryAfter, Err: errors.New(r.Result.Message)}
+	}
+	return *r.Result.Order, nil
+}
+
+// HighestRevision asks a majority for the highest accepted revision. A process
+// that was restarted serves nobody before it has applied that one: it may have
+// forgotten a revision that it had already acted on.
+func (c *Client) HighestRevision(ctx context.Context) (api.Revision, error) {
+	r, _ := c.call(ctx, Request{Read: true})
+	if r.Outcome != api.OutcomeCompleted {
+		return 0, unavailable(api.StepConfig, r, api.OutcomeNotRun)
+	}
+	return r.Revision, nil
+}
+
+// Exec carries out any request, for members that pass on what operators ask.
+// Outcome not_run in the reply means that no attempt had an effect.
+func (c *Client) Exec(ctx context.Context, req Request) *Reply {
+	r, sure := c.call(ctx, req)
+	if r.Outcome != api.OutcomeCompleted && !sure {
+		r.Outcome = api.OutcomeUnknown
+	}
+	return r
+}
--- a/node/control/opapi/opapi.go
+++ b/node/control/opapi/opapi.go
@@ -52,9 +52,11 @@
 type Member struct {
 	ID      uint64 `json:"id"`
 	Address string `json:"address"`
-	Role    string `json:"role"`
-	Lag     uint64 `json:"lag"`
-	Active  bool   `json:"active"`
+	// Operator is the address of its operator interface, once it has told.
+	Operator string `json:"operator"`
+	Role     string `json:"role"`
+	Lag      uint64 `json:"lag"`
+	Active   bool   `json:"active"`
 }
 
 // Site tells which revision a site runs: Lowest over its instances that have
@@ -94,3 +96,73 @@
 	ChangeID string       `json:"change_id"`
 	Message  string       `json:"message"`
 }
+
+// Revision is one accepted configuration. Document is nil in a history.
+type Revision struct {
+	Revision api.Revision `json:"revision"`
+	ChangeID string       `json:"change_id"`
+	Author   string       `json:"author"`
+	Accepted time.Time    `json:"accepted"`
+	Size     int          `json:"size"`
+	Document []byte       `json:"document,omitempty"`
+}
+
+// Order is an order to a target. ID names it for ever: sent again it is the
+// same order. Fence, State and Message are set by the fleet.
+type Order struct {
+	ID      string       `json:"id"`
+	Fence   api.Fence    `json:"fence"`
+	State   string       `json:"state"`
+	Message string       `json:"message"`
+	Author  string       `json:"author"`
+	Target  api.TargetID `json:"target"`
+	Action  string       `json:"action"`
+	Model   api.ModelID  `json:"model,omitempty"`
+	Adapter string       `json:"adapter,omitempty"`
+	Version string       `json:"version,omitempty"`
+	Role    string       `json:"role,omitempty"`
+	Bytes   int64        `json:"bytes,omitempty"`
+}
+
+// Drain asks that a target get no new work. Incarnation 0 means whichever runs;
+// with another one the drain ends when the target comes back.
+type Drain struct {
+	Target      api.TargetID    `json:"target"`
+	Incarnation api.Incarnation `json:"incarnation"`
+	Undo        bool            `json:"undo"`
+	Author      string          `json:"author"`
+}
+
+// The changes of the control group.
+const (
+	MemberAdd     = "add"
+	MemberPromote = "promote"
+	MemberRemove  = "remove"
+)
+
+// MemberChange asks for a change of the control group. Address matters for
+// MemberAdd only.
+type MemberChange struct {
+	Change  string `json:"change"`
+	ID      uint64 `json:"id"`
+	Address string `json:"address,omitempty"`
+}
+
+// Claim is what is known of the call that a request was granted.
+type Claim struct {
+	Found       bool            `json:"found"`
+	Request     api.RequestID   `json:"request"`
+	Customer    api.CustomerID  `json:"customer"`
+	Key         string          `json:"key"`
+	State       string          `json:"state"`
+	Grant       uint64          `json:"grant"`
+	Attempt     api.Attempt     `json:"attempt"`
+	Target      api.TargetID    `json:"target"`
+	Incarnation api.Incarnation `json:"incarnation"`
+	Outcome     api.Outcome     `json:"outcome"`
+	// Kept tells that the whole answer is still held.
+	Kept bool `json:"kept"`
+	// Undecided tells that nothing proves whether the call ran, and that it
+	// can no longer start.
+	Undecided bool `json:"undecided"`
+}
--- /dev/null
+++ b/node/control/operator.go
@@ -0,0 +1,323 @@
+package control
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/order"
+	"almondseam.dev/core/state"
+	"almondseam.dev/node/control/opapi"
+	"github.com/gofiber/fiber/v3"
+)
+
+const (
+	operatorTimeout   = 10 * time.Second
+	operatorBodyLimit = 2 << 20
+	bearer            = "Bearer "
+)
+
+// Operator serves the operator interface of one member over HTTP. What only the
+// leader can do is passed on to it.
+type Operator struct {
+	member  *Member
+	forward *Client
+	token   []byte
+}
+
+// NewOperator makes the interface. forward is a client of role control, and
+// token must not be empty.
+func NewOperator(m *Member, forward *Client, token string) *Operator {
+	return &Operator{member: m, forward: forward, token: []byte(token)}
+}
+
+// App gives the fiber app to listen with.
+func (o *Operator) App() *fiber.App {
+	app := fiber.New(fiber.Config{BodyLimit: operatorBodyLimit, ErrorHandler: o.fault})
+	app.Use(o.authenticate)
+	app.Get(opapi.PathStatus, o.status)
+	app.Get(opapi.PathTargets, o.targets)
+	app.Post(opapi.PathDrain, o.drain)
+	app.Get(opapi.PathConfig, o.configGet)
+	app.Post(opapi.PathConfig, o.configPut)
+	app.Get(opapi.PathHistory, o.history)
+	app.Get(opapi.PathOrders, o.orders)
+	app.Post(opapi.PathOrders, o.orderPut)
+	app.Get(opapi.PathMembers, o.members)
+	app.Post(opapi.PathMembers, o.memberPut)
+	app.Get(opapi.PathClaims, o.claims)
+	return app
+}
+
+// authenticate compares the token in constant time and counts refusals. An empty
+// token of the member's own lets nobody in.
+func (o *Operator) authenticate(c fiber.Ctx) error {
+	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearer)
+	if !ok || len(o.token) == 0 || subtle.ConstantTimeCompare([]byte(given), o.token) != 1 {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonUnauthenticated, "operator token is missing or wrong")
+	}
+	return c.Next()
+}
+
+func (o *Operator) fault(c fiber.Ctx, err error) error {
+	return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+}
+
+// refuse answers with a reason and counts it.
+func (o *Operator) refuse(c fiber.Ctx, outcome api.Outcome, reason api.Reason, message string) error {
+	o.member.opt.Observer.Refused(reason)
+	return c.Status(api.Reasons[reason].Status).JSON(opapi.Error{Outcome: outcome, Reason: reason, Message: message})
+}
+
+// exec carries out a request here, or at the leader when that is elsewhere.
+func (o *Operator) exec(req Request) *Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	r := o.member.Do(ctx, &req)
+	elsewhere := r.Outcome == api.OutcomeNotRun && r.Reason == api.ReasonControlUnavailable
+	if !elsewhere || o.forward == nil {
+		return r
+	}
+	return o.forward.Exec(ctx, req)
+}
+
+func (o *Operator) status(c fiber.Ctx) error {
+	r := o.exec(Request{Status: true})
+	if r.Outcome == api.OutcomeCompleted {
+		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+		return c.Send(r.Status)
+	}
+	// Without a leader the member's own view still helps; it says that no
+	// majority stands behind it.
+	st := o.member.Status()
+	return c.JSON(o.member.view(&st, time.Now()))
+}
+
+func (o *Operator) targets(c fiber.Ctx) error {
+	r := o.exec(Request{Status: true})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	var s opapi.Status
+	if err := json.Unmarshal(r.Status, &s); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonInternal, err.Error())
+	}
+	return c.JSON(s.Targets)
+}
+
+func (o *Operator) configPut(c fiber.Ctx) error {
+	var in opapi.ConfigPut
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	put := state.ConfigPut{ChangeID: in.ChangeID, Author: in.Author, Base: in.Base, Document: in.Document}
+	r := o.exec(Request{Command: &state.Command{Config: &put}})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	if r.Result.Config == nil {
+		return o.refuse(c, api.OutcomeNotRun, r.Result.Reason, r.Result.Message)
+	}
+	return o.configResult(c, r.Result.Config)
+}
+
+func (o *Operator) configResult(c fiber.Ctx, r *state.ConfigResult) error {
+	out := opapi.ConfigResult{
+		Accepted: r.Accepted,
+		Repeated: r.Repeated,
+		Current:  r.Revision,
+		Author:   r.Author,
+		ChangeID: r.ChangeID,
+		Message:  r.Message,
+	}
+	if r.Accepted || r.Reason == api.ReasonStaleFence {
+		return c.JSON(out)
+	}
+	return o.refuse(c, api.OutcomeNotRun, r.Reason, r.Message)
+}
+
+// configGet gives one revision with its document; without a number the one in
+// force, as the leader knows it.
+func (o *Operator) configGet(c fiber.Ctx) error {
+	want, err := strconv.ParseUint(c.Query("revision", "0"), 10, 64)
+	if err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	if err := o.catchUp(); err != nil {
+		return o.refuse(c, err.Outcome, err.Reason, err.Error())
+	}
+	m := o.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	found, ok := m.state.Current(), true
+	if want != 0 {
+		found, ok = m.state.Revision(api.Revision(want))
+	}
+	if !ok || found.Revision == 0 {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonNoConfig, "no such revision is kept")
+	}
+	return c.JSON(revisionOf(found))
+}
+
+func (o *Operator) history(c fiber.Ctx) error {
+	if err := o.catchUp(); err != nil {
+		return o.refuse(c, err.Outcome, err.Reason, err.Error())
+	}
+	m := o.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]opapi.Revision, 0, len(m.state.History()))
+	for _, cfg := range m.state.History() {
+		cfg.Document = nil
+		out = append(out, revisionOf(cfg))
+	}
+	return c.JSON(out)
+}
+
+func revisionOf(c state.Config) opapi.Revision {
+	return opapi.Revision{
+		Revision: c.Revision,
+		ChangeID: c.ChangeID,
+		Author:   c.Author,
+		Accepted: time.UnixMilli(c.Wall).UTC(),
+		Size:     c.Size,
+		Document: c.Document,
+	}
+}
+
+// catchUp asks a majority for the highest revision and waits until this member
+// has it, so that an operator never reads less than was accepted before.
+func (o *Operator) catchUp() *api.Error {
+	r := o.exec(Request{Read: true})
+	if r.Outcome != api.OutcomeCompleted {
+		return &api.Error{Step: api.StepConfig, Outcome: api.OutcomeNotRun, Reason: r.Reason}
+	}
+	limit := time.After(operatorTimeout)
+	for {
+		view, changed := o.member.watchView()
+		if view.config.Revision >= r.Revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return &api.Error{Step: api.StepConfig, Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable}
+		}
+	}
+}
+
+func (o *Operator) orders(c fiber.Ctx) error {
+	m := o.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	list := m.state.Orders().List()
+	out := make([]opapi.Order, 0, len(list))
+	for _, x := range list {
+		out = append(out, orderOf(x))
+	}
+	return c.JSON(out)
+}
+
+func orderOf(x order.Order) opapi.Order {
+	return opapi.Order{
+		ID: x.ID, Fence: x.Fence, State: string(x.State), Message: x.Message, Author: x.Author,
+		Target: x.Spec.Target, Action: string(x.Spec.Action), Model: x.Spec.Model,
+		Adapter: x.Spec.Adapter, Version: x.Spec.Version, Role: x.Spec.Role, Bytes: x.Spec.Bytes,
+	}
+}
+
+func (o *Operator) orderPut(c fiber.Ctx) error {
+	var in opapi.Order
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	cmd := order.Command{Op: order.OpSubmit, ID: in.ID, Author: in.Author, Spec: order.Spec{
+		Target: in.Target, Action: order.Action(in.Action), Model: in.Model,
+		Adapter: in.Adapter, Version: in.Version, Role: in.Role, Bytes: in.Bytes,
+	}}
+	r := o.exec(Request{Command: &state.Command{Order: &cmd}})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	if r.Result.Reason != "" {
+		return o.refuse(c, api.OutcomeNotRun, r.Result.Reason, r.Result.Message)
+	}
+	return c.JSON(orderOf(*r.Result.Order))
+}
+
+func (o *Operator) drain(c fiber.Ctx) error {
+	var in opapi.Drain
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	if in.Target == "" {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, "target is empty")
+	}
+	cmd := state.Command{Drain: &state.Drain{Target: in.Target, Incarnation: in.Incarnation, Undo: in.Undo, Author: in.Author}}
+	r := o.exec(Request{Command: &cmd})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	if r.Result.Reason != "" {
+		return o.refuse(c, api.OutcomeNotRun, r.Result.Reason, r.Result.Message)
+	}
+	return c.JSON(in)
+}
+
+func (o *Operator) members(c fiber.Ctx) error {
+	r := o.exec(Request{Status: true})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	var s opapi.Status
+	if err := json.Unmarshal(r.Status, &s); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonInternal, err.Error())
+	}
+	return c.JSON(s.Members)
+}
+
+var changeTypes = map[string]consensus.ChangeType{
+	opapi.MemberAdd:     consensus.ChangeAddLearner,
+	opapi.MemberPromote: consensus.ChangePromote,
+	opapi.MemberRemove:  consensus.ChangeRemove,
+}
+
+func (o *Operator) memberPut(c fiber.Ctx) error {
+	var in opapi.MemberChange
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	kind, ok := changeTypes[in.Change]
+	if !ok || in.ID == 0 {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, "change or member ID is not valid")
+	}
+	r := o.exec(Request{Change: &MemberChange{Type: kind, ID: consensus.MemberID(in.ID), Addr: in.Address}})
+	if r.Outcome != api.OutcomeCompleted {
+		return o.refuse(c, r.Outcome, r.Reason, r.Message)
+	}
+	return c.JSON(in)
+}
+
+func (o *Operator) claims(c fiber.Ctx) error {
+	id := api.RequestID(strings.Clone(c.Query("request")))
+	if err := o.catchUp(); err != nil {
+		return o.refuse(c, err.Outcome, err.Reason, err.Error())
+	}
+	m := o.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	rec, ok := m.state.Claims().FindRequest(id)
+	if !ok {
+		return c.JSON(opapi.Claim{Request: id})
+	}
+	return c.JSON(opapi.Claim{
+		Found: true, Request: id, Customer: rec.Key.Customer, Key: rec.Key.Name, State: rec.State.String(),
+		Grant: rec.Grant, Attempt: rec.Attempt, Target: rec.Place.Target, Incarnation: rec.Place.Incarnation,
+		Outcome: rec.Outcome, Kept: rec.Kept, Undecided: m.state.Claims().Undecided(rec, m.state.Now()),
+	})
+}
--- /dev/null
+++ b/node/control/server.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/state"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	"github.com/sourcegraph/conc"
+)
+
+// Server serves one member to other members and to entries, over links.
+type Server struct {
+	member *Member
+	links  *Links
+	ctx    context.Context
+}
+
+// NewServer makes a server whose links end with ctx.
+func NewServer(ctx context.Context, m *Member, links *Links) *Server {
+	return &Server{member: m, links: links, ctx: ctx}
+}
+
+// Serve runs one accepted link until it ends. It is what link.NewAcceptor calls.
+func (s *Server) Serve(conn *link.Conn) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	session := &session{server: s, conn: conn, ctx: ctx, wg: &wg}
+	conn.Run(ctx, session.handle)
+	cancel()
+	s.links.Gone(conn)
+}
+
+// session is one accepted link.
+type session struct {
+	server *Server
+	conn   *link.Conn
+	ctx    context.Context
+	wg     *conc.WaitGroup
+	watch  sync.Once
+	from   consensus.MemberID
+}
+
+func (s *session) handle(m wire.Message) {
+	member := s.server.member
+	switch m := m.(type) {
+	case *Peer:
+		s.peer(m)
+	case *Request:
+		s.request(m)
+	case *Watch:
+		s.watch.Do(func() { s.wg.Go(func() { s.push(*m) }) })
+	case *Report:
+		member.reports.put(*m, time.Now())
+	}
+}
+
+func (s *session) peer(m *Peer) {
+	if s.conn.Peer().Role != link.RoleControl {
+		return
+	}
+	if from := m.Message.From; from != s.from {
+		s.from = from
+		s.server.links.Came(from, s.conn)
+	}
+	s.server.member.Receive(m.Message)
+}
+
+// request carries out a request. Only control members, which have checked an
+// operator's token, may change the configuration, the orders' queue or the group:
+// an entry that was taken over must not be able to rewrite the fleet.
+func (s *session) request(req *Request) {
+	member := s.server.member
+	if s.conn.Peer().Role != link.RoleControl && forOperators(req) {
+		r := member.refused(req, api.ReasonForbidden, "only for operators")
+		r.ID = req.ID
+		_ = s.conn.Send(r)
+		return
+	}
+	member.Submit(req, func(r *Reply) { _ = s.conn.Send(r) })
+}
+
+func forOperators(req *Request) bool {
+	if req.Change != nil {
+		return true
+	}
+	c := req.Command
+	return c != nil && (c.Config != nil || c.Drain != nil || c.Member != nil || c.Order != nil && c.Order.ForOperators())
+}
+
+// push sends the configuration and the leader's address, now and whenever one
+// of them changes. A revision at or below one that was sent is never sent, so
+// what the client sees never goes back, also when this member was just reset to
+// an older snapshot.
+func (s *session) push(w Watch) {
+	sent := w.From
+	base := s.base(w)
+	var told *Leader
+	for {
+		view, changed := s.server.member.watchView()
+		if told == nil || *told != view.leader {
+			leader := view.leader
+			told = &leader
+			_ = s.conn.Send(told)
+		}
+		if view.config.Revision > sent {
+			_ = s.conn.Send(makeUpdate(base, view.config))
+			base, sent = view.config, view.config.Revision
+		}
+		select {
+		case <-changed:
+		case <-s.conn.Done():
+			return
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// base gives the client's own revision if this member still has its document.
+func (s *session) base(w Watch) state.Config {
+	if w.Whole || w.From == 0 {
+		return state.Config{}
+	}
+	c, _ := s.server.member.revision(w.From)
+	return c
+}
+
+// makeUpdate makes a patch where the client's document is known, else it sends
+// the whole.
+func makeUpdate(base, next state.Config) *Update {
+	if base.Document == nil {
+		return &Update{Revision: next.Revision, Document: next.Document}
+	}
+	patch := state.MakePatch(base.Document, next.Document)
+	return &Update{Revision: next.Revision, Base: base.Revision, Patch: &patch}
+}
+
+type watchView struct {
+	config state.Config
+	leader Leader
+}
+
+// watchView gives what watchers are told and a channel that is closed at the
+// next change.
+func (m *Member) watchView() (watchView, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	st := m.Status()
+	v := watchView{
+		config: m.state.Current(),
+		leader: Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
+	}
+	return v, m.changed
+}
+
+func (m *Member) revision(r api.Revision) (state.Config, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Revision(r)
+}
