almondctl: apply, history, status, members, drain, orders and explain

Cause: operators had no road to the control group. Run: go test ./cmd/almondctl (ok), vet and staticcheck clean; not yet run against a member.

--- a/cmd/almondctl/config.go
+++ b/cmd/almondctl/config.go
@@ -7,4 +7,5 @@
 func addConfig(c *cli, app *kingpin.Application) {
 	config := app.Command("config", "Check, render, compare and apply the fleet's configuration.")
 	addConfigLocal(c, config)
+	addConfigRemote(c, config)
 }
--- a/cmd/almondctl/main.go
+++ b/cmd/almondctl/main.go
@@ -96,5 +96,9 @@
 	app.Flag("timeout", "Time allowed for the whole command.").Default("15s").DurationVar(&c.timeout)
 	addConfig(c, app)
 	addStatus(c, app)
+	addDrain(c, app)
+	addOrders(c, app)
+	addMembers(c, app)
+	addExplain(c, app)
 	return app
 }
--- a/cmd/almondctl/status.go
+++ b/cmd/almondctl/status.go
@@ -36,9 +36,9 @@
 }
 
 func membersTable(members []opapi.Member) *table {
-	t := &table{head: []string{"MEMBER", "ADDRESS", "ROLE", "LAG", "ACTIVE"}}
+	t := &table{head: []string{"MEMBER", "ADDRESS", "OPERATOR", "ROLE", "LAG", "ACTIVE"}}
 	for _, m := range members {
-		t.add(m.ID, m.Address, m.Role, m.Lag, m.Active)
+		t.add(m.ID, m.Address, m.Operator, m.Role, m.Lag, m.Active)
 	}
 	return t
 }
