--- /dev/null
+++ b/bench/policy/recovery.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"almondseam.dev/core/api"
+)
+
+// overload is the recovery run's shape: 0.6 of capacity, then 1.3, then 0.6
+// again, as parts of the peak.
+func overload(at float64) float64 {
+	if at >= 0.25 && at < 0.6 {
+		return 1
+	}
+	return 0.6 / 1.3
+}
+
+// maxRetries bounds how often a caller comes back.
+const maxRetries = 4
+
+// callersRetry makes callers come back when refused or tired of waiting: those
+// that were told when, then, with jitter; the others after two to six seconds.
+func callersRetry(w *world, end time.Duration) {
+	rng := rand.New(rand.NewPCG(w.seed, 0x4e74))
+	w.again = func(c *call, retryAfter time.Duration) {
+		if c.retries >= maxRetries {
+			return
+		}
+		next := *c
+		next.retries++
+		next.id = api.RequestID(fmt.Sprintf("%s-%d", c.id, next.retries))
+		next.attempt, next.node, next.avoid = 1, nil, nil
+		next.delivered, next.ended = 0, false
+		next.bound90, next.bound100 = 0, 0
+		if retryAfter == 0 {
+			retryAfter = 4 * time.Second
+		}
+		next.arrived = w.now + time.Duration(float64(retryAfter)*(0.5+rng.Float64()))
+		if next.arrived < end {
+			w.at(next.arrived, func() { w.arrive(&next) })
+		}
+	}
+}
+
+// measureRecovery prints the goodput before, in and after an overload in which
+// refused callers come back.
+func measureRecovery(load *workload, capacity float64, seeds, workers int) {
+	cols := columns()
+	all := make([][]*measures, len(cols))
+	p := pool.New().WithMaxGoroutines(workers)
+	for i, col := range cols {
+		all[i] = make([]*measures, seeds)
+		for s := range seeds {
+			p.Go(func() { all[i][s] = recoverOnce(load, col, capacity, uint64(s)+1) })
+		}
+	}
+	p.Wait()
+	fmt.Printf("\n### %s: 0.6 of capacity, 1.3 from %d s to %d s, 0.6 again; callers come back up to %d times\n\n",
+		load.name, int(load.length.Seconds()*0.25), int(load.length.Seconds()*0.6), maxRetries)
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer out.Flush()
+	total := load.length.Seconds()
+	spans := []struct {
+		name     string
+		from, to float64
+	}{
+		{"before", 0.1, 0.25}, {"overload, first half", 0.25, 0.425}, {"overload, second half", 0.425, 0.6},
+		{"after, first half", 0.6, 0.8}, {"after, second half", 0.8, 1},
+	}
+	names := []string{"goodput, tokens/s: median (worst)"}
+	for _, c := range cols {
+		names = append(names, c.name)
+	}
+	fmt.Fprintln(out, strings.Join(names, "\t"))
+	for _, span := range spans {
+		line := []string{span.name}
+		for i := range cols {
+			line = append(line, spanOf(all[i], span.from*total, span.to*total))
+		}
+		fmt.Fprintln(out, strings.Join(line, "\t"))
+	}
+}
+
+func spanOf(runs []*measures, from, to float64) string {
+	var v []float64
+	for _, m := range runs {
+		sum := 0
+		for s := int(from); s < int(to); s++ {
+			sum += m.goodAt[s]
+		}
+		v = append(v, float64(sum)/(to-from))
+	}
+	slices.Sort(v)
+	return fmt.Sprintf("%.0f (%.0f)", v[len(v)/2], v[0])
+}
+
+func recoverOnce(load *workload, col column, capacity float64, seed uint64) *measures {
+	steady := *load
+	steady.shift = 1
+	w := newWorld(&steady, seed, col)
+	callersRetry(w, load.length)
+	w.run(steady.generate(seed, 1.3*capacity, overload), load.length)
+	return w.m
+}
--- /dev/null
+++ b/bench/policy/routers.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"almondseam.dev/core/admission"
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routing"
+)
+
+// placer chooses the engines to offer a call to, the best first. It is the
+// port behind which each column has its own way to place.
+type placer interface {
+	choose(w *world, c *call) []*node
+	// sent and ended tell of calls placed and ended, so that a placer can
+	// correct late reports.
+	sent(w *world, c *call)
+	ended(w *world, c *call)
+	refused(w *world, c *call, n *node, retryAfter time.Duration)
+	// tick comes with every load report.
+	tick(w *world)
+}
+
+// roundRobin takes the engines in turn, each entry on its own.
+type roundRobin struct{ turn []int }
+
+func (p *roundRobin) choose(w *world, c *call) []*node {
+	for len(p.turn) <= c.entry {
+		p.turn = append(p.turn, len(p.turn)*3)
+	}
+	for range w.nodes {
+		p.turn[c.entry]++
+		n := w.nodes[p.turn[c.entry]%len(w.nodes)]
+		if n.open() {
+			return []*node{n}
+		}
+	}
+	return nil
+}
+
+func (p *roundRobin) sent(*world, *call)                           {}
+func (p *roundRobin) ended(*world, *call)                          {}
+func (p *roundRobin) refused(*world, *call, *node, time.Duration)  {}
+func (p *roundRobin) tick(*world)                                  {}
+func (p *leastLagged) refused(*world, *call, *node, time.Duration) {}
+func (p *leastLagged) ended(*world, *call)                         {}
+func (p *leastLagged) tick(*world)                                 {}
+func (p *leastExact) sent(*world, *call)                           {}
+func (p *leastExact) ended(*world, *call)                          {}
+func (p *leastExact) refused(*world, *call, *node, time.Duration)  {}
+func (p *leastExact) tick(*world)                                  {}
+
+// leastLagged takes the engine with the fewest sequences in its last report,
+// which lags, and what this entry has itself sent since the report was taken.
+type leastLagged struct {
+	// recent[entry][node] are the times of what was sent and not yet reported.
+	recent [][][]time.Duration
+}
+
+func (p *leastLagged) choose(w *world, c *call) []*node {
+	var best *node
+	least := 0
+	for i := range w.nodes {
+		// A different start for each call, so that ties spread.
+		n := w.nodes[(i+int(c.arrived))%len(w.nodes)]
+		if !n.open() {
+			continue
+		}
+		load := p.load(w, c.entry, n)
+		if best == nil || load < least {
+			best, least = n, load
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*node{best}
+}
+
+func (p *leastLagged) load(w *world, entry int, n *node) int {
+	r := n.eng.Report(epoch.Add(w.now))
+	list := p.list(w, entry, n)
+	kept := (*list)[:0]
+	for _, at := range *list {
+		if !r.At.After(epoch.Add(at)) {
+			kept = append(kept, at)
+		}
+	}
+	*list = kept
+	return r.Running + r.Waiting + len(kept) + n.reservedWaiting()
+}
+
+func (p *leastLagged) list(w *world, entry int, n *node) *[]time.Duration {
+	for len(p.recent) <= entry {
+		p.recent = append(p.recent, make([][]time.Duration, len(w.nodes)))
+	}
+	return &p.recent[entry][n.index]
+}
+
+func (p *leastLagged) sent(w *world, c *call) {
+	list := p.list(w, c.entry, c.node)
+	*list = append(*list, w.now)
+}
+
+// leastExact takes the engine with the fewest sequences as of now, which no
+// entry can know; it makes the baseline stronger than it would be.
+type leastExact struct{}
+
+func (p *leastExact) choose(w *world, c *call) []*node {
+	var best *node
+	least := 0
+	for i := range w.nodes {
+		n := w.nodes[(i+int(c.arrived))%len(w.nodes)]
+		if n.open() && (best == nil || len(n.calls) < least) {
+			best, least = n, len(n.calls)
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*node{best}
+}
+
+// bids is the product's own routing: each entry asks the targets that its table
+// leads to for bids and offers to the best.
+type bids struct {
+	tables  []*routing.Table
+	routers []*routing.Router
+	rng     *rand.Rand
+	buf     []routing.Candidate
+	zones   int
+}
+
+func newBids(w *world) *bids {
+	p := &bids{rng: rand.New(rand.NewPCG(w.seed, 0xb1d)), zones: w.load.zones}
+	for range w.load.zones {
+		t := routing.NewTable()
+		for _, n := range w.nodes {
+			t.Announce(routing.Target{
+				ID: n.id, Incarnation: 1, Zone: zone(n.index % p.zones), Models: []api.ModelID{"m"},
+				Capacity: n.capacity(), Free: n.capacity(), Reported: epoch,
+			})
+		}
+		p.tables = append(p.tables, t)
+		p.routers = append(p.routers, routing.NewRouter(t, routing.Options{}))
+	}
+	return p
+}
+
+func zone(i int) api.Zone { return api.Zone("z" + strconv.Itoa(i)) }
+
+func (p *bids) choose(w *world, c *call) []*node {
+	now := epoch.Add(w.now)
+	q := routing.Query{Model: "m", Zone: zone(c.entry), Prefix: c.prefix, Prompt: c.prompt, Avoid: c.avoid}
+	p.buf = p.routers[c.entry].Choose(p.buf[:0], q, now, p.rng)
+	var got []routing.Bid
+	for _, cand := range p.buf {
+		n := w.byID[cand.ID]
+		b := routing.Bid{From: cand, Bid: admission.Bid{Refuse: api.ReasonTargetGone}}
+		if n.open() {
+			b.Bid = n.gate.(*ours).ctl.Bid(c.request(epoch), now)
+		}
+		if b.Refuse != "" {
+			c.refused, c.retryAfter = b.Refuse, b.Bid.RetryAfter
+			c.avoid = append(c.avoid, n.id)
+		}
+		got = append(got, b)
+	}
+	var out []*node
+	for len(got) > 0 {
+		i := routing.Compare(got)
+		if i < 0 {
+			break
+		}
+		out = append(out, w.byID[got[i].From.ID])
+		got = append(got[:i], got[i+1:]...)
+	}
+	// Only the best is offered to; the others give their place back.
+	for _, n := range out[min(1, len(out)):] {
+		n.gate.(*ours).ctl.Release(c.id)
+	}
+	return out[:min(1, len(out))]
+}
+
+func (p *bids) sent(w *world, c *call) {
+	p.tables[c.entry].Sent(c.node.id, c.prompt, epoch.Add(w.now))
+	p.tables[c.entry].Succeeded(c.node.id)
+}
+
+func (p *bids) ended(w *world, c *call) {
+	p.tables[c.entry].Ended(c.node.id, c.prompt, epoch.Add(w.now))
+}
+
+// refused does nothing: a target that is crowded for one request has room for
+// another, and its report says how crowded it is.
+func (p *bids) refused(*world, *call, *node, time.Duration) {}
+
+func (p *bids) tick(w *world) {
+	now := epoch.Add(w.now)
+	for _, n := range w.nodes {
+		for _, t := range p.tables {
+			if n.dead {
+				t.Remove(n.id, 1)
+				continue
+			}
+			if n.leaving {
+				t.Leave(n.id, 1)
+				continue
+			}
+			running, waiting, free := n.gate.(*ours).ctl.Counts()
+			t.Report(n.id, 1, routing.Load{Running: running, Waiting: waiting, Free: free, Capacity: n.capacity(), Reported: now})
+		}
+	}
+}
--- /dev/null
+++ b/bench/policy/world.go
@@ -0,0 +1,324 @@
+package main
+
+import (
+	"container/heap"
+	"strconv"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/standin"
+)
+
+// The moments of a run.
+const (
+	reportEvery = 200 * time.Millisecond
+	sweepEvery  = time.Second
+	// stallPatience is how long a caller waits for the next token.
+	stallPatience = 30 * time.Second
+	// drain is the time after the last arrival in which answers still count.
+	drain = 90 * time.Second
+)
+
+// node is one engine with the gate before it.
+type node struct {
+	id       api.TargetID
+	index    int
+	eng      *standin.Engine
+	gate     gate
+	calls    map[string]*call
+	dead     bool
+	leaving  bool
+	stepping bool
+	res      *standin.Result
+}
+
+func (n *node) open() bool { return !n.dead && !n.leaving }
+
+func (n *node) capacity() int {
+	cfg := n.eng.Config()
+	return cfg.Blocks * cfg.BlockTokens
+}
+
+// reservedWaiting is the queue that a reserving gate keeps before the engine.
+func (n *node) reservedWaiting() int {
+	if g, ok := n.gate.(*reserve); ok {
+		return len(g.queue)
+	}
+	return 0
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// world is one run in virtual time.
+type world struct {
+	load   *workload
+	seed   uint64
+	now    time.Duration
+	events events
+	seq    int
+	nodes  []*node
+	byID   map[api.TargetID]*node
+	place  placer
+	m      *measures
+	// again is what a caller does when refused or tired of waiting; nil for
+	// nothing.
+	again func(c *call, retryAfter time.Duration)
+}
+
+// column is one way to decide.
+type column struct {
+	name  string
+	gate  func(capacity int) gate
+	place func(w *world) placer
+}
+
+func newWorld(load *workload, seed uint64, col column) *world {
+	w := &world{load: load, seed: seed, byID: map[api.TargetID]*node{}, m: newMeasures(len(load.shares))}
+	for i := range load.engines {
+		cfg := load.engine
+		cfg.Seed = seed<<8 + uint64(i)
+		n := &node{id: api.TargetID("t" + strconv.Itoa(i)), index: i, eng: standin.NewEngine(cfg), calls: map[string]*call{}}
+		n.gate = col.gate(n.capacity())
+		w.nodes = append(w.nodes, n)
+		w.byID[n.id] = n
+	}
+	w.place = col.place(w)
+	return w
+}
+
+func (w *world) at(at time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: at, seq: w.seq, do: do})
+}
+
+// run plays the calls until end.
+func (w *world) run(calls []*call, end time.Duration) {
+	for _, c := range calls {
+		w.at(c.arrived, func() { w.arrive(c) })
+	}
+	w.every(reportEvery, end, func() { w.place.tick(w) })
+	w.every(sweepEvery, end, w.sweep)
+	for len(w.events) > 0 {
+		ev := heap.Pop(&w.events).(event)
+		if ev.at > end {
+			break
+		}
+		w.now = ev.at
+		ev.do()
+	}
+	w.now = end
+}
+
+func (w *world) every(d, end time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		if w.now+d <= end {
+			w.at(w.now+d, again)
+		}
+	}
+	w.at(w.now+d, again)
+}
+
+func (w *world) arrive(c *call) {
+	w.m.offered(c)
+	w.at(c.arrived+c.spec.patience, func() {
+		if !c.ended && c.delivered == 0 {
+			w.abandon(c, "timeout")
+		}
+	})
+	w.put(c)
+}
+
+// maxTries bounds the targets that one request is offered to.
+const maxTries = 2
+
+// put offers a call until a target takes it.
+func (w *world) put(c *call) {
+	c.refused, c.retryAfter = api.ReasonNoTarget, 0
+	for c.tries = 0; c.tries < maxTries; c.tries++ {
+		chosen := w.place.choose(w, c)
+		if len(chosen) == 0 {
+			continue
+		}
+		n := chosen[0]
+		c.refused, c.retryAfter = n.gate.offer(c, w.now)
+		if c.refused == "" {
+			c.node = n
+			n.calls[string(c.id)] = c
+			w.place.sent(w, c)
+			w.kick(n)
+			return
+		}
+		w.place.refused(w, c, n, c.retryAfter)
+		c.avoid = append(c.avoid, n.id)
+	}
+	w.end(c, string(c.refused))
+	if w.again != nil {
+		w.again(c, c.retryAfter)
+	}
+}
+
+// kick gives the engine what may start and lets it step.
+func (w *world) kick(n *node) {
+	if n.dead {
+		return
+	}
+	for _, s := range n.gate.next(w.now) {
+		s.c.started = w.now
+		w.m.started(s.c)
+		if err := n.eng.Submit(s.c.seq(s.priority)); err != nil {
+			panic(err)
+		}
+	}
+	if n.stepping {
+		return
+	}
+	n.res = n.eng.Step(epoch.Add(w.now))
+	if n.res.Took == 0 {
+		return
+	}
+	for _, id := range n.res.Preempted {
+		w.m.preemptions++
+		n.gate.preempted(n.calls[id])
+	}
+	w.m.redone += n.res.Redone
+	n.stepping = true
+	w.at(w.now+n.res.Took, func() { w.stepped(n) })
+}
+
+// stepped hands out the tokens of a step that has ended.
+func (w *world) stepped(n *node) {
+	n.stepping = false
+	if n.dead {
+		return
+	}
+	for _, t := range n.res.Tokens {
+		c, ok := n.calls[t.ID]
+		if !ok {
+			continue
+		}
+		w.m.token(c, w.now)
+		if t.Last {
+			n.gate.done(c, true)
+			w.leave(c)
+			w.m.completed(c)
+			c.ended = true
+			continue
+		}
+		n.gate.progress(c)
+	}
+	for _, id := range n.res.Failed {
+		if c, ok := n.calls[id]; ok {
+			n.gate.done(c, false)
+			w.leave(c)
+			w.end(c, "outgrown")
+		}
+	}
+	w.kick(n)
+}
+
+// leave takes a call off its node.
+func (w *world) leave(c *call) {
+	delete(c.node.calls, string(c.id))
+	w.place.ended(w, c)
+}
+
+// end closes a call that was not completed.
+func (w *world) end(c *call, reason string) {
+	c.ended = true
+	w.m.failed(c, reason)
+}
+
+// abandon is a caller that leaves: the stream is cancelled.
+func (w *world) abandon(c *call, reason string) {
+	n := c.node
+	n.gate.cancel(c)
+	n.eng.Cancel(string(c.id), epoch.Add(w.now))
+	w.leave(c)
+	w.m.wasted += c.delivered
+	w.end(c, reason)
+	w.kick(n)
+	if w.again != nil {
+		w.again(c, 0)
+	}
+}
+
+// sweep lets callers go whose answer has stood still for too long.
+func (w *world) sweep() {
+	for _, n := range w.nodes {
+		for _, c := range n.sorted() {
+			if c.delivered > 0 && w.now-c.last > stallPatience {
+				w.m.stalledOut(c, w.now)
+				w.abandon(c, "stalled")
+			}
+		}
+	}
+}
+
+// sorted lists a node's calls in a fixed order.
+func (n *node) sorted() []*call {
+	out := make([]*call, 0, len(n.calls))
+	for _, c := range n.calls {
+		out = append(out, c)
+	}
+	sortCalls(out)
+	return out
+}
+
+// lose kills an engine: what has delivered is interrupted, the rest is proved
+// to have delivered nothing and goes elsewhere.
+func (w *world) lose(n *node) {
+	n.dead = true
+	w.place.tick(w)
+	for _, c := range n.sorted() {
+		n.gate.cancel(c)
+		w.leave(c)
+		if c.delivered > 0 {
+			w.m.wasted += c.delivered
+			w.end(c, "interrupted")
+			continue
+		}
+		w.replace(c)
+	}
+}
+
+// depart lets an engine finish what runs and hands its queue back.
+func (w *world) depart(n *node) {
+	n.leaving = true
+	w.place.tick(w)
+	for _, c := range n.gate.handBack() {
+		w.leave(c)
+		w.replace(c)
+	}
+}
+
+func (w *world) replace(c *call) {
+	c.attempt++
+	c.node = nil
+	w.put(c)
+}
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -73,7 +73,6 @@
 	started     [classes]float64
 	pace        pace
 	preemptions int
-	expired     []api.RequestID
 	starts      []Start
 }
 
@@ -161,10 +160,6 @@
 func (c *Controller) Next(now time.Time) []Start {
 	c.starts = c.starts[:0]
 	c.pace.update(now, len(c.running))
-	for _, s := range c.queue.expired(now) {
-		delete(c.byID, s.ID)
-		c.expired = append(c.expired, s.ID)
-	}
 	if c.queue.len == 0 || c.preempted > 0 {
 		return c.starts
 	}
@@ -175,11 +170,15 @@
 	return c.starts
 }
 
-// Expired returns, once, the queued requests whose deadline passed before they
-// started: each is proved not to have run here.
-func (c *Controller) Expired() []api.RequestID {
-	out := c.expired
-	c.expired = nil
+// Expired removes the queued requests whose deadline has passed and returns
+// them: each is proved not to have run here and never will. Without this call a
+// late request still starts in its turn.
+func (c *Controller) Expired(now time.Time) []Start {
+	var out []Start
+	for _, s := range c.queue.expired(now) {
+		delete(c.byID, s.ID)
+		out = append(out, Start{ID: s.ID, Attempt: s.Attempt})
+	}
 	return out
 }
 
--- a/core/admission/running.go
+++ b/core/admission/running.go
@@ -6,12 +6,22 @@
 	"almondseam.dev/core/api"
 )
 
-// Progress notes that a running sequence has produced n tokens in all. Unknown
-// IDs and counts that went backwards are ignored: they come from a stream that
-// was cancelled or attached again.
-func (c *Controller) Progress(id api.RequestID, n int) {
+// find returns the running sequence of an ID and attempt; nil when there is
+// none. Word of another attempt is late and must not touch this one.
+func (c *Controller) find(id api.RequestID, a api.Attempt) *sequence {
 	s, ok := c.byID[id]
-	if !ok || !s.running || n <= s.produced {
+	if !ok || !s.running || s.Attempt != a {
+		return nil
+	}
+	return s
+}
+
+// Progress notes that a running sequence has produced n tokens in all. Unknown
+// IDs, other attempts and counts that went backwards are ignored: they come from
+// a stream that was cancelled or attached again.
+func (c *Controller) Progress(id api.RequestID, a api.Attempt, n int, _ time.Time) {
+	s := c.find(id, a)
+	if s == nil || n <= s.produced {
 		return
 	}
 	if s.prefilling {
@@ -28,30 +38,37 @@
 	s.produced = n
 }
 
-// Done notes that a running sequence ended. It is false when the ID is not
-// running here.
-func (c *Controller) Done(id api.RequestID) bool {
-	s, ok := c.byID[id]
-	if !ok || !s.running {
-		return false
+// Done notes that a running sequence ended after n tokens in all. An ID or an
+// attempt that is not running here is ignored.
+func (c *Controller) Done(id api.RequestID, a api.Attempt, n int, now time.Time) {
+	s := c.find(id, a)
+	if s == nil {
+		return
 	}
+	c.Progress(id, a, n, now)
 	// An answer that its own bound cut tells nothing of where it would end.
 	cut := s.MaxTokens > 0 && s.produced >= s.MaxTokens
 	if !cut {
 		c.lengths.Observe(keyOf(s.Request), s.produced, s.produced, true)
 	}
 	c.stop(s)
-	return true
+}
+
+// Failed notes that a running sequence was cut: its length tells nothing of
+// where it would have ended.
+func (c *Controller) Failed(id api.RequestID, a api.Attempt) {
+	if s := c.find(id, a); s != nil {
+		c.stop(s)
+	}
 }
 
 // Cancel withdraws a request. It is true only when the request was queued and
 // never started, and now never will be; false for a running one, which the
-// caller has to cancel at the engine, and for an ID unknown here, of which
-// nothing is proved.
-func (c *Controller) Cancel(id api.RequestID) (neverStarted bool) {
-	c.Release(id)
+// caller has to cancel at the engine, and for an ID or an attempt unknown here,
+// of which nothing is proved.
+func (c *Controller) Cancel(id api.RequestID, a api.Attempt, _ time.Time) (neverStarted bool) {
 	s, ok := c.byID[id]
-	if !ok {
+	if !ok || s.Attempt != a {
 		return false
 	}
 	if s.running {
@@ -67,11 +84,11 @@
 // and nothing starts until the sequence produces again: a start would take the
 // memory that it waits for. An engine that only counts preemptions passes an
 // empty ID, which moves the margin alone.
-func (c *Controller) Preempted(id api.RequestID) {
+func (c *Controller) Preempted(id api.RequestID, a api.Attempt) {
 	c.preemptions++
 	c.margin = min(maxMargin, c.margin+c.cfg.MarginStep)
-	s, ok := c.byID[id]
-	if !ok || !s.running || s.preempted {
+	s := c.find(id, a)
+	if s == nil || s.preempted {
 		return
 	}
 	s.preempted = true
@@ -142,18 +159,26 @@
 	c.queue.forget(s.cust)
 }
 
+// Counts gives the running and the waiting sequences, and the memory in tokens
+// that is free at the predicted peak.
+func (c *Controller) Counts() (running, waiting, free int) {
+	free = max(0, c.cfg.Capacity-int(c.load.peak(c.margin)))
+	return len(c.running), c.queue.len, free
+}
+
 // Snapshot is the state for a load report.
 func (c *Controller) Snapshot(now time.Time) Snapshot {
+	running, waiting, free := c.Counts()
 	s := Snapshot{
-		Running:     len(c.running),
-		Waiting:     c.queue.len,
+		Running:     running,
+		Waiting:     waiting,
+		Free:        free,
 		Capacity:    c.cfg.Capacity,
 		Preemptions: c.preemptions,
 		Margin:      c.margin,
 		WaitNote:    c.behind(ClassNote, nil),
 		WaitTag:     c.behind(ClassTag, nil),
 	}
-	s.Free = max(0, c.cfg.Capacity-int(c.load.peak(c.margin)))
 	for class := range Class(classes) {
 		if o := c.queue.oldest(class); o != nil {
 			s.OldestWait = max(s.OldestWait, now.Sub(o.Arrived))
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -56,8 +56,10 @@
 	Wait time.Duration
 	// Cached is the number of prompt tokens held in the prefix cache.
 	Cached int
-	// Refuse is set when the target would refuse the request.
-	Refuse api.Reason
+	// Refuse is set when the target would refuse the request, RetryAfter when
+	// asking again may help.
+	Refuse     api.Reason
+	RetryAfter time.Duration
 }
 
 // Verdict is the answer to an offered request.
--- a/core/admission/wait.go
+++ b/core/admission/wait.go
@@ -71,7 +71,11 @@
 	wait := c.wait(s, now)
 	bid := Bid{Wait: wait + c.prefillTime(s), Cached: r.Prompt - c.toCompute(s)}
 	bid.Refuse = c.refusal(s, wait, now)
-	if bid.Refuse == "" && len(c.holds) < maxHolds {
+	if bid.Refuse != "" {
+		bid.RetryAfter = c.retryAfter(s, bid.Refuse, wait, now)
+		return bid
+	}
+	if len(c.holds) < maxHolds {
 		c.holds = append(c.holds, hold{id: r.ID, class: r.Class, expect: s.expect, part: s.part, until: now.Add(c.cfg.HoldFor)})
 	}
 	return bid
