Retry within budgets

Cause: in a crowded hour each refusal comes back as another try, and the targets spend their time refusing. Change: Policy.Next allows a retry after proof of not run, or with nothing delivered of a repeatable generation; a budget per customer and one over all pay for it; backoff is jittered and honours a RetryAfter that speaks for all targets asked; the target that failed goes into Avoid.

--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,97 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Ratio sets one budget: how many retries go with how many first tries.
+type Ratio struct {
+	// PerTry is what a first try adds; 0.1 allows one retry for ten.
+	PerTry float64
+	// PerSecond is added by time alone: a customer with few requests may retry
+	// too.
+	PerSecond float64
+	// Most bounds what is saved up, so that a quiet hour does not pay for a
+	// burst of retries in the crowded one.
+	Most float64
+}
+
+// bucket is a budget under way. Its lock is held for a few instructions.
+type bucket struct {
+	mu    sync.Mutex
+	level float64
+	at    time.Time
+}
+
+// fill adds what time gives; the first call fills up to Most.
+func (b *bucket) fill(r Ratio, now time.Time) {
+	if b.at.IsZero() {
+		b.level, b.at = r.Most, now
+		return
+	}
+	if d := now.Sub(b.at); d > 0 {
+		b.level = min(r.Most, b.level+r.PerSecond*d.Seconds())
+		b.at = now
+	}
+}
+
+func (b *bucket) deposit(r Ratio, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(r, now)
+	b.level = min(r.Most, b.level+r.PerTry)
+}
+
+func (b *bucket) withdraw(r Ratio, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(r, now)
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+func (b *bucket) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level++
+}
+
+// budgets holds the bucket of each customer and the one over all.
+type budgets struct {
+	customer Ratio
+	overall  Ratio
+	all      bucket
+	each     sync.Map // api.CustomerID to *bucket
+}
+
+func (b *budgets) of(c api.CustomerID) *bucket {
+	if v, ok := b.each.Load(c); ok {
+		return v.(*bucket)
+	}
+	v, _ := b.each.LoadOrStore(c, &bucket{})
+	return v.(*bucket)
+}
+
+func (b *budgets) first(c api.CustomerID, now time.Time) {
+	b.of(c).deposit(b.customer, now)
+	b.all.deposit(b.overall, now)
+}
+
+// take pays for one retry from both budgets or from none.
+func (b *budgets) take(c api.CustomerID, now time.Time) bool {
+	own := b.of(c)
+	if !own.withdraw(b.customer, now) {
+		return false
+	}
+	if !b.all.withdraw(b.overall, now) {
+		own.refund()
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,183 @@
+// Package retry decides whether a request that failed is tried again, where not
+// and when. A retry needs proof that the request did not run, or that nothing of
+// a repeatable generation was delivered, and it is paid from a budget: in a
+// crowded hour every request fails at first, and retries without a budget
+// multiply the load that made them fail.
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Meter counts decisions. It is called from several goroutines and must not
+// block.
+type Meter interface {
+	// Retried counts a retry by the reason of the failure.
+	Retried(r api.Reason)
+	// Refused counts a failure that could have been retried but is not:
+	// ReasonRetryBudget, ReasonTimeout (no time left before the deadline), or
+	// the failure's reason when the attempts are used up.
+	Refused(r api.Reason)
+}
+
+// Options sets a Policy. A zero field takes its default.
+type Options struct {
+	// Attempts bounds the attempts of one request, the first included; 3.
+	Attempts int
+	// Base and Max bound the backoff; 25 ms and 2 s.
+	Base time.Duration
+	Max  time.Duration
+	// Customer and Overall are the budgets; 0.1 a try, with 0.5 a second up to
+	// 5 for one customer, and 2 a second up to 50 for all.
+	Customer Ratio
+	Overall  Ratio
+}
+
+func (o Options) withDefaults() Options {
+	if o.Attempts <= 0 {
+		o.Attempts = 3
+	}
+	if o.Base <= 0 {
+		o.Base = 25 * time.Millisecond
+	}
+	if o.Max <= 0 {
+		o.Max = 2 * time.Second
+	}
+	if o.Customer == (Ratio{}) {
+		o.Customer = Ratio{PerTry: 0.1, PerSecond: 0.5, Most: 5}
+	}
+	if o.Overall == (Ratio{}) {
+		o.Overall = Ratio{PerTry: 0.1, PerSecond: 2, Most: 50}
+	}
+	return o
+}
+
+// Policy decides on retries. It may be used from several goroutines.
+type Policy struct {
+	opts    Options
+	budgets budgets
+	meter   Meter
+}
+
+// New gives a policy that counts with m.
+func New(o Options, m Meter) *Policy {
+	o = o.withDefaults()
+	return &Policy{opts: o, meter: m, budgets: budgets{customer: o.Customer, overall: o.Overall}}
+}
+
+// Attempt is one attempt that failed.
+type Attempt struct {
+	Customer api.CustomerID
+	// Number counts from 1.
+	Number api.Attempt
+	// Target is where it went; empty when no target was chosen.
+	Target api.TargetID
+	// Deadline is when the caller gives up; zero means never.
+	Deadline time.Time
+}
+
+// Decision says what to do after a failed attempt.
+type Decision struct {
+	// Retry says to try again after After, and not on Avoid, which goes into
+	// the request's routing.Query for good.
+	Retry bool
+	After time.Duration
+	Avoid api.TargetID
+	// Reason is that of the failure when Retry is set. Else it is what to tell
+	// the caller: the failure's own reason or ReasonRetryBudget.
+	Reason api.Reason
+}
+
+// First notes a request's first attempt, which pays into the budgets.
+func (p *Policy) First(c api.CustomerID, now time.Time) { p.budgets.first(c, now) }
+
+// Next decides on a failed attempt. delivered is the number of tokens or bytes
+// that the caller has been sent; repeatable tells that running the request
+// twice does no harm. rng is used by this call only.
+func (p *Policy) Next(a Attempt, err *api.Error, delivered int, repeatable bool, now time.Time, rng *rand.Rand) Decision {
+	stop := Decision{Reason: err.Reason, Avoid: a.Target}
+	if !allowed(err, delivered, repeatable) {
+		return stop
+	}
+	if int(a.Number) >= p.opts.Attempts {
+		p.meter.Refused(err.Reason)
+		return stop
+	}
+	after := p.backoff(a.Number, err, rng)
+	if !a.Deadline.IsZero() && !now.Add(after).Before(a.Deadline) {
+		p.meter.Refused(api.ReasonTimeout)
+		return stop
+	}
+	if !p.budgets.take(a.Customer, now) {
+		p.meter.Refused(api.ReasonRetryBudget)
+		stop.Reason = api.ReasonRetryBudget
+		return stop
+	}
+	p.meter.Retried(err.Reason)
+	return Decision{Retry: true, After: after, Avoid: a.Target, Reason: err.Reason}
+}
+
+// allowed tells whether trying again is safe and may help.
+//
+// Safe: it is proved that the request did not run, or it may run twice and the
+// caller has seen nothing of it. Without either, a booking could run twice, or
+// an answer be spliced from two generations.
+func allowed(err *api.Error, delivered int, repeatable bool) bool {
+	if delivered > 0 {
+		return false
+	}
+	switch err.Outcome {
+	case api.OutcomeNotRun:
+		return notRun[err.Reason]
+	case api.OutcomeInterrupted, api.OutcomeUnknown:
+		return repeatable && lost[err.Reason]
+	default:
+		return false
+	}
+}
+
+// notRun lists the reasons of a refusal after which another target may take the
+// request. A limit or a bad request is the same everywhere, and this instance
+// shutting down is not mended by waiting.
+var notRun = map[api.Reason]bool{
+	api.ReasonNoTarget:          true,
+	api.ReasonQueueFull:         true,
+	api.ReasonDeadlineHopeless:  true,
+	api.ReasonTargetLeaving:     true,
+	api.ReasonTargetGone:        true,
+	api.ReasonLinkLost:          true,
+	api.ReasonIncarnation:       true,
+	api.ReasonTombstoned:        true,
+	api.ReasonEngineUnreachable: true,
+	api.ReasonEngineDied:        true,
+}
+
+// lost lists the reasons after which a request may have run in vain.
+var lost = map[api.Reason]bool{
+	api.ReasonTargetGone:        true,
+	api.ReasonLinkLost:          true,
+	api.ReasonIncarnation:       true,
+	api.ReasonEngineUnreachable: true,
+	api.ReasonEngineDied:        true,
+	api.ReasonEngineTruncated:   true,
+	api.ReasonIntegrity:         true,
+}
+
+// backoff doubles with each attempt and is drawn from its upper half, so that
+// callers who failed together don't come back together.
+//
+// A RetryAfter that speaks for all targets asked (StepRoute) is waited out. One
+// target's own binds only a return to it, and the retry goes elsewhere.
+func (p *Policy) backoff(n api.Attempt, err *api.Error, rng *rand.Rand) time.Duration {
+	d := p.opts.Max
+	if n < 16 {
+		d = min(d, p.opts.Base<<(max(n, 1)-1))
+	}
+	if err.Step == api.StepRoute {
+		d = max(d, 2*err.RetryAfter)
+	}
+	return d/2 + time.Duration(rng.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,104 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	qt "github.com/frankban/quicktest"
+)
+
+var t0 = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+type counts map[api.Reason]int
+
+func (c counts) Retried(r api.Reason) { c[r]++ }
+func (c counts) Refused(r api.Reason) { c["not "+r]++ }
+
+func rnd(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
+func TestNext(t *testing.T) {
+	first := Attempt{Customer: "c", Number: 1, Target: "t1"}
+	last := Attempt{Customer: "c", Number: 3, Target: "t1"}
+	short := Attempt{Customer: "c", Number: 1, Deadline: t0.Add(10 * time.Millisecond)}
+	tests := []struct {
+		name       string
+		a          Attempt
+		outcome    api.Outcome
+		reason     api.Reason
+		delivered  int
+		repeatable bool
+		retry      bool
+		counted    api.Reason
+	}{
+		{"refused, not repeatable", first, api.OutcomeNotRun, api.ReasonQueueFull, 0, false, true, api.ReasonQueueFull},
+		{"link lost, not repeatable", first, api.OutcomeUnknown, api.ReasonLinkLost, 0, false, false, ""},
+		{"link lost, repeatable", first, api.OutcomeUnknown, api.ReasonLinkLost, 0, true, true, api.ReasonLinkLost},
+		{"engine died after a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 1, true, false, ""},
+		{"engine died before a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 0, true, true, api.ReasonEngineDied},
+		{"limit", first, api.OutcomeNotRun, api.ReasonTokenRateLimit, 0, true, false, ""},
+		{"never fits", first, api.OutcomeNotRun, api.ReasonNeverFits, 0, true, false, ""},
+		{"cancelled", first, api.OutcomeInterrupted, api.ReasonCancelled, 0, true, false, ""},
+		{"completed", first, api.OutcomeCompleted, api.ReasonLinkLost, 0, true, false, ""},
+		{"attempts used up", last, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not queue_full"},
+		{"deadline too near", short, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not timeout"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := counts{}
+			p := New(Options{}, m)
+			d := p.Next(tt.a, &api.Error{Outcome: tt.outcome, Reason: tt.reason}, tt.delivered, tt.repeatable, t0, rnd(1))
+			c.Assert(d.Retry, qt.Equals, tt.retry)
+			c.Assert(d.Reason, qt.Equals, tt.reason)
+			c.Assert(d.Avoid, qt.Equals, tt.a.Target)
+			if tt.counted != "" {
+				c.Assert(m, qt.DeepEquals, counts{tt.counted: 1})
+			} else {
+				c.Assert(m, qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	c := qt.New(t)
+	p := New(Options{}, counts{})
+	route := &api.Error{Step: api.StepRoute, RetryAfter: 3 * time.Second}
+	queue := &api.Error{Step: api.StepQueue, RetryAfter: 3 * time.Second}
+	for seed := range uint64(20) {
+		c.Assert(p.backoff(1, route, rnd(seed)) >= 3*time.Second, qt.IsTrue)
+		c.Assert(p.backoff(2, queue, rnd(seed)) <= 50*time.Millisecond, qt.IsTrue)
+		c.Assert(p.backoff(40, queue, rnd(seed)) <= 2*time.Second, qt.IsTrue)
+	}
+}
+
+// One customer whose requests all fail must not spend what the others may
+// retry, and all together must not pass the overall budget.
+func TestBudgets(t *testing.T) {
+	c := qt.New(t)
+	o := Options{
+		Customer: Ratio{PerTry: 0.1, PerSecond: 0.5, Most: 5},
+		Overall:  Ratio{PerSecond: 1, Most: 12},
+	}
+	p := New(o, counts{})
+	fail := func(customer api.CustomerID, n int, now time.Time) (retries int) {
+		for range n {
+			p.First(customer, now)
+			d := p.Next(Attempt{Customer: customer, Number: 1}, &api.Error{Outcome: api.OutcomeNotRun, Reason: api.ReasonQueueFull}, 0, false, now, rnd(1))
+			if d.Retry {
+				retries++
+			} else {
+				c.Assert(d.Reason, qt.Equals, api.ReasonRetryBudget)
+			}
+		}
+		return retries
+	}
+	// 5 saved and one for ten tries, the first of which finds the bucket full;
+	// then what is left of 12 overall.
+	c.Assert(fail("large", 50, t0), qt.Equals, 9)
+	c.Assert(fail("small", 10, t0), qt.Equals, 3)
+	c.Assert(fail("third", 10, t0), qt.Equals, 0)
+	c.Assert(fail("large", 1, t0.Add(2*time.Second)), qt.Equals, 1)
+}
