--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -250,14 +250,16 @@
 	if t.leaving.Load() {
 		return
 	}
-	cand := c.snapshot(t)
+	at := len(c.s.pool)
+	c.s.pool = append(c.s.pool, c.snapshot(t))
+	cand := &c.s.pool[at]
 	cand.Affinity = affinity
 	for _, f := range c.r.opts.Filters {
-		if !f.Keep(&c.s.q, &cand) {
+		if !f.Keep(&c.s.q, cand) {
+			c.s.pool = c.s.pool[:at]
 			return
 		}
 	}
-	c.s.pool = append(c.s.pool, cand)
 }
 
 func (c *choice) lastResort(t *target) {
