--- /dev/null
+++ b/node/agent/run.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/wire"
+)
+
+// run drives one started session and gives its final frame.
+func (a *Agent) run(ctx context.Context, s *session, priority int) *wire.Final {
+	s.tellStarted()
+	w := Work{
+		Request:  s.offer.Key.Request,
+		Method:   s.offer.Method,
+		Path:     s.offer.Path,
+		Headers:  s.offer.Headers,
+		Body:     s.offer.Body,
+		Priority: priority,
+	}
+	if s.offer.Service != "" {
+		return a.runCall(ctx, s, w)
+	}
+	return a.runGeneration(ctx, s, w)
+}
+
+func (a *Agent) runGeneration(ctx context.Context, s *session, w Work) *wire.Final {
+	ans, err := a.target.Generate(ctx, w)
+	if err != nil {
+		return s.failed(err)
+	}
+	defer ans.Close()
+	stop := context.AfterFunc(ctx, ans.Close)
+	defer stop()
+	return s.relay(ans, func(n int) { a.progress(s, n) })
+}
+
+func (a *Agent) progress(s *session, tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admit.Progress(s.offer.Key.Request, tokens)
+}
+
+func (a *Agent) runCall(ctx context.Context, s *session, w Work) *wire.Final {
+	ctx, cancel := withTimeout(ctx, s)
+	defer cancel()
+	ans, err := a.target.Call(ctx, w)
+	if err != nil {
+		return s.failed(err)
+	}
+	defer ans.Close()
+	stop := context.AfterFunc(ctx, ans.Close)
+	defer stop()
+	status, headers := ans.Head()
+	s.setHead(&wire.Head{Key: s.offer.Key, Generation: s.gen, Status: status, Headers: headers})
+	return s.relay(ans, func(int) {})
+}
+
+func withTimeout(ctx context.Context, s *session) (context.Context, context.CancelFunc) {
+	if s.offer.Timeout <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, s.offer.Timeout)
+}
+
+// failed turns a target's error before any item into the final frame. The
+// target's adapter alone may claim not_run.
+func (s *session) failed(err error) *wire.Final {
+	e := api.AsError(err)
+	if s.isStopped() && e.Outcome != api.OutcomeNotRun {
+		return &wire.Final{Outcome: api.OutcomeInterrupted, Reason: api.ReasonCancelled}
+	}
+	return &wire.Final{Outcome: e.Outcome, Reason: e.Reason, RetryAfter: e.RetryAfter, Detail: detail(e)}
+}
