--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -108,7 +107,9 @@
 	links      map[sender]struct{}
 	calls      int
 	leaving    bool
-	reported   time.Time
+	// preemptions is the engine's count at its last report.
+	preemptions uint64
+	reported    time.Time
 }
 
 // New makes an agent in front of target.
@@ -129,6 +130,9 @@
 func (a *Agent) Run(ctx context.Context) {
 	t := time.NewTicker(a.cfg.Tick)
 	defer t.Stop()
+	if len(a.cfg.Models) > 0 {
+		a.work.Go(func() { a.poll(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -208,8 +212,9 @@
 
 func (a *Agent) takeWaiting() []*session {
 	var out []*session
+	now := a.cfg.Clock()
 	for k, s := range a.sessions {
-		if s.offer.Service == "" && a.admit.Cancel(k.Request) {
+		if s.offer.Service == "" && a.admit.Cancel(k.Request, k.Attempt, now) {
 			s.stop()
 			out = append(out, s)
 		}
@@ -273,7 +278,7 @@
 				delete(a.latest, k.Request)
 			}
 		case s.offer.Service == "" && s.abandoned(now, a.cfg.Grace):
-			a.cancelLocked(s)
+			a.cancelLocked(s, now)
 		}
 	}
 	for k, until := range a.tombstones {
@@ -288,68 +293,6 @@
 	return api.GenerationID(strconv.FormatUint(uint64(a.cfg.Incarnation), 36) + "-" + strconv.FormatUint(n, 36))
 }
 
-func (a *Agent) startReady(now time.Time) {
-	a.mu.Lock()
-	starts := slices.Clone(a.admit.Next(now))
-	ready := make([]*session, len(starts))
-	for i, st := range starts {
-		ready[i] = a.sessions[wire.Key{Request: st.ID, Attempt: st.Attempt}]
-	}
-	late := a.takeExpired()
-	a.mu.Unlock()
-	for i, s := range ready {
-		a.launch(s, starts[i].Priority)
-	}
-	for _, s := range late {
-		s.stop()
-		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonDeadlineHopeless})
-	}
-}
-
-// takeExpired gives the sessions that waited in the queue past their deadline.
-func (a *Agent) takeExpired() []*session {
-	var out []*session
-	for _, id := range a.admit.Expired() {
-		if s := a.lookup(wire.Key{Request: id}); s != nil {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func (a *Agent) launch(s *session, priority int) {
-	ctx, cancel := context.WithCancel(context.Background())
-	if !s.begin(cancel) {
-		cancel()
-		a.close(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
-		return
-	}
-	a.work.Go(func() {
-		defer cancel()
-		a.close(s, a.run(ctx, s, priority))
-	})
-}
-
-// close ends a session that was launched and lets the next ones start. The room
-// that it held is given up before its end is told: a caller that asks again at
-// once must not find its own request still in the way.
-func (a *Agent) close(s *session, f *wire.Final) {
-	a.mu.Lock()
-	switch {
-	case s.offer.Service != "":
-		a.calls--
-	case a.latest[s.offer.Key.Request] != s.offer.Key:
-		// A later attempt of the request is here; the admitter knows that one.
-	case f.Outcome == api.OutcomeCompleted:
-		a.admit.Done(s.offer.Key.Request)
-	default:
-		a.admit.Cancel(s.offer.Key.Request)
-	}
-	a.mu.Unlock()
-	a.end(s, f)
-	a.startReady(a.cfg.Clock())
-}
-
 func (a *Agent) end(s *session, f *wire.Final) {
 	if s.finish(f, a.cfg.Clock()) {
 		a.cfg.Observer.Ended(s.offer.Key, f.Outcome, f.Reason)
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -147,14 +147,15 @@
 		s.hold(from, now.Add(min(m.Hold, a.cfg.Grace)-a.cfg.Grace))
 		return
 	}
-	a.cancelLocked(s)
+	a.cancelLocked(s, now)
 }
 
 // cancelLocked stops a session that nobody waits for any more. One that was
 // still waiting ends here as not run; a running one ends when its work returns.
-func (a *Agent) cancelLocked(s *session) (notRun bool) {
+func (a *Agent) cancelLocked(s *session, now time.Time) (notRun bool) {
 	s.forsake()
-	waiting := s.offer.Service == "" && !s.hasStarted() && a.admit.Cancel(s.offer.Key.Request)
+	k := s.offer.Key
+	waiting := s.offer.Service == "" && !s.hasStarted() && a.admit.Cancel(k.Request, k.Attempt, now)
 	s.stop()
 	if waiting {
 		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
@@ -184,7 +185,7 @@
 		a.tombstones[m.Key] = now.Add(a.cfg.TombstoneTime)
 		return true
 	}
-	if a.cancelLocked(s) {
+	if a.cancelLocked(s, now) {
 		return true
 	}
 	s.mu.Lock()
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -78,19 +78,24 @@
 type Admitter interface {
 	Bid(r admission.Request, now time.Time) admission.Bid
 	Offer(r admission.Request, now time.Time) admission.Verdict
-	// Next gives the sequences to start now, and Expired, once, the queued
-	// requests whose deadline passed before they started.
+	// Next gives the sequences to start now.
 	Next(now time.Time) []admission.Start
-	Expired() []api.RequestID
+	// Expired removes and gives the queued requests whose deadline has passed.
+	Expired(now time.Time) []admission.Start
 	// Progress tells that a sequence has produced n tokens in all.
-	Progress(id api.RequestID, n int)
-	// Done tells that a running sequence ended by itself; Cancel that it was
-	// withdrawn, with true only if it had never started.
-	Done(id api.RequestID) bool
-	Cancel(id api.RequestID) (neverStarted bool)
+	Progress(id api.RequestID, a api.Attempt, n int, now time.Time)
+	// Done tells that a sequence ended by itself after n tokens, Failed that it
+	// was cut short.
+	Done(id api.RequestID, a api.Attempt, n int, now time.Time)
+	Failed(id api.RequestID, a api.Attempt)
+	// Cancel withdraws a request, with true only if it never started.
+	Cancel(id api.RequestID, a api.Attempt, now time.Time) (neverStarted bool)
 	// Preempted tells that the engine took a sequence's memory; an empty ID
 	// means that it does not say whose.
-	Preempted(id api.RequestID)
+	Preempted(id api.RequestID, a api.Attempt)
+	// Yield gives the sequence that must give way when free tokens are left in
+	// the engine: it has produced nothing and is queued again.
+	Yield(free int) (id api.RequestID, ok bool)
 	// Snapshot is the state for a load report.
 	Snapshot(now time.Time) admission.Snapshot
 }
--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -36,9 +36,11 @@
 }
 
 func (a *Agent) progress(s *session, tokens int) {
+	now := a.cfg.Clock()
+	k := s.offer.Key
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.admit.Progress(s.offer.Key.Request, tokens)
+	a.admit.Progress(k.Request, k.Attempt, tokens, now)
 }
 
 func (a *Agent) runCall(ctx context.Context, s *session, w Work) *wire.Final {
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -36,6 +36,11 @@
 	received bool
 	cancel   context.CancelFunc // set when started
 	stopped  bool
+	// yielded is set between giving way and the end of that run; again and next
+	// when it was let start anew before.
+	yielded bool
+	again   bool
+	next    int
 	// orphaned is when the last link was lost, zero while one is attached.
 	orphaned time.Time
 	ended    time.Time
@@ -64,7 +69,7 @@
 	for s.buf.Unacked() > s.unacked && !s.stopped {
 		s.room.Wait()
 	}
-	if s.stopped {
+	if s.stopped || s.yielded {
 		return false
 	}
 	off := s.buf.Append(item)
@@ -200,18 +205,69 @@
 	}
 }
 
-// begin marks the session started; false if it was stopped before.
-func (s *session) begin(cancel context.CancelFunc) bool {
+// How a launch goes.
+type begun uint8
+
+const (
+	beginNow     begun = iota
+	beginStopped       // it was cancelled before
+	beginBusy          // the run that gave way has not returned yet
+)
+
+// begin marks the session started.
+func (s *session) begin(cancel context.CancelFunc, priority int) begun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.started {
-		return false
+	if s.stopped {
+		return beginStopped
+	}
+	if s.started {
+		s.again = true
+		s.next = priority
+		return beginBusy
 	}
 	s.started = true
 	s.cancel = cancel
+	return beginNow
+}
+
+// yield takes a started session back that has produced nothing; false when it
+// has by now. Items that come after it are not taken, so that the next run
+// cannot be spliced to this one.
+func (s *session) yield() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started || s.stopped || s.final != nil || s.buf.End() > 0 {
+		return false
+	}
+	s.yielded = true
+	if s.to != nil {
+		_ = s.to.Send(&wire.State{Key: s.offer.Key, Phase: wire.PhaseQueued})
+	}
+	s.cancel()
 	return true
 }
 
+// afterRun tells whether the run that has returned gave way, and whether the
+// session was let start again meanwhile.
+func (s *session) afterRun() (yielded, again bool, priority int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.yielded || s.stopped {
+		return false, false, 0
+	}
+	again = s.again
+	s.yielded, s.again, s.started = false, false, false
+	return true, again, s.next
+}
+
+// produced is the number of items so far.
+func (s *session) produced() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.buf.End())
+}
+
 func (s *session) isStopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
