--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# The two commands of the README need none of this; these are the measurements
+# and the conveniences of developers.
+.PHONY: test ci measure-path measure-policy docs
+
+test:
+	go test -race work
+
+ci:
+	bash .ci/run
+
+measure-path:
+	bash bench/path/measure.sh
+
+measure-policy:
+	go run ./bench/policy
+
+docs:
+	go run ./node/events/page > docs/EVENTS.md
--- a/cmd/almondseam/main.go
+++ b/cmd/almondseam/main.go
@@ -34,14 +34,18 @@
 	app.DefaultEnvars()
 	run := newRunCommand(app)
 	solo := newSoloCommand(app)
+	engine := newEngineCommand(app)
 	cmd, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "almondseam: %v (see almondseam --help)\n", err)
 		return exitUsage
 	}
 	out := streams{stdout, stderr}
-	if cmd == solo.cmd.FullCommand() {
+	switch cmd {
+	case solo.cmd.FullCommand():
 		return solo.execute(out)
+	case engine.cmd.FullCommand():
+		return engine.execute(out)
 	}
 	return run.execute(out)
 }
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -162,6 +162,8 @@
 		Models:       convert[api.ModelID](n.set.models),
 		Services:     convert[api.ServiceID](n.set.services),
 		Capacity:     n.set.capacity,
+		MaxRunning:   n.set.batch,
+		Queue:        n.set.queue,
 		Capabilities: n.set.capabilities(),
 	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
 }
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -43,6 +43,8 @@
 	models   []string
 	services []string
 	capacity int
+	batch    int
+	queue    int
 	priority bool
 	fences   bool
 }
@@ -66,6 +68,8 @@
 	c.Flag("model", "agent: model that the target serves; may be given more than once.").StringsVar(&s.models)
 	c.Flag("service", "agent: plain service that the target serves; may be given more than once.").StringsVar(&s.services)
 	c.Flag("capacity", "agent: memory of the engine in tokens.").Default("40000").IntVar(&s.capacity)
+	c.Flag("engine-batch", "agent: largest number of sequences that the engine runs at once.").Default("256").IntVar(&s.batch)
+	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it.").Default("256").IntVar(&s.queue)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
 	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
 }
@@ -108,6 +112,10 @@
 		return errors.New("--model or --service: the agent role needs to know what the target serves")
 	case s.capacity <= 0:
 		return errors.New("--capacity: must be positive")
+	case s.batch <= 0:
+		return errors.New("--engine-batch: must be positive")
+	case s.queue <= 0:
+		return errors.New("--queue: must be positive")
 	}
 	for _, addr := range append([]string{s.address}, s.seeds...) {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
--- a/node/link/dial.go
+++ b/node/link/dial.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"almondseam.dev/core/api"
 	"github.com/fasthttp/websocket"
 )
 
@@ -22,7 +23,7 @@
 	}
 	ws, resp, err := d.DialContext(ctx, "ws://"+addr+path, http.Header{})
 	if err != nil {
-		return nil, handshakeError(addr, err)
+		return nil, &api.Error{Step: api.StepLink, Peer: addr, Outcome: api.OutcomeNotRun, Reason: api.ReasonLinkLost, Err: err}
 	}
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -30,8 +30,11 @@
 	TargetAddr string
 	Models     []api.ModelID
 	Services   []api.ServiceID
-	// Capacity is the engine's memory in tokens.
+	// Capacity is the engine's memory in tokens, MaxRunning its largest batch
+	// and Queue the requests that may wait here; zero takes the defaults.
 	Capacity     int
+	MaxRunning   int
+	Queue        int
 	Capabilities agent.Capabilities
 }
 
@@ -64,7 +67,11 @@
 	a := &Agent{set: set, ports: ports}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	target := engine.New(engine.Config{Addr: set.TargetAddr, Capabilities: set.Capabilities})
-	admit := admission.New(admission.Config{Capacity: set.Capacity}, estimate.New(estimate.Config{}))
+	admit := admission.New(admission.Config{
+		Capacity:   set.Capacity,
+		MaxRunning: set.MaxRunning,
+		QueueLimit: set.Queue,
+	}, estimate.New(estimate.Config{}))
 	a.agent = agent.New(agent.Config{
 		Target:      set.Target,
 		Incarnation: api.Incarnation(time.Now().UnixMilli()),
