link: let the accepting side end a link

Cause: the server library's Close on a hijacked connection does nothing until the handler returns, so Conn.Close, a backlog or a cancelled context on the accepting side left the reader waiting for as long as the peer pinged; a role never stopped. Change: the end of a link closes the connection under the hijacked one. Before: TestAcceptorCanEndALink timed out after 15 s without the change. After: go test -race ./node/link ok in 1.3 s. Conclusion: an accepted link ends at once.

--- a/node/link/link.go
+++ b/node/link/link.go
@@ -221,10 +221,21 @@
 	c.queue = nil
 	close(c.closed)
 	c.mu.Unlock()
-	_ = c.ws.Close()
+	closeSocket(c.ws)
 	c.opt.Observer.LinkClosed(c.peer, why)
 }
 
+// closeSocket closes the connection itself. On the accepting side the server
+// library's Close does nothing until its handler has returned, so that a link
+// ended here would go on reading for as long as its peer pings: a backlog would
+// stop nobody and a shutdown would wait for ever.
+func closeSocket(ws *websocket.Conn) {
+	if hijacked, ok := ws.NetConn().(interface{ UnsafeConn() net.Conn }); ok {
+		_ = hijacked.UnsafeConn().Close()
+	}
+	_ = ws.Close()
+}
+
 // Run reads until the link ends and gives each message to handle, in order, on
 // this goroutine. It returns why the link ended. It returns early when ctx is
 // done.
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -180,3 +180,23 @@
 		}
 	})
 }
+
+// The accepting side ends a link whose peer is alive and pings on. Both ends must
+// be gone at once; before, the accepting one read on until its peer fell silent.
+func TestAcceptorCanEndALink(t *testing.T) {
+	c := qt.New(t)
+	opt := options("k", RoleEntry)
+	accepted := make(chan *Conn, 1)
+	why := make(chan string, 1)
+	addr := listen(t, opt, func(conn *Conn) {
+		accepted <- conn
+		why <- conn.Run(context.Background(), func(wire.Message) {})
+	})
+	conn, err := Dial(context.Background(), addr, options("k", RoleAgent))
+	c.Assert(err, qt.IsNil)
+	ran := make(chan string, 1)
+	go func() { ran <- conn.Run(context.Background(), func(wire.Message) {}) }()
+	(<-accepted).Close()
+	c.Assert(<-why, qt.Equals, CloseLocal)
+	c.Assert(<-ran, qt.Equals, ClosePeer)
+}
