--- a/node/events/events.go
+++ b/node/events/events.go
@@ -42,6 +42,11 @@
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
 	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+	ConfigInForce    = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
+	ConfigUnusable   = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
+	ConfigConflict   = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
+	ConfigSwitched   = Event{603, zerolog.InfoLevel, "agent follows another entry's configuration", "None, unless it recurs with why=silence: the network between them stalls."}
+	ConfigNoSite     = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
 )
 
 // All lists the catalogue in the order of its numbers.
@@ -51,5 +56,6 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed,
+		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite,
 	}
 }
