process: pass configurations between entries and agents over the path's links

Cause: the rollout parts were not yet on the links of running processes. Change: the entry role takes an optional Hub and the agent role an optional Live; their messages share the link's codec with the request path. Conclusion: what is left is to give the entry its control client.

--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -8,11 +8,13 @@
 	"almondseam.dev/core/admission"
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/estimate"
+	"almondseam.dev/core/fleetconfig"
 	"almondseam.dev/node/agent"
 	"almondseam.dev/node/engine"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/rollout"
 	"almondseam.dev/node/wire"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -37,6 +39,10 @@
 
 // AgentPorts are what an agent process needs beside its settings.
 type AgentPorts struct {
+	// Live takes the configuration that the linked entries pass on; nil takes
+	// none. Config hears of it and may be nil.
+	Live    *fleetconfig.Live
+	Config  rollout.Observer
 	Metrics *metrics.Set
 	Log     *zerolog.Logger
 }
@@ -46,6 +52,7 @@
 	set    AgentSettings
 	ports  AgentPorts
 	agent  *agent.Agent
+	config *rollout.Agent // nil when no configuration is taken
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -74,12 +81,18 @@
 		Capacity:    set.Capacity,
 		Observer:    metrics.Agent{Set: ports.Metrics},
 	}, target, admit)
+	if ports.Live != nil {
+		a.config = rollout.NewAgent(rollout.AgentOptions{Zone: set.Zone, Live: ports.Live, Observer: ports.Config})
+	}
 	return a
 }
 
 // Start opens the links and takes work.
 func (a *Agent) Start() {
 	a.work.Go(func() { a.agent.Run(a.ctx) })
+	if a.config != nil {
+		a.work.Go(func() { a.config.Run(a.ctx) })
+	}
 	for _, addr := range a.set.Seeds {
 		a.work.Go(func() { a.keepLink(addr) })
 	}
@@ -116,7 +129,7 @@
 	conn, err := link.Dial(a.ctx, addr, link.Options{
 		Key:      a.set.Key,
 		Self:     link.Peer{Instance: a.set.Instance, Zone: a.set.Zone, Role: link.RoleAgent},
-		Codec:    wire.NewCodec(wire.PathProtos()...),
+		Codec:    pathCodec,
 		Observer: a.ports.Metrics,
 	})
 	if err != nil {
@@ -128,7 +141,17 @@
 	a.ports.Metrics.LinkUp(conn.Peer())
 	detach := a.agent.Attach(conn)
 	defer detach()
-	conn.Run(a.ctx, func(m wire.Message) { a.agent.Handle(conn, m) })
+	handle := func(m wire.Message) { a.agent.Handle(conn, m) }
+	if a.config != nil {
+		leave := a.config.Attach(conn)
+		defer leave()
+		handle = func(m wire.Message) {
+			if !a.config.Handle(conn, m) {
+				a.agent.Handle(conn, m)
+			}
+		}
+	}
+	conn.Run(a.ctx, handle)
 }
 
 // drainPoll is the pace at which a leaving agent looks whether it is idle.
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -16,12 +16,16 @@
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/rollout"
 	"almondseam.dev/node/wire"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 )
 
+// pathCodec knows the messages of links between entries and agents.
+var pathCodec = wire.NewCodec(append(wire.PathProtos(), rollout.Protos()...)...)
+
 // EntrySettings are the process settings of the entry role.
 type EntrySettings struct {
 	Instance api.InstanceID
@@ -37,7 +41,9 @@
 // EntryPorts are what an entry process needs beside its settings. Nil ports
 // take the parts that need no control group.
 type EntryPorts struct {
-	Live    *fleetconfig.Live
+	Live *fleetconfig.Live
+	// Hub passes the configuration on to the agents; nil passes none.
+	Hub     *rollout.Hub
 	Limiter callers.Limiter
 	Claimer callers.Claimer
 	Metrics *metrics.Set
@@ -76,7 +82,7 @@
 	acceptor := link.NewAcceptor(link.Options{
 		Key:      set.Key,
 		Self:     link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry},
-		Codec:    wire.NewCodec(wire.PathProtos()...),
+		Codec:    pathCodec,
 		Observer: ports.Metrics,
 	}, e.serveLink)
 	e.links = &fasthttp.Server{Handler: acceptor.Handler, Name: "almondseam"}
@@ -95,6 +101,9 @@
 func (e *Entry) Start() {
 	e.work.Go(func() { e.serve("callers", e.callers.Serve(e.set.Callers)) })
 	e.work.Go(func() { e.serve("links", e.links.Serve(e.set.Links)) })
+	if e.ports.Hub != nil {
+		e.work.Go(func() { e.ports.Hub.Run(e.ctx) })
+	}
 	events.ProcessStarted.Log(e.ports.Log).Str("role", string(link.RoleEntry)).
 		Str("callers", e.set.Callers.Addr().String()).Str("links", e.set.Links.Addr().String()).Send()
 }
@@ -116,7 +125,17 @@
 	e.ports.Metrics.LinkUp(c.Peer())
 	at := e.entry.Attach(c)
 	defer at.Closed()
-	c.Run(e.ctx, at.Handle)
+	handle := at.Handle
+	if e.ports.Hub != nil {
+		session := e.ports.Hub.Attach(c.Peer().Instance, c)
+		defer session.Close()
+		handle = func(m wire.Message) {
+			if !session.Handle(m) {
+				at.Handle(m)
+			}
+		}
+	}
+	c.Run(e.ctx, handle)
 }
 
 // Stop drains: no new connection is taken, requests in progress go on until
