--- a/bench/policy/gates.go
+++ b/bench/policy/gates.go
@@ -22,7 +22,7 @@
 	done(c *call, whole bool)
 	// cancel takes a call away that waits or runs.
 	cancel(c *call)
-	preempted(c *call)
+	preempted(c *call, now time.Duration)
 	// handBack empties the queue of a target that leaves.
 	handBack() []*call
 }
@@ -46,11 +46,11 @@
 	return out
 }
 
-func (g *direct) progress(*call)    {}
-func (g *direct) done(*call, bool)  {}
-func (g *direct) cancel(*call)      {}
-func (g *direct) preempted(*call)   {}
-func (g *direct) handBack() []*call { return nil }
+func (g *direct) progress(*call)                 {}
+func (g *direct) done(*call, bool)               {}
+func (g *direct) cancel(*call)                   {}
+func (g *direct) preempted(*call, time.Duration) {}
+func (g *direct) handBack() []*call              { return nil }
 
 // reserve starts calls in order of arrival while the sum of what each may come
 // to fits: prompt and max_tokens, or with oracle the true length, which no
@@ -100,8 +100,8 @@
 	return out
 }
 
-func (g *reserve) progress(*call)  {}
-func (g *reserve) preempted(*call) {}
+func (g *reserve) progress(*call)                 {}
+func (g *reserve) preempted(*call, time.Duration) {}
 
 func (g *reserve) done(c *call, _ bool) { g.cancel(c) }
 
@@ -198,7 +198,9 @@
 	delete(g.waiting, c.id)
 }
 
-func (g *ours) preempted(c *call) { g.ctl.Preempted(c.id, c.attempt) }
+func (g *ours) preempted(c *call, now time.Duration) {
+	g.ctl.Preempted(c.id, c.attempt, epoch.Add(now))
+}
 
 func (g *ours) handBack() []*call {
 	var out []*call
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -21,6 +21,10 @@
 	only := app.Flag("only", "Run only this workload (0 or 1).").Default("-1").Int()
 	loads := app.Flag("load", "Loads to run, in parts of capacity.").Default("0.7", "1.0", "1.3").Float64List()
 	recovery := app.Flag("recovery", "Run the overload and recovery as well.").Default("true").Bool()
+	app.Flag("margin", "Trial: the controller's first margin.").FloatVar(&trial.Margin)
+	app.Flag("preempt-rate", "Trial: preemptions per start that the margin settles at.").FloatVar(&trial.PreemptRate)
+	app.Flag("prefill-budget", "Trial: prompt tokens computed at once.").IntVar(&trial.PrefillBudget)
+	app.Flag("margin-step", "Trial: what one preemption adds to the margin.").FloatVar(&trial.MarginStep)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	began := time.Now()
 	for i, load := range workloads() {
@@ -39,6 +43,15 @@
 	fmt.Fprintf(os.Stderr, "took %s\n", time.Since(began).Round(time.Second))
 }
 
+// trial overrides the controller's defaults, for rounds.
+var trial admission.Config
+
+func ownGate(capacity int) gate {
+	cfg := trial
+	cfg.Capacity = capacity
+	return newOurs(cfg)
+}
+
 // columns are the baselines and the product's own decisions, last.
 func columns() []column {
 	lagged := func(*world) placer { return &leastLagged{} }
@@ -48,7 +61,7 @@
 		{"least outstanding", toEngine, lagged},
 		{"reserve max_tokens", func(n int) gate { return newReserve(n, false) }, lagged},
 		{"admit everything", toEngine, func(*world) placer { return &leastExact{} }},
-		{"ours", func(n int) gate { return newOurs(admission.Config{Capacity: n}) }, func(w *world) placer { return newBids(w) }},
+		{"ours", ownGate, func(w *world) placer { return newBids(w) }},
 	}
 }
 
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -204,7 +204,7 @@
 	}
 	for _, id := range n.res.Preempted {
 		w.m.preemptions++
-		n.gate.preempted(n.calls[id])
+		n.gate.preempted(n.calls[id], w.now)
 	}
 	w.m.redone += n.res.Redone
 	n.stepping = true
--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -21,6 +21,8 @@
 	// MarginStep what one preemption adds. Defaults 1.5 and 0.3.
 	Margin     float64
 	MarginStep float64
+	// MarginEvery is the least time between two such raises. Default 10 s.
+	MarginEvery time.Duration
 	// PreemptRate is the number of preemptions per start that the margin
 	// settles at. Default 0.002.
 	PreemptRate float64
@@ -47,6 +49,7 @@
 	def(&c.PrefillBudget, 512)
 	def(&c.Margin, 1.5)
 	def(&c.MarginStep, 0.3)
+	def(&c.MarginEvery, 10*time.Second)
 	def(&c.PreemptRate, 0.002)
 	def(&c.AgeBound, 20*time.Second)
 	def(&c.TagShare, 0.5)
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -69,6 +69,8 @@
 	prefill   int
 	preempted int
 	margin    float64
+	// raised is when the margin was last raised.
+	raised time.Time
 	// started is the tokens of recent starts per class, decaying.
 	started     [classes]float64
 	pace        pace
@@ -297,7 +299,7 @@
 	if p == nil {
 		p = &prefixUse{tokens: s.PrefixTokens}
 		c.prefixes[s.Prefix] = p
-		c.shift(float64(p.tokens))
+		c.load.shift(float64(p.tokens))
 	}
 	p.refs++
 }
@@ -310,14 +312,7 @@
 	p.refs--
 	if p.refs == 0 {
 		delete(c.prefixes, s.Prefix)
-		c.shift(-float64(p.tokens))
-	}
-}
-
-// shift moves the whole forecast by tokens.
-func (c *Controller) shift(tokens float64) {
-	for i := range c.load.mean {
-		c.load.mean[i] += tokens
+		c.load.shift(-float64(p.tokens))
 	}
 }
 
@@ -329,7 +324,7 @@
 	c.stale = 0
 	c.load = forecast{}
 	for _, p := range c.prefixes {
-		c.shift(float64(p.tokens))
+		c.load.shift(float64(p.tokens))
 	}
 	for _, s := range c.running {
 		s.curve = c.lengths.Curve(keyOf(s.Request))
--- a/core/admission/running.go
+++ b/core/admission/running.go
@@ -84,9 +84,14 @@
 // and nothing starts until the sequence produces again: a start would take the
 // memory that it waits for. An engine that only counts preemptions passes an
 // empty ID, which moves the margin alone.
-func (c *Controller) Preempted(id api.RequestID, a api.Attempt) {
+func (c *Controller) Preempted(id api.RequestID, a api.Attempt, now time.Time) {
 	c.preemptions++
-	c.margin = min(maxMargin, c.margin+c.cfg.MarginStep)
+	// Preemptions come in bursts of one cause. Counted one by one a burst would
+	// raise the margin so far that the engine ran half empty for minutes.
+	if now.Sub(c.raised) >= c.cfg.MarginEvery {
+		c.margin = min(maxMargin, c.margin+c.cfg.MarginStep)
+		c.raised = now
+	}
 	s := c.find(id, a)
 	if s == nil || s.preempted {
 		return
