Claim calls that must not be repeated, at the entry's dispatch

Cause: the claim names its target and incarnation, which are known only when the request has been placed; a dispatch held up in a link must not start late. Change: the callers' claim is asked for just before the dispatch and settled in the background; entries echo the agent's monotonic clock and agents refuse a claimed call whose echo is older than the window (core/claim.Window).

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -98,6 +98,7 @@
 	target Target
 	work   conc.WaitGroup
 	seq    atomic.Uint64
+	born   time.Time
 
 	mu         sync.Mutex
 	admit      Admitter
@@ -114,8 +115,10 @@
 
 // New makes an agent in front of target.
 func New(cfg Config, target Target, admit Admitter) *Agent {
+	cfg = cfg.withDefaults()
 	return &Agent{
-		cfg:        cfg.withDefaults(),
+		cfg:        cfg,
+		born:       cfg.Clock(),
 		target:     target,
 		admit:      admit,
 		sessions:   make(map[wire.Key]*session),
@@ -181,9 +184,13 @@
 		Services:    a.cfg.Services,
 		Leaving:     a.leaving,
 		Capacity:    a.cfg.Capacity,
+		Clock:       a.uptime(),
 	}
 }
 
+// uptime is this agent's monotonic clock.
+func (a *Agent) uptime() time.Duration { return a.cfg.Clock().Sub(a.born) }
+
 // Leave marks the target as leaving: every link is told, and offers are refused
 // here from now on, so that an entry with a stale view cannot place work.
 // Requests that have not started are handed back as not run.
@@ -261,6 +268,7 @@
 		Free:     snap.Free,
 		Capacity: a.cfg.Capacity,
 		Wait:     snap.WaitNote,
+		Clock:    a.uptime(),
 	}
 	for _, l := range links {
 		_ = l.Send(m)
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/admission"
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
 	"almondseam.dev/core/stream"
 	"almondseam.dev/node/wire"
 )
@@ -102,6 +103,9 @@
 	if a.leaving {
 		return admission.Verdict{Refuse: api.ReasonTargetLeaving}
 	}
+	if m.Claimed && !claim.DefaultWindow().MayStart(m.Echo, a.uptime()) {
+		return admission.Verdict{Refuse: api.ReasonTimeout}
+	}
 	if m.Service != "" {
 		return a.judgeCall()
 	}
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -92,7 +92,7 @@
 	Cancel(id api.RequestID, a api.Attempt, now time.Time) (neverStarted bool)
 	// Preempted tells that the engine took a sequence's memory; an empty ID
 	// means that it does not say whose.
-	Preempted(id api.RequestID, a api.Attempt)
+	Preempted(id api.RequestID, a api.Attempt, now time.Time)
 	// Yield gives the sequence that must give way when free tokens are left in
 	// the engine: it has produced nothing and is queued again.
 	Yield(free int) (id api.RequestID, ok bool)
--- a/node/agent/start.go
+++ b/node/agent/start.go
@@ -90,9 +90,10 @@
 // careful, and when memory is nearly gone the sequence that has produced nothing
 // gives way before the engine throws away the work of another.
 func (a *Agent) observe(l TargetLoad) {
+	now := a.cfg.Clock()
 	a.mu.Lock()
 	for n := a.preemptions; n < l.Preemptions; n++ {
-		a.admit.Preempted("", 0)
+		a.admit.Preempted("", 0, now)
 	}
 	a.preemptions = l.Preemptions
 	a.yieldLocked(l.Free)
--- a/node/callers/plain.go
+++ b/node/callers/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"fmt"
 	"path"
@@ -10,6 +9,7 @@
 	"strings"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
 	"almondseam.dev/core/fleetconfig"
 	"almondseam.dev/node/entry"
 	"almondseam.dev/node/wire"
@@ -40,17 +40,13 @@
 	if err != nil {
 		return s.writeError(c, who.customerID(), who.id, entry.AsEnd(err))
 	}
-	ticket, kept, err := s.claim(c, who, svc, req)
+	ticket, err := s.ticket(c, who, req)
 	if err != nil {
 		settle(0)
 		return s.writeError(c, who.customerID(), who.id, entry.AsEnd(err))
 	}
-	if kept != nil {
-		settle(0)
-		return writeKept(c, kept)
-	}
 	if ticket != nil {
-		req.Claimed = ticket.Dispatch
+		req.Claimed = ticket.dispatch
 	}
 	ans := s.entry.Start(s.base, req)
 	f := &feed{ans: ans, keep: svc.Timeout, settle: settle, gone: connGone(c.RequestCtx().Conn())}
@@ -111,42 +107,42 @@
 	return out
 }
 
-// claim asks for the right to run a call that must not be repeated. A call
-// without an Idempotency-Key needs none: nobody can name it again, and this
-// entry sends it once.
-func (s *Server) claim(c fiber.Ctx, who *caller, svc *fleetconfig.Service, req *entry.Request) (Ticket, *Kept, *api.Error) {
+// ticket makes the claim of a call that must not be repeated. A call without an
+// Idempotency-Key needs none: nobody can name it again, and this entry sends it
+// once.
+func (s *Server) ticket(c fiber.Ctx, who *caller, req *entry.Request) (*ticket, *api.Error) {
 	key := strings.Clone(c.Get(HeaderIdempotent))
 	if req.Repeatable || key == "" {
-		return nil, nil, nil
+		return nil, nil
 	}
-	if s.claimer == nil {
-		return nil, nil, refusal(api.StepClaim, api.ReasonControlUnavailable, "this entry has no control group to claim the key with")
-	}
-	ctx, cancel := context.WithTimeout(s.base, svc.Timeout)
-	defer cancel()
-	ticket, kept, err := s.claimer.Claim(ctx, ClaimRequest{
-		Customer: who.customer.ID,
-		Key:      key,
-		Digest:   digest(req),
-		Request:  who.id,
-	})
-	if err != nil {
-		return nil, nil, api.AsError(err)
+	if len(key) > maxKey {
+		return nil, refusal(api.StepClaim, api.ReasonBadRequest, fmt.Sprintf("the %s is longer than %d bytes", HeaderIdempotent, maxKey))
 	}
-	return ticket, kept, nil
+	if s.claimer == nil {
+		return nil, refusal(api.StepClaim, api.ReasonControlUnavailable, "this entry has no control group to claim the key with")
+	}
+	return &ticket{
+		server: s,
+		key:    claim.Key{Customer: who.customer.ID, Name: key},
+		digest: digest(req),
+		id:     who.id,
+	}, nil
 }
 
+// maxKey bounds an Idempotency-Key in bytes.
+const maxKey = 255
+
 // digest tells two calls under one key apart: method, path and body.
-func digest(req *entry.Request) [32]byte {
+func digest(req *entry.Request) claim.Digest {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(req.Method), []byte(req.Path), req.Body} {
 		fmt.Fprintf(h, "%d:", len(part))
 		h.Write(part)
 	}
-	return [32]byte(h.Sum(nil))
+	return claim.Digest(h.Sum(nil))
 }
 
-func writeKept(c fiber.Ctx, k *Kept) error {
+func writeKept(c fiber.Ctx, k *kept) error {
 	for _, h := range k.Headers {
 		c.RequestCtx().Response.Header.Add(h.Name, h.Value)
 	}
@@ -164,6 +160,9 @@
 		case entry.EventEnd:
 			rec.settle(e.End)
 			f.Close()
+			if rec.ticket != nil && rec.ticket.kept != nil {
+				return writeKept(c, rec.ticket.kept)
+			}
 			return s.writeError(c, who.customerID(), who.id, e.End)
 		case entry.EventHead:
 			length := copyHead(c, e.Head, rec)
--- a/node/callers/record.go
+++ b/node/callers/record.go
@@ -12,20 +12,20 @@
 // record passes a plain call's body on and keeps it for the claim's answer, as
 // long as it stays within its bound.
 type record struct {
-	ticket Ticket
-	kept   Kept
+	ticket *ticket // nil when the call needs no claim
+	kept   kept
 	bound  int
 	over   bool
 	done   bool
 }
 
-func newRecord(t Ticket, bound int) *record { return &record{ticket: t, bound: bound} }
+func newRecord(t *ticket, bound int) *record { return &record{ticket: t, bound: bound} }
 
 func (r *record) head(h *wire.Head) {
 	r.kept.Status = h.Status
 	for _, line := range h.Headers {
 		if !hopByHop[strings.ToLower(line.Name)] {
-			r.kept.Headers = append(r.kept.Headers, KeptHeader{line.Name, line.Value})
+			r.kept.Headers = append(r.kept.Headers, keptHeader{line.Name, line.Value})
 		}
 	}
 }
@@ -73,10 +73,8 @@
 	}
 	r.done = true
 	if r.over || e.Outcome != api.OutcomeCompleted {
-		r.ticket.Settle(e, nil)
+		r.ticket.settle(e, nil)
 		return
 	}
-	k := r.kept
-	k.Outcome = e.Outcome
-	r.ticket.Settle(e, &k)
+	r.ticket.settle(e, &r.kept)
 }
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -43,41 +43,6 @@
 	Acquire(c *fleetconfig.Customer, tokens int, now time.Time) (settle func(used int), err *api.Error)
 }
 
-// Claimer grants calls that must not be repeated; see core/claim.
-type Claimer interface {
-	// Claim is asked before a call is dispatched. A nil Ticket with a nil error
-	// means that the kept answer of an earlier run is to be given.
-	Claim(ctx context.Context, c ClaimRequest) (Ticket, *Kept, error)
-}
-
-// ClaimRequest names a call that must run at most once.
-type ClaimRequest struct {
-	Customer api.CustomerID
-	Key      string
-	Digest   [32]byte
-	Request  api.RequestID
-}
-
-// Ticket is a granted claim. Methods are called in order from one goroutine.
-type Ticket interface {
-	// Dispatch records the target and its incarnation before the call is sent.
-	// A new attempt is recorded only after proof that the last one did not run.
-	Dispatch(t api.TargetID, inc api.Incarnation, n api.Attempt) error
-	// Settle records how the call ended, with its answer if it is to be kept.
-	Settle(end entry.End, kept *Kept)
-}
-
-// Kept is the answer of a settled call.
-type Kept struct {
-	Status  int
-	Headers []KeptHeader
-	Body    []byte
-	Outcome api.Outcome
-}
-
-// KeptHeader is one header line of a kept answer.
-type KeptHeader struct{ Name, Value string }
-
 // Observer hears of requests that never reach the entry. Called from several
 // goroutines.
 type Observer interface {
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
 	"almondseam.dev/core/routing"
 	"almondseam.dev/node/wire"
 )
@@ -72,15 +73,15 @@
 	if err != nil {
 		return err
 	}
-	if r.Claimed != nil {
-		if err := r.Claimed(p.target, p.inc, n); err != nil {
-			return err
-		}
+	echo, err := e.claim(r, p, n)
+	if err != nil {
+		return err
 	}
 	tokens := r.Size.Prompt
 	e.placer.Sent(p.target, tokens, e.cfg.Clock())
 	defer func() { e.placer.Ended(p.target, tokens, e.cfg.Clock()) }()
 	g := newLeg(r, a, n, p, e.obs)
+	g.echo = echo
 	e.legs.add(g)
 	defer e.legs.remove(g)
 	a.setAck(func(off uint64) { _ = g.link().Send(&wire.Ack{Key: g.key, Offset: off}) })
@@ -124,7 +125,28 @@
 		Body:        r.Body,
 		Repeatable:  r.Repeatable,
 		Timeout:     r.Timeout,
+		Claimed:     r.Claimed != nil,
+		Echo:        g.echo,
+	}
+}
+
+// claim asks for the grant of a call that must not be repeated, and gives the
+// agent's clock reading that goes with the dispatch. The reading is taken before
+// this entry looks at its own clock: a stop before it shows here, and one after
+// it at the agent (see claim.Window).
+func (e *Entry) claim(r *Request, p *peer, n api.Attempt) (time.Duration, error) {
+	if r.Claimed == nil {
+		return 0, nil
+	}
+	asked := e.cfg.Clock()
+	if err := r.Claimed(p.target, p.inc, n); err != nil {
+		return 0, err
+	}
+	echo := time.Duration(p.clock.Load())
+	if !claim.DefaultWindow().MayDispatch(asked, e.cfg.Clock()) {
+		return 0, api.NotRun(api.StepClaim, string(p.target), api.ReasonTimeout, errors.New("the grant came too late to be used"))
 	}
+	return echo, nil
 }
 
 // size is the request's size with its age and what is left of its patience.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -179,6 +179,7 @@
 		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to}
 		t.e.peers.put(t.self)
 	}
+	t.self.clock.Store(int64(m.Clock))
 	t.e.placer.Announce(routing.Target{
 		ID:          m.Target,
 		Incarnation: m.Incarnation,
@@ -194,6 +195,7 @@
 	if t.self == nil {
 		return
 	}
+	t.self.clock.Store(int64(m.Clock))
 	t.e.placer.Report(t.self.target, t.self.inc, routing.Load{
 		Running:  m.Running,
 		Waiting:  m.Waiting,
--- a/node/entry/leg.go
+++ b/node/entry/leg.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"sync"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/stream"
@@ -17,6 +18,7 @@
 	target api.TargetID
 	inc    api.Incarnation
 	obs    Observer
+	echo   time.Duration // the agent's clock, for a claimed call
 	// news carries everything but items to the driver. It is buffered; what
 	// finds it full is a repeat that the driver does not need.
 	news chan wire.Message
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -19,6 +19,8 @@
 	target api.TargetID
 	inc    api.Incarnation
 	to     sender
+	// clock is the newest reading of the agent's monotonic clock.
+	clock atomic.Int64
 }
 
 // peers is the table of linked agents: read without a lock, copied on change,
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -44,6 +44,8 @@
 	Leaving     bool            `cbor:"6,keyasint,omitempty"`
 	// Capacity is the engine's memory in tokens, 0 for a plain service.
 	Capacity int `cbor:"7,keyasint,omitempty"`
+	// Clock is the agent's monotonic clock; see claim.Window.
+	Clock time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Load is the agent's periodic report.
@@ -56,6 +58,8 @@
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 	// Capacity is the engine's memory in tokens, 0 for a plain service.
 	Capacity int `cbor:"5,keyasint,omitempty"`
+	// Clock is the agent's monotonic clock; see claim.Window.
+	Clock time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Size is what the decisions need to know of a request.
@@ -111,9 +115,10 @@
 	Repeatable bool `cbor:"9,keyasint,omitempty"`
 	// Timeout bounds a plain call, 0 for the agent's own bound.
 	Timeout time.Duration `cbor:"10,keyasint,omitempty"`
-	// Claim is the fence of the claim under which a call that must not be
-	// repeated is dispatched, 0 when there is none.
-	Claim api.Fence `cbor:"11,keyasint,omitempty"`
+	// Claimed marks a call that is dispatched under a claim, with the newest
+	// reading of the agent's clock that the entry had seen; see claim.Window.
+	Claimed bool          `cbor:"11,keyasint,omitempty"`
+	Echo    time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Accepted answers an Offer: the agent owns the request from here on.
