Test the entry against fake agents: crossed frames, silence, proofs of not run

Cause: the promise table's rows need their faults brought about one by one. Change: node/entry tests in virtual time (testing/synctest) with fake links: repeated, missing, foreign and late frames; finals that overtake or disagree; tombstone before a move; seven faults of a booking and what its caller is told. Conclusion: only a proof lets a booking move; all else ends as unknown.

--- /dev/null
+++ b/node/entry/entry_test.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// Frames are repeated, lost, reordered and mixed with those of another
+// generation. The caller gets every item once, in order, and the entry asks for
+// the missing ones once, not once for each frame behind the gap.
+func TestFramesThatCross(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(generation())
+		o := hear[*wire.Offer](a)
+		a.accept(o)
+		a.data(o, "g-t1", 0, "a", "b")
+		a.data(o, "g-t1", 0, "a", "b") // repeated
+		a.data(o, "other", 2, "X")     // another generation
+		a.data(o, "g-t1", 3, "d")      // "c" is missing
+		a.data(o, "g-t1", 4, "e")
+		r := hear[*wire.Resume](a)
+		b.c.Assert(r.Offset, qt.Equals, uint64(2))
+		b.c.Assert(r.Generation, qt.Equals, api.GenerationID("g-t1"))
+		a.hush()
+		a.data(o, "g-t1", 1, "b", "c", "d", "e") // overlaps what is there
+		a.final(o, "g-t1", "a", "b", "c", "d", "e")
+		b.c.Assert(read(ans), qt.Equals, told{text: "abcde", end: End{Outcome: api.OutcomeCompleted}})
+		b.c.Assert(b.drops.n, qt.DeepEquals, map[string]int{"duplicate": 1, "foreign": 1, "gap": 2})
+		a.data(o, "g-t1", 5, "late")
+		b.c.Assert(b.drops.n["late"], qt.Equals, 1)
+	})
+}
+
+// The final frame overtakes items, or its checksum disagrees. The first is
+// mended by asking for the rest; the second must reach the caller as an error.
+func TestFinalThatDoesNotAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(generation())
+		o := hear[*wire.Offer](a)
+		a.accept(o)
+		a.data(o, "g-t1", 0, "a")
+		a.final(o, "g-t1", "a", "b")
+		b.c.Assert(hear[*wire.Resume](a).Offset, qt.Equals, uint64(1))
+		a.data(o, "g-t1", 1, "X")
+		a.final(o, "g-t1", "a", "b")
+		got := read(ans)
+		b.c.Assert(got.end.Outcome, qt.Equals, api.OutcomeInterrupted)
+		b.c.Assert(got.end.Reason, qt.Equals, api.ReasonIntegrity)
+	})
+}
+
+// An offer is held up in the link of an agent that does not answer. Before the
+// request may be started elsewhere, a tombstone forbids the late offer and the
+// agent's answer proves that nothing ran.
+func TestSilentAgentIsBuriedBeforeTheRequestMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a1, a2 := b.agent("t1", 1), b.agent("t2", 1)
+		ans := b.start(booking())
+		o1 := hear[*wire.Offer](a1)
+		a2.hush()
+		ts := hear[*wire.Tombstone](a1)
+		b.c.Assert(ts.Key, qt.Equals, o1.Key)
+		a2.hush()
+		a1.say(&wire.Tombstoned{Key: ts.Key, NotRun: true})
+		o2 := hear[*wire.Offer](a2)
+		b.c.Assert(o2.Key.Attempt, qt.Equals, api.Attempt(2))
+		a2.accept(o2)
+		a2.say(&wire.Head{Key: o2.Key, Generation: "g-t2", Status: 201})
+		a2.final(o2, "g-t2")
+		b.c.Assert(read(ans).end.Outcome, qt.Equals, api.OutcomeCompleted)
+	})
+}
+
+// What a caller is told of a booking after each fault, and whether the other
+// target was asked. Only a proof lets the booking go there.
+func TestBookingAfterFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   func(b *bench, a *fakeAgent, o *wire.Offer)
+		outcome api.Outcome
+		moves   bool
+	}{
+		{"refused", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			a.say(&wire.Refused{Key: o.Key, Reason: api.ReasonTargetLeaving})
+		}, api.OutcomeCompleted, true},
+		{"agent answers nothing at all", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			hear[*wire.Tombstone](a)
+		}, api.OutcomeUnknown, false},
+		{"tombstone comes too late", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			a.say(&wire.Tombstoned{Key: hear[*wire.Tombstone](a).Key})
+		}, api.OutcomeUnknown, false},
+		{"target never reached", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			a.accept(o)
+			a.fail(o, api.OutcomeNotRun, api.ReasonEngineUnreachable)
+		}, api.OutcomeCompleted, true},
+		{"service closes after reading", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			a.accept(o)
+			a.fail(o, api.OutcomeUnknown, api.ReasonEngineDied)
+		}, api.OutcomeUnknown, false},
+		{"link lost and agent stays away", func(_ *bench, a *fakeAgent, o *wire.Offer) {
+			a.accept(o)
+			a.lose()
+		}, api.OutcomeUnknown, false},
+		{"agent restarts", func(b *bench, a *fakeAgent, o *wire.Offer) {
+			a.lose()
+			b.agent("t1", 2)
+		}, api.OutcomeUnknown, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				a1, a2 := b.agent("t1", 1), b.agent("t2", 1)
+				ans := b.start(booking())
+				tc.fault(b, a1, hear[*wire.Offer](a1))
+				if tc.moves {
+					o := hear[*wire.Offer](a2)
+					a2.accept(o)
+					a2.final(o, "g-t2")
+				}
+				b.c.Assert(read(ans).end.Outcome, qt.Equals, tc.outcome)
+				a2.hush()
+			})
+		})
+	}
+}
+
+// The link is lost before the agent has answered the offer, and comes back. The
+// offer is sent again under the same key, which the agent recognises.
+func TestUnansweredOfferIsSentAgainUnderItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(booking())
+		o := hear[*wire.Offer](a)
+		a.lose()
+		back := b.agent("t1", 1)
+		again := hear[*wire.Offer](back)
+		b.c.Assert(again.Key, qt.Equals, o.Key)
+		back.accept(again)
+		back.final(again, "g-t1")
+		b.c.Assert(read(ans).end.Outcome, qt.Equals, api.OutcomeCompleted)
+	})
+}
+
+// The caller goes while its request waits for a lost agent. The request ends at
+// once, not after the wait.
+func TestCallerGoesWhileAgentIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(generation())
+		a.accept(hear[*wire.Offer](a))
+		a.lose()
+		synctest.Wait()
+		start := time.Now()
+		ans.Cancel(0)
+		b.c.Assert(read(ans).end.Reason, qt.Equals, api.ReasonCancelled)
+		b.c.Assert(time.Since(start), qt.Equals, time.Duration(0))
+	})
+}
