--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -297,6 +297,124 @@
 	}
 }
 
+// follower gives member 1 with entries 2..last of term 2 from leader 2, saved
+// and none of them committed.
+func follower(t testing.TB, last uint64) *Node {
+	r, _ := Bootstrap(threeVoters(), nil)
+	n := newNode(t, r)
+	m := Message{Type: MsgAppend, From: 2, Term: 2, Index: 1, LogTerm: 1}
+	for i := uint64(2); i <= last; i++ {
+		m.Entries = append(m.Entries, Entry{Index: i, Term: 2, Type: EntryCommand})
+	}
+	step(t, n, m)
+	drain(n)
+	return n
+}
+
+// A member that comes back with a later term asks for votes while the leader is
+// alive: no voter that hears the leader may help, or callers see an election
+// for nothing.
+func TestLeaseShieldsLeader(t *testing.T) {
+	c := qt.New(t)
+	n := follower(t, 2)
+	for _, ask := range []MessageType{MsgPreVote, MsgVote} {
+		step(t, n, Message{Type: ask, From: 3, Term: 9, Index: 9, LogTerm: 8})
+	}
+	c.Assert(n.HasReady(), qt.IsFalse)
+	step(t, n, Message{Type: MsgVote, From: 3, Term: 9, Index: 9, LogTerm: 8, Force: true})
+	c.Assert(n.term, qt.Equals, uint64(9))
+}
+
+// A membership that was never committed is overwritten with its entry; a member
+// that still counted by it would need the wrong majority.
+func TestMembershipFallsBack(t *testing.T) {
+	c := qt.New(t)
+	n := follower(t, 2)
+	four, _ := threeVoters().apply(Change{Type: ChangeAddLearner, ID: 4})
+	step(t, n, Message{Type: MsgAppend, From: 2, Term: 2, Index: 2, LogTerm: 2, Entries: []Entry{{Index: 3, Term: 2, Type: EntryMembership, Data: encodeMembership(four)}}})
+	c.Assert(n.members().IsLearner(4), qt.IsTrue)
+	step(t, n, Message{Type: MsgAppend, From: 3, Term: 3, Index: 2, LogTerm: 2, Entries: []Entry{{Index: 3, Term: 3, Type: EntryNoop}}})
+	c.Assert(n.members(), qt.DeepEquals, threeVoters())
+}
+
+// A snapshot that the log already covers must not drop the entries after it:
+// they were acknowledged, and the leader counts them.
+func TestSnapshotKeepsAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	n := follower(t, 5)
+	step(t, n, Message{Type: MsgSnapshot, From: 2, Term: 2, Index: 3, LogTerm: 2, Chunk: &SnapshotChunk{Membership: threeVoters()}})
+	_, rds := drain(n)
+	c.Assert(n.log.last(), qt.Equals, uint64(5))
+	c.Assert(n.log.commit, qt.Equals, uint64(3))
+	c.Assert(rds[0].Snapshot, qt.IsNil)
+}
+
+// An append tells a commit past its entries. What this member holds there may
+// be an old leader's, so only what the append proves is committed.
+func TestCommitOnlyWhatAppendProves(t *testing.T) {
+	c := qt.New(t)
+	n := follower(t, 5)
+	step(t, n, Message{Type: MsgAppend, From: 3, Term: 3, Index: 2, LogTerm: 2, Commit: 5})
+	c.Assert(n.log.commit, qt.Equals, uint64(2))
+}
+
+// The last append before a quiet hour is lost: the answer to a heartbeat shows
+// it, and the leader looks for where the logs agree.
+func TestLostAppendIsFound(t *testing.T) {
+	c := qt.New(t)
+	n := leaderOf(t, threeVoters())
+	ackLast(t, n, 2)
+	c.Assert(n.Propose(nil), qt.IsNil)
+	drain(n)
+	step(t, n, Message{Type: MsgHeartbeatAck, From: 2, Term: n.term})
+	sent, _ := drain(n)
+	c.Assert(sent, qt.DeepEquals, []Message{{Type: MsgAppend, From: 1, To: 2, Term: n.term, Index: 3, LogTerm: n.term, Commit: 2}})
+}
+
+// A voter that lags is handed the office only once it has the whole log;
+// otherwise it stands, loses, and the group has nobody meanwhile.
+func TestTransferWaitsForLog(t *testing.T) {
+	c := qt.New(t)
+	n := leaderOf(t, threeVoters())
+	ackLast(t, n, 2)
+	c.Assert(n.TransferLeadership(3), qt.IsNil)
+	sent, _ := drain(n)
+	for _, m := range sent {
+		c.Assert(m.Type, qt.Not(qt.Equals), MsgTimeoutNow)
+	}
+	step(t, n, Message{Type: MsgAppendAck, From: 3, Term: n.term, Index: n.log.last()})
+	sent, _ = drain(n)
+	c.Assert(sent[0].Type, qt.Equals, MsgTimeoutNow)
+}
+
+// A leader that an operator removes serves until the removal is committed, then
+// ends its office and names an heir; it must not lead a group it isn't in.
+func TestRemovedLeaderStepsDown(t *testing.T) {
+	c := qt.New(t)
+	n := leaderOf(t, threeVoters())
+	ackLast(t, n, 2)
+	c.Assert(n.ProposeChange(Change{Type: ChangeRemove, ID: 1}), qt.IsNil)
+	ackLast(t, n, 2)
+	c.Assert(n.role, qt.Equals, RoleLeader, qt.Commentf("one of two others isn't a majority of them"))
+	step(t, n, Message{Type: MsgAppendAck, From: 3, Term: n.term, Index: n.log.last()})
+	sent, _ := drain(n)
+	c.Assert(n.role, qt.Equals, RoleFollower)
+	c.Assert(sent[len(sent)-1].Type, qt.Equals, MsgTimeoutNow)
+}
+
+// A crash between the save of entries and that of the hard state leaves a log
+// of a later term. The member must not stand in a term below its own log's.
+func TestTermOfSavedEntries(t *testing.T) {
+	c := qt.New(t)
+	r, _ := Bootstrap(threeVoters(), nil)
+	r.HardState.Vote = 3
+	r.Entries = []Entry{{Index: 2, Term: 6, Type: EntryCommand}}
+	n := newNode(t, r)
+	c.Assert(n.hard(), qt.Equals, HardState{Term: 6, Commit: 1})
+	_, rds := drain(n)
+	c.Assert(rds[0].MustSync, qt.IsTrue)
+}
+
 // Whatever bytes a peer sends, decoding is bounded and Step neither panics nor
 // takes a commit back.
 func FuzzMessage(f *testing.F) {
--- a/node/durable/store_test.go
+++ b/node/durable/store_test.go
@@ -325,6 +325,68 @@
 	}
 }
 
+// Segments are cut short. An older one must show it by what the next one says
+// of its end; the newest may be read up to its last whole frame.
+func TestShortenedSegments(t *testing.T) {
+	m, _ := sound(t)
+	for name, n := range m.seen {
+		if !strings.HasSuffix(name, segmentSuffix) || isNewest(m, name) {
+			continue
+		}
+		for size := range n.seen {
+			copied := m.copySeen()
+			copied.seen[name].seen = copied.seen[name].seen[:size]
+			if _, _, err := open(copied, testDir, tinySegments); !errors.Is(err, ErrDamaged) {
+				t.Fatalf("%s cut to %d of %d: %v", name, size, len(n.seen), err)
+			}
+		}
+	}
+}
+
+// The whole log is gone and the identity is still there: the folder must not
+// come back as a member that has voted for nobody.
+func TestIdentityWithoutLog(t *testing.T) {
+	m, _ := sound(t)
+	for name := range m.seen {
+		if filepath.Base(name) != identityName {
+			delete(m.seen, name)
+		}
+	}
+	_, _, err := open(m, testDir, tinySegments)
+	qt.Assert(t, errors.Is(err, ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Somebody put another member's snapshot into the folder. It doesn't agree with
+// the log, which has committed more; dropping the log would lose entries.
+func TestForeignSnapshot(t *testing.T) {
+	c := qt.New(t)
+	m := newMemFS()
+	s, _, err := open(m, testDir, tinySegments)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Save(&consensus.HardState{Term: 1, Commit: 5}, benchEntries(1, 6), true), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	payload, _ := consensus.Encode(snapshotFile{Version: formatVersion, Snapshot: consensus.Snapshot{Index: 3, Term: 7}})
+	name := filepath.Join(testDir, snapshotName(3))
+	m.seen[name] = &inode{seen: appendFrame(nil, 3, 0, 0, payload)}
+	_, _, err = open(m, testDir, tinySegments)
+	c.Assert(errors.Is(err, ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// A disk that puts a frame at the wrong place, or into the wrong file, leaves
+// bytes whose checksum would be right were the place no part of it.
+func TestFrameIsOfItsPlace(t *testing.T) {
+	c := qt.New(t)
+	b := appendFrame(make([]byte, 8), 5, 8, 0, []byte("x"))
+	for _, tc := range []struct {
+		file, offset uint64
+		b            []byte
+		want         bool
+	}{{5, 8, b, true}, {6, 8, b, false}, {5, 0, b[8:], false}} {
+		_, ok := readFrame(tc.b, tc.file, tc.offset)
+		c.Assert(ok, qt.Equals, tc.want, qt.Commentf("file %d, offset %d", tc.file, tc.offset))
+	}
+}
+
 // A folder of a newer program is refused by name of its version, not read as
 // far as it seems to fit.
 func TestNewerFormatRefused(t *testing.T) {
