--- a/node/control/member.go
+++ b/node/control/member.go
@@ -123,7 +123,8 @@
 		reads:     make(map[uint64][]*call),
 		reports:   newReports(),
 	}
-	m.publish()
+	status := node.Status()
+	m.status.Store(&status)
 	return m, nil
 }
 
@@ -156,6 +157,7 @@
 func (m *Member) loop(ctx context.Context) error {
 	ticker := time.NewTicker(m.opt.Tick)
 	defer ticker.Stop()
+	m.publish()
 	if err := m.process(); err != nil {
 		return err
 	}
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -17,7 +17,9 @@
 )
 
 const (
-	operatorTimeout   = 10 * time.Second
+	operatorTimeout = 10 * time.Second
+	// forwardTimeout is how long a member looks for the leader: two elections.
+	forwardTimeout    = 2500 * time.Millisecond
 	operatorBodyLimit = 2 << 20
 	bearer            = "Bearer "
 )
@@ -83,7 +85,9 @@
 	if !elsewhere || o.forward == nil {
 		return r
 	}
-	return o.forward.Exec(ctx, req)
+	forwardCtx, stop := context.WithTimeout(ctx, forwardTimeout)
+	defer stop()
+	return o.forward.Exec(forwardCtx, req)
 }
 
 func (o *Operator) status(c fiber.Ctx) error {
--- /dev/null
+++ b/node/control/role.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/state"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// Settings of a process's control role.
+type Settings struct {
+	// ID, Restored and Storage come from the data folder.
+	ID       consensus.MemberID
+	Restored consensus.Restored
+	Storage  Storage
+	// Link takes links of other members and of entries, Operator takes HTTP of
+	// operators; it may be nil.
+	Link     net.Listener
+	Operator net.Listener
+	// OperatorAddr is where operators are told that this member listens.
+	OperatorAddr string
+	Zone         api.Zone
+	Instance     api.InstanceID
+	Key          []byte
+	Token        string
+	Validate     Validator
+	Observer     Observer
+	LinkObserver link.Observer
+	Limits       state.Limits
+	// SnapshotEntries is Options.SnapshotEntries.
+	SnapshotEntries uint64
+}
+
+// Role is a running control role.
+type Role struct {
+	member   *Member
+	links    *Links
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+	server   *fasthttp.Server
+	sessions *Server
+	operator *fiber.App
+	once     sync.Once
+	err      error
+	ended    chan struct{}
+}
+
+// Codec knows the messages of control links.
+var Codec = wire.NewCodec(Protos()...)
+
+// LinkOptions gives the options of a control link for a process in some role.
+func LinkOptions(key []byte, self link.Peer, observer link.Observer) link.Options {
+	return link.Options{Key: key, Self: self, Codec: Codec, Observer: observer}
+}
+
+// Start runs the role until Stop is called or its storage fails.
+func Start(s Settings) (*Role, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Role{cancel: cancel, ended: make(chan struct{})}
+	self := link.Peer{Instance: s.Instance, Zone: s.Zone, Role: link.RoleControl, Start: uint64(s.ID)}
+	opt := LinkOptions(s.Key, self, s.LinkObserver)
+	r.links = NewLinks(ctx, s.ID, opt, func(m consensus.Message) { r.member.Receive(m) })
+	var err error
+	r.member, err = NewMember(Options{
+		ID:              s.ID,
+		Restored:        s.Restored,
+		Consensus:       consensus.Config{Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
+		Limits:          s.Limits,
+		Storage:         s.Storage,
+		Transport:       deferred{r},
+		Validate:        s.Validate,
+		Observer:        s.Observer,
+		Info:            state.MemberInfo{Operator: s.OperatorAddr, Zone: s.Zone},
+		SnapshotEntries: s.SnapshotEntries,
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	r.serve(ctx, s, opt)
+	return r, nil
+}
+
+// deferred sends by the role's links.
+type deferred struct{ r *Role }
+
+func (d deferred) Send(m consensus.Message)       { d.r.links.Send(m) }
+func (d deferred) Members(g consensus.Membership) { d.r.links.Members(g) }
+
+func (r *Role) serve(ctx context.Context, s Settings, opt link.Options) {
+	r.sessions = NewServer(ctx, r.member, r.links)
+	acceptor := link.NewAcceptor(opt, r.sessions.Serve)
+	r.server = &fasthttp.Server{Handler: acceptor.Handler}
+	r.wg.Go(func() { _ = r.server.Serve(s.Link) })
+	r.wg.Go(func() {
+		r.err = r.member.Run(ctx)
+		close(r.ended)
+	})
+	if s.Operator == nil {
+		return
+	}
+	forward := NewClient(ClientOptions{Seeds: []string{s.Link.Addr().String()}, Link: opt})
+	r.wg.Go(func() { forward.Run(ctx) })
+	r.operator = NewOperator(r.member, forward, s.Token).App()
+	r.wg.Go(func() {
+		_ = r.operator.Listener(s.Operator, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+}
+
+// Member gives the role's member.
+func (r *Role) Member() *Member { return r.member }
+
+// Ended is closed when the member has stopped, by Stop or by a failure.
+func (r *Role) Ended() <-chan struct{} { return r.ended }
+
+// Stop ends the role and waits for all of it. It gives the failure that ended
+// the member before, if there was one.
+func (r *Role) Stop() error {
+	r.once.Do(func() {
+		r.cancel()
+		_ = r.server.Shutdown()
+		if r.operator != nil {
+			_ = r.operator.Shutdown()
+		}
+		r.wg.Wait()
+		r.links.Wait()
+		r.sessions.Wait()
+	})
+	return r.err
+}
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -18,6 +18,7 @@
 	member *Member
 	links  *Links
 	ctx    context.Context
+	active sync.WaitGroup
 }
 
 // NewServer makes a server whose links end with ctx.
@@ -27,6 +28,8 @@
 
 // Serve runs one accepted link until it ends. It is what link.NewAcceptor calls.
 func (s *Server) Serve(conn *link.Conn) {
+	s.active.Add(1)
+	defer s.active.Done()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	var wg conc.WaitGroup
@@ -37,6 +40,9 @@
 	s.links.Gone(conn)
 }
 
+// Wait returns once all links have ended. No new ones may be accepted any more.
+func (s *Server) Wait() { s.active.Wait() }
+
 // session is one accepted link.
 type session struct {
 	server *Server
