Test admission, and doubt the hazard instead of a part of the memory

Cause: a test found that two small notes didn't fit 2000 free tokens: the doubt was a fifth of all memory that could be held 4096 steps ahead, whatever the lengths, so it bounded the number of sequences by accident. Change: doubt now says how much less the hazard of ending may be (0.4), so it is nothing where everything surely has ended. Prompts are computed one after another (budget 128). Tables of fault cases for the controller.

--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -15,7 +15,7 @@
 	QueueLimit int
 	// PrefillBudget bounds the prompt tokens that are being computed at once,
 	// so that starts do not gather in one long engine step. A larger prompt
-	// starts when no other is being computed. Default 512.
+	// starts when no other is being computed. Default 128.
 	PrefillBudget int
 	// Margin is the number of standard deviations kept free at first, and
 	// MarginStep what one preemption adds. Defaults 1.5 and 0.3.
@@ -46,7 +46,7 @@
 	def(&c.BlockTokens, 16)
 	def(&c.MaxRunning, 256)
 	def(&c.QueueLimit, 256)
-	def(&c.PrefillBudget, 512)
+	def(&c.PrefillBudget, 128)
 	def(&c.Margin, 1.5)
 	def(&c.MarginStep, 0.3)
 	def(&c.MarginEvery, 10*time.Second)
--- /dev/null
+++ b/core/admission/controller_test.go
@@ -0,0 +1,304 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/estimate"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// newTest returns a controller whose notes are known to be about 200 tokens
+// long and whose tags about 10.
+func newTest(cfg Config) *Controller {
+	e := estimate.New(estimate.Config{})
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		e.Observe(estimate.Key{Kind: "note"}, 0, 150+rng.IntN(100), true)
+		e.Observe(estimate.Key{Kind: "tag"}, 0, 5+rng.IntN(10), true)
+	}
+	return New(cfg, e)
+}
+
+func note(id string, customer api.CustomerID, prompt int) Request {
+	return Request{ID: api.RequestID(id), Attempt: 1, Customer: customer, Kind: "note", Prompt: prompt, Arrived: epoch}
+}
+
+func tag(id string, customer api.CustomerID, prompt int) Request {
+	r := note(id, customer, prompt)
+	r.Kind, r.Class = "tag", ClassTag
+	return r
+}
+
+func ids(starts []Start) []string {
+	var out []string
+	for _, s := range starts {
+		out = append(out, string(s.ID))
+	}
+	return out
+}
+
+// offer queues all and fails the test when one is refused.
+func offer(t *testing.T, c *Controller, now time.Time, list ...Request) {
+	t.Helper()
+	for _, r := range list {
+		v := c.Offer(r, now)
+		qt.Assert(t, v.Refuse, qt.Equals, api.Reason(""))
+		qt.Assert(t, v.Queued, qt.IsTrue)
+	}
+}
+
+// runAll ends the running sequence id after n tokens and starts what follows.
+func finish(c *Controller, id string, n int, now time.Time) []string {
+	c.Done(api.RequestID(id), 1, n, now)
+	return ids(c.Next(now))
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name  string
+		queue int
+		r     Request
+		want  api.Reason
+		retry bool
+	}{
+		{"prompt larger than memory", 0, note("x", "a", 5000), api.ReasonNeverFits, false},
+		{"same request again", 1, note("q0", "a", 10), api.ReasonDuplicate, false},
+		{"same request, later attempt", 1, Request{ID: "q0", Attempt: 2, Prompt: 10}, api.ReasonDuplicate, false},
+		{"queue full", 8, note("x", "c", 10), api.ReasonQueueFull, true},
+		{"own half of the queue full", 4, note("x", "a", 10), api.ReasonQueueFull, true},
+		{"deadline before its turn", 4, Request{
+			ID: "x", Attempt: 1, Customer: "c", Kind: "note", Prompt: 900, Arrived: epoch, Deadline: epoch.Add(time.Millisecond),
+		}, api.ReasonDeadlineHopeless, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctl := newTest(Config{Capacity: 1000, QueueLimit: 8})
+			for i := range c.queue {
+				customer := api.CustomerID("a")
+				if i >= 4 {
+					customer = "b"
+				}
+				offer(t, ctl, epoch, note("q"+strconv.Itoa(i), customer, 900))
+			}
+			v := ctl.Offer(c.r, epoch)
+			qt.Check(t, v.Queued, qt.IsFalse)
+			qt.Check(t, v.Refuse, qt.Equals, c.want)
+			qt.Check(t, v.RetryAfter > 0, qt.Equals, c.retry)
+			if c.want != api.ReasonDuplicate {
+				qt.Check(t, ctl.Bid(c.r, epoch).Refuse, qt.Equals, c.want)
+			}
+		})
+	}
+}
+
+// TestLateWords: a stream that was cancelled, or an attempt that went elsewhere,
+// still sends words about itself. They must change nothing here; a Done that
+// ended the wrong attempt would free memory that is in use.
+func TestLateWords(t *testing.T) {
+	cases := []struct {
+		name string
+		word func(c *Controller)
+	}{
+		{"done for an unknown sequence", func(c *Controller) { c.Done("none", 1, 5, epoch) }},
+		{"done for another attempt", func(c *Controller) { c.Done("run", 2, 5, epoch) }},
+		{"done for a queued one", func(c *Controller) { c.Done("wait", 1, 5, epoch) }},
+		{"progress for another attempt", func(c *Controller) { c.Progress("run", 2, 50, epoch) }},
+		{"progress that went back", func(c *Controller) { c.Progress("run", 1, 3, epoch) }},
+		{"preempted while queued", func(c *Controller) { c.Preempted("wait", 1, epoch) }},
+		{"failed for an unknown sequence", func(c *Controller) { c.Failed("none", 1) }},
+		{"cancel of an unknown request", func(c *Controller) {
+			if c.Cancel("none", 1, epoch) {
+				panic("nothing proves that it never started")
+			}
+		}},
+		{"cancel of another attempt", func(c *Controller) {
+			if c.Cancel("wait", 2, epoch) {
+				panic("this attempt is not the one that waits")
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctl := newTest(Config{Capacity: 1000})
+			offer(t, ctl, epoch, note("run", "a", 800), note("wait", "a", 800))
+			qt.Assert(t, ids(ctl.Next(epoch)), qt.DeepEquals, []string{"run"})
+			ctl.Progress("run", 1, 5, epoch)
+			before := ctl.load
+			c.word(ctl)
+			qt.Check(t, ctl.load, qt.Equals, before)
+			qt.Check(t, ctl.byID["run"].produced, qt.Equals, 5)
+			qt.Check(t, ctl.preempted, qt.Equals, 0)
+			running, waiting, _ := ctl.Counts()
+			qt.Check(t, []int{running, waiting}, qt.DeepEquals, []int{1, 1})
+		})
+	}
+}
+
+// TestCancelProvesOnlyTheQueued: a caller may be told "not run" only when the
+// request was taken out of the queue. Once started, the engine has it.
+func TestCancelProvesOnlyTheQueued(t *testing.T) {
+	c := newTest(Config{Capacity: 1000})
+	offer(t, c, epoch, note("run", "a", 800), note("wait", "a", 800))
+	c.Next(epoch)
+	qt.Check(t, c.Cancel("wait", 1, epoch), qt.IsTrue)
+	qt.Check(t, c.Cancel("wait", 1, epoch), qt.IsFalse)
+	qt.Check(t, c.Cancel("run", 1, epoch), qt.IsFalse)
+	running, waiting, free := c.Counts()
+	qt.Check(t, []int{running, waiting, free}, qt.DeepEquals, []int{0, 0, 1000})
+}
+
+func TestExpiredAreTakenOut(t *testing.T) {
+	c := newTest(Config{Capacity: 1000})
+	late := tag("late", "a", 800)
+	late.Deadline = epoch.Add(5 * time.Second)
+	offer(t, c, epoch, note("run", "a", 800), late)
+	qt.Assert(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"late"})
+	offer(t, c, epoch, Request{ID: "x", Attempt: 3, Customer: "b", Kind: "tag", Class: ClassTag, Prompt: 800, Deadline: epoch.Add(5 * time.Second)})
+	qt.Check(t, c.Expired(epoch.Add(4*time.Second)), qt.HasLen, 0)
+	qt.Check(t, c.Expired(epoch.Add(6*time.Second)), qt.DeepEquals, []Start{{ID: "x", Attempt: 3}})
+	qt.Check(t, c.Cancel("x", 3, epoch), qt.IsFalse)
+}
+
+// TestPreemptedMidDecode: the engine takes a running sequence's memory while
+// another waits. Were the waiting one started, it would take the memory that the
+// preempted one needs to go on, and its caller's stall would grow.
+func TestPreemptedMidDecode(t *testing.T) {
+	c := newTest(Config{Capacity: 2000})
+	offer(t, c, epoch, note("a", "a", 100))
+	c.Next(epoch)
+	c.Progress("a", 1, 40, epoch)
+	margin := c.margin
+	c.Preempted("a", 1, epoch)
+	offer(t, c, epoch, note("b", "b", 100))
+	qt.Check(t, ids(c.Next(epoch)), qt.HasLen, 0)
+	qt.Check(t, c.margin > margin, qt.IsTrue)
+	c.Progress("a", 1, 41, epoch)
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"b"})
+}
+
+func TestBurstRaisesMarginOnce(t *testing.T) {
+	c := newTest(Config{Capacity: 2000, Margin: 1, MarginStep: 0.5, MarginEvery: 10 * time.Second})
+	for i := range 12 {
+		c.Preempted("", 0, epoch.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	qt.Check(t, c.margin, qt.Equals, 1.5)
+	c.Preempted("", 0, epoch.Add(20*time.Second))
+	qt.Check(t, c.margin, qt.Equals, 2.0)
+}
+
+func TestTagsPassNotesUpToTheirShare(t *testing.T) {
+	c := newTest(Config{Capacity: 600, TagShare: 0.5})
+	offer(t, c, epoch, note("run", "z", 400))
+	c.Next(epoch)
+	offer(t, c, epoch, note("n1", "a", 400))
+	for i := range 10 {
+		offer(t, c, epoch, tag("t"+strconv.Itoa(i), "b", 400))
+	}
+	got := finish(c, "run", 200, epoch)
+	for len(got) > 0 && got[len(got)-1] != "n1" {
+		got = append(got, finish(c, got[len(got)-1], 10, epoch)...)
+	}
+	qt.Check(t, got, qt.DeepEquals, []string{"t0", "t1", "n1"})
+}
+
+// TestShortWorkIsNotStuck: a tag that fits starts although a note that does not
+// is ahead of it.
+func TestShortWorkIsNotStuck(t *testing.T) {
+	c := newTest(Config{Capacity: 1000, PrefillBudget: 10_000})
+	offer(t, c, epoch, note("run", "a", 500), note("big", "a", 450), tag("small", "b", 20))
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"small", "run"})
+}
+
+// TestAgeGoesFirst: a customer far ahead of its share would wait behind all the
+// others; past the age bound its request is the next to start, and smaller ones
+// do not slip past it.
+func TestAgeGoesFirst(t *testing.T) {
+	c := newTest(Config{Capacity: 1000, AgeBound: 10 * time.Second})
+	offer(t, c, epoch, note("run", "z", 500))
+	c.Next(epoch)
+	offer(t, c, epoch, note("old", "heavy", 700))
+	c.queue.customers["heavy"].served = 1e9
+	later := epoch.Add(11 * time.Second)
+	young := note("young", "light", 20)
+	young.Arrived = later
+	offer(t, c, later, young)
+	qt.Check(t, ids(c.Next(later)), qt.HasLen, 0)
+	qt.Check(t, finish(c, "run", 200, later), qt.DeepEquals, []string{"old"})
+}
+
+func TestPromptsAreComputedOneAfterAnother(t *testing.T) {
+	c := newTest(Config{Capacity: 10_000, PrefillBudget: 300})
+	offer(t, c, epoch, note("a", "a", 200), note("b", "a", 200), note("c", "a", 100))
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"a"})
+	c.Progress("a", 1, 1, epoch)
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"b", "c"})
+}
+
+func TestSharedPrefixCountsOnce(t *testing.T) {
+	shared := func(id string) Request {
+		r := note(id, "a", 600)
+		r.Prefix, r.PrefixTokens = 7, 560
+		return r
+	}
+	c := newTest(Config{Capacity: 1600, PrefillBudget: 10_000})
+	offer(t, c, epoch, shared("a"), shared("b"), shared("c"))
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"a", "b", "c"})
+	for _, id := range []string{"a", "b", "c"} {
+		finish(c, id, 10, epoch)
+	}
+	_, _, free := c.Counts()
+	qt.Check(t, free, qt.Equals, 1600)
+}
+
+// TestYield: the memory is about to run out while a sequence has not delivered
+// anything; it goes back to the front of its queue, and nothing of the others'.
+func TestYield(t *testing.T) {
+	c := newTest(Config{Capacity: 10_000, PrefillBudget: 10_000})
+	offer(t, c, epoch, note("a", "a", 100), note("b", "a", 100))
+	c.Next(epoch)
+	c.Progress("a", 1, 10, epoch)
+	_, ok := c.Yield(1000)
+	qt.Check(t, ok, qt.IsFalse)
+	id, ok := c.Yield(0)
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, id, qt.Equals, api.RequestID("b"))
+	_, ok = c.Yield(0)
+	qt.Check(t, ok, qt.IsFalse)
+	qt.Check(t, c.Cancel("b", 1, epoch), qt.IsTrue)
+}
+
+// TestBidKeepsItsPlace: two entries ask at once for memory that only one of
+// their requests fits in. The second is told to wait, until the first bid is
+// released or has run out.
+func TestBidKeepsItsPlace(t *testing.T) {
+	c := newTest(Config{Capacity: 1000})
+	qt.Check(t, c.Bid(note("a", "a", 600), epoch).Wait < time.Second/5, qt.IsTrue)
+	crowded := c.Bid(note("b", "b", 600), epoch).Wait
+	c.Release("a")
+	c.Release("b")
+	alone := c.Bid(note("b", "b", 600), epoch).Wait
+	qt.Check(t, crowded > alone, qt.IsTrue)
+	qt.Check(t, c.Bid(note("c", "c", 600), epoch.Add(time.Second)).Wait, qt.Equals, alone)
+}
+
+func BenchmarkBid(b *testing.B) {
+	c := newTest(Config{Capacity: 200_000, PrefillBudget: 1_000_000, QueueLimit: 1000})
+	for i := range 400 {
+		c.Offer(note(strconv.Itoa(i), api.CustomerID(strconv.Itoa(i%10)), 300), epoch)
+	}
+	starts := c.Next(epoch)
+	n := 0
+	for b.Loop() {
+		n++
+		c.Progress(starts[n%len(starts)].ID, 1, n/len(starts)+1, epoch)
+		c.Bid(note("x", "c", 300), epoch)
+	}
+	b.ReportMetric(float64(len(starts)), "running")
+}
--- a/core/admission/forecast.go
+++ b/core/admission/forecast.go
@@ -12,15 +12,12 @@
 
 const points = len(horizon)
 
-// forecast is memory use in tokens over the horizon: at each point its mean and
-// its variance, and what would be held if no sequence ended.
+// forecast is memory use in tokens at each point of the horizon: its mean, its
+// variance, and how much more it is when the lengths are longer than learned.
 type forecast struct {
 	mean [points]float64
 	vari [points]float64
-	// held is the tokens held now and seqs the number of sequences, each of
-	// which adds one a step.
-	held float64
-	seqs float64
+	late [points]float64
 }
 
 // add puts other on top of f.
@@ -28,9 +25,8 @@
 	for i := range points {
 		f.mean[i] += other.mean[i]
 		f.vari[i] += other.vari[i]
+		f.late[i] += other.late[i]
 	}
-	f.held += other.held
-	f.seqs += other.seqs
 }
 
 // sub takes other away again.
@@ -38,9 +34,8 @@
 	for i := range points {
 		f.mean[i] -= other.mean[i]
 		f.vari[i] -= other.vari[i]
+		f.late[i] -= other.late[i]
 	}
-	f.held -= other.held
-	f.seqs -= other.seqs
 }
 
 // shift adds tokens that are held all along.
@@ -48,21 +43,19 @@
 	for i := range points {
 		f.mean[i] += tokens
 	}
-	f.held += tokens
 }
 
-// doubt is the part of the memory expected to be freed that may not be, because
-// the lengths themselves are learned late. Sequences that end by chance later
-// than expected even each other out; lengths that have shifted delay all of them
-// at once, and the engine fills in one burst.
-const doubt = 0.2
+// doubt is the part by which the hazard of ending may be less than learned.
+// Sequences that end by chance later than expected even each other out; lengths
+// that have shifted delay all of them at once, and the engine fills in one burst.
+const doubt = 0.4
 
-// peak is the largest mean plus margin standard deviations over the horizon.
+// peak is the largest mean plus margin deviations over the horizon; a deviation
+// is made of chance, which is independent, and of doubt, which is not.
 func (f *forecast) peak(margin float64) float64 {
 	most := 0.0
-	for i, t := range horizon {
-		late := doubt * max(0, f.held+f.seqs*float64(t)-f.mean[i])
-		most = max(most, f.mean[i]+margin*math.Sqrt(max(0, f.vari[i])+late*late))
+	for i := range points {
+		most = max(most, f.mean[i]+margin*math.Sqrt(max(0, f.vari[i])+f.late[i]*f.late[i]))
 	}
 	return most
 }
@@ -77,7 +70,7 @@
 // grow predicts one sequence that holds size tokens of its own and has produced
 // n: at each point it holds its size and the growth if it still runs, else none.
 func grow(c *estimate.Curve, size, n, limit int) forecast {
-	f := forecast{held: float64(size), seqs: 1}
+	var f forecast
 	now := c.Alive(n)
 	for i, t := range horizon {
 		alive := 0.0
@@ -92,6 +85,9 @@
 		held := float64(size + t)
 		f.mean[i] = held * alive
 		f.vari[i] = held * held * alive * (1 - alive)
+		if alive > 0 && alive < 1 {
+			f.late[i] = held * (math.Pow(alive, 1-doubt) - alive)
+		}
 	}
 	return f
 }
