--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -98,6 +98,7 @@
 	target Target
 	work   conc.WaitGroup
 	seq    atomic.Uint64
+	born   time.Time
 
 	mu         sync.Mutex
 	admit      Admitter
@@ -107,13 +108,17 @@
 	links      map[sender]struct{}
 	calls      int
 	leaving    bool
-	reported   time.Time
+	// preemptions is the engine's count at its last report.
+	preemptions uint64
+	reported    time.Time
 }
 
 // New makes an agent in front of target.
 func New(cfg Config, target Target, admit Admitter) *Agent {
+	cfg = cfg.withDefaults()
 	return &Agent{
-		cfg:        cfg.withDefaults(),
+		cfg:        cfg,
+		born:       cfg.Clock(),
 		target:     target,
 		admit:      admit,
 		sessions:   make(map[wire.Key]*session),
@@ -128,6 +133,9 @@
 func (a *Agent) Run(ctx context.Context) {
 	t := time.NewTicker(a.cfg.Tick)
 	defer t.Stop()
+	if len(a.cfg.Models) > 0 {
+		a.work.Go(func() { a.poll(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -176,9 +184,13 @@
 		Services:    a.cfg.Services,
 		Leaving:     a.leaving,
 		Capacity:    a.cfg.Capacity,
+		Clock:       a.uptime(),
 	}
 }
 
+// uptime is this agent's monotonic clock.
+func (a *Agent) uptime() time.Duration { return a.cfg.Clock().Sub(a.born) }
+
 // Leave marks the target as leaving: every link is told, and offers are refused
 // here from now on, so that an entry with a stale view cannot place work.
 // Requests that have not started are handed back as not run.
@@ -209,7 +221,7 @@
 	var out []*session
 	now := a.cfg.Clock()
 	for k, s := range a.sessions {
-		if a.admit.Cancel(k.Request, k.Attempt, now) {
+		if s.offer.Service == "" && a.admit.Cancel(k.Request, k.Attempt, now) {
 			s.stop()
 			out = append(out, s)
 		}
@@ -217,12 +229,13 @@
 	return out
 }
 
-// Idle tells that no request is in progress.
+// Idle tells that no request is in progress and no entry waits for an end.
 func (a *Agent) Idle() bool {
+	now := a.cfg.Clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range a.sessions {
-		if !s.hasEnded() {
+		if !s.settled(now, a.cfg.Grace) {
 			return false
 		}
 	}
@@ -245,11 +258,18 @@
 		return
 	}
 	a.reported = now
-	running, waiting, free := a.admit.Counts()
+	snap := a.admit.Snapshot(now)
 	links := a.linkList()
 	calls := a.calls
 	a.mu.Unlock()
-	m := &wire.Load{Running: running + calls, Waiting: waiting, Free: free}
+	m := &wire.Load{
+		Running:  snap.Running + calls,
+		Waiting:  snap.Waiting,
+		Free:     snap.Free,
+		Capacity: a.cfg.Capacity,
+		Wait:     snap.WaitNote,
+		Clock:    a.uptime(),
+	}
 	for _, l := range links {
 		_ = l.Send(m)
 	}
@@ -281,49 +301,6 @@
 	return api.GenerationID(strconv.FormatUint(uint64(a.cfg.Incarnation), 36) + "-" + strconv.FormatUint(n, 36))
 }
 
-func (a *Agent) startReady(now time.Time) {
-	a.mu.Lock()
-	starts := a.admit.Next(now)
-	var ready []*session
-	var prio []int
-	for _, st := range starts {
-		if s, ok := a.sessions[wire.Key{Request: st.ID, Attempt: st.Attempt}]; ok {
-			ready = append(ready, s)
-			prio = append(prio, st.Priority)
-		}
-	}
-	a.mu.Unlock()
-	for i, s := range ready {
-		a.launch(s, prio[i])
-	}
-}
-
-func (a *Agent) launch(s *session, priority int) {
-	ctx, cancel := context.WithCancel(context.Background())
-	if !s.begin(cancel) {
-		cancel()
-		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
-		a.done(s, 0)
-		return
-	}
-	a.work.Go(func() {
-		defer cancel()
-		a.run(ctx, s, priority)
-	})
-}
-
-func (a *Agent) done(s *session, tokens int) {
-	now := a.cfg.Clock()
-	a.mu.Lock()
-	if s.offer.Service == "" {
-		a.admit.Done(s.offer.Key.Request, s.offer.Key.Attempt, tokens, now)
-	} else {
-		a.calls--
-	}
-	a.mu.Unlock()
-	a.startReady(now)
-}
-
 func (a *Agent) end(s *session, f *wire.Final) {
 	if s.finish(f, a.cfg.Clock()) {
 		a.cfg.Observer.Ended(s.offer.Key, f.Outcome, f.Reason)
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/admission"
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/claim"
 	"almondseam.dev/core/stream"
 	"almondseam.dev/node/wire"
 )
@@ -21,7 +22,7 @@
 	case *wire.Ack:
 		a.onAck(m)
 	case *wire.Cancel:
-		a.onCancel(m)
+		a.onCancel(from, m)
 	case *wire.Tombstone:
 		a.onTombstone(from, m)
 	case *wire.Resume:
@@ -102,6 +103,9 @@
 	if a.leaving {
 		return admission.Verdict{Refuse: api.ReasonTargetLeaving}
 	}
+	if m.Claimed && !claim.DefaultWindow().MayStart(m.Echo, a.uptime()) {
+		return admission.Verdict{Refuse: api.ReasonTimeout}
+	}
 	if m.Service != "" {
 		return a.judgeCall()
 	}
@@ -118,29 +122,44 @@
 	return admission.Verdict{Queued: true}
 }
 
+// lookup finds a session by its key; attempt 0 means the request's latest.
+func (a *Agent) lookup(k wire.Key) *session {
+	if k.Attempt == 0 {
+		k = a.latest[k.Request]
+	}
+	return a.sessions[k]
+}
+
 func (a *Agent) onAck(m *wire.Ack) {
 	a.mu.Lock()
-	s := a.sessions[m.Key]
+	s := a.lookup(m.Key)
 	a.mu.Unlock()
 	if s != nil {
-		s.ack(m.Offset)
+		s.ack(m.Offset, m.End)
 	}
 }
 
-func (a *Agent) onCancel(m *wire.Cancel) {
+func (a *Agent) onCancel(from sender, m *wire.Cancel) {
 	now := a.cfg.Clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.sessions[m.Key]; s != nil {
-		a.cancelLocked(s, now)
+	s := a.lookup(m.Key)
+	if s == nil {
+		return
+	}
+	if m.Hold > 0 {
+		s.hold(from, now.Add(min(m.Hold, a.cfg.Grace)-a.cfg.Grace))
+		return
 	}
+	a.cancelLocked(s, now)
 }
 
-// cancelLocked stops a session. One that was still waiting ends here as not
-// run; a running one ends when its work returns.
+// cancelLocked stops a session that nobody waits for any more. One that was
+// still waiting ends here as not run; a running one ends when its work returns.
 func (a *Agent) cancelLocked(s *session, now time.Time) (notRun bool) {
+	s.forsake()
 	k := s.offer.Key
-	waiting := s.offer.Service == "" && a.admit.Cancel(k.Request, k.Attempt, now)
+	waiting := s.offer.Service == "" && !s.hasStarted() && a.admit.Cancel(k.Request, k.Attempt, now)
 	s.stop()
 	if waiting {
 		a.end(s, &wire.Final{Outcome: api.OutcomeNotRun, Reason: api.ReasonCancelled})
@@ -199,12 +218,8 @@
 func (a *Agent) find(m *wire.Resume) (*session, api.Reason) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	k := m.Key
-	if k.Attempt == 0 {
-		k = a.latest[k.Request]
-	}
-	s, ok := a.sessions[k]
-	if !ok || s.offer.Size.Customer != m.Customer {
+	s := a.lookup(m.Key)
+	if s == nil || s.offer.Size.Customer != m.Customer {
 		return nil, api.ReasonTargetGone
 	}
 	if m.Generation != "" && m.Generation != s.gen {
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -73,21 +73,31 @@
 	Preemptions uint64
 }
 
-// Admitter decides what starts when. It is called under the agent's lock, with
-// the time passed in; see core/admission.
+// Admitter decides what starts when; core/admission.Controller is one. It is
+// called under the agent's lock, with the time passed in.
 type Admitter interface {
 	Bid(r admission.Request, now time.Time) admission.Bid
 	Offer(r admission.Request, now time.Time) admission.Verdict
 	// Next gives the sequences to start now.
 	Next(now time.Time) []admission.Start
-	// Progress tells that a sequence has delivered tokens in all.
-	Progress(id api.RequestID, a api.Attempt, tokens int, now time.Time)
-	// Done tells that a sequence ended, after tokens in all.
-	Done(id api.RequestID, a api.Attempt, tokens int, now time.Time)
-	// Cancel removes a waiting request; it tells whether it had not started.
-	Cancel(id api.RequestID, a api.Attempt, now time.Time) bool
-	// Counts gives running and waiting sequences and free memory in tokens.
-	Counts() (running, waiting, free int)
+	// Expired removes and gives the queued requests whose deadline has passed.
+	Expired(now time.Time) []admission.Start
+	// Progress tells that a sequence has produced n tokens in all.
+	Progress(id api.RequestID, a api.Attempt, n int, now time.Time)
+	// Done tells that a sequence ended by itself after n tokens, Failed that it
+	// was cut short.
+	Done(id api.RequestID, a api.Attempt, n int, now time.Time)
+	Failed(id api.RequestID, a api.Attempt)
+	// Cancel withdraws a request, with true only if it never started.
+	Cancel(id api.RequestID, a api.Attempt, now time.Time) (neverStarted bool)
+	// Preempted tells that the engine took a sequence's memory; an empty ID
+	// means that it does not say whose.
+	Preempted(id api.RequestID, a api.Attempt, now time.Time)
+	// Yield gives the sequence that must give way when free tokens are left in
+	// the engine: it has produced nothing and is queued again.
+	Yield(free int) (id api.RequestID, ok bool)
+	// Snapshot is the state for a load report.
+	Snapshot(now time.Time) admission.Snapshot
 }
 
 // Clock gives the time; tests pass their own.
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -32,8 +32,15 @@
 	head    *wire.Head
 	final   *wire.Final
 	started bool
-	cancel  context.CancelFunc // set when started
-	stopped bool
+	// received is set when the entry has the final frame or waits for none.
+	received bool
+	cancel   context.CancelFunc // set when started
+	stopped  bool
+	// yielded is set between giving way and the end of that run; again and next
+	// when it was let start anew before.
+	yielded bool
+	again   bool
+	next    int
 	// orphaned is when the last link was lost, zero while one is attached.
 	orphaned time.Time
 	ended    time.Time
@@ -62,7 +69,7 @@
 	for s.buf.Unacked() > s.unacked && !s.stopped {
 		s.room.Wait()
 	}
-	if s.stopped {
+	if s.stopped || s.yielded {
 		return false
 	}
 	off := s.buf.Append(item)
@@ -80,6 +87,14 @@
 	s.sent = off + uint64(n)
 }
 
+func (s *session) tellStarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.to != nil {
+		_ = s.to.Send(&wire.State{Key: s.offer.Key, Phase: wire.PhaseStarted})
+	}
+}
+
 func (s *session) setHead(h *wire.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,14 +172,27 @@
 	}
 }
 
-func (s *session) ack(off uint64) {
+// hold leaves the session running without a link, as if the link had been lost
+// at since: the usual grace then counts from there.
+func (s *session) hold(from sender, since time.Time) { s.detach(from, since) }
+
+func (s *session) ack(off uint64, end bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.received = s.received || end
 	if s.buf.Ack(off) == nil {
 		s.room.Broadcast()
 	}
 }
 
+// forsake notes that no entry waits for the end: it will not be acknowledged,
+// and a leaving agent must not wait for that.
+func (s *session) forsake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = true
+}
+
 // stop cancels the work, started or not.
 func (s *session) stop() {
 	s.mu.Lock()
@@ -177,28 +205,92 @@
 	}
 }
 
-// begin marks the session started; false if it was stopped before.
-func (s *session) begin(cancel context.CancelFunc) bool {
+// How a launch goes.
+type begun uint8
+
+const (
+	beginNow     begun = iota
+	beginStopped       // it was cancelled before
+	beginBusy          // the run that gave way has not returned yet
+)
+
+// begin marks the session started.
+func (s *session) begin(cancel context.CancelFunc, priority int) begun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.started {
-		return false
+	if s.stopped {
+		return beginStopped
+	}
+	if s.started {
+		s.again = true
+		s.next = priority
+		return beginBusy
 	}
 	s.started = true
 	s.cancel = cancel
+	return beginNow
+}
+
+// yield takes a started session back that has produced nothing; false when it
+// has by now. Items that come after it are not taken, so that the next run
+// cannot be spliced to this one.
+func (s *session) yield() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started || s.stopped || s.final != nil || s.buf.End() > 0 {
+		return false
+	}
+	s.yielded = true
+	if s.to != nil {
+		_ = s.to.Send(&wire.State{Key: s.offer.Key, Phase: wire.PhaseQueued})
+	}
+	s.cancel()
 	return true
 }
 
+// afterRun tells whether the run that has returned gave way, and whether the
+// session was let start again meanwhile.
+func (s *session) afterRun() (yielded, again bool, priority int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.yielded || s.stopped {
+		return false, false, 0
+	}
+	again = s.again
+	s.yielded, s.again, s.started = false, false, false
+	return true, again, s.next
+}
+
+// produced is the number of items so far.
+func (s *session) produced() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.buf.End())
+}
+
 func (s *session) isStopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.stopped
 }
 
-func (s *session) hasEnded() bool {
+func (s *session) hasStarted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
+// settled tells that nothing is left to be done: the request has ended and the
+// entry has the end. Nobody waits for one whose link has been gone for grace. An
+// agent that left before would take the last tokens with it.
+func (s *session) settled(now time.Time, grace time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.final != nil
+	if s.final == nil {
+		return false
+	}
+	lost := !s.orphaned.IsZero() && now.Sub(s.orphaned) > grace
+	return s.received || lost
 }
 
 // expired tells that the session may be forgotten, and abandoned that nobody
