--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -83,6 +83,8 @@
 	metrics *metrics.Set
 	roles   []role
 	entry   *process.Entry
+	control *process.Control
+	live    *fleetconfig.Live
 	ops     *ops.Server
 	work    conc.WaitGroup
 	// atStop runs after the roles have stopped.
@@ -93,13 +95,15 @@
 	if err := n.startOps(); err != nil {
 		return err
 	}
+	if n.set.has(roleControl) {
+		if err := n.addControl(); err != nil {
+			return err
+		}
+	}
 	if n.set.has(roleEntry) {
-		e, err := n.newEntry()
-		if err != nil {
+		if err := n.addEntry(); err != nil {
 			return err
 		}
-		n.entry = e
-		n.roles = append(n.roles, e)
 	}
 	if n.set.has(roleAgent) {
 		n.roles = append(n.roles, n.newAgent())
@@ -111,9 +115,9 @@
 }
 
 func (n *node) startOps() error {
-	ln, err := net.Listen("tcp", n.set.ops)
+	ln, err := listen("ops-listen", n.set.ops)
 	if err != nil {
-		return &usageError{fmt.Errorf("--ops-listen: %w", err)}
+		return err
 	}
 	n.ops = ops.New(n.metrics.Registry, n.ready)
 	n.work.Go(func() { _ = n.ops.Serve(ln) })
@@ -121,34 +125,96 @@
 }
 
 func (n *node) ready() (bool, string) {
+	if n.live != nil && n.live.Load() == nil {
+		return false, "no configuration is in force"
+	}
 	if n.entry != nil && n.entry.Targets() == 0 {
 		return false, "no target is linked"
 	}
 	return true, ""
 }
 
-func (n *node) newEntry() (*process.Entry, error) {
-	snap, err := loadConfig(n.set.conf, api.Site(n.set.site))
+func (n *node) addControl() error {
+	links, err := listen("control-listen", n.set.controlLink)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--config: %w", err)}
+		return err
+	}
+	operator, err := listen("operator-listen", n.set.operator)
+	if err != nil {
+		return err
+	}
+	advertise := n.set.advertise
+	if advertise == "" {
+		advertise = links.Addr().String()
+	}
+	c, err := process.NewControl(process.ControlSettings{
+		Instance:  api.InstanceID(n.set.instance),
+		Zone:      n.set.zoneID(),
+		Key:       []byte(n.set.key),
+		Token:     n.set.token,
+		DataDir:   n.set.dataDir,
+		Bootstrap: n.set.bootstrap,
+		Links:     links,
+		Operator:  operator,
+		Advertise: advertise,
+	}, process.ControlPorts{Metrics: n.metrics, Log: n.log})
+	if err != nil {
+		return fmt.Errorf("--data-dir: %w", err)
+	}
+	n.control = c
+	n.roles = append(n.roles, c)
+	return nil
+}
+
+func (n *node) addEntry() error {
+	ports := process.EntryPorts{Metrics: n.metrics, Log: n.log}
+	var coupling *process.EntryControl
+	if len(n.set.control) > 0 {
+		coupling = process.NewEntryControl(process.ControlLinkSettings{
+			Instance: api.InstanceID(n.set.instance),
+			Zone:     n.set.zoneID(),
+			Key:      []byte(n.set.key),
+			Seeds:    n.set.control,
+		}, n.metrics, n.log)
+		n.roles = append(n.roles, coupling)
+		ports.Live, ports.Hub, ports.Claimer = coupling.Live(), coupling.Hub(), coupling.Claimer()
+	} else {
+		snap, err := loadConfig(n.set.conf, api.Site(n.set.site))
+		if err != nil {
+			return &usageError{fmt.Errorf("--config: %w", err)}
+		}
+		ports.Live = &fleetconfig.Live{}
+		ports.Live.Publish(snap)
 	}
-	live := &fleetconfig.Live{}
-	live.Publish(snap)
-	cln, err := net.Listen("tcp", n.set.callers)
+	cln, err := listen("listen", n.set.callers)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--listen: %w", err)}
+		return err
 	}
-	lln, err := net.Listen("tcp", n.set.links)
+	lln, err := listen("link-listen", n.set.links)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--link-listen: %w", err)}
+		return err
 	}
-	return process.NewEntry(process.EntrySettings{
+	n.entry = process.NewEntry(process.EntrySettings{
 		Instance: api.InstanceID(n.set.instance),
 		Zone:     n.set.zoneID(),
 		Key:      []byte(n.set.key),
 		Callers:  cln,
 		Links:    lln,
-	}, process.EntryPorts{Live: live, Metrics: n.metrics, Log: n.log}), nil
+	}, ports)
+	n.live = ports.Live
+	if coupling != nil {
+		coupling.ShowTargets(n.entry.View)
+	}
+	n.roles = append(n.roles, n.entry)
+	return nil
+}
+
+func listen(flag, addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--%s: %w", flag, err)}
+	}
+	return ln, nil
 }
 
 func (n *node) newAgent() *process.Agent {
@@ -176,11 +242,20 @@
 	if n.entry != nil {
 		failed = n.entry.Failed()
 	}
+	var ended <-chan struct{}
+	if n.control != nil {
+		ended = n.control.Ended()
+	}
+	code := exitOK
 	select {
 	case <-sig:
 	case err := <-failed:
 		events.ProcessFailed.Log(n.log).Err(err).Send()
 		return exitFailed
+	case <-ended:
+		// The disk failed. An entry in the same process drains as usual: its
+		// callers need not suffer for the member's disk.
+		code = exitFailed
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
 	defer cancel()
@@ -188,7 +263,7 @@
 		<-sig
 		cancel()
 	}()
-	return n.stop(ctx)
+	return max(code, n.stop(ctx))
 }
 
 // stopNow drains within the process's limit, without a signal.
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -37,6 +37,15 @@
 	links   string
 	conf    []string
 
+	control     []string
+	dataDir     string
+	bootstrap   bool
+	controlLink string
+	advertise   string
+	operator    string
+	token       string
+	tokenFile   string
+
 	seeds    []string
 	target   string
 	address  string
@@ -62,6 +71,14 @@
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
+	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.control)
+	c.Flag("data-dir", "control: folder for the member's state; nothing else may use it.").StringVar(&s.dataDir)
+	c.Flag("bootstrap", "control: found a new group of one in an empty folder; for the very first member only.").BoolVar(&s.bootstrap)
+	c.Flag("control-listen", "control: address for members and entries.").Default("127.0.0.1:8082").StringVar(&s.controlLink)
+	c.Flag("control-advertise", "control: address under which the other members reach this one; the one it listens on by default.").StringVar(&s.advertise)
+	c.Flag("operator-listen", "control: address for almondctl.").Default("127.0.0.1:8083").StringVar(&s.operator)
+	c.Flag("operator-token", "control: token of the operators; better given by --operator-token-file.").StringVar(&s.token)
+	c.Flag("operator-token-file", "control: file that holds the operators' token.").StringVar(&s.tokenFile)
 	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
 	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
 	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
@@ -94,12 +111,24 @@
 			return err
 		}
 	}
-	if s.has(roleEntry) && len(s.conf) == 0 {
-		return errors.New("--config: the entry role needs a configuration file")
+	if s.has(roleControl) {
+		if err := s.checkControl(); err != nil {
+			return err
+		}
+	}
+	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.control) == 0) {
+		return errors.New("--control or --config: the entry role needs its configuration from one of them")
 	}
 	return nil
 }
 
+func (s *settings) checkControl() error {
+	if s.dataDir == "" {
+		return errors.New("--data-dir: the control role needs a data folder")
+	}
+	return loadSecret("operator-token", s.tokenFile, &s.token)
+}
+
 func (s *settings) checkAgent() error {
 	switch {
 	case s.target == "":
@@ -127,16 +156,20 @@
 
 const minKey = 16
 
-func (s *settings) loadKey() error {
-	if s.keyFile != "" {
-		b, err := os.ReadFile(s.keyFile)
+func (s *settings) loadKey() error { return loadSecret("fleet-key", s.keyFile, &s.key) }
+
+// loadSecret reads a secret from its file, if one is given, and refuses one
+// that is too short to be a secret.
+func loadSecret(flag, file string, v *string) error {
+	if file != "" {
+		b, err := os.ReadFile(file)
 		if err != nil {
-			return fmt.Errorf("--fleet-key-file: %w", err)
+			return fmt.Errorf("--%s-file: %w", flag, err)
 		}
-		s.key = strings.TrimSpace(string(b))
+		*v = strings.TrimSpace(string(b))
 	}
-	if len(s.key) < minKey {
-		return fmt.Errorf("--fleet-key or --fleet-key-file: a key of at least %d characters is needed", minKey)
+	if len(*v) < minKey {
+		return fmt.Errorf("--%s or --%s-file: at least %d characters are needed", flag, flag, minKey)
 	}
 	return nil
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -76,6 +76,24 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return len(e.peers.all()) }
 
+// TargetView is one linked target as this entry sees it.
+type TargetView struct {
+	Target      api.TargetID
+	Incarnation api.Incarnation
+	Zone        api.Zone
+	Leaving     bool
+}
+
+// View lists the linked targets, in no order.
+func (e *Entry) View() []TargetView {
+	all := e.peers.all()
+	out := make([]TargetView, 0, len(all))
+	for _, p := range all {
+		out = append(out, TargetView{Target: p.target, Incarnation: p.inc, Zone: p.zone, Leaving: p.leaving.Load()})
+	}
+	return out
+}
+
 // Reasons for the end of a request from the caller's side.
 var errCallerGone = errors.New("caller has gone")
 
@@ -141,7 +159,7 @@
 			g.answer.setPhase(m.Phase, m.Position)
 		}
 	case *wire.Accepted:
-		t.e.tell(m.Key, m)
+		t.onAccepted(m)
 	case *wire.Refused:
 		t.e.tell(m.Key, m)
 	case *wire.Final:
@@ -153,6 +171,18 @@
 	}
 }
 
+// onAccepted sets the phase here, in the order of the link, and not where the
+// driver hears of it: "started" may be right behind, and a caller must not be
+// told "queued" after it.
+func (t *Attached) onAccepted(m *wire.Accepted) {
+	g := t.e.leg(m.Key)
+	if g == nil {
+		return
+	}
+	g.answer.setPhase(wire.PhaseQueued, m.Position)
+	g.tell(m)
+}
+
 func (e *Entry) leg(k wire.Key) *leg {
 	g := e.legs.find(k)
 	if g == nil {
@@ -176,9 +206,10 @@
 
 func (t *Attached) onAnnounce(m *wire.Announce) {
 	if t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target {
-		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to}
+		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone}
 		t.e.peers.put(t.self)
 	}
+	t.self.leaving.Store(m.Leaving)
 	t.self.clock.Store(int64(m.Clock))
 	t.e.placer.Announce(routing.Target{
 		ID:          m.Target,
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -58,7 +58,6 @@
 	case *wire.Accepted:
 		f.accepted = true
 		f.deadline.Stop()
-		f.g.answer.setPhase(wire.PhaseQueued, m.Position)
 	case *wire.Refused:
 		err := f.e.fail(f.g, api.StepQueue, api.OutcomeNotRun, m.Reason, textError(m.Detail))
 		err.RetryAfter = m.RetryAfter
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -19,6 +19,9 @@
 	target api.TargetID
 	inc    api.Incarnation
 	to     sender
+	zone   api.Zone
+	// leaving and clock are from the newest announcement or report.
+	leaving atomic.Bool
 	// clock is the newest reading of the agent's monotonic clock.
 	clock atomic.Int64
 }
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -42,6 +42,10 @@
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
 	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+	LeaderChanged    = Event{500, zerolog.InfoLevel, "control group has a leader", "None, unless it changes often: look for slow disks and stalled links."}
+	LeaderLost       = Event{501, zerolog.WarnLevel, "control member knows no leader", "See whether a majority of members runs and is connected."}
+	SnapshotDone     = Event{502, zerolog.InfoLevel, "snapshot of the replicated state", "None."}
+	MemberFailed     = Event{503, zerolog.ErrorLevel, "control member stopped for good", "Its disk failed or is full; replace the member, with an empty folder, as a new one."}
 	ConfigInForce    = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable   = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict   = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -56,6 +60,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed,
+		LeaderChanged, LeaderLost, SnapshotDone, MemberFailed,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite,
 	}
 }
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -12,6 +12,7 @@
 	"almondseam.dev/core/fleetconfig"
 	"almondseam.dev/core/routing"
 	"almondseam.dev/node/callers"
+	"almondseam.dev/node/control"
 	"almondseam.dev/node/entry"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
@@ -121,6 +122,15 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return e.entry.Targets() }
 
+// View lists the linked agents' targets for the report to control.
+func (e *Entry) View() []control.TargetReport {
+	var out []control.TargetReport
+	for _, t := range e.entry.View() {
+		out = append(out, control.TargetReport{Target: t.Target, Incarnation: t.Incarnation, Zone: t.Zone, Leaving: t.Leaving})
+	}
+	return out
+}
+
 func (e *Entry) serveLink(c *link.Conn) {
 	e.ports.Metrics.LinkUp(c.Peer())
 	at := e.entry.Attach(c)
--- /dev/null
+++ b/node/process/entrycontrol.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"context"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/node/control"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/rollout"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+// EntryControl couples an entry to the control group: the configuration comes
+// from there, claims go there, and what runs here is reported there.
+type EntryControl struct {
+	set    ControlLinkSettings
+	client *control.Client
+	conf   *rollout.Entry
+	hub    *rollout.Hub
+	live   *fleetconfig.Live
+	view   func() []control.TargetReport
+	work   conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// NewEntryControl makes the coupling; Start runs it. Nothing is in force in
+// Live before a majority has confirmed a revision.
+func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
+	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
+	e.client = control.NewClient(control.ClientOptions{
+		Seeds:       set.Seeds,
+		Link:        control.LinkOptions(set.Key, self, m),
+		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
+		Report:      e.report,
+		ReportEvery: reportEvery,
+	})
+	obs := rollout.NewMetrics(m.Registry, log)
+	e.hub = rollout.NewHub(rollout.HubOptions{Source: e.client, Observer: obs})
+	e.conf = rollout.NewEntry(rollout.EntryOptions{Zone: set.Zone, Live: e.live, Source: e.client, Hub: e.hub, Observer: obs})
+	return e
+}
+
+// Live holds the configuration in force.
+func (e *EntryControl) Live() *fleetconfig.Live { return e.live }
+
+// Hub passes the configuration on to the agents.
+func (e *EntryControl) Hub() *rollout.Hub { return e.hub }
+
+// Claimer is the road for calls that must not be repeated.
+func (e *EntryControl) Claimer() *control.Client { return e.client }
+
+// ShowTargets gives the source of the targets that are reported.
+func (e *EntryControl) ShowTargets(view func() []control.TargetReport) { e.view = view }
+
+func (e *EntryControl) report() control.Report {
+	rev, site := e.conf.InForce()
+	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view()}
+	for _, n := range e.hub.Nodes() {
+		r.Nodes = append(r.Nodes, control.NodeReport{Instance: n.Instance, Site: n.Site, Revision: n.Revision})
+	}
+	return r
+}
+
+// Start runs the coupling until Stop.
+func (e *EntryControl) Start() {
+	e.work.Go(func() { e.client.Run(e.ctx) })
+	e.work.Go(func() { e.conf.Run(e.ctx) })
+}
+
+// Stop ends the coupling. It comes after the entry has drained, whose last
+// settlements go over it.
+func (e *EntryControl) Stop(context.Context) error {
+	e.cancel()
+	e.work.Wait()
+	return nil
+}
--- a/node/process/harness_test.go
+++ b/node/process/harness_test.go
@@ -242,13 +242,12 @@
 // valve is a TCP relay that can be shut: bytes then wait, as on a stalled link,
 // or the connections can be cut.
 type valve struct {
-	ln     net.Listener
-	to     string
-	mu     sync.Mutex
-	shut   bool
-	open   chan struct{}
-	conns  []net.Conn
-	closed bool
+	ln    net.Listener
+	to    string
+	mu    sync.Mutex
+	shut  bool
+	open  chan struct{}
+	conns []net.Conn
 }
 
 func (f *fleet) valve(to string) *valve {
