Keep a refusal's own reason when no other target is left

Cause: TestAgentStopCutsNoStream failed at times: 200 requests in one burst meet the default queue bound (one customer may fill half of 256); the second attempt found no target and its reason, no_target, hid queue_full and its Retry-After. Change: a later no_target no longer replaces an earlier refusal; the test fleet has a queue that holds its 200 streams. Conclusion: the caller hears the refusal that it can act on.

--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -14,12 +14,13 @@
 // drive makes attempts until one completes or none may follow.
 func (e *Entry) drive(ctx context.Context, a *Answer, r *Request) End {
 	e.retrier.First(r.Size.Customer, r.Arrived)
+	var failed *api.Error
 	for n := api.Attempt(1); ; n++ {
 		err := e.attempt(ctx, a, r, n)
 		if err == nil {
 			return End{Outcome: api.OutcomeCompleted}
 		}
-		failed := api.AsError(err)
+		failed = telling(failed, api.AsError(err))
 		if ctx.Err() != nil {
 			return AsEnd(e.callerLeft(failed))
 		}
@@ -35,6 +36,16 @@
 	}
 }
 
+// telling gives the error that says more: that no other target is left to ask is
+// no news to a caller whose request was refused by the last one, and the queue's
+// own Retry-After would be lost with the refusal.
+func telling(last, now *api.Error) *api.Error {
+	if last != nil && now.Reason == api.ReasonNoTarget {
+		return last
+	}
+	return now
+}
+
 // movable tells whether a further attempt can do no harm: the last one is
 // proved not to have run, or the request may be repeated and nothing of it was
 // received, so that no two generations can meet in one answer.
--- a/node/process/harness_test.go
+++ b/node/process/harness_test.go
@@ -122,6 +122,7 @@
 	a := NewAgent(AgentSettings{
 		Instance: api.InstanceID(name), Zone: "lhr-a", Key: []byte(fleetKey), Seeds: seeds,
 		Target: api.TargetID(name), TargetAddr: target,
+		Queue:  1000,
 		Models: []api.ModelID{testModel}, Services: []api.ServiceID{"bookings"},
 	}, AgentPorts{Metrics: metrics.New(&log), Log: &log})
 	a.Start()
