--- a/node/process/harness_test.go
+++ b/node/process/harness_test.go
@@ -122,6 +122,7 @@
 	a := NewAgent(AgentSettings{
 		Instance: api.InstanceID(name), Zone: "lhr-a", Key: []byte(fleetKey), Seeds: seeds,
 		Target: api.TargetID(name), TargetAddr: target,
+		Queue:  1000,
 		Models: []api.ModelID{testModel}, Services: []api.ServiceID{"bookings"},
 	}, AgentPorts{Metrics: metrics.New(&log), Log: &log})
 	a.Start()
@@ -242,13 +243,12 @@
 // valve is a TCP relay that can be shut: bytes then wait, as on a stalled link,
 // or the connections can be cut.
 type valve struct {
-	ln     net.Listener
-	to     string
-	mu     sync.Mutex
-	shut   bool
-	open   chan struct{}
-	conns  []net.Conn
-	closed bool
+	ln    net.Listener
+	to    string
+	mu    sync.Mutex
+	shut  bool
+	open  chan struct{}
+	conns []net.Conn
 }
 
 func (f *fleet) valve(to string) *valve {
