--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -244,9 +244,18 @@
 	if c.prefill > 0 && c.prefill+c.toCompute(s) > c.cfg.PrefillBudget {
 		return false
 	}
-	return c.load.peakWith(&s.part, c.margin)+c.newPrefix(s) <= float64(c.cfg.Capacity)
+	margin := c.margin
+	if s.Class == ClassTag {
+		margin *= tagMargin
+	}
+	return c.load.peakWith(&s.part, margin)+c.newPrefix(s) <= float64(c.cfg.Capacity)
 }
 
+// tagMargin is the part of the margin that a tag leaves free. With the whole of
+// it tags waited for seconds behind memory that the notes may need later, though
+// a tag is small and has ended before they need it.
+const tagMargin = 0.5
+
 // newPrefix is the memory of s's prefix if no running sequence holds it yet.
 func (c *Controller) newPrefix(s *sequence) float64 {
 	if s.own == s.Prompt || c.prefixes[s.Prefix] != nil {
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -216,6 +216,29 @@
 	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"small", "run"})
 }
 
+// TestTagUsesPartOfTheMargin: the memory that is kept free holds a note back but
+// not a tag of the same prompt, which ends before that memory is needed.
+func TestTagUsesPartOfTheMargin(t *testing.T) {
+	c := newTest(Config{Capacity: 1000, PrefillBudget: 10_000})
+	offer(t, c, epoch, note("run", "a", 300))
+	c.Next(epoch)
+	c.margin = 1000
+	offer(t, c, epoch, note("n", "a", 100))
+	qt.Check(t, ids(c.Next(epoch)), qt.HasLen, 0)
+	c.margin = c.load.margin(float64(c.cfg.Capacity)) * 1.2
+	offer(t, c, epoch, tag("t", "a", 100))
+	qt.Check(t, ids(c.Next(epoch)), qt.DeepEquals, []string{"t"})
+}
+
+// margin is the largest margin at which f's peak is within the capacity.
+func (f *forecast) margin(capacity float64) float64 {
+	m := 0.0
+	for f.peak(m+0.01) <= capacity {
+		m += 0.01
+	}
+	return m
+}
+
 // TestAgeGoesFirst: a customer far ahead of its share would wait behind all the
 // others; past the age bound its request is the next to start, and smaller ones
 // do not slip past it.
