--- a/core/limit/grantor.go
+++ b/core/limit/grantor.go
@@ -153,7 +153,7 @@
 // restarted frees what an earlier incarnation held: its requests ended with it.
 func (g *Grantor) restarted(h api.InstanceID) {
 	for _, l := range g.ledgers {
-		delete(l.holders, h)
+		l.drop(h)
 	}
 }
 
@@ -164,18 +164,21 @@
 			continue
 		}
 		if !slices.ContainsFunc(req.Wants, func(w Want) bool { return w.Customer == c }) {
-			delete(l.holders, req.Holder)
+			l.drop(req.Holder)
 		}
 	}
 }
 
 func (g *Grantor) grant(req Request, w Want, now time.Time) (Share, bool) {
 	lim, ok := g.limits[w.Customer]
-	if !ok || g.roster.Owner(w.Customer) != g.self {
+	if !ok {
 		return Share{}, false
 	}
 	l := g.ledgers[w.Customer]
 	if l == nil {
+		if g.roster.Owner(w.Customer) != g.self {
+			return Share{}, false
+		}
 		l = newLedger(w.Customer)
 		g.ledgers[w.Customer] = l
 	}
@@ -183,6 +186,7 @@
 	l.complete = l.complete || !g.recovering(now)
 	s := l.grant(req.Holder, lim, w, !l.complete, now, g.timing)
 	a.add(outstanding{seq: req.Seq, Share: s, expires: now.Add(g.timing.TTL + g.timing.Margin)})
+	l.recount(a, now, g.timing)
 	return s, true
 }
 
@@ -193,7 +197,7 @@
 	for c, l := range g.ledgers {
 		for h, a := range l.holders {
 			if a.idle(now, g.timing) {
-				delete(l.holders, h)
+				l.drop(h)
 			}
 		}
 		if len(l.holders) == 0 {
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -16,12 +16,16 @@
 // account is what a grantor knows of one holder's use of one customer's limit.
 type account struct {
 	leases []outstanding
-	want   Share
 	inUse  int64
 	// heard is when inUse was told.
 	heard time.Time
+	// counted is the part of the ledger's sum that stands for this account.
+	counted Share
 }
 
+// sweepsPerRenew is how often the sums are counted anew between renewals.
+const sweepsPerRenew = 4
+
 // maxOutstanding bounds the leases remembered apart; beyond it the two oldest
 // are taken together, which counts too much and never too little.
 const maxOutstanding = 8
@@ -96,6 +100,13 @@
 type ledger struct {
 	customer api.CustomerID
 	holders  map[api.InstanceID]*account
+	// slots and rates are the demands of holders.
+	slots demands
+	rates demands
+	// sum is what holders may be using; it is counted anew at swept and kept up
+	// in between. Leases that have run out since count on: too much is safe.
+	sum   Share
+	swept time.Time
 	// complete tells that no lease is in force that isn't in holders; it stays
 	// true for as long as this grantor owns the customer.
 	complete bool
@@ -105,6 +116,37 @@
 	return &ledger{customer: c, holders: make(map[api.InstanceID]*account)}
 }
 
+// recount brings the sum up to date with one account.
+func (l *ledger) recount(a *account, now time.Time, t Timing) {
+	c := a.committed(now, t)
+	l.sum.Slots += c.Slots - a.counted.Slots
+	l.sum.Rate += c.Rate - a.counted.Rate
+	a.counted = c
+}
+
+// sweep recounts all accounts, unless that was done lately: a grantor at full
+// size would otherwise look at hundreds of accounts for every grant.
+func (l *ledger) sweep(now time.Time, t Timing) {
+	if now.Sub(l.swept) < t.Renew/sweepsPerRenew {
+		return
+	}
+	l.swept = now
+	for _, a := range l.holders {
+		l.recount(a, now, t)
+	}
+}
+
+// drop forgets a holder.
+func (l *ledger) drop(h api.InstanceID) {
+	if a := l.holders[h]; a != nil {
+		l.sum.Slots -= a.counted.Slots
+		l.sum.Rate -= a.counted.Rate
+	}
+	delete(l.holders, h)
+	l.slots.drop(h)
+	l.rates.drop(h)
+}
+
 // settle takes in what a holder says of itself.
 func (l *ledger) settle(h api.InstanceID, w Want, now time.Time, t Timing) *account {
 	a := l.holders[h]
@@ -113,7 +155,9 @@
 		l.holders[h] = a
 	}
 	a.prune(now, t)
-	a.want = Share{Slots: max(w.Slots, w.InUse), Rate: w.Rate}
+	r := rank(l.customer, h)
+	l.slots.set(demand{h, max(w.Slots, w.InUse), r})
+	l.rates.set(demand{h, w.Rate, r})
 	a.inUse, a.heard = w.InUse, now
 	if w.Remaining <= 0 {
 		a.lapse(w.HeldSeq, now)
@@ -152,22 +196,15 @@
 // it. While recovering, nothing beyond what the holder already had: another
 // holder, not heard yet, may have the rest.
 func (l *ledger) grant(h api.InstanceID, lim Limit, w Want, recovering bool, now time.Time, t Timing) Share {
-	free := Share(lim)
-	slots := make([]demand, 0, len(l.holders))
-	rates := make([]demand, 0, len(l.holders))
-	for other, a := range l.holders {
-		if other != h {
-			c := a.committed(now, t)
-			free.Slots -= c.Slots
-			free.Rate -= c.Rate
-		}
-		r := rank(l.customer, other)
-		slots = append(slots, demand{other, a.want.Slots, r})
-		rates = append(rates, demand{other, a.want.Rate, r})
+	l.sweep(now, t)
+	a := l.holders[h]
+	free := Share{
+		Slots: lim.Slots - l.sum.Slots + a.counted.Slots,
+		Rate:  lim.Rate - l.sum.Rate + a.counted.Rate,
 	}
 	s := Share{
-		Slots: max(0, min(divide(lim.Slots, slots)[h], free.Slots)),
-		Rate:  max(0, min(divide(lim.Rate, rates)[h], free.Rate)),
+		Slots: max(0, min(l.slots.part(lim.Slots, h), free.Slots)),
+		Rate:  max(0, min(l.rates.part(lim.Rate, h), free.Rate)),
 	}
 	if recovering {
 		s = held(w, free)
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -121,13 +121,13 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			var ds []demand
+			var ds demands
 			for i, w := range tt.wants {
-				ds = append(ds, demand{holder: api.InstanceID(rune('a' + i)), want: w, rank: uint64(i)})
+				ds.set(demand{holder: api.InstanceID(rune('a' + i)), want: 99})
+				ds.set(demand{holder: api.InstanceID(rune('a' + i)), want: w, rank: uint64(i)})
 			}
-			got := divide(tt.total, ds)
 			for i, p := range tt.parts {
-				c.Assert(got[api.InstanceID(rune('a'+i))], qt.Equals, p)
+				c.Assert(ds.part(tt.total, api.InstanceID(rune('a'+i))), qt.Equals, p)
 			}
 		})
 	}
--- a/core/limit/roster.go
+++ b/core/limit/roster.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"slices"
 
 	"almondseam.dev/core/api"
@@ -71,34 +70,3 @@
 	}
 	return p
 }
-
-// demand is what one holder could use, for divide.
-type demand struct {
-	holder api.InstanceID
-	want   int64
-	rank   uint64
-}
-
-// divide gives each demand its part of total, in the order given, by max-min
-// fairness: nobody gets more than it wants while another wants more than it
-// gets. Of what nobody wants, three quarters are spread evenly, for a burst to
-// find; the rest is kept back for an entry that comes.
-func divide(total int64, ds []demand) map[api.InstanceID]int64 {
-	slices.SortFunc(ds, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.want, b.want), cmp.Compare(a.rank, b.rank), cmp.Compare(a.holder, b.holder))
-	})
-	out := make(map[api.InstanceID]int64, len(ds))
-	left := max(0, total)
-	for i, d := range ds {
-		p := min(d.want, left/int64(len(ds)-i))
-		out[d.holder] = p
-		left -= p
-	}
-	spare := left * 3 / 4
-	for i, d := range ds {
-		p := spare / int64(len(ds)-i)
-		out[d.holder] += p
-		spare -= p
-	}
-	return out
-}
