Carry a bid's RetryAfter to the entry

Cause: the queue's own estimate of when to come back was dropped between agent and entry, so that a caller refused by all bids was told none; routing.Bid also hid the field of the bid inside it. Change: the agent sends it, routing.Bid has it once.

--- a/core/routing/bid.go
+++ b/core/routing/bid.go
@@ -18,8 +18,6 @@
 	From Candidate
 	// Bid is its answer; Refuse is set when it would not take the request.
 	admission.Bid
-	// RetryAfter goes with Refuse; zero means that the target gave none.
-	RetryAfter time.Duration
 }
 
 // cost orders bids.
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -182,8 +182,8 @@
 func TestCompareAndRefusal(t *testing.T) {
 	bid := func(name string, own bool, wait time.Duration, cached int, refuse api.Reason, after time.Duration) Bid {
 		return Bid{
-			From: Candidate{ID: api.TargetID(name), Own: own}, RetryAfter: after,
-			Bid: admission.Bid{Wait: wait, Cached: cached, Refuse: refuse},
+			From: Candidate{ID: api.TargetID(name), Own: own},
+			Bid:  admission.Bid{Wait: wait, Cached: cached, Refuse: refuse, RetryAfter: after},
 		}
 	}
 	ms := time.Millisecond
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -60,7 +60,7 @@
 		bid = a.admit.Bid(a.request(m.Key, m.Size, now), now)
 	}
 	a.mu.Unlock()
-	_ = from.Send(&wire.Bid{Key: m.Key, Wait: bid.Wait, Cached: bid.Cached, Refuse: bid.Refuse})
+	_ = from.Send(&wire.Bid{Key: m.Key, Wait: bid.Wait, Cached: bid.Cached, Refuse: bid.Refuse, RetryAfter: bid.RetryAfter})
 }
 
 func (a *Agent) onOffer(from sender, m *wire.Offer) {
--- a/node/entry/bids.go
+++ b/node/entry/bids.go
@@ -67,9 +67,8 @@
 		select {
 		case pb := <-ch:
 			out = append(out, routing.Bid{
-				From:       candidate(ask, pb.from),
-				Bid:        admission.Bid{Wait: pb.bid.Wait, Cached: pb.bid.Cached, Refuse: pb.bid.Refuse},
-				RetryAfter: pb.bid.RetryAfter,
+				From: candidate(ask, pb.from),
+				Bid:  admission.Bid{Wait: pb.bid.Wait, Cached: pb.bid.Cached, Refuse: pb.bid.Refuse, RetryAfter: pb.bid.RetryAfter},
 			})
 		case <-ctx.Done():
 			return out
