Take a customer's own burst

Cause: the configuration gives burst_tokens; the bucket held two seconds of rate. Change: Limit.Burst sets how long unused rate is kept. Run: go test ./core/limit gave ok.

--- a/core/limit/customer.go
+++ b/core/limit/customer.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// burst is the time over which unused rate is kept.
-	burst = 2 * time.Second
+	// defaultSaved is the time over which unused rate is kept, if the limit
+	// doesn't say.
+	defaultSaved = 2 * time.Second
 	// noLeaseRetry is the RetryAfter while the first lease is on its way: about
 	// two journeys between zones.
 	noLeaseRetry = 50 * time.Millisecond
@@ -130,7 +131,7 @@
 	if s.limit.Slots == 0 {
 		cu.inUse.Add(1)
 	}
-	wait, ok := cu.charge(est, s.limit.Rate > 0, part.Rate, now)
+	wait, ok := cu.charge(est, s.limit, part.Rate, now)
 	if !ok {
 		cu.inUse.Add(-1)
 		return cu.refuse(api.ReasonTokenRateLimit, leased, wait, est)
@@ -153,14 +154,14 @@
 
 // charge takes est tokens from the bucket. An estimate above what the bucket
 // can ever hold passes when the bucket is full: else it would never run.
-func (cu *customer) charge(est int64, limited bool, rate int64, now time.Time) (time.Duration, bool) {
+func (cu *customer) charge(est int64, l Limit, rate int64, now time.Time) (time.Duration, bool) {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	cu.peak = max(cu.peak, cu.inUse.Load())
-	if !limited {
+	if l.Rate == 0 {
 		return 0, true
 	}
-	most := float64(rate) * burst.Seconds()
+	most := float64(rate) * l.saved().Seconds()
 	cu.fill(float64(rate), most, now)
 	need := min(float64(est), most)
 	if cu.level < need || rate == 0 {
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -16,9 +16,9 @@
 
 // leased gives a customer with the whole of its limit leased and a full bucket.
 func leased(l Limit) *customer {
-	cu := &customer{id: cust, floorEnds: new(atomic.Int64), filled: t0, level: float64(l.Rate) * burst.Seconds()}
+	cu := &customer{id: cust, floorEnds: new(atomic.Int64), filled: t0, level: float64(l.Rate) * l.saved().Seconds()}
 	cu.setLimit(l, floor{})
-	cu.apply(Share(l), 1, t0.Add(time.Minute), t0)
+	cu.apply(l.share(), 1, t0.Add(time.Minute), t0)
 	return cu
 }
 
@@ -35,6 +35,7 @@
 		{"rate", Limit{Rate: 1000}, []int64{1500, 1500}, api.ReasonTokenRateLimit, time.Second},
 		{"more than the bucket holds, once", Limit{Rate: 1000}, []int64{5000}, "", 0},
 		{"more than the bucket holds is owed", Limit{Rate: 1000}, []int64{5000, 500}, api.ReasonTokenRateLimit, 3500 * time.Millisecond},
+		{"own burst", Limit{Rate: 1000, Burst: 500}, []int64{400, 200}, api.ReasonTokenRateLimit, minRetry},
 		{"no limit", Limit{}, []int64{1 << 40, 1 << 40}, "", 0},
 	}
 	for _, tt := range tests {
--- a/core/limit/protocol_test.go
+++ b/core/limit/protocol_test.go
@@ -39,7 +39,7 @@
 
 var (
 	greedy  = Want{Slots: 100, Rate: 10_000}
-	whole   = Share(all)
+	whole   = all.share()
 	half    = Share{20, 2000}
 	nothing = Share{}
 )
--- a/core/limit/types.go
+++ b/core/limit/types.go
@@ -22,8 +22,22 @@
 	Slots int64
 	// Rate is in tokens a second, prompt and output together.
 	Rate int64
+	// Burst is the number of tokens that may be used at once after a quiet
+	// time; zero means what Rate gives in two seconds.
+	Burst int64
 }
 
+// saved is the time over which unused rate is kept.
+func (l Limit) saved() time.Duration {
+	if l.Burst == 0 || l.Rate == 0 {
+		return defaultSaved
+	}
+	return time.Duration(float64(l.Burst) / float64(l.Rate) * float64(time.Second))
+}
+
+// share is the whole of the limit.
+func (l Limit) share() Share { return Share{Slots: l.Slots, Rate: l.Rate} }
+
 // Roster lists the entries that share the limits. The control group agrees on
 // it; Epoch grows by one with each change.
 type Roster struct {
