Wire retry budgets into the entry

Cause: the entry retried three times at once, went back to targets that had refused the request, and told a caller whom all targets had refused that there was no target. Change: Retries is the Retrier over core/retry, with the request's deadline; a target that refused a bid or failed goes into the request's Avoid, and aside for others unless the reason is the request's own; when only such targets are left the caller gets their answer and RetryAfter. What keeps a failure from being repeated (budget, deadline, attempts) is counted in retries_denied_total. Conclusion: refusals reach callers with their reason and their time.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -17,12 +17,25 @@
 type Meter interface {
 	// Retried counts a retry by the reason of the failure.
 	Retried(r api.Reason)
-	// Refused counts a failure that could have been retried but is not:
-	// ReasonRetryBudget, ReasonTimeout (no time left before the deadline), or
-	// the failure's reason when the attempts are used up.
-	Refused(r api.Reason)
+	// Refused counts a failure that could have been retried but is not, by why.
+	Refused(w Why)
 }
 
+// Why says what kept a failure that could be retried from being retried.
+type Why string
+
+const (
+	// WhyBudget: the customer's budget or the one over all is spent.
+	WhyBudget Why = "budget"
+	// WhyDeadline: the caller will have given up before the retry.
+	WhyDeadline Why = "deadline"
+	// WhyAttempts: the request has had all its attempts.
+	WhyAttempts Why = "attempts"
+)
+
+// Whys lists all values of Why, for metrics.
+var Whys = []Why{WhyBudget, WhyDeadline, WhyAttempts}
+
 // Options sets a Policy. A zero field takes its default.
 type Options struct {
 	// Attempts bounds the attempts of one request, the first included; 3.
@@ -86,9 +99,11 @@
 	Retry bool
 	After time.Duration
 	Avoid api.TargetID
-	// Reason is that of the failure when Retry is set. Else it is what to tell
-	// the caller: the failure's own reason or ReasonRetryBudget.
+	// Reason is that of the failure. It is what to tell a caller when Retry is
+	// not set: that the budget is spent would say less of when to come back.
 	Reason api.Reason
+	// Why is set when the failure could have been retried and is not.
+	Why Why
 }
 
 // First notes a request's first attempt, which pays into the budgets.
@@ -98,26 +113,33 @@
 // that the caller has been sent; repeatable tells that running the request
 // twice does no harm. rng is used by this call only.
 func (p *Policy) Next(a Attempt, err *api.Error, delivered int, repeatable bool, now time.Time, rng *rand.Rand) Decision {
-	stop := Decision{Reason: err.Reason, Avoid: a.Target}
+	d := Decision{Reason: err.Reason, Avoid: a.Target}
 	if !allowed(err, delivered, repeatable) {
-		return stop
-	}
-	if int(a.Number) >= p.opts.Attempts {
-		p.meter.Refused(err.Reason)
-		return stop
+		return d
 	}
-	after := p.backoff(a.Number, err, rng)
-	if !a.Deadline.IsZero() && !now.Add(after).Before(a.Deadline) {
-		p.meter.Refused(api.ReasonTimeout)
-		return stop
-	}
-	if !p.budgets.take(a.Customer, now) {
-		p.meter.Refused(api.ReasonRetryBudget)
-		stop.Reason = api.ReasonRetryBudget
-		return stop
+	d.After = p.backoff(a.Number, err, rng)
+	d.Why = p.hindrance(a, d.After, now)
+	if d.Why != "" {
+		p.meter.Refused(d.Why)
+		return d
 	}
 	p.meter.Retried(err.Reason)
-	return Decision{Retry: true, After: after, Avoid: a.Target, Reason: err.Reason}
+	d.Retry = true
+	return d
+}
+
+// hindrance pays for a retry, or says why there is none.
+func (p *Policy) hindrance(a Attempt, after time.Duration, now time.Time) Why {
+	switch {
+	case int(a.Number) >= p.opts.Attempts:
+		return WhyAttempts
+	case !a.Deadline.IsZero() && !now.Add(after).Before(a.Deadline):
+		return WhyDeadline
+	case !p.budgets.take(a.Customer, now):
+		return WhyBudget
+	default:
+		return ""
+	}
 }
 
 // allowed tells whether trying again is safe and may help.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -14,7 +14,7 @@
 type counts map[api.Reason]int
 
 func (c counts) Retried(r api.Reason) { c[r]++ }
-func (c counts) Refused(r api.Reason) { c["not "+r]++ }
+func (c counts) Refused(w Why)        { c["not: "+api.Reason(w)]++ }
 
 func rnd(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
 
@@ -41,8 +41,8 @@
 		{"never fits", first, api.OutcomeNotRun, api.ReasonNeverFits, 0, true, false, ""},
 		{"cancelled", first, api.OutcomeInterrupted, api.ReasonCancelled, 0, true, false, ""},
 		{"completed", first, api.OutcomeCompleted, api.ReasonLinkLost, 0, true, false, ""},
-		{"attempts used up", last, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not queue_full"},
-		{"deadline too near", short, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not timeout"},
+		{"attempts used up", last, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not: attempts"},
+		{"deadline too near", short, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not: deadline"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -90,7 +90,7 @@
 			if d.Retry {
 				retries++
 			} else {
-				c.Assert(d.Reason, qt.Equals, api.ReasonRetryBudget)
+				c.Assert(d.Why, qt.Equals, WhyBudget)
 			}
 		}
 		return retries
--- a/node/entry/attempts.go
+++ b/node/entry/attempts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/retry"
 )
 
 // Attempts is the simplest Retrier: a fixed number of attempts, at once.
@@ -13,6 +14,6 @@
 func (Attempts) First(api.CustomerID, time.Time) {}
 
 // Next implements Retrier.
-func (a Attempts) Next(_ api.CustomerID, n api.Attempt, err *api.Error, movable bool, _ time.Time) (bool, time.Duration) {
-	return movable && n < a.Most && api.Reasons[err.Reason].Retry, 0
+func (a Attempts) Next(last retry.Attempt, err *api.Error, movable bool, _ time.Time) (bool, time.Duration) {
+	return movable && last.Number < a.Most && api.Reasons[err.Reason].Retry, 0
 }
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -7,6 +7,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
+	"almondseam.dev/core/retry"
 	"almondseam.dev/core/routing"
 	"almondseam.dev/node/wire"
 )
@@ -14,21 +15,27 @@
 // drive makes attempts until one completes or none may follow.
 func (e *Entry) drive(ctx context.Context, a *Answer, r *Request) End {
 	e.retrier.First(r.Size.Customer, r.Arrived)
-	var failed *api.Error
+	var last *api.Error
 	for n := api.Attempt(1); ; n++ {
 		err := e.attempt(ctx, a, r, n)
 		if err == nil {
 			return End{Outcome: api.OutcomeCompleted}
 		}
-		failed = telling(failed, api.AsError(err))
+		failed := api.AsError(err)
 		if ctx.Err() != nil {
 			return AsEnd(e.callerLeft(failed))
 		}
+		if last != nil && failed.Reason == api.ReasonNoTarget {
+			// Only targets that have failed this request are left: their answer
+			// says when to come back, and that there is none would not.
+			return AsEnd(last)
+		}
 		movable := e.movable(a, r, failed)
-		again, after := e.retrier.Next(r.Size.Customer, n, failed, movable, e.cfg.Clock())
+		again, after := e.retrier.Next(e.failedAttempt(r, n), failed, movable, e.cfg.Clock())
 		if !again {
 			return AsEnd(failed)
 		}
+		last = failed
 		e.obs.Retried(r, failed.Reason)
 		if !sleep(ctx, after) {
 			return AsEnd(e.callerLeft(failed))
@@ -36,14 +43,12 @@
 	}
 }
 
-// telling gives the error that says more: that no other target is left to ask is
-// no news to a caller whose request was refused by the last one, and the queue's
-// own Retry-After would be lost with the refusal.
-func telling(last, now *api.Error) *api.Error {
-	if last != nil && now.Reason == api.ReasonNoTarget {
-		return last
+func (e *Entry) failedAttempt(r *Request, n api.Attempt) retry.Attempt {
+	at := retry.Attempt{Customer: r.Size.Customer, Number: n}
+	if r.Patience > 0 {
+		at.Deadline = r.Arrived.Add(r.Patience)
 	}
-	return now
+	return at
 }
 
 // movable tells whether a further attempt can do no harm: the last one is
@@ -101,23 +106,30 @@
 		return e.fail(g, api.StepDispatch, api.OutcomeNotRun, api.ReasonLinkLost, err)
 	}
 	err = e.follow(ctx, g)
-	if e.crowded(err) {
-		e.placer.Failed(p.target, api.AsError(err).RetryAfter, e.cfg.Clock())
-		r.Query.Avoid = append(r.Query.Avoid, p.target)
+	if err != nil {
+		e.refusedBy(r, p.target, api.AsError(err).Reason)
 	}
 	return err
 }
 
-// crowded tells whether a failure speaks against asking the same target again.
-func (e *Entry) crowded(err error) bool {
-	if err == nil {
-		return false
+// refusedBy keeps a request from going back to a target that failed it, and
+// puts the target aside for all when the reason is not the request's own.
+func (e *Entry) refusedBy(r *Request, id api.TargetID, reason api.Reason) {
+	r.Query.Avoid = append(r.Query.Avoid, id)
+	if !ownReason[reason] {
+		e.placer.Failed(id, 0, e.cfg.Clock())
 	}
-	switch api.AsError(err).Reason {
-	case api.ReasonCancelled, api.ReasonBadRequest, api.ReasonNeverFits:
-		return false
-	}
-	return true
+}
+
+// ownReason lists the reasons that say nothing about the target's next request:
+// what is hopeless for one deadline is in time for another.
+var ownReason = map[api.Reason]bool{
+	api.ReasonCancelled:        true,
+	api.ReasonBadRequest:       true,
+	api.ReasonNeverFits:        true,
+	api.ReasonDeadlineHopeless: true,
+	api.ReasonDuplicate:        true,
+	api.ReasonTombstoned:       true,
 }
 
 func (e *Entry) fail(g *leg, step api.Step, o api.Outcome, reason api.Reason, err error) *api.Error {
@@ -190,11 +202,10 @@
 	}
 	best := routing.Compare(got)
 	if best < 0 {
-		err := routing.Refusal(got)
 		for _, b := range got {
-			e.placer.Failed(b.From.ID, b.RetryAfter, e.cfg.Clock())
+			e.refusedBy(r, b.From.ID, b.Refuse)
 		}
-		return nil, err
+		return nil, routing.Refusal(got)
 	}
 	return e.chosen(ask, got[best].From.ID), nil
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -57,6 +57,7 @@
 	switch m := m.(type) {
 	case *wire.Accepted:
 		f.accepted = true
+		f.e.placer.Succeeded(f.g.target)
 		f.deadline.Stop()
 	case *wire.Refused:
 		err := f.e.fail(f.g, api.StepQueue, api.OutcomeNotRun, m.Reason, textError(m.Detail))
--- a/node/entry/placer.go
+++ b/node/entry/placer.go
@@ -24,7 +24,7 @@
 	return &TablePlacer{
 		Table:  t,
 		router: routing.NewRouter(t, o),
-		rngs:   sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }},
+		rngs:   newRands(),
 	}
 }
 
--- a/node/entry/ports.go
+++ b/node/entry/ports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/retry"
 	"almondseam.dev/core/routing"
 	"almondseam.dev/node/wire"
 )
@@ -22,19 +23,20 @@
 	// Choose gives the targets to ask for a bid, best first; none when no
 	// target serves the query.
 	Choose(q routing.Query, now time.Time) []routing.Candidate
-	// Sent, Ended and Failed correct the view between reports.
+	// Sent, Ended, Failed and Succeeded correct the view between reports.
 	Sent(id api.TargetID, tokens int, now time.Time)
 	Ended(id api.TargetID, tokens int, now time.Time)
 	Failed(id api.TargetID, retryAfter time.Duration, now time.Time)
+	Succeeded(id api.TargetID)
 }
 
 // Retrier decides whether a failed attempt is followed by another. It is called
 // from several goroutines.
 type Retrier interface {
-	// Next is asked after attempt n of a customer's request failed with err.
-	// movable tells that another attempt can do no harm: it is proved that
-	// nothing ran, or nothing was delivered of a request that may be repeated.
-	Next(c api.CustomerID, n api.Attempt, err *api.Error, movable bool, now time.Time) (again bool, after time.Duration)
+	// Next is asked after an attempt failed with err. movable tells that
+	// another can do no harm: it is proved that nothing ran, or nothing was
+	// delivered of a request that may be repeated.
+	Next(a retry.Attempt, err *api.Error, movable bool, now time.Time) (again bool, after time.Duration)
 	// First counts a customer's first attempt, which earns budget.
 	First(c api.CustomerID, now time.Time)
 }
--- /dev/null
+++ b/node/entry/retries.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/retry"
+)
+
+// Retries is the Retrier over core/retry: it pays for attempts from budgets.
+type Retries struct {
+	*retry.Policy
+	rngs sync.Pool
+}
+
+var _ Retrier = (*Retries)(nil)
+
+// NewRetries makes a retrier that counts with m.
+func NewRetries(o retry.Options, m retry.Meter) *Retries {
+	return &Retries{Policy: retry.New(o, m), rngs: newRands()}
+}
+
+// Next implements Retrier. What movable tells is exactly what the policy has to
+// know of delivery and repeatability.
+func (r *Retries) Next(a retry.Attempt, err *api.Error, movable bool, now time.Time) (bool, time.Duration) {
+	if !movable {
+		return false, 0
+	}
+	rng := r.rngs.Get().(*rand.Rand)
+	defer r.rngs.Put(rng)
+	d := r.Policy.Next(a, err, 0, movable, now, rng)
+	return d.Retry, d.After
+}
+
+// newRands gives a pool of generators: one is used by one goroutine at a time.
+func newRands() sync.Pool {
+	return sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }}
+}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -6,6 +6,7 @@
 
 import (
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/retry"
 	"almondseam.dev/node/entry"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
@@ -28,6 +29,7 @@
 	handshakes prometheus.Counter
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
+	denied     *prometheus.CounterVec
 	ended      *prometheus.CounterVec
 	dropped    *prometheus.CounterVec
 	agentEnded *prometheus.CounterVec
@@ -46,6 +48,7 @@
 		handshakes: f.NewCounter(counter("link_refused_total", "Links that were refused in the handshake.")),
 		refusals:   f.NewCounterVec(counter("refusals_total", "Requests refused or ended short, by reason."), []string{"reason"}),
 		retries:    f.NewCounterVec(counter("retries_total", "Attempts after the first, by the reason of the one before."), []string{"reason"}),
+		denied:     f.NewCounterVec(counter("retries_denied_total", "Failed attempts that could have been repeated and were not, by why."), []string{"why"}),
 		ended:      f.NewCounterVec(counter("requests_ended_total", "Requests that an entry placed, by outcome."), []string{"outcome"}),
 		dropped:    f.NewCounterVec(counter("frames_dropped_total", "Frames that an entry did not take, by why."), []string{"why"}),
 		agentEnded: f.NewCounterVec(counter("agent_requests_ended_total", "Requests that an agent took, by outcome."), []string{"outcome"}),
@@ -67,6 +70,9 @@
 		s.refusals.WithLabelValues(string(r))
 		s.retries.WithLabelValues(string(r))
 	}
+	for _, w := range retry.Whys {
+		s.denied.WithLabelValues(string(w))
+	}
 	for _, o := range []api.Outcome{api.OutcomeCompleted, api.OutcomeNotRun, api.OutcomeInterrupted, api.OutcomeUnknown} {
 		s.ended.WithLabelValues(string(o))
 		s.agentEnded.WithLabelValues(string(o))
@@ -121,6 +127,17 @@
 // Dropped implements entry.Observer.
 func (s Entry) Dropped(why string) { s.dropped.WithLabelValues(why).Inc() }
 
+// Retries is the view that the retry policy reports to.
+type Retries struct{ *Set }
+
+var _ retry.Meter = Retries{}
+
+// Retried implements retry.Meter. The entry counts the retry when it makes it.
+func (Retries) Retried(api.Reason) {}
+
+// Refused implements retry.Meter.
+func (s Retries) Refused(w retry.Why) { s.denied.WithLabelValues(string(w)).Inc() }
+
 // Agent is the view that an agent reports to.
 type Agent struct{ *Set }
 
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/retry"
 	"almondseam.dev/core/routing"
 	"almondseam.dev/node/callers"
 	"almondseam.dev/node/control"
@@ -69,7 +70,7 @@
 	e := &Entry{set: set, ports: ports, failed: make(chan error, 2)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	placer := entry.NewTablePlacer(routing.Options{})
-	e.entry = entry.New(entry.Config{}, placer, entry.Attempts{Most: 3}, metrics.Entry{Set: ports.Metrics})
+	e.entry = entry.New(entry.Config{}, placer, entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics}), metrics.Entry{Set: ports.Metrics})
 	if ports.Limiter == nil {
 		ports.Limiter = openLimiter{}
 	}
