Share customers' limits between entries

Cause: entries let every request pass; max_concurrent and tokens_per_second of the configuration were not enforced. Change: Limits answers from leased shares and carries core/limit's messages on links between entries (--entry-peer); the roster is fixed by settings for now. The estimate is the prompt and the mean output of earlier answers. The redial loop of agents is shared. Run: go test -race ./node/entry gave ok (two entries and a cut in virtual time, at most 22 of 20 + 2 under way); go test -race ./node/process -run Limit gave ok (two entries over a link reach 64 of 64 and never pass 71). In ./node/process TestEntryStopCutsNoStream and TestAgentStopCutsNoStream still fail as before. Conclusion: limits hold over all entries that name one another; the roster from the control group is open.

--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -200,6 +200,7 @@
 		Key:      []byte(n.set.key),
 		Callers:  cln,
 		Links:    lln,
+		Peers:    n.set.peers(),
 	}, ports)
 	n.live = ports.Live
 	if coupling != nil {
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/agent"
+	"almondseam.dev/node/process"
 	"github.com/alecthomas/kingpin/v2"
 )
 
@@ -37,6 +40,8 @@
 	links   string
 	conf    []string
 
+	entryPeers map[string]string
+
 	control     []string
 	dataDir     string
 	bootstrap   bool
@@ -70,6 +75,7 @@
 	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
+	c.Flag("entry-peer", "entry: another entry that shares the customers' limits, INSTANCE=HOST:PORT with the address of its links; each entry must name all others.").StringMapVar(&s.entryPeers)
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
 	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.control)
 	c.Flag("data-dir", "control: folder for the member's state; nothing else may use it.").StringVar(&s.dataDir)
@@ -122,6 +128,15 @@
 	return nil
 }
 
+// peers gives the other entries in the order of their names.
+func (s *settings) peers() []process.EntryPeer {
+	var out []process.EntryPeer
+	for _, id := range slices.Sorted(maps.Keys(s.entryPeers)) {
+		out = append(out, process.EntryPeer{Instance: api.InstanceID(id), Addr: s.entryPeers[id]})
+	}
+	return out
+}
+
 func (s *settings) checkControl() error {
 	if s.dataDir == "" {
 		return errors.New("--data-dir: the control role needs a data folder")
--- a/core/limit/divide.go
+++ b/core/limit/divide.go
@@ -41,10 +41,10 @@
 }
 
 // part gives a holder's part of total by max-min fairness: nobody gets more
-// than it wants while another wants more than it gets. Of what nobody wants,
-// three quarters are spread evenly, for a burst to find; the rest is kept back
-// for an entry that comes.
-func (ds demands) part(total int64, h api.InstanceID) int64 {
+// than it wants while another wants more than it gets. What nobody wants is
+// spread evenly, for a burst to find; a quarter of it is kept back for an entry
+// that comes, if one can.
+func (ds demands) part(total int64, h api.InstanceID, mayCome bool) int64 {
 	at := ds.index(h)
 	if at < 0 {
 		return 0
@@ -57,7 +57,10 @@
 			mine = p
 		}
 	}
-	return mine + even(left*3/4, len(ds), at)
+	if mayCome {
+		left = left * 3 / 4
+	}
+	return mine + even(left, len(ds), at)
 }
 
 // even gives the at-th of n even parts of total; the last ones get the rest.
--- a/core/limit/grantor.go
+++ b/core/limit/grantor.go
@@ -182,6 +182,7 @@
 		l = newLedger(w.Customer)
 		g.ledgers[w.Customer] = l
 	}
+	l.entries = len(g.roster.Entries)
 	a := l.settle(req.Holder, w, now, g.timing)
 	l.complete = l.complete || !g.recovering(now)
 	s := l.grant(req.Holder, lim, w, !l.complete, now, g.timing)
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -100,6 +100,8 @@
 type ledger struct {
 	customer api.CustomerID
 	holders  map[api.InstanceID]*account
+	// entries is the number of entries in the roster.
+	entries int
 	// slots and rates are the demands of holders.
 	slots demands
 	rates demands
@@ -198,13 +200,14 @@
 func (l *ledger) grant(h api.InstanceID, lim Limit, w Want, recovering bool, now time.Time, t Timing) Share {
 	l.sweep(now, t)
 	a := l.holders[h]
+	mayCome := len(l.holders) < l.entries
 	free := Share{
 		Slots: lim.Slots - l.sum.Slots + a.counted.Slots,
 		Rate:  lim.Rate - l.sum.Rate + a.counted.Rate,
 	}
 	s := Share{
-		Slots: max(0, min(l.slots.part(lim.Slots, h), free.Slots)),
-		Rate:  max(0, min(l.rates.part(lim.Rate, h), free.Rate)),
+		Slots: max(0, min(l.slots.part(lim.Slots, h, mayCome), free.Slots)),
+		Rate:  max(0, min(l.rates.part(lim.Rate, h, mayCome), free.Rate)),
 	}
 	if recovering {
 		s = held(w, free)
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -128,7 +128,7 @@
 				ds.set(demand{holder: api.InstanceID(rune('a' + i)), want: w, rank: uint64(i)})
 			}
 			for i, p := range tt.parts {
-				c.Assert(ds.part(tt.total, api.InstanceID(rune('a'+i))), qt.Equals, p)
+				c.Assert(ds.part(tt.total, api.InstanceID(rune('a'+i)), true), qt.Equals, p)
 			}
 		})
 	}
--- /dev/null
+++ b/node/entry/limits_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/limit"
+	"almondseam.dev/node/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// network carries messages between the limits of entries, unless it is cut.
+type network struct {
+	mu  sync.Mutex
+	to  map[api.InstanceID]*Limits
+	cut bool
+}
+
+func (n *network) Send(to api.InstanceID, m wire.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.to[to]; l != nil && !n.cut {
+		time.AfterFunc(time.Millisecond, func() { l.Handle(m) })
+	}
+}
+
+func (n *network) setCut(cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+const limitsConfig = `
+name: test
+sites: [{id: s, region: r, zones: [a]}]
+customers:
+  - {id: c1, keys: [%q], max_concurrent: 20, tokens_per_second: 1000/s, burst_tokens: 2000}
+`
+
+// sharing starts two entries that share limits.
+func sharing(c *qt.C) (net *network, entries []*Limits, cust *fleetconfig.Customer, stop func()) {
+	f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, limitsConfig, fleetconfig.KeySum("key"))})
+	c.Assert(err, qt.IsNil)
+	live := &fleetconfig.Live{}
+	live.Publish(fleetconfig.Compile(f).At(1, "s"))
+	cust, _ = live.Load().Customer("c1")
+	net = &network{to: make(map[api.InstanceID]*Limits)}
+	ctx, cancel := context.WithCancel(context.Background())
+	roster := FixedRoster{Entries: []api.InstanceID{"e1", "e2"}, Clock: time.Now}
+	for _, id := range roster.Entries {
+		l := NewLimits(LimitsConfig{Self: id, Incarnation: 1, Live: live, Roster: roster, Peers: net})
+		net.to[id] = l
+		entries = append(entries, l)
+	}
+	for _, l := range entries {
+		go l.Run(ctx)
+	}
+	return net, entries, cust, cancel
+}
+
+// fill starts requests until one is refused, and gives their number.
+func fill(l *Limits, cust *fleetconfig.Customer) (n int, last *api.Error) {
+	for ; ; n++ {
+		if _, err := l.Acquire(cust, 0, time.Now()); err != nil {
+			return n, err
+		}
+	}
+}
+
+// Callers press on both entries. The first request of each waits for a lease
+// instead of being refused; together they stay within the limit and its slack,
+// also while the entries don't hear each other.
+func TestEntriesShareALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		net, entries, cust, stop := sharing(c)
+		defer stop()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		total := 0
+		for _, l := range entries {
+			n, err := fill(l, cust)
+			c.Assert(n > 0, qt.IsTrue)
+			c.Assert(err.Reason, qt.Equals, api.ReasonConcurrencyLimit)
+			c.Assert(err.RetryAfter > 0, qt.IsTrue)
+			total += n
+		}
+		for i := range 60 {
+			net.setCut(i >= 20 && i < 40)
+			time.Sleep(time.Second)
+			for _, l := range entries {
+				n, _ := fill(l, cust)
+				total += n
+			}
+			c.Assert(total <= 22, qt.IsTrue, qt.Commentf("after %d s: %d under way of 20", i, total))
+		}
+		c.Assert(total >= 20, qt.IsTrue, qt.Commentf("%d under way of 20", total))
+	})
+}
+
+// Tokens are charged by estimate and settled: the mean output of earlier
+// answers is part of the next estimate, and a refusal tells when it will fit.
+func TestTokensAreEstimatedAndSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		_, entries, cust, stop := sharing(c)
+		defer stop()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		l := entries[0]
+		for range 50 {
+			settle, err := l.Acquire(cust, 10, time.Now())
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+			settle(110)
+			time.Sleep(2 * time.Second)
+		}
+		got := l.output("c1").mean()
+		c.Assert(got > 90 && got <= 100, qt.IsTrue, qt.Commentf("mean output %d", got))
+		_, err := l.Acquire(cust, 1<<20, time.Now())
+		c.Assert(err == nil, qt.IsTrue)
+		_, err = l.Acquire(cust, 100, time.Now())
+		c.Assert(err.Reason, qt.Equals, api.ReasonTokenRateLimit)
+		c.Assert(err.RetryAfter > 10*time.Second, qt.IsTrue)
+	})
+}
+
+func TestLimitMessagesCarryEverything(t *testing.T) {
+	c := qt.New(t)
+	req := limit.Request{Epoch: 1, Holder: "e1", Incarnation: 2, Seq: 3, Wants: []limit.Want{{
+		Customer: "c1", Slots: 4, Rate: 5, InUse: 6, Held: limit.Share{Slots: 7, Rate: 8}, HeldSeq: 9, Remaining: 10,
+	}}}
+	c.Assert(wire.NewLimitRequest(req).Request(), qt.DeepEquals, req)
+	g := limit.Grant{
+		Epoch: 1, Grantor: "e2", Holder: "e1", Incarnation: 2, Seq: 3, TTL: 4,
+		Leases: []limit.Lease{{Customer: "c1", Share: limit.Share{Slots: 5, Rate: 6}}},
+	}
+	c.Assert(wire.NewLimitGrant(g).Grant(), qt.DeepEquals, g)
+}
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"almondseam.dev/core/admission"
@@ -101,37 +100,12 @@
 		a.work.Go(func() { a.config.Run(a.ctx) })
 	}
 	for _, addr := range a.set.Seeds {
-		a.work.Go(func() { a.keepLink(addr) })
+		a.work.Go(func() { redial(a.ctx, func() { a.runLink(addr) }) })
 	}
 	events.ProcessStarted.Log(a.ports.Log).Str("role", string(link.RoleAgent)).
 		Str("target", string(a.set.Target)).Str("address", a.set.TargetAddr).Send()
 }
 
-// Waits between dials: doubled from the first to the last, each cut by a random
-// half, so that the agents of a zone do not all come back in the same instant.
-const (
-	firstRedial = 100 * time.Millisecond
-	lastRedial  = 5 * time.Second
-)
-
-// keepLink holds a link to one entry open until the agent stops.
-func (a *Agent) keepLink(addr string) {
-	wait := firstRedial
-	for a.ctx.Err() == nil {
-		start := time.Now()
-		a.runLink(addr)
-		if time.Since(start) > lastRedial {
-			wait = firstRedial
-		}
-		jittered := wait/2 + rand.N(wait/2)
-		select {
-		case <-time.After(jittered):
-		case <-a.ctx.Done():
-		}
-		wait = min(2*wait, lastRedial)
-	}
-}
-
 func (a *Agent) runLink(addr string) {
 	conn, err := link.Dial(a.ctx, addr, link.Options{
 		Key:      a.set.Key,
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -26,7 +27,7 @@
 )
 
 // pathCodec knows the messages of links between entries and agents.
-var pathCodec = wire.NewCodec(append(wire.PathProtos(), rollout.Protos()...)...)
+var pathCodec = wire.NewCodec(slices.Concat(wire.PathProtos(), wire.LimitProtos(), rollout.Protos())...)
 
 // EntrySettings are the process settings of the entry role.
 type EntrySettings struct {
@@ -36,6 +37,8 @@
 	// Callers and Links are where callers and agents connect.
 	Callers net.Listener
 	Links   net.Listener
+	// Peers are the other entries that share the customers' limits.
+	Peers []EntryPeer
 	// Drain bounds a graceful shutdown.
 	Drain time.Duration
 }
@@ -57,6 +60,8 @@
 	set     EntrySettings
 	ports   EntryPorts
 	entry   *entry.Entry
+	limits  *entry.Limits
+	peers   *peerLinks
 	callers *callers.Server
 	links   *fasthttp.Server
 	work    conc.WaitGroup
@@ -71,8 +76,10 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	placer := entry.NewTablePlacer(routing.Options{})
 	e.entry = entry.New(entry.Config{}, placer, entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics}), metrics.Entry{Set: ports.Metrics})
+	e.peers = &peerLinks{set: set, ports: ports, conns: make(map[api.InstanceID]*link.Conn)}
+	e.limits = newLimits(set, ports, e.peers)
 	if ports.Limiter == nil {
-		ports.Limiter = openLimiter{}
+		ports.Limiter = e.limits
 	}
 	e.callers = callers.New(callers.Config{Zone: set.Zone}, callers.Ports{
 		Live:     ports.Live,
@@ -91,18 +98,14 @@
 	return e
 }
 
-// openLimiter lets everything pass.
-type openLimiter struct{}
-
-// Acquire implements callers.Limiter.
-func (openLimiter) Acquire(*fleetconfig.Customer, int, time.Time) (func(int), *api.Error) {
-	return func(int) {}, nil
-}
-
 // Start serves callers and agents. Failed tells of a listener that gave up.
 func (e *Entry) Start() {
 	e.work.Go(func() { e.serve("callers", e.callers.Serve(e.set.Callers)) })
 	e.work.Go(func() { e.serve("links", e.links.Serve(e.set.Links)) })
+	e.work.Go(func() { e.limits.Run(e.ctx) })
+	for _, p := range e.set.Peers {
+		e.work.Go(func() { e.peers.keep(e.ctx, p) })
+	}
 	if e.ports.Hub != nil {
 		e.work.Go(func() { e.ports.Hub.Run(e.ctx) })
 	}
@@ -134,6 +137,10 @@
 
 func (e *Entry) serveLink(c *link.Conn) {
 	e.ports.Metrics.LinkUp(c.Peer())
+	if c.Peer().Role == link.RoleEntry {
+		e.servePeer(c)
+		return
+	}
 	at := e.entry.Attach(c)
 	defer at.Closed()
 	handle := at.Handle
--- /dev/null
+++ b/node/process/limits.go
@@ -0,0 +1,98 @@
+package process
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/entry"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+)
+
+// EntryPeer is another entry that shares the customers' limits.
+type EntryPeer struct {
+	Instance api.InstanceID
+	// Addr is the address of its links, HOST:PORT.
+	Addr string
+}
+
+// peerLinks holds a link to each other entry. An entry sends on the link that
+// it has dialled and hears on those that the others have.
+type peerLinks struct {
+	set   EntrySettings
+	ports EntryPorts
+	mu    sync.RWMutex
+	conns map[api.InstanceID]*link.Conn
+}
+
+var _ entry.LimitPeers = (*peerLinks)(nil)
+
+// Send implements entry.LimitPeers. A message to an entry whose link is down is
+// lost; the next request repeats what it said.
+func (p *peerLinks) Send(to api.InstanceID, m wire.Message) {
+	p.mu.RLock()
+	c := p.conns[to]
+	p.mu.RUnlock()
+	if c != nil {
+		_ = c.Send(m)
+	}
+}
+
+func (p *peerLinks) put(to api.InstanceID, c *link.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[to] = c
+}
+
+// keep holds the link to one entry until ctx is done.
+func (p *peerLinks) keep(ctx context.Context, to EntryPeer) {
+	redial(ctx, func() { p.run(ctx, to) })
+}
+
+func (p *peerLinks) run(ctx context.Context, to EntryPeer) {
+	conn, err := link.Dial(ctx, to.Addr, link.Options{
+		Key:      p.set.Key,
+		Self:     link.Peer{Instance: p.set.Instance, Zone: p.set.Zone, Role: link.RoleEntry},
+		Codec:    pathCodec,
+		Observer: p.ports.Metrics,
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			events.LinkDialFailed.Log(p.ports.Log).Str("peer", to.Addr).Err(err).Send()
+		}
+		return
+	}
+	p.ports.Metrics.LinkUp(conn.Peer())
+	p.put(to.Instance, conn)
+	defer p.put(to.Instance, nil)
+	conn.Run(ctx, func(wire.Message) {})
+}
+
+// newLimits makes the limits that this entry shares with its peers.
+func newLimits(set EntrySettings, ports EntryPorts, peers *peerLinks) *entry.Limits {
+	roster := entry.FixedRoster{Entries: []api.InstanceID{set.Instance}, Clock: time.Now}
+	for _, p := range set.Peers {
+		roster.Entries = append(roster.Entries, p.Instance)
+	}
+	return entry.NewLimits(entry.LimitsConfig{
+		Self:        set.Instance,
+		Incarnation: api.Incarnation(time.Now().UnixMilli()),
+		Live:        ports.Live,
+		Roster:      roster,
+		Peers:       peers,
+	})
+}
+
+// servePeer runs the link that another entry has dialled. What it says of
+// itself must be what it has proved to be.
+func (e *Entry) servePeer(c *link.Conn) {
+	c.Run(e.ctx, func(m wire.Message) {
+		if r, ok := m.(*wire.LimitRequest); ok && r.Holder != c.Peer().Instance {
+			return
+		}
+		e.limits.Handle(m)
+	})
+}
--- /dev/null
+++ b/node/process/limits_test.go
@@ -0,0 +1,46 @@
+package process
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// Two entries share a customer's 64 requests over a real link. Callers press on
+// both until all of the limit is in use; it is never passed by more than the
+// slack of 7, wherever the shares have gone.
+func TestEntriesShareALimitOverALink(t *testing.T) {
+	f := newFleet(t)
+	log := zerolog.Nop()
+	names := []api.InstanceID{"e1", "e2"}
+	links := []net.Listener{listenLoopback(f.c), listenLoopback(f.c)}
+	var entries []*Entry
+	for i, name := range names {
+		other := 1 - i
+		e := NewEntry(EntrySettings{
+			Instance: name, Zone: "lhr-a", Key: []byte(fleetKey), Callers: listenLoopback(f.c), Links: links[i],
+			Peers: []EntryPeer{{Instance: names[other], Addr: links[other].Addr().String()}},
+		}, EntryPorts{Live: f.live, Metrics: metrics.New(&log), Log: &log})
+		e.Start()
+		stopOnce(t, e.Stop)
+		entries = append(entries, e)
+	}
+	customer, ok := f.live.Load().Customer("other")
+	f.c.Assert(ok, qt.IsTrue)
+	total := 0
+	f.until("64 requests under way", func() bool {
+		for _, e := range entries {
+			if settle, err := e.limits.Acquire(customer, 0, time.Now()); err == nil {
+				total++
+				t.Cleanup(func() { settle(0) })
+			}
+		}
+		f.c.Assert(total <= 64+7, qt.IsTrue)
+		return total >= 64
+	})
+}
