Move the queue of a leaving target without charging the retry budget

Cause: with retry budgets wired in, TestAgentStopCutsNoStream failed: a leaving target hands back its queue at once, over a hundred requests of one customer, and the budget (5 at once) cut the rest off with target_leaving. Conclusion: budgets guard against doubled work, and a hand-back repeats none.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -118,7 +118,7 @@
 		return d
 	}
 	d.After = p.backoff(a.Number, err, rng)
-	d.Why = p.hindrance(a, d.After, now)
+	d.Why = p.hindrance(a, err, d.After, now)
 	if d.Why != "" {
 		p.meter.Refused(d.Why)
 		return d
@@ -129,12 +129,14 @@
 }
 
 // hindrance pays for a retry, or says why there is none.
-func (p *Policy) hindrance(a Attempt, after time.Duration, now time.Time) Why {
+func (p *Policy) hindrance(a Attempt, err *api.Error, after time.Duration, now time.Time) Why {
 	switch {
 	case int(a.Number) >= p.opts.Attempts:
 		return WhyAttempts
 	case !a.Deadline.IsZero() && !now.Add(after).Before(a.Deadline):
 		return WhyDeadline
+	case handedBack(err):
+		return ""
 	case !p.budgets.take(a.Customer, now):
 		return WhyBudget
 	default:
@@ -142,6 +144,15 @@
 	}
 }
 
+// handedBack tells whether a leaving target gave the request back unstarted.
+// Such a move costs no budget: a target that leaves hands back its whole queue
+// in one instant, far more than the budget holds, and every caller beyond it
+// would be cut off by an orderly restart. No load is multiplied, since no engine
+// has worked on the request, and a target leaves once.
+func handedBack(err *api.Error) bool {
+	return err.Outcome == api.OutcomeNotRun && err.Reason == api.ReasonTargetLeaving
+}
+
 // allowed tells whether trying again is safe and may help.
 //
 // Safe: it is proved that the request did not run, or it may run twice and the
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -102,3 +102,26 @@
 	c.Assert(fail("third", 10, t0), qt.Equals, 0)
 	c.Assert(fail("large", 1, t0.Add(2*time.Second)), qt.Equals, 1)
 }
+
+// A target with a long queue leaves and hands all of it back at once. Every
+// request is placed elsewhere, although the budgets would pay for a few only;
+// any other reason goes on being paid for.
+func TestQueueOfALeavingTargetMovesWithoutBudget(t *testing.T) {
+	c := qt.New(t)
+	p := New(Options{Customer: Ratio{PerTry: 0.001, PerSecond: 0.001, Most: 1}}, nopMeter{})
+	now := time.Unix(0, 0)
+	rng := rand.New(rand.NewPCG(1, 1))
+	leaving := api.NotRun(api.StepQueue, "t1", api.ReasonTargetLeaving, nil)
+	full := api.NotRun(api.StepQueue, "t1", api.ReasonQueueFull, nil)
+	for range 500 {
+		c.Assert(p.Next(Attempt{Customer: "c", Number: 1}, leaving, 0, false, now, rng).Retry, qt.IsTrue)
+	}
+	p.Next(Attempt{Customer: "c", Number: 1}, full, 0, false, now, rng)
+	c.Assert(p.Next(Attempt{Customer: "c", Number: 1}, full, 0, false, now, rng).Why, qt.Equals, WhyBudget)
+	c.Assert(p.Next(Attempt{Customer: "c", Number: 3}, leaving, 0, false, now, rng).Why, qt.Equals, WhyAttempts)
+}
+
+type nopMeter struct{}
+
+func (nopMeter) Retried(api.Reason) {}
+func (nopMeter) Refused(Why)        {}
