consensus: bound the kept entries by bytes; tell a removed member

And a removed member that was up never learned of it: its peer was dropped with the append of its removal. Change: KeepBytes, 4 MiB by default; the leader serves a removed member until one election timeout after the commit, or until it falls silent.

--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -32,6 +32,10 @@
 	// KeepEntries is how many entries before a snapshot stay in memory, so
 	// that a peer that lags a little needs no snapshot.
 	KeepEntries uint64
+	// KeepBytes bounds what KeepEntries keeps. Without it, a log of large
+	// entries stays large over a compaction, and a caller that compacts by
+	// size would do so at every batch.
+	KeepBytes int
 	// Rand draws election timeouts.
 	Rand *rand.Rand
 }
@@ -46,6 +50,7 @@
 	DefaultMaxPendingReads     = 4096
 	DefaultMaxSnapshotBytes    = 64 << 20
 	DefaultKeepEntries         = 1024
+	DefaultKeepBytes           = 4 << 20
 )
 
 func setDefault(v *int, d int) {
@@ -62,6 +67,7 @@
 	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	setDefault(&c.MaxPendingReads, DefaultMaxPendingReads)
 	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	if c.KeepEntries == 0 {
 		c.KeepEntries = DefaultKeepEntries
 	}
--- a/core/consensus/log.go
+++ b/core/consensus/log.go
@@ -129,6 +129,21 @@
 	return l.base, l.baseTerm
 }
 
+// keepFrom gives the index up to which entries can go so that at most count
+// entries and maxBytes of those up to index stay.
+func (l *entryLog) keepFrom(index, count uint64, maxBytes int) uint64 {
+	size := 0
+	for index > l.base && count > 0 {
+		size += entrySize(l.entries[index-l.base-1])
+		if size > maxBytes {
+			break
+		}
+		index--
+		count--
+	}
+	return index
+}
+
 // compact lets go of entries up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -137,6 +137,7 @@
 		return
 	}
 	n.tickTransfer()
+	n.dropDeparted()
 	n.lead.heartbeatElapsed++
 	if n.lead.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.broadcastHeartbeat()
@@ -206,9 +207,7 @@
 	s := Snapshot{Index: index, Term: t, Membership: n.mems.at(index).clone(), Data: data}
 	n.log.snap = s
 	n.mems = n.mems.compact(index)
-	if index > n.cfg.KeepEntries {
-		n.log.compact(index - n.cfg.KeepEntries)
-	}
+	n.log.compact(n.log.keepFrom(index, n.cfg.KeepEntries, n.cfg.KeepBytes))
 	return s, nil
 }
 
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -243,6 +243,26 @@
 	c.Assert(n.ReadIndex(9), qt.Equals, ErrBusy)
 }
 
+// A caller compacts by the size of the log. What is kept for lagging peers must
+// not hold the log above that size, or each batch would bring a snapshot.
+func TestKeptEntriesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	r, _ := Bootstrap(Membership{Voters: []Member{{1, "a"}}}, nil)
+	cfg := testConfig(1)
+	cfg.KeepEntries, cfg.KeepBytes = 100, 1000
+	n, err := New(cfg, r)
+	c.Assert(err, qt.IsNil)
+	n.campaign(RolePreCandidate)
+	for range 20 {
+		drain(n)
+		c.Assert(n.Propose(make([]byte, 300)), qt.IsNil)
+	}
+	drain(n)
+	_, err = n.Compact(n.log.applied, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.Status().LogBytes, qt.Equals, uint64(3*(300+entryOverhead)))
+}
+
 // A message that contradicts itself is dropped with an error and changes
 // nothing; one addressed to the member that had this address before, too.
 func TestBadMessages(t *testing.T) {
--- a/core/consensus/peer.go
+++ b/core/consensus/peer.go
@@ -24,6 +24,8 @@
 	inflight []uint64
 	snap     *outgoingSnapshot
 	round    uint64 // newest read round that it confirmed
+	departs  uint64 // index of its removal, zero for a member
+	grace    int    // ticks since the removal was committed
 }
 
 func (p *peer) probe(next uint64) {
--- a/core/consensus/proof_test.go
+++ b/core/consensus/proof_test.go
@@ -160,3 +160,19 @@
 	s.run(2 * s.opt.electionTicks)
 	c.Assert(lead.node.ProposeChange(Change{Type: ChangeRemove, ID: 7}), qt.Equals, ErrWouldLoseQuorum)
 }
+
+// An operator removes a member that is up. It must learn of it and keep quiet,
+// also if it lags at first; a removed member that asks for votes for ever looks
+// like a fault of the group.
+func TestRemovedMemberKnows(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(t, 3, calm(3))
+	s.until("a leader", 200, func() bool { return s.leader() != nil && s.leader().node.log.commit > 1 })
+	lead := s.leader()
+	gone := s.hosts[1+lead.id%3]
+	c.Assert(lead.node.ProposeChange(Change{Type: ChangeRemove, ID: gone.id}), qt.IsNil)
+	s.until("it knows", 50, func() bool { return !gone.node.members().IsVoter(gone.id) && !gone.node.changePending() })
+	s.run(10 * s.opt.electionTicks)
+	c.Assert(gone.node.role, qt.Equals, RoleFollower)
+	c.Assert(lead.node.lead.peers, qt.HasLen, 1)
+}
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -1,12 +1,14 @@
 package consensus
 
 import (
+	"maps"
 	"slices"
 )
 
 // leaderState is what only a leader holds; it is dropped with the office.
 type leaderState struct {
 	peers            map[MemberID]*peer
+	order            []MemberID // of peers, ascending
 	heartbeatElapsed int
 	termStart        uint64 // index of this term's first entry
 	uncommitted      int    // bytes appended and not yet committed
@@ -21,35 +23,58 @@
 	waiting    []uint64 // reads for the next round
 }
 
-// syncPeers makes the table of peers agree with the newest membership.
+// syncPeers makes the table of peers agree with the newest membership. A member
+// that is being removed stays a while, so that it learns of it: else it would
+// go on asking for votes that nobody gives.
 func (n *Node) syncPeers() {
 	m := n.members()
-	for id := range n.lead.peers {
-		if !m.IsVoter(id) && !m.IsLearner(id) {
-			delete(n.lead.peers, id)
+	for id, p := range n.lead.peers {
+		if !m.IsVoter(id) && !m.IsLearner(id) && p.departs == 0 {
+			p.departs = n.log.last()
 		}
 	}
 	for _, x := range slices.Concat(m.Voters, m.Learners) {
-		if x.ID != n.id && n.lead.peers[x.ID] == nil {
+		if x.ID == n.id {
+			continue
+		}
+		if n.lead.peers[x.ID] == nil {
 			n.lead.peers[x.ID] = &peer{next: n.log.last() + 1, heard: n.now}
 		}
+		n.lead.peers[x.ID].departs, n.lead.peers[x.ID].grace = 0, 0
 	}
+	n.orderPeers()
 	n.lead.sendDue = true
 }
 
+func (n *Node) orderPeers() {
+	n.lead.order = slices.Sorted(maps.Keys(n.lead.peers))
+}
+
+// dropDeparted forgets removed members that have fallen silent, or one election
+// timeout after the commit of their removal: several heartbeats have told it.
+func (n *Node) dropDeparted() {
+	for _, id := range n.lead.order {
+		p := n.lead.peers[id]
+		if p.departs == 0 {
+			continue
+		}
+		if p.departs <= n.log.commit {
+			p.grace++
+		}
+		if p.grace > n.cfg.ElectionTicks || !n.isActive(id) {
+			delete(n.lead.peers, id)
+		}
+	}
+	if len(n.lead.order) != len(n.lead.peers) {
+		n.orderPeers()
+	}
+}
+
 // eachPeer visits the peers in the order of their IDs: the same run must give
 // the same messages every time.
 func (n *Node) eachPeer(f func(MemberID, *peer)) {
-	m := n.members()
-	for _, x := range m.Voters {
-		if p := n.lead.peers[x.ID]; p != nil {
-			f(x.ID, p)
-		}
-	}
-	for _, x := range m.Learners {
-		if p := n.lead.peers[x.ID]; p != nil {
-			f(x.ID, p)
-		}
+	for _, id := range n.lead.order {
+		f(id, n.lead.peers[id])
 	}
 }
 
