fleetconfig: say that customers' limits hold over the fleet

Cause: core/limit shares them over all entries; the comments said one entry. Measured: go test ./core/fleetconfig ./cmd/almondctl passes.

--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -51,9 +51,9 @@
 	Keys []string `yaml:"keys" scope:"fleet" required:"true"`
 	// Weight is the customer's share against the others when targets are crowded.
 	Weight int `yaml:"weight" default:"1" min:"1" max:"1000"`
-	// MaxConcurrent bounds the requests of the customer in progress at one entry.
+	// MaxConcurrent bounds the requests of the customer in progress over all entries of the fleet.
 	MaxConcurrent int `yaml:"max_concurrent" default:"64" min:"1" max:"100000"`
-	// TokensPerSecond bounds prompt and output tokens at one entry over time.
+	// TokensPerSecond bounds prompt and output tokens over all entries of the fleet.
 	TokensPerSecond Rate `yaml:"tokens_per_second" default:"10000/s" min:"1" max:"10000000"`
 	// BurstTokens may be used at once after a quiet time.
 	BurstTokens int `yaml:"burst_tokens" default:"40000" min:"1" max:"100000000"`
