almondseam: agents take the configuration that their entries pass on

Cause: the agent role was not given a place for it, so a site's view in almondctl config status counted entries alone. Change: run passes a Live and, where no entry runs in the same process, metrics. Measured: by hand, one process with entry and control and one with an agent: config status shows 2 instances at revision 1; before it showed 1. Conclusion: the applied revision is now shown for agents too.

--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -15,6 +15,7 @@
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/ops"
 	"almondseam.dev/node/process"
+	"almondseam.dev/node/rollout"
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -232,7 +233,16 @@
 		MaxRunning:   n.set.batch,
 		Queue:        n.set.queue,
 		Capabilities: n.set.capabilities(),
-	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
+	}, process.AgentPorts{Live: &fleetconfig.Live{}, Config: n.configObserver(), Metrics: n.metrics, Log: n.log})
+}
+
+// configObserver counts what becomes of configurations at an agent. In a
+// process that is an entry too, the entry's part counts.
+func (n *node) configObserver() rollout.Observer {
+	if n.set.has(roleEntry) {
+		return nil
+	}
+	return rollout.NewMetrics(n.metrics.Registry, n.log)
 }
 
 // wait runs until a signal and then drains every role, the first started last.
