Measure recovery from a real overload, and let the bench yield

Cause: the recovery run took the capacity of the shifted lengths, so its 1.3 was no overload: no column refused anybody. The bench did not call Yield, which the agent does. Change: the recovery's capacity is measured for its own lengths, a second one goes to 2.0; requests sent, completed and first token are shown. Our column yields by the engine's late report. p99.9 and yields are in the tables.

--- a/bench/policy/gates.go
+++ b/bench/policy/gates.go
@@ -202,6 +202,19 @@
 	g.ctl.Preempted(c.id, c.attempt, epoch.Add(now))
 }
 
+// yield gives the call that makes room when the engine's report shows that its
+// memory is about to run out; it waits again.
+func (g *ours) yield(free int) *call {
+	id, ok := g.ctl.Yield(free)
+	if !ok {
+		return nil
+	}
+	c := g.calls[id]
+	g.waiting[id] = c
+	g.order = append(g.order, c)
+	return c
+}
+
 func (g *ours) handBack() []*call {
 	var out []*call
 	for _, c := range g.order {
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -37,7 +37,7 @@
 			measureLoad(&load, part, capacity, *seeds, *workers)
 		}
 		if *recovery {
-			measureRecovery(&load, capacity, *seeds, *workers)
+			measureRecovery(&load, *seeds, *workers)
 		}
 	}
 	fmt.Fprintf(os.Stderr, "took %s\n", time.Since(began).Round(time.Second))
--- a/bench/policy/measures.go
+++ b/bench/policy/measures.go
@@ -18,6 +18,7 @@
 	firstTag    *hdrhistogram.Histogram
 	stall       time.Duration
 	preemptions int
+	yields      int
 	redone      int
 	wasted      int
 	goodTokens  int
--- a/bench/policy/recovery.go
+++ b/bench/policy/recovery.go
@@ -14,13 +14,19 @@
 	"almondseam.dev/core/api"
 )
 
-// overload is the recovery run's shape: 0.6 of capacity, then 1.3, then 0.6
+// overloads are the loads of the recovery runs at their peak. The second is
+// heavy enough that callers are refused or give up, and come back.
+var overloads = []float64{1.3, 2}
+
+// overload is the shape of a recovery run: 0.6 of capacity, then peak, then 0.6
 // again, as parts of the peak.
-func overload(at float64) float64 {
-	if at >= 0.25 && at < 0.6 {
-		return 1
+func overload(peak float64) func(at float64) float64 {
+	return func(at float64) float64 {
+		if at >= 0.25 && at < 0.6 {
+			return 1
+		}
+		return 0.6 / peak
 	}
-	return 0.6 / 1.3
 }
 
 // maxRetries bounds how often a caller comes back.
@@ -51,20 +57,30 @@
 }
 
 // measureRecovery prints the goodput before, in and after an overload in which
-// refused callers come back.
-func measureRecovery(load *workload, capacity float64, seeds, workers int) {
+// refused callers come back. Lengths don't shift here, so the capacity is
+// measured for them.
+func measureRecovery(shifting *workload, seeds, workers int) {
+	steady := *shifting
+	steady.shift = 1
+	capacity := measureCapacity(&steady, workers)
+	for _, peak := range overloads {
+		measureOverload(&steady, peak, capacity, seeds, workers)
+	}
+}
+
+func measureOverload(load *workload, peak, capacity float64, seeds, workers int) {
 	cols := columns()
 	all := make([][]*measures, len(cols))
 	p := pool.New().WithMaxGoroutines(workers)
 	for i, col := range cols {
 		all[i] = make([]*measures, seeds)
 		for s := range seeds {
-			p.Go(func() { all[i][s] = recoverOnce(load, col, capacity, uint64(s)+1) })
+			p.Go(func() { all[i][s] = recoverOnce(load, col, peak, capacity, uint64(s)+1) })
 		}
 	}
 	p.Wait()
-	fmt.Printf("\n### %s: 0.6 of capacity, 1.3 from %d s to %d s, 0.6 again; callers come back up to %d times\n\n",
-		load.name, int(load.length.Seconds()*0.25), int(load.length.Seconds()*0.6), maxRetries)
+	fmt.Printf("\n### %s: 0.6 of capacity (%.1f requests/s), %.1f from %d s to %d s, 0.6 again; callers come back up to %d times\n\n",
+		load.name, capacity, peak, int(load.length.Seconds()*0.25), int(load.length.Seconds()*0.6), maxRetries)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
 	total := load.length.Seconds()
@@ -87,6 +103,19 @@
 		}
 		fmt.Fprintln(out, strings.Join(line, "\t"))
 	}
+	counts := []row{
+		{"requests sent, those that came back included", func(m *measures) float64 { return float64(m.calls) }, false, 0},
+		{"completed", func(m *measures) float64 { return float64(m.good) }, true, 0},
+		{"first token p95, s", func(m *measures) float64 { return float64(m.first.ValueAtQuantile(95)) / 1e6 }, false, 2},
+	}
+	for _, r := range counts {
+		line := []string{r.name}
+		for i := range cols {
+			median, worst := r.spread(all[i])
+			line = append(line, fmt.Sprintf("%.*f (%.*f)", r.digits, median, r.digits, worst))
+		}
+		fmt.Fprintln(out, strings.Join(line, "\t"))
+	}
 }
 
 func spanOf(runs []*measures, from, to float64) string {
@@ -102,11 +131,9 @@
 	return fmt.Sprintf("%.0f (%.0f)", v[len(v)/2], v[0])
 }
 
-func recoverOnce(load *workload, col column, capacity float64, seed uint64) *measures {
-	steady := *load
-	steady.shift = 1
-	w := newWorld(&steady, seed, col)
+func recoverOnce(load *workload, col column, peak, capacity float64, seed uint64) *measures {
+	w := newWorld(load, seed, col)
 	callersRetry(w, load.length)
-	w.run(steady.generate(seed, 1.3*capacity, overload), load.length)
+	w.run(load.generate(seed, peak*capacity, overload(peak)), load.length)
 	return w.m
 }
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -27,9 +27,11 @@
 	return []row{
 		{"stall time, s", func(m *measures) float64 { return m.stall.Seconds() }, false, 1},
 		{"preemptions", func(m *measures) float64 { return float64(m.preemptions) }, false, 0},
+		{"yielded before any token", func(m *measures) float64 { return float64(m.yields) }, false, 0},
 		{"between tokens p50, ms", gap(50), false, 1},
 		{"between tokens p95, ms", gap(95), false, 1},
 		{"between tokens p99, ms", gap(99), false, 1},
+		{"between tokens p99.9, ms", gap(99.9), false, 1},
 		{"first token p95, s", func(m *measures) float64 { return float64(m.first.ValueAtQuantile(95)) / 1e6 }, false, 2},
 		{"first token of short p95, s", func(m *measures) float64 { return float64(m.firstTag.ValueAtQuantile(95)) / 1e6 }, false, 2},
 		{"goodput, tokens/s", func(m *measures) float64 { return float64(m.goodTokens) / total }, true, 0},
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -120,7 +120,10 @@
 	for _, c := range calls {
 		w.at(c.arrived, func() { w.arrive(c) })
 	}
-	w.every(reportEvery, end, func() { w.place.tick(w) })
+	w.every(reportEvery, end, func() {
+		w.place.tick(w)
+		w.yield()
+	})
 	w.every(sweepEvery, end, w.sweep)
 	for len(w.events) > 0 {
 		ev := heap.Pop(&w.events).(event)
@@ -242,6 +245,20 @@
 	w.kick(n)
 }
 
+// yield lets our gates make room where an engine's late report shows no memory.
+func (w *world) yield() {
+	for _, n := range w.nodes {
+		g, ok := n.gate.(*ours)
+		if !ok || n.dead {
+			continue
+		}
+		if c := g.yield(n.eng.Report(epoch.Add(w.now)).Free); c != nil {
+			n.eng.Cancel(string(c.id), epoch.Add(w.now))
+			w.m.yields++
+		}
+	}
+}
+
 // leave takes a call off its node.
 func (w *world) leave(c *call) {
 	delete(c.node.calls, string(c.id))
