control: run the role from almondseam, hold changes of the group, tell operators' addresses

Cause: on a trial of three processes, a member killed with SIGKILL still counted as active for half a second, and removing another within it was accepted and left the group without a majority; two members never told where their operators connect; status of a minority exited 0. Change: promotions and removals wait one election timeout before they are checked, so that only members which answered since the request count; each member tells its operator address itself; almondctl status exits 4 without a majority. The control role opens its data folder, bootstraps once, and has metrics and events. Before: members remove accepted 0.1 s after the kill.

--- a/cmd/almondctl/status.go
+++ b/cmd/almondctl/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,7 +25,13 @@
 	}
 	fleet := &table{head: []string{"LEADER", "TERM", "MAJORITY", "COMMIT", "REVISION", "CLAIMS", "ANSWERED BY"}}
 	fleet.add(s.Leader, s.Term, s.Majority, s.Commit, s.Revision, s.Claims, s.Answered)
-	return c.print(s, fleet, membersTable(s.Members), sitesTable(s.Sites), targetsTable(s.Targets))
+	if err := c.print(s, fleet, membersTable(s.Members), sitesTable(s.Sites), targetsTable(s.Targets)); err != nil {
+		return err
+	}
+	if !s.Majority {
+		return &exitError{exitUnavailable, errors.New("no majority stands behind this view")}
+	}
+	return nil
 }
 
 func (c *cli) targets() error {
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -83,6 +83,7 @@
 	metrics *metrics.Set
 	roles   []role
 	entry   *process.Entry
+	control *process.Control
 	ops     *ops.Server
 	work    conc.WaitGroup
 	// atStop runs after the roles have stopped.
@@ -93,6 +94,14 @@
 	if err := n.startOps(); err != nil {
 		return err
 	}
+	if n.set.has(roleControl) {
+		c, err := n.newControl()
+		if err != nil {
+			return err
+		}
+		n.control = c
+		n.roles = append(n.roles, c)
+	}
 	if n.set.has(roleEntry) {
 		e, err := n.newEntry()
 		if err != nil {
@@ -176,11 +185,18 @@
 	if n.entry != nil {
 		failed = n.entry.Failed()
 	}
+	var ended <-chan struct{}
+	if n.control != nil {
+		ended = n.control.Ended()
+	}
 	select {
 	case <-sig:
 	case err := <-failed:
 		events.ProcessFailed.Log(n.log).Err(err).Send()
 		return exitFailed
+	case <-ended:
+		events.ProcessFailed.Log(n.log).Err(n.control.Stop(context.Background())).Send()
+		return exitFailed
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
 	defer cancel()
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -47,6 +47,8 @@
 	queue    int
 	priority bool
 	fences   bool
+
+	control controlSettings
 }
 
 func (s *settings) flags(c *kingpin.CmdClause) {
@@ -72,6 +74,7 @@
 	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it.").Default("256").IntVar(&s.queue)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
 	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
+	s.control.flags(c)
 }
 
 func (s *settings) has(role string) bool {
@@ -94,6 +97,11 @@
 			return err
 		}
 	}
+	if s.has(roleControl) {
+		if err := s.control.check(); err != nil {
+			return err
+		}
+	}
 	if s.has(roleEntry) && len(s.conf) == 0 {
 		return errors.New("--config: the entry role needs a configuration file")
 	}
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -138,7 +138,7 @@
 		case c.req.Read:
 			reads = append(reads, c)
 		case c.req.Change != nil:
-			m.startChange(c)
+			m.takeChange(c)
 		case c.req.Status:
 			m.answerStatus(c)
 		default:
@@ -265,6 +265,43 @@
 	m.readyReads = kept
 }
 
+// heldChange is a membership change that waits for its tick.
+type heldChange struct {
+	call *call
+	due  int
+}
+
+// takeChange starts a change, or holds it for a while when it takes a vote away
+// or gives one.
+//
+// Failure: a member dies, and within the second an operator removes another one
+// for good. Symptom: the dead member still counts as active, because it answered
+// within the last election timeout; the change passes, and the group that is
+// left has no majority. Held for an election timeout, the check counts only
+// members that have answered since the operator asked.
+func (m *Member) takeChange(c *call) {
+	if c.req.Change.Type == consensus.ChangeAddLearner || m.role != consensus.RoleLeader {
+		m.startChange(c)
+		return
+	}
+	m.held = append(m.held, heldChange{c, m.ticks + m.electionTicks() + 1})
+}
+
+func (m *Member) electionTicks() int {
+	if n := m.opt.Consensus.ElectionTicks; n > 0 {
+		return n
+	}
+	return consensus.DefaultElectionTicks
+}
+
+func (m *Member) releaseChanges() {
+	for len(m.held) > 0 && m.held[0].due <= m.ticks {
+		c := m.held[0].call
+		m.held = m.held[1:]
+		m.startChange(c)
+	}
+}
+
 func (m *Member) startChange(c *call) {
 	ch := c.req.Change
 	err := m.node.ProposeChange(consensus.Change{Type: ch.Type, ID: ch.ID, Addr: ch.Addr})
@@ -299,6 +336,10 @@
 		c.answer(lost(c.req))
 	}
 	m.changes = nil
+	for _, h := range m.held {
+		h.call.answer(m.refused(h.call.req, api.ReasonControlUnavailable, "leadership lost"))
+	}
+	m.held = nil
 	for ctx, calls := range m.reads {
 		delete(m.reads, ctx)
 		for _, c := range calls {
@@ -311,17 +352,9 @@
 	return &Reply{ID: req.ID, Outcome: api.OutcomeUnknown, Reason: api.ReasonControlUnavailable, Message: "leadership lost; it may still take effect"}
 }
 
-// keepClock moves the replicated clock while nothing else does, and tells the
-// group this leader's operator address once.
+// keepClock moves the replicated clock while nothing else does.
 func (m *Member) keepClock() {
-	command := &state.Command{}
-	if !m.toldSelf {
-		info := m.opt.Info
-		info.ID = uint64(m.opt.ID)
-		command.Member = &info
-		m.toldSelf = true
-	}
-	m.propose([]*call{{req: &Request{Command: command}, done: func(*Reply) {}}})
+	m.propose([]*call{{req: &Request{Command: &state.Command{}}, done: func(*Reply) {}}})
 }
 
 func (m *Member) answerStatus(c *call) {
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -39,8 +39,6 @@
 	Tick     time.Duration
 	Validate Validator
 	Observer Observer
-	// Info is what this member tells of itself.
-	Info state.MemberInfo
 	// SnapshotEntries is how many applied entries make a snapshot due.
 	SnapshotEntries uint64
 }
@@ -65,8 +63,8 @@
 	term        uint64
 	lastSnap    uint64
 	lastCommand time.Time
-	toldSelf    bool
 	ticks       int
+	held        []heldChange
 	members     consensus.Membership
 
 	// mu guards the state between Apply and its readers.
@@ -184,6 +182,7 @@
 	if m.ticks%statusRefresh == 0 {
 		m.publish()
 	}
+	m.releaseChanges()
 	if m.role != consensus.RoleLeader {
 		return
 	}
@@ -338,7 +337,6 @@
 	}
 	if leads && (!led || another) {
 		m.clock = startClock(m.state.Now(), time.Now())
-		m.toldSelf = false
 	}
 	m.role = rd.Role
 	m.term = rd.HardState.Term
--- /dev/null
+++ b/node/control/observe.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/node/events"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+	"github.com/rs/zerolog"
+)
+
+const namespace = "almondseam_control"
+
+// Metrics is the Observer of a running member: counters and events.
+type Metrics struct {
+	log       *zerolog.Logger
+	saves     *prometheus.HistogramVec
+	entries   prometheus.Counter
+	applied   prometheus.Counter
+	refusals  *prometheus.CounterVec
+	leaders   prometheus.Counter
+	term      prometheus.Gauge
+	leads     prometheus.Gauge
+	snapshots *prometheus.CounterVec
+	dropped   prometheus.Counter
+	self      consensus.MemberID
+}
+
+// NewMetrics registers a member's metrics.
+func NewMetrics(reg prometheus.Registerer, log *zerolog.Logger, self consensus.MemberID) *Metrics {
+	f := promauto.With(reg)
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+	}
+	gauge := func(name, help string) prometheus.GaugeOpts {
+		return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	}
+	m := &Metrics{
+		log:  log,
+		self: self,
+		saves: f.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "save_seconds",
+			Help:      "Time of a save to the data folder, by whether it was synced.",
+			Buckets:   prometheus.ExponentialBuckets(0.0001, 2, 14),
+		}, []string{"sync"}),
+		entries:   f.NewCounter(counter("saved_entries_total", "Log entries saved.")),
+		applied:   f.NewCounter(counter("applied_entries_total", "Log entries applied.")),
+		refusals:  f.NewCounterVec(counter("refusals_total", "Requests to this member that were refused, by reason."), []string{"reason"}),
+		leaders:   f.NewCounter(counter("leader_changes_total", "Changes of leader seen by this member.")),
+		term:      f.NewGauge(gauge("term", "Term of the agreement.")),
+		leads:     f.NewGauge(gauge("leads", "1 while this member leads.")),
+		snapshots: f.NewCounterVec(counter("snapshots_total", "Snapshots, taken here or received."), []string{"how"}),
+		dropped:   f.NewCounter(counter("inbox_dropped_total", "Messages of peers dropped for want of room.")),
+	}
+	for r := range api.Reasons {
+		m.refusals.WithLabelValues(string(r))
+	}
+	return m
+}
+
+// Saved implements Observer.
+func (m *Metrics) Saved(entries int, sync bool, took time.Duration) {
+	label := "no"
+	if sync {
+		label = "yes"
+	}
+	m.saves.WithLabelValues(label).Observe(took.Seconds())
+	m.entries.Add(float64(entries))
+}
+
+// Applied implements Observer.
+func (m *Metrics) Applied(n int) { m.applied.Add(float64(n)) }
+
+// Refused implements Observer.
+func (m *Metrics) Refused(reason api.Reason) {
+	m.refusals.WithLabelValues(string(reason)).Inc()
+	if reason == api.ReasonUnauthenticated || reason == api.ReasonForbidden {
+		events.ControlStranger.Log(m.log).Str("reason", string(reason)).Send()
+	}
+}
+
+// LeaderChanged implements Observer.
+func (m *Metrics) LeaderChanged(leader consensus.MemberID, term uint64) {
+	m.leaders.Inc()
+	m.term.Set(float64(term))
+	m.leads.Set(0)
+	if leader == m.self {
+		m.leads.Set(1)
+	}
+	e := events.ControlLeader
+	if leader == 0 {
+		e = events.ControlNoLeader
+	}
+	e.Log(m.log).Uint64("leader", uint64(leader)).Uint64("term", term).Send()
+}
+
+// Snapshotted implements Observer.
+func (m *Metrics) Snapshotted(index uint64, bytes int, received bool) {
+	how := "taken"
+	if received {
+		how = "received"
+	}
+	m.snapshots.WithLabelValues(how).Inc()
+	events.ControlSnapshot.Log(m.log).Uint64("index", index).Int("bytes", bytes).Str("how", how).Send()
+}
+
+// InboxFull implements Observer.
+func (m *Metrics) InboxFull() { m.dropped.Inc() }
+
+// Failed implements Observer.
+func (m *Metrics) Failed(err error) { events.ControlFailed.Log(m.log).Err(err).Send() }
--- a/node/control/recovery_test.go
+++ b/node/control/recovery_test.go
@@ -163,7 +163,8 @@
 	})
 }
 
-// Removing a member that would leave no reachable majority is refused and says
+// A member dies and an operator at once removes another, before anybody can have
+// noticed the death. Removing a member that would leave no reachable majority is refused and says
 // why, and so is promoting what is no learner.
 func TestMemberChangesThatLoseTheMajorityAreRefused(t *testing.T) {
 	inBubble(t, func(t *testing.T, g *group) {
@@ -175,7 +176,6 @@
 				break
 			}
 		}
-		time.Sleep(2 * time.Second)
 		var up consensus.MemberID
 		for _, id := range g.ids() {
 			if id != lead {
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
@@ -79,7 +80,6 @@
 		Transport:       deferred{r},
 		Validate:        s.Validate,
 		Observer:        s.Observer,
-		Info:            state.MemberInfo{Operator: s.OperatorAddr, Zone: s.Zone},
 		SnapshotEntries: s.SnapshotEntries,
 	})
 	if err != nil {
@@ -110,12 +110,29 @@
 	}
 	forward := NewClient(ClientOptions{Seeds: []string{s.Link.Addr().String()}, Link: opt})
 	r.wg.Go(func() { forward.Run(ctx) })
-	r.operator = NewOperator(r.member, forward, s.Token).App()
+	operator := NewOperator(r.member, forward, s.Token)
+	r.operator = operator.App()
+	info := state.MemberInfo{ID: uint64(s.ID), Operator: s.OperatorAddr, Zone: s.Zone}
+	r.wg.Go(func() { tellSelf(ctx, operator, info) })
 	r.wg.Go(func() {
 		_ = r.operator.Listener(s.Operator, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 }
 
+const tellPause = time.Second
+
+// tellSelf tells the group where this member's operators connect, until that is
+// recorded. A member that waits to be added tries on meanwhile.
+func tellSelf(ctx context.Context, o *Operator, info state.MemberInfo) {
+	for ctx.Err() == nil {
+		r := o.exec(Request{Command: &state.Command{Member: &info}})
+		if r.Outcome == api.OutcomeCompleted {
+			return
+		}
+		sleep(ctx, tellPause)
+	}
+}
+
 // Member gives the role's member.
 func (r *Role) Member() *Member { return r.member }
 
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -42,6 +42,12 @@
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
 	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+	ControlStarted   = Event{500, zerolog.InfoLevel, "control member started", "None."}
+	ControlLeader    = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
+	ControlNoLeader  = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
+	ControlSnapshot  = Event{503, zerolog.InfoLevel, "control snapshot", "None."}
+	ControlStranger  = Event{504, zerolog.WarnLevel, "control refused a stranger", "Find who calls the operator interface with a wrong token, or which process asks for what only operators may."}
+	ControlFailed    = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save the disk is to be checked before the member is started again; a lost data folder is replaced by a new member (almondctl members add, promote, remove)."}
 	ConfigInForce    = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable   = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict   = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -56,6 +62,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite,
 	}
 }
--- /dev/null
+++ b/node/process/control.go
@@ -0,0 +1,137 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/state"
+	"almondseam.dev/node/control"
+	"almondseam.dev/node/durable"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/metrics"
+	"github.com/rs/zerolog"
+)
+
+// ControlSettings are the process settings of the control role.
+type ControlSettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	// Token lets operators in.
+	Token string
+	// Dir is the data folder. Losing it makes this a new member.
+	Dir string
+	// Links and Operator are where members and entries, and operators, connect.
+	Links    net.Listener
+	Operator net.Listener
+	// Advertise is the address by which other members dial Links; by default
+	// the address that Links listens on.
+	Advertise string
+	// Bootstrap starts a new group of this member alone when the folder is
+	// empty. Exactly one member of a fleet is ever started with it.
+	Bootstrap bool
+}
+
+// Control is a running control role with its data folder.
+type Control struct {
+	set   ControlSettings
+	log   *zerolog.Logger
+	store *durable.Store
+	role  *control.Role
+	ready control.Settings
+}
+
+// NewControl opens the data folder; Start runs the role.
+func NewControl(set ControlSettings, m *metrics.Set, log *zerolog.Logger) (*Control, error) {
+	store, restored, err := durable.Open(durable.OS{}, set.Dir)
+	if err != nil {
+		return nil, err
+	}
+	if set.Advertise == "" {
+		set.Advertise = set.Links.Addr().String()
+	}
+	c := &Control{set: set, log: log, store: store}
+	if set.Bootstrap && empty(restored) {
+		if restored, err = c.bootstrap(); err != nil {
+			_ = store.Close()
+			return nil, err
+		}
+	}
+	c.ready = control.Settings{
+		ID:           store.ID(),
+		Restored:     restored,
+		Storage:      store,
+		Link:         set.Links,
+		Operator:     set.Operator,
+		OperatorAddr: set.Operator.Addr().String(),
+		Zone:         set.Zone,
+		Instance:     set.Instance,
+		Key:          set.Key,
+		Token:        set.Token,
+		Validate:     validDocument,
+		Observer:     control.NewMetrics(m.Registry, log, store.ID()),
+		LinkObserver: m,
+		Limits:       state.DefaultLimits(),
+	}
+	c.role, err = control.Start(c.ready)
+	if err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// firstIndex is that of the snapshot a bootstrap writes.
+const firstIndex = 1
+
+// empty tells whether a folder has never been part of a group. A folder that has
+// must not be bootstrapped again: it would be a second group under one name. One
+// whose bootstrap was cut short after its first file still counts as empty.
+func empty(r consensus.Restored) bool {
+	return r.HardState == (consensus.HardState{}) && r.Snapshot.Index <= firstIndex && len(r.Entries) == 0
+}
+
+func (c *Control) bootstrap() (consensus.Restored, error) {
+	first := consensus.Membership{Voters: []consensus.Member{{ID: c.store.ID(), Addr: c.set.Advertise}}}
+	r, err := consensus.Bootstrap(first, nil)
+	if err != nil {
+		return r, err
+	}
+	if err := c.store.SaveSnapshot(r.Snapshot); err != nil {
+		return r, err
+	}
+	return r, c.store.Save(&r.HardState, r.Entries, true)
+}
+
+func validDocument(document []byte) error {
+	d, err := fleetconfig.DecodeDocument(document)
+	if err != nil {
+		return err
+	}
+	return d.Check()
+}
+
+// Start tells that the role runs; the member has been at work since NewControl.
+func (c *Control) Start() {
+	events.ControlStarted.Log(c.log).Uint64("member", uint64(c.store.ID())).
+		Str("links", c.set.Advertise).Str("operators", c.set.Operator.Addr().String()).Send()
+}
+
+// Ended is closed when the member has stopped; Stop then gives the reason.
+func (c *Control) Ended() <-chan struct{} { return c.role.Ended() }
+
+// ID is the member's ID, which `almondctl members add` asks for.
+func (c *Control) ID() consensus.MemberID { return c.store.ID() }
+
+// Stop ends the role and frees the data folder.
+func (c *Control) Stop(context.Context) error {
+	err := c.role.Stop()
+	if cerr := c.store.Close(); err == nil && cerr != nil {
+		err = fmt.Errorf("close data folder: %w", cerr)
+	}
+	return err
+}
