--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -97,9 +97,12 @@
 		return err
 	}
 	if n.set.has(roleControl) {
-		if err := n.addControl(); err != nil {
+		c, err := n.newControl()
+		if err != nil {
 			return err
 		}
+		n.control = c
+		n.roles = append(n.roles, c)
 	}
 	if n.set.has(roleEntry) {
 		if err := n.addEntry(); err != nil {
@@ -135,47 +138,15 @@
 	return true, ""
 }
 
-func (n *node) addControl() error {
-	links, err := listen("control-listen", n.set.controlLink)
-	if err != nil {
-		return err
-	}
-	operator, err := listen("operator-listen", n.set.operator)
-	if err != nil {
-		return err
-	}
-	advertise := n.set.advertise
-	if advertise == "" {
-		advertise = links.Addr().String()
-	}
-	c, err := process.NewControl(process.ControlSettings{
-		Instance:  api.InstanceID(n.set.instance),
-		Zone:      n.set.zoneID(),
-		Key:       []byte(n.set.key),
-		Token:     n.set.token,
-		DataDir:   n.set.dataDir,
-		Bootstrap: n.set.bootstrap,
-		Links:     links,
-		Operator:  operator,
-		Advertise: advertise,
-	}, process.ControlPorts{Metrics: n.metrics, Log: n.log})
-	if err != nil {
-		return fmt.Errorf("--data-dir: %w", err)
-	}
-	n.control = c
-	n.roles = append(n.roles, c)
-	return nil
-}
-
 func (n *node) addEntry() error {
 	ports := process.EntryPorts{Metrics: n.metrics, Log: n.log}
 	var coupling *process.EntryControl
-	if len(n.set.control) > 0 {
+	if len(n.set.members) > 0 {
 		coupling = process.NewEntryControl(process.ControlLinkSettings{
 			Instance: api.InstanceID(n.set.instance),
 			Zone:     n.set.zoneID(),
 			Key:      []byte(n.set.key),
-			Seeds:    n.set.control,
+			Seeds:    n.set.members,
 		}, n.metrics, n.log)
 		n.roles = append(n.roles, coupling)
 		ports.Live, ports.Hub, ports.Claimer = coupling.Live(), coupling.Hub(), coupling.Claimer()
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -42,14 +42,8 @@
 
 	entryPeers map[string]string
 
-	control     []string
-	dataDir     string
-	bootstrap   bool
-	controlLink string
-	advertise   string
-	operator    string
-	token       string
-	tokenFile   string
+	members []string
+	control controlSettings
 
 	seeds    []string
 	target   string
@@ -77,14 +71,8 @@
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
 	c.Flag("entry-peer", "entry: another entry that shares the customers' limits, INSTANCE=HOST:PORT with the address of its links; each entry must name all others.").StringMapVar(&s.entryPeers)
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
-	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.control)
-	c.Flag("data-dir", "control: folder for the member's state; nothing else may use it.").StringVar(&s.dataDir)
-	c.Flag("bootstrap", "control: found a new group of one in an empty folder; for the very first member only.").BoolVar(&s.bootstrap)
-	c.Flag("control-listen", "control: address for members and entries.").Default("127.0.0.1:8082").StringVar(&s.controlLink)
-	c.Flag("control-advertise", "control: address under which the other members reach this one; the one it listens on by default.").StringVar(&s.advertise)
-	c.Flag("operator-listen", "control: address for almondctl.").Default("127.0.0.1:8083").StringVar(&s.operator)
-	c.Flag("operator-token", "control: token of the operators; better given by --operator-token-file.").StringVar(&s.token)
-	c.Flag("operator-token-file", "control: file that holds the operators' token.").StringVar(&s.tokenFile)
+	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.members)
+	s.control.flags(c)
 	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
 	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
 	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
@@ -118,11 +106,11 @@
 		}
 	}
 	if s.has(roleControl) {
-		if err := s.checkControl(); err != nil {
+		if err := s.control.check(); err != nil {
 			return err
 		}
 	}
-	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.control) == 0) {
+	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.members) == 0) {
 		return errors.New("--control or --config: the entry role needs its configuration from one of them")
 	}
 	return nil
@@ -137,13 +125,6 @@
 	return out
 }
 
-func (s *settings) checkControl() error {
-	if s.dataDir == "" {
-		return errors.New("--data-dir: the control role needs a data folder")
-	}
-	return loadSecret("operator-token", s.tokenFile, &s.token)
-}
-
 func (s *settings) checkAgent() error {
 	switch {
 	case s.target == "":
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
@@ -13,6 +14,18 @@
 	"github.com/sourcegraph/conc"
 )
 
+// ControlLinkSettings connect an entry to the control group.
+type ControlLinkSettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	// Seeds are the link addresses of control members.
+	Seeds []string
+}
+
+// reportEvery is the pace at which an entry tells control what it runs.
+const reportEvery = time.Second
+
 // EntryControl couples an entry to the control group: the configuration comes
 // from there, claims go there, and what runs here is reported there.
 type EntryControl struct {
