Do not bury a running request when the entry's driver is late

Change: the link's reading goroutine marks an offer as answered; the driver looks there before it buries. Conclusion: deadlines are judged by what has arrived, not by what was read.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -179,6 +179,7 @@
 	if g == nil {
 		return
 	}
+	g.heard.Store(true)
 	g.answer.setPhase(wire.PhaseQueued, m.Position)
 	g.tell(m)
 }
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -169,3 +169,29 @@
 		b.c.Assert(time.Since(start), qt.Equals, time.Duration(0))
 	})
 }
+
+// The machine is so busy that the driver runs again only after the deadline of
+// the offer, with the agent's acceptance waiting for it. It must not bury the
+// request: the agent would cut off what is running.
+func TestLateDriverDoesNotBuryARunningRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 { // the runtime chooses at random between what is ready
+			b := newBench(t)
+			a := b.agent("t1", 1)
+			p := b.entry.peers.get("t1")
+			g := newLeg(&Request{ID: "r1"}, newAnswer(), 1, p, b.drops)
+			b.entry.legs.add(g)
+			f := follower{e: b.entry, g: g, deadline: time.NewTimer(time.Second)}
+			a.say(&wire.Accepted{Key: g.key, Generation: "g"})
+			time.Sleep(2 * time.Second)
+			for range 2 {
+				done, err := f.step(t.Context())
+				b.c.Assert(done, qt.IsFalse, qt.Commentf("%v", err))
+				if f.accepted {
+					break
+				}
+			}
+			a.hush()
+		}
+	})
+}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -83,6 +83,9 @@
 // overdue: the agent has not answered the offer. The offer may be held up
 // anywhere; a tombstone settles whether it can still start.
 func (f *follower) overdue() (bool, error) {
+	if f.g.heard.Load() {
+		return false, nil
+	}
 	if f.buried {
 		return true, f.e.fail(f.g, api.StepDispatch, f.lost(), api.ReasonTimeout, errors.New("agent answers neither offer nor tombstone"))
 	}
@@ -155,7 +158,7 @@
 
 func (f *follower) resume(p *peer) (bool, error) {
 	f.g.relink(p.to)
-	if f.accepted {
+	if f.accepted || f.g.heard.Load() {
 		_ = p.to.Send(f.g.resume())
 		f.g.answer.setPhase(wire.PhaseStarted, 0)
 		return false, nil
--- a/node/entry/leg.go
+++ b/node/entry/leg.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -19,6 +20,10 @@
 	inc    api.Incarnation
 	obs    Observer
 	echo   time.Duration // the agent's clock, for a claimed call
+	// heard is set, on the link's reading goroutine, once the agent has answered
+	// the offer. The driver may be far behind on a busy machine: going by its own
+	// reading it would bury a request that is running, and cut it off.
+	heard atomic.Bool
 	// news carries everything but items to the driver. It is buffered; what
 	// finds it full is a repeat that the driver does not need.
 	news chan wire.Message
