--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -21,6 +21,7 @@
 	only := app.Flag("only", "Run only this workload (0 or 1).").Default("-1").Int()
 	loads := app.Flag("load", "Loads to run, in parts of capacity.").Default("0.7", "1.0", "1.3").Float64List()
 	recovery := app.Flag("recovery", "Run the overload and recovery as well.").Default("true").Bool()
+	ways := app.Flag("ways", "Compare ways to place, before the product's own gates, instead of the baselines.").Bool()
 	app.Flag("margin", "Trial: the controller's first margin.").FloatVar(&trial.Margin)
 	app.Flag("preempt-rate", "Trial: preemptions per start that the margin settles at.").FloatVar(&trial.PreemptRate)
 	app.Flag("prefill-budget", "Trial: prompt tokens computed at once.").IntVar(&trial.PrefillBudget)
@@ -34,9 +35,13 @@
 		capacity := measureCapacity(&load, *workers)
 		fmt.Printf("\n## %s: %d engines, capacity %.1f requests/s (true lengths known, no faults)\n", load.name, load.engines, capacity)
 		for _, part := range *loads {
+			if *ways {
+				measureWays(&load, part, capacity, *seeds, *workers)
+				continue
+			}
 			measureLoad(&load, part, capacity, *seeds, *workers)
 		}
-		if *recovery {
+		if *recovery && !*ways {
 			measureRecovery(&load, *seeds, *workers)
 		}
 	}
@@ -114,9 +119,8 @@
 	return w.m
 }
 
-// measureLoad runs every column with every seed and prints the table.
-func measureLoad(load *workload, part, capacity float64, seeds, workers int) {
-	cols := columns()
+// runColumns gives the measures of each column and seed.
+func runColumns(load *workload, cols []column, part, capacity float64, seeds, workers int) [][]*measures {
 	all := make([][]*measures, len(cols))
 	p := pool.New().WithMaxGoroutines(workers)
 	for i, col := range cols {
@@ -126,6 +130,13 @@
 		}
 	}
 	p.Wait()
+	return all
+}
+
+// measureLoad runs every column with every seed and prints the table.
+func measureLoad(load *workload, part, capacity float64, seeds, workers int) {
+	cols := columns()
+	all := runColumns(load, cols, part, capacity, seeds, workers)
 	fmt.Printf("\n### %s at %.1f of capacity, %d seeds: median (worst)\n\n", load.name, part, seeds)
 	printTable(load, cols, all)
 	if part >= 1 {
--- a/bench/policy/routers.go
+++ b/bench/policy/routers.go
@@ -153,8 +153,7 @@
 
 func (p *bids) choose(w *world, c *call) []*node {
 	now := epoch.Add(w.now)
-	q := routing.Query{Model: "m", Zone: zone(c.entry), Prefix: c.prefix, Prompt: c.prompt, Avoid: c.avoid}
-	p.buf = p.routers[c.entry].Choose(p.buf[:0], q, now, p.rng)
+	p.buf = p.routers[c.entry].Choose(p.buf[:0], c.query(), now, p.rng)
 	var got []routing.Bid
 	for _, cand := range p.buf {
 		n := w.byID[cand.ID]
@@ -184,6 +183,11 @@
 	return out[:min(1, len(out))]
 }
 
+// query is the router's view of a call.
+func (c *call) query() routing.Query {
+	return routing.Query{Model: "m", Zone: zone(c.entry), Prefix: c.prefix, Prompt: c.prompt, Avoid: c.avoid}
+}
+
 func (p *bids) sent(w *world, c *call) {
 	p.tables[c.entry].Sent(c.node.id, c.prompt, epoch.Add(w.now))
 	p.tables[c.entry].Succeeded(c.node.id)
--- /dev/null
+++ b/bench/policy/ways.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"fmt"
+
+	"almondseam.dev/core/routing"
+)
+
+// placementWays are ways to place requests before the same gates, so that they
+// differ in nothing but who decides with what knowledge. The last is the
+// product's own.
+func placementWays() []column {
+	reports := func(every int) func(w *world) placer {
+		return func(w *world) placer { return &reportsOnly{bids: newBids(w), every: every} }
+	}
+	asking := func(n int) func(w *world) placer {
+		return func(w *world) placer {
+			p := newBids(w)
+			for i, t := range p.tables {
+				p.routers[i] = routing.NewRouter(t, routing.Options{Ask: n})
+			}
+			return p
+		}
+	}
+	return []column{
+		{"central", ownGate, func(w *world) placer { return &central{newBids(w)} }},
+		{"reports 0.2 s", ownGate, reports(1)},
+		{"reports 1 s", ownGate, reports(5)},
+		{"reports 5 s", ownGate, reports(25)},
+		{"1 bid", ownGate, asking(1)},
+		{"3 bids", ownGate, asking(3)},
+		{"2 bids, reports 5 s", ownGate, func(w *world) placer { return &slowReports{bids: newBids(w), every: 25} }},
+		{"2 bids", ownGate, func(w *world) placer { return newBids(w) }},
+	}
+}
+
+// reportsOnly offers to the router's first choice without asking for a bid; it
+// knows the targets by their reports alone.
+type reportsOnly struct {
+	*bids
+	every, ticks int
+}
+
+func (p *reportsOnly) choose(w *world, c *call) []*node {
+	now := epoch.Add(w.now)
+	p.buf = p.routers[c.entry].Choose(p.buf[:0], c.query(), now, p.rng)
+	for _, cand := range p.buf {
+		if n := w.byID[cand.ID]; n.open() {
+			return []*node{n}
+		}
+	}
+	return nil
+}
+
+func (p *reportsOnly) tick(w *world) { everyNth(p.bids, w, &p.ticks, p.every) }
+
+// slowReports is the product's own placing with rarer reports.
+type slowReports struct {
+	*bids
+	every, ticks int
+}
+
+func (p *slowReports) tick(w *world) { everyNth(p.bids, w, &p.ticks, p.every) }
+
+// everyNth passes on every n-th report, and all of what came and went.
+func everyNth(p *bids, w *world, ticks *int, n int) {
+	*ticks++
+	if *ticks%n == 0 {
+		p.tick(w)
+		return
+	}
+	for _, nd := range w.nodes {
+		for _, t := range p.tables {
+			if nd.dead {
+				t.Remove(nd.id, 1)
+			} else if nd.leaving {
+				t.Leave(nd.id, 1)
+			}
+		}
+	}
+}
+
+// central asks every target at once, as a placer could that knows all of them
+// without lag: the best that bids can give, and more than an entry can know.
+type central struct{ *bids }
+
+func (p *central) choose(w *world, c *call) []*node {
+	var got []routing.Bid
+	for _, n := range w.nodes {
+		if !n.open() {
+			continue
+		}
+		b := routing.Bid{From: routing.Candidate{ID: n.id, Own: true}}
+		b.Bid = n.gate.(*ours).ctl.Bid(c.request(epoch), epoch.Add(w.now))
+		if b.Refuse != "" {
+			c.refused, c.retryAfter = b.Refuse, b.RetryAfter
+		}
+		got = append(got, b)
+	}
+	best := routing.Compare(got)
+	for i, b := range got {
+		if i != best {
+			w.byID[b.From.ID].gate.(*ours).ctl.Release(c.id)
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return []*node{w.byID[got[best].From.ID]}
+}
+
+// measureWays prints the ways to place for one workload and load.
+func measureWays(load *workload, part, capacity float64, seeds, workers int) {
+	cols := placementWays()
+	all := runColumns(load, cols, part, capacity, seeds, workers)
+	fmt.Printf("\n### Placing, %s at %.1f of capacity, %d seeds: median (worst)\n\n", load.name, part, seeds)
+	printTable(load, cols, all)
+}
