Give back the places of bids that were not taken

Cause: an agent keeps the place of a bid for 300 ms; with two bids a request half of them were kept in vain, and others were told to wait for them. Change: the entry sends a cancel of the key to those who bid and were not chosen, and an agent that has no such request gives the place up.

--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -145,6 +145,8 @@
 	defer a.mu.Unlock()
 	s := a.lookup(m.Key)
 	if s == nil {
+		// The entry has taken another's bid: the place that ours kept is free.
+		a.admit.Release(m.Key.Request)
 		return
 	}
 	if m.Hold > 0 {
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -77,6 +77,8 @@
 // called under the agent's lock, with the time passed in.
 type Admitter interface {
 	Bid(r admission.Request, now time.Time) admission.Bid
+	// Release gives up the place that a bid keeps, if there is one.
+	Release(id api.RequestID)
 	Offer(r admission.Request, now time.Time) admission.Verdict
 	// Next gives the sequences to start now.
 	Next(now time.Time) []admission.Start
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -207,9 +207,20 @@
 		}
 		return nil, routing.Refusal(got)
 	}
+	e.release(ask, got, best, key)
 	return e.chosen(ask, got[best].From.ID), nil
 }
 
+// release gives back the places that the other bids keep. Until their time is
+// over, requests of others would be told to wait for them.
+func (e *Entry) release(ask []asked, got []routing.Bid, best int, key wire.Key) {
+	for i := range got {
+		if i != best && got[i].Refuse == "" {
+			_ = e.chosen(ask, got[i].From.ID).to.Send(&wire.Cancel{Key: key})
+		}
+	}
+}
+
 func (e *Entry) chosen(ask []asked, id api.TargetID) *peer {
 	for _, a := range ask {
 		if a.cand.ID == id {
--- a/node/entry/fake_test.go
+++ b/node/entry/fake_test.go
@@ -54,11 +54,12 @@
 	a.c.Helper()
 	for {
 		switch m := (<-a.link.sent).(type) {
+		case T:
+			return m
 		case *wire.Ack:
+		case *wire.Cancel: // of a bid that wasn't taken
 		case *wire.BidRequest:
 			a.say(&wire.Bid{Key: m.Key})
-		case T:
-			return m
 		default:
 			a.c.Fatalf("agent %s heard %T", a.id, m)
 		}
--- a/node/entry/place_test.go
+++ b/node/entry/place_test.go
@@ -73,6 +73,21 @@
 	})
 }
 
+// Both targets bid and keep a place. The one that isn't chosen gets its place
+// back at once, or others would be told to wait for a request that never comes.
+func TestPlaceOfTheOtherBidIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newRetryBench(t, retry.Options{})
+		a1, a2 := b.agent("t1", 1), b.agent("t2", 1)
+		ans := b.start(generation())
+		bid := a2.asked()
+		a2.say(&wire.Bid{Key: bid.Key, Wait: time.Second})
+		a1.finish(hear[*wire.Offer](a1))
+		b.c.Assert(hear[*wire.Cancel](a2).Key, qt.Equals, bid.Key)
+		b.c.Assert(read(ans).end.Outcome, qt.Equals, api.OutcomeCompleted)
+	})
+}
+
 // Every target is crowded. The caller is told so, with the time that the
 // soonest of them gave, and no target is asked twice.
 func TestAllTargetsCrowded(t *testing.T) {
@@ -121,7 +136,6 @@
 		}
 		ans := b.start(generation())
 		refuse(a1, hear[*wire.Offer](a1))
-		// Both were asked for a bid, so t2's place is still kept there.
 		a2.finish(hear[*wire.Offer](a2))
 		b.c.Assert(read(ans).end.Outcome, qt.Equals, api.OutcomeCompleted)
 		time.Sleep(time.Minute)
