--- a/core/state/drain.go
+++ b/core/state/drain.go
@@ -18,10 +18,11 @@
 	Author      string          `cbor:"4,keyasint,omitempty"`
 }
 
-func (s *State) drain(d Drain) Result {
+func (s *State) drain(index uint64, d Drain) Result {
 	if d.Target == "" {
 		return Result{Reason: api.ReasonBadRequest, Message: "target is empty"}
 	}
+	s.drained = index
 	if d.Undo {
 		delete(s.drains, d.Target)
 		return Result{}
@@ -33,6 +34,9 @@
 	return Result{}
 }
 
+// Drained is the log index of the last change to Drains, or a later one.
+func (s *State) Drained() uint64 { return s.drained }
+
 // Drains gives the targets being drained, by ID.
 func (s *State) Drains() []Drain {
 	out := make([]Drain, 0, len(s.drains))
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -91,6 +91,7 @@
 		return nil, fmt.Errorf("%w: %d", ErrFormat, img.Format)
 	}
 	s.index = img.Index
+	s.drained = img.Index
 	s.now = img.Now
 	s.config.kept = img.Configs
 	s.config.changes = img.Changes
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -85,6 +85,7 @@
 	orders  *order.Table
 	members map[uint64]MemberInfo
 	drains  map[api.TargetID]Drain
+	drained uint64
 }
 
 // New gives the state before the first command.
@@ -147,7 +148,7 @@
 	case c.Member != nil:
 		s.members[c.Member.ID] = *c.Member
 	case c.Drain != nil:
-		return s.drain(*c.Drain)
+		return s.drain(index, *c.Drain)
 	}
 	return Result{}
 }
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -33,6 +33,9 @@
 	// OnConfig is called with each newer revision, in rising order, on one
 	// goroutine. It must not block for long. Document is read-only.
 	OnConfig func(revision api.Revision, document []byte)
+	// OnDrains is called with all targets that operators drain, whenever the
+	// list changes; on the same goroutine as OnConfig. It may be nil.
+	OnDrains func(targets []state.Drain)
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
@@ -56,6 +59,7 @@
 	revision api.Revision
 	document []byte
 	whole    bool
+	drained  uint64
 }
 
 // NewClient makes a client.
@@ -63,6 +67,9 @@
 	if opt.OnConfig == nil {
 		opt.OnConfig = func(api.Revision, []byte) {}
 	}
+	if opt.OnDrains == nil {
+		opt.OnDrains = func([]state.Drain) {}
+	}
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
@@ -147,6 +154,8 @@
 		c.reply(conn, m)
 	case *Update:
 		c.update(conn, m)
+	case *Drains:
+		c.drains(m)
 	case *Leader:
 		if !m.Self && m.Addr != "" {
 			c.move(conn, m.Addr)
@@ -199,6 +208,16 @@
 	c.opt.OnConfig(u.Revision, document)
 }
 
+// drains delivers a list unless a newer one was: a member that lags must not
+// give a target work again that is being drained.
+func (c *Client) drains(m *Drains) {
+	if m.Index < c.drained {
+		return
+	}
+	c.drained = m.Index
+	c.opt.OnDrains(m.Targets)
+}
+
 func (c *Client) reportLoop(ctx context.Context, conn *link.Conn) {
 	if c.opt.Report == nil {
 		return
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -70,7 +70,7 @@
 	// mu guards the state between Apply and its readers.
 	mu      sync.RWMutex
 	state   *state.State
-	changed chan struct{} // closed and replaced at a new revision or leader
+	changed chan struct{} // closed and replaced at what watchers are told
 	applied uint64
 
 	status  atomic.Pointer[consensus.Status]
@@ -279,7 +279,7 @@
 		return
 	}
 	m.mu.Lock()
-	before := m.state.Current().Revision
+	revision, drained := m.state.Current().Revision, m.state.Drained()
 	answers := make([]answer, 0, len(entries))
 	for _, e := range entries {
 		if e.Type == consensus.EntryCommand {
@@ -287,7 +287,7 @@
 		}
 		m.applied = e.Index
 	}
-	if m.state.Current().Revision != before {
+	if m.state.Current().Revision != revision || m.state.Drained() != drained {
 		m.announce()
 	}
 	m.mu.Unlock()
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -18,6 +18,7 @@
 	kindUpdate
 	kindReport
 	kindLeader
+	kindDrains
 )
 
 // Peer carries one message of the agreement between two members.
@@ -108,6 +109,13 @@
 	Addr string `cbor:"2,keyasint,omitempty"`
 }
 
+// Drains lists all targets that operators drain at the log index Index. A list
+// with a lower index than one seen before is out of date.
+type Drains struct {
+	Index   uint64        `cbor:"1,keyasint,omitempty"`
+	Targets []state.Drain `cbor:"2,keyasint,omitempty"`
+}
+
 // Kind implements wire.Message.
 func (*Peer) Kind() wire.Kind { return kindPeer }
 
@@ -129,6 +137,9 @@
 // Kind implements wire.Message.
 func (*Leader) Kind() wire.Kind { return kindLeader }
 
+// Kind implements wire.Message.
+func (*Drains) Kind() wire.Kind { return kindDrains }
+
 // Protos lists the messages of control links.
 func Protos() []wire.Proto {
 	return []wire.Proto{
@@ -139,5 +150,6 @@
 		wire.ProtoOf[Update](),
 		wire.ProtoOf[Report](),
 		wire.ProtoOf[Leader](),
+		wire.ProtoOf[Drains](),
 	}
 }
--- a/node/control/role_test.go
+++ b/node/control/role_test.go
@@ -59,7 +59,7 @@
 	return s
 }
 
-func listen(t *testing.T, addr string) net.Listener {
+func listen(t testing.TB, addr string) net.Listener {
 	t.Helper()
 	if addr == "" {
 		addr = "127.0.0.1:0"
@@ -187,10 +187,11 @@
 	got    []api.Revision
 	last   string
 	at     chan api.Revision
+	drains chan []state.Drain
 }
 
 func (s *site) watcher(ctx context.Context, wg *conc.WaitGroup, name string, seeds ...consensus.MemberID) *watcher {
-	w := &watcher{at: make(chan api.Revision, 1024)}
+	w := &watcher{at: make(chan api.Revision, 1024), drains: make(chan []state.Drain, 1024)}
 	opt := ClientOptions{
 		Link:        LinkOptions([]byte(testKey), link.Peer{Instance: api.InstanceID(name), Role: link.RoleEntry}, nil),
 		ReportEvery: 50 * time.Millisecond,
@@ -203,6 +204,7 @@
 			}
 			return r
 		},
+		OnDrains: func(d []state.Drain) { w.drains <- d },
 		OnConfig: func(r api.Revision, doc []byte) {
 			w.mu.Lock()
 			w.got, w.last = append(w.got, r), string(doc)
@@ -367,4 +369,13 @@
 	c.Assert(st.Targets, qt.HasLen, 1)
 	c.Assert(st.Targets[0].State, qt.Equals, "up")
 	c.Assert(st.Claims, qt.Equals, 1)
+	s.ask(http.MethodPost, opapi.PathDrain, opapi.Drain{Target: "t1", Author: "ana"}, nil)
+	for d := range w.drains {
+		if len(d) == 1 {
+			c.Assert(d[0].Target, qt.Equals, api.TargetID("t1"))
+			break
+		}
+	}
+	s.ask(http.MethodPost, opapi.PathDrain, opapi.Drain{Target: "t1", Undo: true}, nil)
+	c.Assert(<-w.drains, qt.HasLen, 0)
 }
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -19,6 +19,9 @@
 	links  *Links
 	ctx    context.Context
 	active sync.WaitGroup
+	// last is the newest update made; most clients need the same one.
+	mu   sync.Mutex
+	last *Update
 }
 
 // NewServer makes a server whose links end with ctx.
@@ -108,6 +111,7 @@
 	sent := w.From
 	base := s.base(w)
 	var told *Leader
+	drained := noDrains
 	for {
 		view, changed := s.server.member.watchView()
 		if told == nil || *told != view.leader {
@@ -115,8 +119,12 @@
 			told = &leader
 			_ = s.conn.Send(told)
 		}
+		if view.drained != drained {
+			drained = view.drained
+			_ = s.conn.Send(&Drains{Index: drained, Targets: view.drains})
+		}
 		if view.config.Revision > sent {
-			_ = s.conn.Send(makeUpdate(base, view.config))
+			_ = s.conn.Send(s.server.update(base, view.config))
 			base, sent = view.config, view.config.Revision
 		}
 		select {
@@ -138,6 +146,22 @@
 	return c
 }
 
+// noDrains is no log index: the first list is always sent.
+const noDrains = ^uint64(0)
+
+// update gives the update between two revisions and keeps the newest one, for
+// a change goes to hundreds of clients that all hold the revision before.
+func (s *Server) update(base, next state.Config) *Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.last
+	if known != nil && known.Revision == next.Revision && known.Base == base.Revision && base.Document != nil {
+		return known
+	}
+	s.last = makeUpdate(base, next)
+	return s.last
+}
+
 // makeUpdate makes a patch where the client's document is known, else it sends
 // the whole.
 func makeUpdate(base, next state.Config) *Update {
@@ -149,8 +173,10 @@
 }
 
 type watchView struct {
-	config state.Config
-	leader Leader
+	config  state.Config
+	leader  Leader
+	drained uint64
+	drains  []state.Drain
 }
 
 // watchView gives what watchers are told and a channel that is closed at the
@@ -160,8 +186,10 @@
 	defer m.mu.RUnlock()
 	st := m.Status()
 	v := watchView{
-		config: m.state.Current(),
-		leader: Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
+		config:  m.state.Current(),
+		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
+		drained: m.state.Drained(),
+		drains:  m.state.Drains(),
 	}
 	return v, m.changed
 }
