--- a/cmd/almondseam/control.go
+++ b/cmd/almondseam/control.go
@@ -2,10 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"net"
-	"os"
-	"strings"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/process"
@@ -37,28 +33,18 @@
 	if s.dir == "" {
 		return errors.New("--data-dir: the control role needs a data folder")
 	}
-	if s.tokenFile != "" {
-		b, err := os.ReadFile(s.tokenFile)
-		if err != nil {
-			return fmt.Errorf("--operator-token-file: %w", err)
-		}
-		s.token = strings.TrimSpace(string(b))
-	}
-	if len(s.token) < minKey {
-		return fmt.Errorf("--operator-token or --operator-token-file: a token of at least %d characters is needed", minKey)
-	}
-	return nil
+	return loadSecret("operator-token", s.tokenFile, &s.token)
 }
 
 func (n *node) newControl() (*process.Control, error) {
 	s := &n.set.control
-	links, err := net.Listen("tcp", s.links)
+	links, err := listen("control-listen", s.links)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--control-listen: %w", err)}
+		return nil, err
 	}
-	operators, err := net.Listen("tcp", s.operators)
+	operators, err := listen("operator-listen", s.operators)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--operator-listen: %w", err)}
+		return nil, err
 	}
 	return process.NewControl(process.ControlSettings{
 		Instance:  api.InstanceID(n.set.instance),
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -15,6 +15,7 @@
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/ops"
 	"almondseam.dev/node/process"
+	"almondseam.dev/node/rollout"
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -84,6 +85,7 @@
 	roles   []role
 	entry   *process.Entry
 	control *process.Control
+	live    *fleetconfig.Live
 	ops     *ops.Server
 	work    conc.WaitGroup
 	// atStop runs after the roles have stopped.
@@ -103,12 +105,9 @@
 		n.roles = append(n.roles, c)
 	}
 	if n.set.has(roleEntry) {
-		e, err := n.newEntry()
-		if err != nil {
+		if err := n.addEntry(); err != nil {
 			return err
 		}
-		n.entry = e
-		n.roles = append(n.roles, e)
 	}
 	if n.set.has(roleAgent) {
 		n.roles = append(n.roles, n.newAgent())
@@ -120,9 +119,9 @@
 }
 
 func (n *node) startOps() error {
-	ln, err := net.Listen("tcp", n.set.ops)
+	ln, err := listen("ops-listen", n.set.ops)
 	if err != nil {
-		return &usageError{fmt.Errorf("--ops-listen: %w", err)}
+		return err
 	}
 	n.ops = ops.New(n.metrics.Registry, n.ready)
 	n.work.Go(func() { _ = n.ops.Serve(ln) })
@@ -130,34 +129,65 @@
 }
 
 func (n *node) ready() (bool, string) {
+	if n.live != nil && n.live.Load() == nil {
+		return false, "no configuration is in force"
+	}
 	if n.entry != nil && n.entry.Targets() == 0 {
 		return false, "no target is linked"
 	}
 	return true, ""
 }
 
-func (n *node) newEntry() (*process.Entry, error) {
-	snap, err := loadConfig(n.set.conf, api.Site(n.set.site))
-	if err != nil {
-		return nil, &usageError{fmt.Errorf("--config: %w", err)}
+func (n *node) addEntry() error {
+	ports := process.EntryPorts{Metrics: n.metrics, Log: n.log}
+	var coupling *process.EntryControl
+	if len(n.set.members) > 0 {
+		coupling = process.NewEntryControl(process.ControlLinkSettings{
+			Instance: api.InstanceID(n.set.instance),
+			Zone:     n.set.zoneID(),
+			Key:      []byte(n.set.key),
+			Seeds:    n.set.members,
+		}, n.metrics, n.log)
+		n.roles = append(n.roles, coupling)
+		ports.Live, ports.Hub, ports.Claimer = coupling.Live(), coupling.Hub(), coupling.Claimer()
+	} else {
+		snap, err := loadConfig(n.set.conf, api.Site(n.set.site))
+		if err != nil {
+			return &usageError{fmt.Errorf("--config: %w", err)}
+		}
+		ports.Live = &fleetconfig.Live{}
+		ports.Live.Publish(snap)
 	}
-	live := &fleetconfig.Live{}
-	live.Publish(snap)
-	cln, err := net.Listen("tcp", n.set.callers)
+	cln, err := listen("listen", n.set.callers)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--listen: %w", err)}
+		return err
 	}
-	lln, err := net.Listen("tcp", n.set.links)
+	lln, err := listen("link-listen", n.set.links)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--link-listen: %w", err)}
+		return err
 	}
-	return process.NewEntry(process.EntrySettings{
+	n.entry = process.NewEntry(process.EntrySettings{
 		Instance: api.InstanceID(n.set.instance),
 		Zone:     n.set.zoneID(),
 		Key:      []byte(n.set.key),
 		Callers:  cln,
 		Links:    lln,
-	}, process.EntryPorts{Live: live, Metrics: n.metrics, Log: n.log}), nil
+		Peers:    n.set.peers(),
+	}, ports)
+	n.live = ports.Live
+	if coupling != nil {
+		coupling.ShowTargets(n.entry.View)
+	}
+	n.roles = append(n.roles, n.entry)
+	return nil
+}
+
+func listen(flag, addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--%s: %w", flag, err)}
+	}
+	return ln, nil
 }
 
 func (n *node) newAgent() *process.Agent {
@@ -174,7 +204,16 @@
 		MaxRunning:   n.set.batch,
 		Queue:        n.set.queue,
 		Capabilities: n.set.capabilities(),
-	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
+	}, process.AgentPorts{Live: &fleetconfig.Live{}, Config: n.configObserver(), Metrics: n.metrics, Log: n.log})
+}
+
+// configObserver counts what becomes of configurations at an agent. In a
+// process that is an entry too, the entry's part counts.
+func (n *node) configObserver() rollout.Observer {
+	if n.set.has(roleEntry) {
+		return nil
+	}
+	return rollout.NewMetrics(n.metrics.Registry, n.log)
 }
 
 // wait runs until a signal and then drains every role, the first started last.
@@ -189,14 +228,16 @@
 	if n.control != nil {
 		ended = n.control.Ended()
 	}
+	code := exitOK
 	select {
 	case <-sig:
 	case err := <-failed:
 		events.ProcessFailed.Log(n.log).Err(err).Send()
 		return exitFailed
 	case <-ended:
-		events.ProcessFailed.Log(n.log).Err(n.control.Stop(context.Background())).Send()
-		return exitFailed
+		// The disk failed. An entry in the same process drains as usual: its
+		// callers need not suffer for the member's disk.
+		code = exitFailed
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
 	defer cancel()
@@ -204,7 +245,7 @@
 		<-sig
 		cancel()
 	}()
-	return n.stop(ctx)
+	return max(code, n.stop(ctx))
 }
 
 // stopNow drains within the process's limit, without a signal.
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/agent"
+	"almondseam.dev/node/process"
 	"github.com/alecthomas/kingpin/v2"
 )
 
@@ -37,6 +40,11 @@
 	links   string
 	conf    []string
 
+	entryPeers map[string]string
+
+	members []string
+	control controlSettings
+
 	seeds    []string
 	target   string
 	address  string
@@ -47,8 +55,6 @@
 	queue    int
 	priority bool
 	fences   bool
-
-	control controlSettings
 }
 
 func (s *settings) flags(c *kingpin.CmdClause) {
@@ -63,7 +69,10 @@
 	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
+	c.Flag("entry-peer", "entry: another entry that shares the customers' limits, INSTANCE=HOST:PORT with the address of its links; each entry must name all others.").StringMapVar(&s.entryPeers)
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
+	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.members)
+	s.control.flags(c)
 	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
 	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
 	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
@@ -74,7 +83,6 @@
 	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it.").Default("256").IntVar(&s.queue)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
 	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
-	s.control.flags(c)
 }
 
 func (s *settings) has(role string) bool {
@@ -102,12 +110,21 @@
 			return err
 		}
 	}
-	if s.has(roleEntry) && len(s.conf) == 0 {
-		return errors.New("--config: the entry role needs a configuration file")
+	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.members) == 0) {
+		return errors.New("--control or --config: the entry role needs its configuration from one of them")
 	}
 	return nil
 }
 
+// peers gives the other entries in the order of their names.
+func (s *settings) peers() []process.EntryPeer {
+	var out []process.EntryPeer
+	for _, id := range slices.Sorted(maps.Keys(s.entryPeers)) {
+		out = append(out, process.EntryPeer{Instance: api.InstanceID(id), Addr: s.entryPeers[id]})
+	}
+	return out
+}
+
 func (s *settings) checkAgent() error {
 	switch {
 	case s.target == "":
@@ -135,16 +152,20 @@
 
 const minKey = 16
 
-func (s *settings) loadKey() error {
-	if s.keyFile != "" {
-		b, err := os.ReadFile(s.keyFile)
+func (s *settings) loadKey() error { return loadSecret("fleet-key", s.keyFile, &s.key) }
+
+// loadSecret reads a secret from its file, if one is given, and refuses one
+// that is too short to be a secret.
+func loadSecret(flag, file string, v *string) error {
+	if file != "" {
+		b, err := os.ReadFile(file)
 		if err != nil {
-			return fmt.Errorf("--fleet-key-file: %w", err)
+			return fmt.Errorf("--%s-file: %w", flag, err)
 		}
-		s.key = strings.TrimSpace(string(b))
+		*v = strings.TrimSpace(string(b))
 	}
-	if len(s.key) < minKey {
-		return fmt.Errorf("--fleet-key or --fleet-key-file: a key of at least %d characters is needed", minKey)
+	if len(*v) < minKey {
+		return fmt.Errorf("--%s or --%s-file: at least %d characters are needed", flag, flag, minKey)
 	}
 	return nil
 }
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -57,8 +57,8 @@
 	switch m := m.(type) {
 	case *wire.Accepted:
 		f.accepted = true
+		f.e.placer.Succeeded(f.g.target)
 		f.deadline.Stop()
-		f.g.answer.setPhase(wire.PhaseQueued, m.Position)
 	case *wire.Refused:
 		err := f.e.fail(f.g, api.StepQueue, api.OutcomeNotRun, m.Reason, textError(m.Detail))
 		err.RetryAfter = m.RetryAfter
@@ -83,6 +83,9 @@
 // overdue: the agent has not answered the offer. The offer may be held up
 // anywhere; a tombstone settles whether it can still start.
 func (f *follower) overdue() (bool, error) {
+	if f.g.heard.Load() {
+		return false, nil
+	}
 	if f.buried {
 		return true, f.e.fail(f.g, api.StepDispatch, f.lost(), api.ReasonTimeout, errors.New("agent answers neither offer nor tombstone"))
 	}
@@ -155,7 +158,7 @@
 
 func (f *follower) resume(p *peer) (bool, error) {
 	f.g.relink(p.to)
-	if f.accepted {
+	if f.accepted || f.g.heard.Load() {
 		_ = p.to.Send(f.g.resume())
 		f.g.answer.setPhase(wire.PhaseStarted, 0)
 		return false, nil
