--- a/node/rollout/agent.go
+++ b/node/rollout/agent.go
@@ -122,10 +122,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.links = slices.DeleteFunc(a.links, func(s Sender) bool { return s == conn })
-	if a.from == conn {
+	if a.from != conn {
+		return
+	}
+	if len(a.links) > 0 {
 		a.opt.Observer.Switched(SwitchedLink)
-		a.followOther(time.Now())
 	}
+	a.followOther(time.Now())
 }
 
 // followOther follows any other link: by chance, so that the agents of an entry
