control: let the log take the largest document that the state takes

Cause: a document of 1,700 customers (382,186 bytes) is within the state's bound of 512 KiB and was refused as too_large, for an entry was held to 256 KiB.

--- a/node/control/role.go
+++ b/node/control/role.go
@@ -73,7 +73,7 @@
 	r.member, err = NewMember(Options{
 		ID:              s.ID,
 		Restored:        s.Restored,
-		Consensus:       consensus.Config{Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
+		Consensus:       consensus.Config{MaxBatchBytes: batchBytes, Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
 		Limits:          s.Limits,
 		Storage:         s.Storage,
 		Transport:       deferred{r},
@@ -90,6 +90,11 @@
 	return r, nil
 }
 
+// batchBytes bounds one entry of the log. It is above the largest document that
+// state.DefaultConfigLimits lets through: with the agreement's own default a
+// fleet of 1,700 customers passed that check and was then refused.
+const batchBytes = 1 << 20
+
 // deferred sends by the role's links.
 type deferred struct{ r *Role }
 
