--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -25,6 +25,7 @@
 	app.Flag("preempt-rate", "Trial: preemptions per start that the margin settles at.").FloatVar(&trial.PreemptRate)
 	app.Flag("prefill-budget", "Trial: prompt tokens computed at once.").IntVar(&trial.PrefillBudget)
 	app.Flag("margin-step", "Trial: what one preemption adds to the margin.").FloatVar(&trial.MarginStep)
+	app.Flag("parts", "Show our admission without bids as well.").Default("true").BoolVar(&showParts)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	began := time.Now()
 	for i, load := range workloads() {
@@ -52,17 +53,27 @@
 	return newOurs(cfg)
 }
 
+// showParts adds a column that shows what bids are worth by themselves.
+var showParts bool
+
+// baselines is the number of columns that are compared with; the last of them
+// is admit everything.
+const baselines = 4
+
 // columns are the baselines and the product's own decisions, last.
 func columns() []column {
 	lagged := func(*world) placer { return &leastLagged{} }
 	toEngine := func(int) gate { return &direct{} }
-	return []column{
+	cols := []column{
 		{"round robin", toEngine, func(*world) placer { return &roundRobin{} }},
 		{"least outstanding", toEngine, lagged},
 		{"reserve max_tokens", func(n int) gate { return newReserve(n, false) }, lagged},
 		{"admit everything", toEngine, func(*world) placer { return &leastExact{} }},
-		{"ours", ownGate, func(w *world) placer { return newBids(w) }},
 	}
+	if showParts {
+		cols = append(cols, column{"ours without bids", ownGate, lagged})
+	}
+	return append(cols, column{"ours", ownGate, func(w *world) placer { return newBids(w) }})
 }
 
 // measureCapacity is the requests per second that the engines complete when the
--- a/bench/policy/routers.go
+++ b/bench/policy/routers.go
@@ -89,7 +89,7 @@
 		}
 	}
 	*list = kept
-	return r.Running + r.Waiting + len(kept) + n.reservedWaiting()
+	return r.Running + r.Waiting + len(kept) + n.gateWaiting()
 }
 
 func (p *leastLagged) list(w *world, entry int, n *node) *[]time.Duration {
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -108,9 +108,9 @@
 		return v
 	}
 	good := func(m *measures) float64 { return float64(m.goodTokens) }
-	own, everything := len(cols)-1, len(cols)-2
+	own, everything := len(cols)-1, baselines-1
 	best := 0
-	for i := range own {
+	for i := range baselines {
 		if median(i, good) > median(best, good) {
 			best = i
 		}
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -39,10 +39,14 @@
 	return cfg.Blocks * cfg.BlockTokens
 }
 
-// reservedWaiting is the queue that a reserving gate keeps before the engine.
-func (n *node) reservedWaiting() int {
-	if g, ok := n.gate.(*reserve); ok {
+// gateWaiting is the queue that a gate keeps before the engine, as of now.
+func (n *node) gateWaiting() int {
+	switch g := n.gate.(type) {
+	case *reserve:
 		return len(g.queue)
+	case *ours:
+		_, waiting, _ := g.ctl.Counts()
+		return waiting
 	}
 	return 0
 }
