Charge nothing for requests that did not run

Cause: a request refused by every target kept what its prompt was charged, so that a customer in a crowded hour was told token_rate_limit; and a bucket first filled under a floor began with a tenth of its half. Change: the caller's side settles zero for not_run; the first lease, not the first look, gives half of the bucket; no_target is told at once instead of after a wait for a retry. Run: go test ./node/process -run RefusedRequests: without the first change token_rate_limit at the second long prompt, with it no_target ten times; go test ./core/limit ./core/retry ./node/entry gave ok.

--- a/core/limit/customer.go
+++ b/core/limit/customer.go
@@ -84,6 +84,9 @@
 	mu     sync.Mutex
 	level  float64
 	filled time.Time
+	// primed tells that the first lease has given half of the bucket. A floor
+	// gives nothing at once: many entries may have one.
+	primed bool
 	// what was wanted since the last want, and how long requests take.
 	peak        int64
 	refused     int64
@@ -131,7 +134,7 @@
 	if s.limit.Slots == 0 {
 		cu.inUse.Add(1)
 	}
-	wait, ok := cu.charge(est, s.limit, part.Rate, now)
+	wait, ok := cu.charge(est, s.limit, part.Rate, leased, now)
 	if !ok {
 		cu.inUse.Add(-1)
 		return cu.refuse(api.ReasonTokenRateLimit, leased, wait, est)
@@ -154,7 +157,7 @@
 
 // charge takes est tokens from the bucket. An estimate above what the bucket
 // can ever hold passes when the bucket is full: else it would never run.
-func (cu *customer) charge(est int64, l Limit, rate int64, now time.Time) (time.Duration, bool) {
+func (cu *customer) charge(est int64, l Limit, rate int64, leased bool, now time.Time) (time.Duration, bool) {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	cu.peak = max(cu.peak, cu.inUse.Load())
@@ -163,6 +166,10 @@
 	}
 	most := float64(rate) * l.saved().Seconds()
 	cu.fill(float64(rate), most, now)
+	if leased && !cu.primed {
+		cu.primed = true
+		cu.level = max(cu.level, most/2)
+	}
 	need := min(float64(est), most)
 	if cu.level < need || rate == 0 {
 		return cu.tokenWait(need, float64(rate)), false
@@ -172,11 +179,9 @@
 	return 0, true
 }
 
-// fill adds what has accrued; the first fill gives half of the bucket.
+// fill adds what has accrued.
 func (cu *customer) fill(rate, most float64, now time.Time) {
-	if cu.filled.IsZero() {
-		cu.level = most / 2
-	} else if d := now.Sub(cu.filled); d > 0 {
+	if d := now.Sub(cu.filled); d > 0 && !cu.filled.IsZero() {
 		cu.level += rate * d.Seconds()
 	}
 	cu.level = min(cu.level, most)
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -16,7 +16,7 @@
 
 // leased gives a customer with the whole of its limit leased and a full bucket.
 func leased(l Limit) *customer {
-	cu := &customer{id: cust, floorEnds: new(atomic.Int64), filled: t0, level: float64(l.Rate) * l.saved().Seconds()}
+	cu := &customer{id: cust, floorEnds: new(atomic.Int64), filled: t0, primed: true, level: float64(l.Rate) * l.saved().Seconds()}
 	cu.setLimit(l, floor{})
 	cu.apply(l.share(), 1, t0.Add(time.Minute), t0)
 	return cu
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -173,10 +173,10 @@
 }
 
 // notRun lists the reasons of a refusal after which another target may take the
-// request. A limit or a bad request is the same everywhere, and this instance
-// shutting down is not mended by waiting.
+// request. A limit or a bad request is the same everywhere, this instance
+// shutting down is not mended by waiting, and where there is no target the caller
+// had better be told at once.
 var notRun = map[api.Reason]bool{
-	api.ReasonNoTarget:          true,
 	api.ReasonQueueFull:         true,
 	api.ReasonDeadlineHopeless:  true,
 	api.ReasonTargetLeaving:     true,
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -38,6 +38,7 @@
 		{"engine died after a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 1, true, false, ""},
 		{"engine died before a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 0, true, true, api.ReasonEngineDied},
 		{"limit", first, api.OutcomeNotRun, api.ReasonTokenRateLimit, 0, true, false, ""},
+		{"no target", first, api.OutcomeNotRun, api.ReasonNoTarget, 0, true, false, ""},
 		{"never fits", first, api.OutcomeNotRun, api.ReasonNeverFits, 0, true, false, ""},
 		{"cancelled", first, api.OutcomeInterrupted, api.ReasonCancelled, 0, true, false, ""},
 		{"completed", first, api.OutcomeCompleted, api.ReasonLinkLost, 0, true, false, ""},
--- a/core/routing/bench_test.go
+++ b/core/routing/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -94,3 +95,20 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports what a table holds for each target.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			tb := fleet(n, zones, 3)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/target")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(tb)
+		})
+	}
+}
--- a/node/callers/body.go
+++ b/node/callers/body.go
@@ -24,6 +24,7 @@
 	gone   func() bool
 	items  int
 	ended  bool
+	notRun bool
 	closed bool
 }
 
@@ -40,7 +41,7 @@
 		e := f.ans.Next(min(max(left, 0), goneEvery))
 		if e.Kind != entry.EventIdle {
 			f.items += e.N
-			f.ended = f.ended || e.Kind == entry.EventEnd
+			f.note(e)
 			return e
 		}
 		if f.gone() {
@@ -52,6 +53,13 @@
 	}
 }
 
+func (f *feed) note(e entry.Event) {
+	if e.Kind == entry.EventEnd {
+		f.ended = true
+		f.notRun = e.End.Outcome == api.OutcomeNotRun
+	}
+}
+
 // Close ends the caller's part, whether the answer has ended or not.
 func (f *feed) Close() {
 	if f.closed {
@@ -61,6 +69,12 @@
 	if !f.ended {
 		f.ans.Cancel(f.hold)
 	}
+	if f.notRun {
+		// Else callers who are refused in a crowded hour would use up their
+		// rate by it, and be told that they had asked for too much.
+		f.settle(0)
+		return
+	}
 	f.settle(f.prompt + f.items)
 }
 
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -35,11 +35,12 @@
 	Resume(ctx context.Context, r *entry.Request, from entry.Place) (*entry.Answer, error)
 }
 
-// Limiter grants a customer a request. It is called from several goroutines and
-// makes no call to another process.
+// Limiter grants a customer a request. It is called from several goroutines. It
+// waits for no other process, but for a customer's first request here, shortly.
 type Limiter interface {
 	// Acquire charges an estimate of tokens. A refusal has Outcome not_run and
-	// says when to come back. settle is called once with the tokens used.
+	// says when to come back. settle is called once with the tokens used, zero
+	// when the request did not run.
 	Acquire(c *fleetconfig.Customer, tokens int, now time.Time) (settle func(used int), err *api.Error)
 }
 
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -180,7 +180,8 @@
 
 // Acquire starts a request of a customer with a prompt of so many tokens, or
 // says why not. What the answer will cost is estimated from earlier answers;
-// settle is called once with the tokens used. Only a customer that has no lease
+// settle is called once with the tokens used, zero when it
+// did not run. Only a customer that has no lease
 // here yet waits for another process, for at most firstLease.
 func (l *Limits) Acquire(c *fleetconfig.Customer, prompt int, now time.Time) (settle func(used int), err *api.Error) {
 	l.refresh(now)
@@ -195,7 +196,9 @@
 		return nil, err
 	}
 	return func(used int) {
-		out.add(used - prompt)
+		if used > 0 {
+			out.add(used - prompt)
+		}
 		p.Release(int64(used), l.cfg.Clock())
 	}, nil
 }
--- a/node/process/limits_test.go
+++ b/node/process/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +45,17 @@
 		return total >= 64
 	})
 }
+
+// No target is there, so that every request is refused as not run. What it was
+// charged at the start must come back: else the customer would soon be told of
+// its token rate instead.
+func TestRefusedRequestsCostNoTokens(t *testing.T) {
+	f := newFleet(t)
+	e := f.entry("e1")
+	prompt := strings.Repeat("a long prompt that counts ", 2000)
+	for range 10 {
+		s := f.open(e.url, otherKey, prompt, 50)
+		f.c.Assert(s.err, qt.IsNotNil)
+		f.c.Assert(s.err.Code, qt.Equals, api.ReasonNoTarget)
+	}
+}
