--- a/cmd/almondctl/tutorial_test.go
+++ b/cmd/almondctl/tutorial_test.go
@@ -104,8 +104,8 @@
 	operators := listen()
 	ctl, err := process.NewControl(process.ControlSettings{
 		Instance: "lhr-a-1", Zone: "lhr-a", Key: []byte("a fleet key for the tutorial's test"), Token: token,
-		DataDir: c.TempDir(), Links: listen(), Operator: operators, Bootstrap: true,
-	}, process.ControlPorts{Metrics: metrics.New(&log), Log: &log})
+		Dir: c.TempDir(), Links: listen(), Operator: operators, Bootstrap: true,
+	}, metrics.New(&log), &log)
 	c.Assert(err, qt.IsNil)
 	ctl.Start()
 	c.Cleanup(func() { c.Check(ctl.Stop(context.Background()), qt.IsNil) })
