Let the entry set the pace of load reports by the number of its links

Cause: reports every 250 ms from each linked target cost an entry about 160 bytes a second a link; at the two-year size (some 185 links an entry) that is 30 KB/s against 5 KB/s for all of control. Change: an entry tells its agents the interval at which all reports together stay within 2 KB/s (250 ms to 30 s), again only when it changes by half.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -105,12 +105,11 @@
 	sessions   map[wire.Key]*session
 	latest     map[api.RequestID]wire.Key
 	tombstones map[wire.Key]time.Time
-	links      map[sender]struct{}
+	links      map[sender]*reporting
 	calls      int
 	leaving    bool
 	// preemptions is the engine's count at its last report.
 	preemptions uint64
-	reported    time.Time
 }
 
 // New makes an agent in front of target.
@@ -124,7 +123,7 @@
 		sessions:   make(map[wire.Key]*session),
 		latest:     make(map[api.RequestID]wire.Key),
 		tombstones: make(map[wire.Key]time.Time),
-		links:      make(map[sender]struct{}),
+		links:      make(map[sender]*reporting),
 	}
 }
 
@@ -158,7 +157,7 @@
 // that forgets the link again.
 func (a *Agent) Attach(to sender) (detach func()) {
 	a.mu.Lock()
-	a.links[to] = struct{}{}
+	a.links[to] = &reporting{every: a.cfg.LoadEvery}
 	ann := a.announcement()
 	a.mu.Unlock()
 	_ = to.Send(ann)
@@ -251,30 +250,6 @@
 	}
 }
 
-func (a *Agent) reportLoad(now time.Time) {
-	a.mu.Lock()
-	if now.Sub(a.reported) < a.cfg.LoadEvery {
-		a.mu.Unlock()
-		return
-	}
-	a.reported = now
-	snap := a.admit.Snapshot(now)
-	links := a.linkList()
-	calls := a.calls
-	a.mu.Unlock()
-	m := &wire.Load{
-		Running:  snap.Running + calls,
-		Waiting:  snap.Waiting,
-		Free:     snap.Free,
-		Capacity: a.cfg.Capacity,
-		Wait:     snap.WaitNote,
-		Clock:    a.uptime(),
-	}
-	for _, l := range links {
-		_ = l.Send(m)
-	}
-}
-
 func (a *Agent) sweep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -27,6 +27,8 @@
 		a.onTombstone(from, m)
 	case *wire.Resume:
 		a.onResume(from, m)
+	case *wire.Pace:
+		a.onPace(from, m)
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -40,6 +41,7 @@
 	legs    *legs
 	bids    *bids
 	work    conc.WaitGroup
+	pace    atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
 // New makes an entry. obs may be nil.
@@ -134,6 +136,7 @@
 	}
 	if t.e.peers.drop(t.self.target, t.to) {
 		t.e.placer.Remove(t.self.target, t.self.inc)
+		t.e.repace(nil)
 	}
 }
 
@@ -209,6 +212,7 @@
 	if t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target {
 		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone}
 		t.e.peers.put(t.self)
+		t.e.repace(t.to)
 	}
 	t.self.leaving.Store(m.Leaving)
 	t.self.clock.Store(int64(m.Clock))
--- a/node/entry/fake_test.go
+++ b/node/entry/fake_test.go
@@ -14,18 +14,28 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// fakeLink is the entry's end of an agent's link; the test plays the agent.
+// fakeLink is the entry's end of an agent's link; the test plays the agent. The
+// entry's pace is kept apart: it may come at any time and asks for no answer.
 type fakeLink struct {
-	sent chan wire.Message
-	done chan struct{}
+	sent  chan wire.Message
+	done  chan struct{}
+	paces []time.Duration
 }
 
 func newFakeLink() *fakeLink {
 	return &fakeLink{sent: make(chan wire.Message, 1000), done: make(chan struct{})}
 }
 
-func (l *fakeLink) Send(m wire.Message) error { l.sent <- m; return nil }
-func (l *fakeLink) Done() <-chan struct{}     { return l.done }
+func (l *fakeLink) Send(m wire.Message) error {
+	if p, ok := m.(*wire.Pace); ok {
+		l.paces = append(l.paces, p.Every)
+		return nil
+	}
+	l.sent <- m
+	return nil
+}
+
+func (l *fakeLink) Done() <-chan struct{} { return l.done }
 
 // fakeAgent is one agent under the test's hand.
 type fakeAgent struct {
@@ -73,7 +83,9 @@
 	for {
 		select {
 		case m := <-a.link.sent:
-			if _, ok := m.(*wire.Ack); !ok {
+			switch m.(type) {
+			case *wire.Ack:
+			default:
 				a.c.Fatalf("agent %s heard %T", a.id, m)
 			}
 		default:
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -51,6 +51,9 @@
 // Kind implements Message.
 func (*Returned) Kind() Kind { return KindReturned }
 
+// Kind implements Message.
+func (*Pace) Kind() Kind { return KindPace }
+
 // PathProtos lists the messages between entries and agents.
 func PathProtos() []Proto {
 	return []Proto{
@@ -71,5 +74,6 @@
 		ProtoOf[Tombstoned](),
 		ProtoOf[Resume](),
 		ProtoOf[Returned](),
+		ProtoOf[Pace](),
 	}
 }
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -25,6 +25,7 @@
 	KindTombstoned
 	KindResume
 	KindReturned
+	KindPace
 )
 
 // Key names one dispatch of one request.
@@ -229,3 +230,8 @@
 	Key    Key        `cbor:"1,keyasint"`
 	Reason api.Reason `cbor:"2,keyasint"`
 }
+
+// Pace is an entry's word on how often it wants load reports.
+type Pace struct {
+	Every time.Duration `cbor:"1,keyasint"`
+}
