--- a/node/durable/store_test.go
+++ b/node/durable/store_test.go
@@ -72,12 +72,13 @@
 func nextOp(rng *rand.Rand, m model) op {
 	last := m.Snapshot.Index + uint64(len(m.Entries))
 	hs := m.HardState
+	hs.Commit = max(hs.Commit, m.Snapshot.Index)
 	switch rng.IntN(8) {
 	case 0: // a new term, with a vote
 		hs.Term, hs.Vote = hs.Term+1, consensus.MemberID(rng.IntN(3))
 		return op{hs: &hs}
 	case 1: // commit alone
-		hs.Commit = max(hs.Commit, m.Snapshot.Index) + uint64(rng.IntN(int(last-max(hs.Commit, m.Snapshot.Index))+1))
+		hs.Commit += uint64(rng.IntN(int(last-hs.Commit) + 1))
 		return op{hs: &hs}
 	case 2: // compaction at the commit index
 		if hs.Commit > m.Snapshot.Index {
@@ -91,7 +92,7 @@
 	}
 	first := last + 1
 	if rng.IntN(4) == 0 { // a new leader overwrites what wasn't committed
-		first = max(hs.Commit, m.Snapshot.Index) + 1
+		first = hs.Commit + 1
 	}
 	hs.Term = max(hs.Term, 1) + uint64(rng.IntN(2))
 	if k := len(m.Entries); k > 0 {
