--- a/core/consensus/proof_test.go
+++ b/core/consensus/proof_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -93,6 +94,9 @@
 			s.until("the old leader steps down", 2*s.opt.electionTicks, func() bool { return old.node.role != RoleLeader })
 			s.until("the others elect", 100, func() bool { return s.leader() != nil })
 			c.Assert(s.leader().id, qt.Not(qt.Equals), old.id)
+			var refused *NotLeaderError
+			c.Assert(errors.As(old.node.Propose([]byte("x")), &refused), qt.IsTrue)
+			c.Assert(errors.As(old.node.ReadIndex(1), &refused), qt.IsTrue)
 			for range hour / 100 {
 				c.Assert(s.leader().node.Propose([]byte("x")), qt.IsNil)
 				s.run(100)
@@ -176,3 +180,30 @@
 	c.Assert(gone.node.role, qt.Equals, RoleFollower)
 	c.Assert(lead.node.lead.peers, qt.HasLen, 1)
 }
+
+// A member restarts after hundreds of changes have gone by. While the leader
+// still has the entries it is sent those, else a snapshot and the rest; either
+// way it ends with the state of the others.
+func TestCatchUpAfterRestart(t *testing.T) {
+	for _, compact := range []bool{false, true} {
+		t.Run(fmt.Sprintf("compacted=%t", compact), func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(t, 8, calm(3))
+			s.until("a leader", 200, func() bool { return s.leader() != nil && s.leader().node.log.commit > 1 })
+			lead := s.leader()
+			away := s.hosts[1+lead.id%3]
+			s.crash(away)
+			if compact {
+				s.opt.compact = 0.05
+			}
+			for range 500 {
+				c.Assert(lead.node.Propose([]byte("x")), qt.IsNil)
+				s.run(5)
+			}
+			s.opt.compact = 0
+			s.settle()
+			c.Assert(away.disk.Snapshot.Index > 1, qt.Equals, compact)
+			c.Assert(away.app.index >= 500, qt.IsTrue)
+		})
+	}
+}
