--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -21,10 +21,12 @@
 	only := app.Flag("only", "Run only this workload (0 or 1).").Default("-1").Int()
 	loads := app.Flag("load", "Loads to run, in parts of capacity.").Default("0.7", "1.0", "1.3").Float64List()
 	recovery := app.Flag("recovery", "Run the overload and recovery as well.").Default("true").Bool()
+	ways := app.Flag("ways", "Compare ways to place, before the product's own gates, instead of the baselines.").Bool()
 	app.Flag("margin", "Trial: the controller's first margin.").FloatVar(&trial.Margin)
 	app.Flag("preempt-rate", "Trial: preemptions per start that the margin settles at.").FloatVar(&trial.PreemptRate)
 	app.Flag("prefill-budget", "Trial: prompt tokens computed at once.").IntVar(&trial.PrefillBudget)
 	app.Flag("margin-step", "Trial: what one preemption adds to the margin.").FloatVar(&trial.MarginStep)
+	app.Flag("parts", "Show our admission without bids as well.").Default("true").BoolVar(&showParts)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	began := time.Now()
 	for i, load := range workloads() {
@@ -34,10 +36,14 @@
 		capacity := measureCapacity(&load, *workers)
 		fmt.Printf("\n## %s: %d engines, capacity %.1f requests/s (true lengths known, no faults)\n", load.name, load.engines, capacity)
 		for _, part := range *loads {
+			if *ways {
+				measureWays(&load, part, capacity, *seeds, *workers)
+				continue
+			}
 			measureLoad(&load, part, capacity, *seeds, *workers)
 		}
-		if *recovery {
-			measureRecovery(&load, capacity, *seeds, *workers)
+		if *recovery && !*ways {
+			measureRecovery(&load, *seeds, *workers)
 		}
 	}
 	fmt.Fprintf(os.Stderr, "took %s\n", time.Since(began).Round(time.Second))
@@ -52,17 +58,27 @@
 	return newOurs(cfg)
 }
 
+// showParts adds a column that shows what bids are worth by themselves.
+var showParts bool
+
+// baselines is the number of columns that are compared with; the last of them
+// is admit everything.
+const baselines = 4
+
 // columns are the baselines and the product's own decisions, last.
 func columns() []column {
 	lagged := func(*world) placer { return &leastLagged{} }
 	toEngine := func(int) gate { return &direct{} }
-	return []column{
+	cols := []column{
 		{"round robin", toEngine, func(*world) placer { return &roundRobin{} }},
 		{"least outstanding", toEngine, lagged},
 		{"reserve max_tokens", func(n int) gate { return newReserve(n, false) }, lagged},
 		{"admit everything", toEngine, func(*world) placer { return &leastExact{} }},
-		{"ours", ownGate, func(w *world) placer { return newBids(w) }},
 	}
+	if showParts {
+		cols = append(cols, column{"ours without bids", ownGate, lagged})
+	}
+	return append(cols, column{"ours", ownGate, func(w *world) placer { return newBids(w) }})
 }
 
 // measureCapacity is the requests per second that the engines complete when the
@@ -114,9 +130,8 @@
 	return w.m
 }
 
-// measureLoad runs every column with every seed and prints the table.
-func measureLoad(load *workload, part, capacity float64, seeds, workers int) {
-	cols := columns()
+// runColumns gives the measures of each column and seed.
+func runColumns(load *workload, cols []column, part, capacity float64, seeds, workers int) [][]*measures {
 	all := make([][]*measures, len(cols))
 	p := pool.New().WithMaxGoroutines(workers)
 	for i, col := range cols {
@@ -126,6 +141,13 @@
 		}
 	}
 	p.Wait()
+	return all
+}
+
+// measureLoad runs every column with every seed and prints the table.
+func measureLoad(load *workload, part, capacity float64, seeds, workers int) {
+	cols := columns()
+	all := runColumns(load, cols, part, capacity, seeds, workers)
 	fmt.Printf("\n### %s at %.1f of capacity, %d seeds: median (worst)\n\n", load.name, part, seeds)
 	printTable(load, cols, all)
 	if part >= 1 {
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/agent"
+	"almondseam.dev/node/process"
 	"github.com/alecthomas/kingpin/v2"
 )
 
@@ -37,14 +40,10 @@
 	links   string
 	conf    []string
 
-	control     []string
-	dataDir     string
-	bootstrap   bool
-	controlLink string
-	advertise   string
-	operator    string
-	token       string
-	tokenFile   string
+	entryPeers map[string]string
+
+	members []string
+	control controlSettings
 
 	seeds    []string
 	target   string
@@ -54,6 +53,7 @@
 	capacity int
 	batch    int
 	queue    int
+	prefill  int
 	priority bool
 	fences   bool
 }
@@ -70,15 +70,10 @@
 	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
+	c.Flag("entry-peer", "entry: another entry that shares the customers' limits, INSTANCE=HOST:PORT with the address of its links; each entry must name all others.").StringMapVar(&s.entryPeers)
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
-	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.control)
-	c.Flag("data-dir", "control: folder for the member's state; nothing else may use it.").StringVar(&s.dataDir)
-	c.Flag("bootstrap", "control: found a new group of one in an empty folder; for the very first member only.").BoolVar(&s.bootstrap)
-	c.Flag("control-listen", "control: address for members and entries.").Default("127.0.0.1:8082").StringVar(&s.controlLink)
-	c.Flag("control-advertise", "control: address under which the other members reach this one; the one it listens on by default.").StringVar(&s.advertise)
-	c.Flag("operator-listen", "control: address for almondctl.").Default("127.0.0.1:8083").StringVar(&s.operator)
-	c.Flag("operator-token", "control: token of the operators; better given by --operator-token-file.").StringVar(&s.token)
-	c.Flag("operator-token-file", "control: file that holds the operators' token.").StringVar(&s.tokenFile)
+	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.members)
+	s.control.flags(c)
 	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
 	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
 	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
@@ -87,6 +82,7 @@
 	c.Flag("capacity", "agent: memory of the engine in tokens.").Default("40000").IntVar(&s.capacity)
 	c.Flag("engine-batch", "agent: largest number of sequences that the engine runs at once.").Default("256").IntVar(&s.batch)
 	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it.").Default("256").IntVar(&s.queue)
+	c.Flag("prefill", "agent: prompt tokens computed at once; less keeps the gaps between tokens short, more brings first tokens sooner in a burst. 0 takes the default.").Default("0").IntVar(&s.prefill)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
 	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
 }
@@ -112,21 +108,23 @@
 		}
 	}
 	if s.has(roleControl) {
-		if err := s.checkControl(); err != nil {
+		if err := s.control.check(); err != nil {
 			return err
 		}
 	}
-	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.control) == 0) {
+	if s.has(roleEntry) && (len(s.conf) == 0) == (len(s.members) == 0) {
 		return errors.New("--control or --config: the entry role needs its configuration from one of them")
 	}
 	return nil
 }
 
-func (s *settings) checkControl() error {
-	if s.dataDir == "" {
-		return errors.New("--data-dir: the control role needs a data folder")
+// peers gives the other entries in the order of their names.
+func (s *settings) peers() []process.EntryPeer {
+	var out []process.EntryPeer
+	for _, id := range slices.Sorted(maps.Keys(s.entryPeers)) {
+		out = append(out, process.EntryPeer{Instance: api.InstanceID(id), Addr: s.entryPeers[id]})
 	}
-	return loadSecret("operator-token", s.tokenFile, &s.token)
+	return out
 }
 
 func (s *settings) checkAgent() error {
--- a/core/limit/customer.go
+++ b/core/limit/customer.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// burst is the time over which unused rate is kept.
-	burst = 2 * time.Second
+	// defaultSaved is the time over which unused rate is kept, if the limit
+	// doesn't say.
+	defaultSaved = 2 * time.Second
 	// noLeaseRetry is the RetryAfter while the first lease is on its way: about
 	// two journeys between zones.
 	noLeaseRetry = 50 * time.Millisecond
@@ -83,6 +84,9 @@
 	mu     sync.Mutex
 	level  float64
 	filled time.Time
+	// primed tells that the first lease has given half of the bucket. A floor
+	// gives nothing at once: many entries may have one.
+	primed bool
 	// what was wanted since the last want, and how long requests take.
 	peak        int64
 	refused     int64
@@ -130,7 +134,7 @@
 	if s.limit.Slots == 0 {
 		cu.inUse.Add(1)
 	}
-	wait, ok := cu.charge(est, s.limit.Rate > 0, part.Rate, now)
+	wait, ok := cu.charge(est, s.limit, part.Rate, leased, now)
 	if !ok {
 		cu.inUse.Add(-1)
 		return cu.refuse(api.ReasonTokenRateLimit, leased, wait, est)
@@ -153,15 +157,19 @@
 
 // charge takes est tokens from the bucket. An estimate above what the bucket
 // can ever hold passes when the bucket is full: else it would never run.
-func (cu *customer) charge(est int64, limited bool, rate int64, now time.Time) (time.Duration, bool) {
+func (cu *customer) charge(est int64, l Limit, rate int64, leased bool, now time.Time) (time.Duration, bool) {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	cu.peak = max(cu.peak, cu.inUse.Load())
-	if !limited {
+	if l.Rate == 0 {
 		return 0, true
 	}
-	most := float64(rate) * burst.Seconds()
+	most := float64(rate) * l.saved().Seconds()
 	cu.fill(float64(rate), most, now)
+	if leased && !cu.primed {
+		cu.primed = true
+		cu.level = max(cu.level, most/2)
+	}
 	need := min(float64(est), most)
 	if cu.level < need || rate == 0 {
 		return cu.tokenWait(need, float64(rate)), false
@@ -171,11 +179,9 @@
 	return 0, true
 }
 
-// fill adds what has accrued; the first fill gives half of the bucket.
+// fill adds what has accrued.
 func (cu *customer) fill(rate, most float64, now time.Time) {
-	if cu.filled.IsZero() {
-		cu.level = most / 2
-	} else if d := now.Sub(cu.filled); d > 0 {
+	if d := now.Sub(cu.filled); d > 0 && !cu.filled.IsZero() {
 		cu.level += rate * d.Seconds()
 	}
 	cu.level = min(cu.level, most)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -14,7 +14,7 @@
 type counts map[api.Reason]int
 
 func (c counts) Retried(r api.Reason) { c[r]++ }
-func (c counts) Refused(r api.Reason) { c["not "+r]++ }
+func (c counts) Refused(w Why)        { c["not: "+api.Reason(w)]++ }
 
 func rnd(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
 
@@ -38,11 +38,12 @@
 		{"engine died after a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 1, true, false, ""},
 		{"engine died before a token", first, api.OutcomeInterrupted, api.ReasonEngineDied, 0, true, true, api.ReasonEngineDied},
 		{"limit", first, api.OutcomeNotRun, api.ReasonTokenRateLimit, 0, true, false, ""},
+		{"no target", first, api.OutcomeNotRun, api.ReasonNoTarget, 0, true, false, ""},
 		{"never fits", first, api.OutcomeNotRun, api.ReasonNeverFits, 0, true, false, ""},
 		{"cancelled", first, api.OutcomeInterrupted, api.ReasonCancelled, 0, true, false, ""},
 		{"completed", first, api.OutcomeCompleted, api.ReasonLinkLost, 0, true, false, ""},
-		{"attempts used up", last, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not queue_full"},
-		{"deadline too near", short, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not timeout"},
+		{"attempts used up", last, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not: attempts"},
+		{"deadline too near", short, api.OutcomeNotRun, api.ReasonQueueFull, 0, true, false, "not: deadline"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -90,7 +91,7 @@
 			if d.Retry {
 				retries++
 			} else {
-				c.Assert(d.Reason, qt.Equals, api.ReasonRetryBudget)
+				c.Assert(d.Why, qt.Equals, WhyBudget)
 			}
 		}
 		return retries
@@ -102,3 +103,26 @@
 	c.Assert(fail("third", 10, t0), qt.Equals, 0)
 	c.Assert(fail("large", 1, t0.Add(2*time.Second)), qt.Equals, 1)
 }
+
+// A target with a long queue leaves and hands all of it back at once. Every
+// request is placed elsewhere, although the budgets would pay for a few only;
+// any other reason goes on being paid for.
+func TestQueueOfALeavingTargetMovesWithoutBudget(t *testing.T) {
+	c := qt.New(t)
+	p := New(Options{Customer: Ratio{PerTry: 0.001, PerSecond: 0.001, Most: 1}}, nopMeter{})
+	now := time.Unix(0, 0)
+	rng := rand.New(rand.NewPCG(1, 1))
+	leaving := api.NotRun(api.StepQueue, "t1", api.ReasonTargetLeaving, nil)
+	full := api.NotRun(api.StepQueue, "t1", api.ReasonQueueFull, nil)
+	for range 500 {
+		c.Assert(p.Next(Attempt{Customer: "c", Number: 1}, leaving, 0, false, now, rng).Retry, qt.IsTrue)
+	}
+	p.Next(Attempt{Customer: "c", Number: 1}, full, 0, false, now, rng)
+	c.Assert(p.Next(Attempt{Customer: "c", Number: 1}, full, 0, false, now, rng).Why, qt.Equals, WhyBudget)
+	c.Assert(p.Next(Attempt{Customer: "c", Number: 3}, leaving, 0, false, now, rng).Why, qt.Equals, WhyAttempts)
+}
+
+type nopMeter struct{}
+
+func (nopMeter) Retried(api.Reason) {}
+func (nopMeter) Refused(Why)        {}
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -27,6 +27,8 @@
 		a.onTombstone(from, m)
 	case *wire.Resume:
 		a.onResume(from, m)
+	case *wire.Pace:
+		a.onPace(from, m)
 	}
 }
 
@@ -60,7 +62,7 @@
 		bid = a.admit.Bid(a.request(m.Key, m.Size, now), now)
 	}
 	a.mu.Unlock()
-	_ = from.Send(&wire.Bid{Key: m.Key, Wait: bid.Wait, Cached: bid.Cached, Refuse: bid.Refuse})
+	_ = from.Send(&wire.Bid{Key: m.Key, Wait: bid.Wait, Cached: bid.Cached, Refuse: bid.Refuse, RetryAfter: bid.RetryAfter})
 }
 
 func (a *Agent) onOffer(from sender, m *wire.Offer) {
@@ -145,6 +147,8 @@
 	defer a.mu.Unlock()
 	s := a.lookup(m.Key)
 	if s == nil {
+		// The entry has taken another's bid: the place that ours kept is free.
+		a.admit.Release(m.Key.Request)
 		return
 	}
 	if m.Hold > 0 {
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -39,8 +39,6 @@
 	Tick     time.Duration
 	Validate Validator
 	Observer Observer
-	// Info is what this member tells of itself.
-	Info state.MemberInfo
 	// SnapshotEntries is how many applied entries make a snapshot due.
 	SnapshotEntries uint64
 }
@@ -65,14 +63,14 @@
 	term        uint64
 	lastSnap    uint64
 	lastCommand time.Time
-	toldSelf    bool
 	ticks       int
+	held        []heldChange
 	members     consensus.Membership
 
 	// mu guards the state between Apply and its readers.
 	mu      sync.RWMutex
 	state   *state.State
-	changed chan struct{} // closed and replaced at a new revision or leader
+	changed chan struct{} // closed and replaced at what watchers are told
 	applied uint64
 
 	status  atomic.Pointer[consensus.Status]
@@ -184,6 +182,7 @@
 	if m.ticks%statusRefresh == 0 {
 		m.publish()
 	}
+	m.releaseChanges()
 	if m.role != consensus.RoleLeader {
 		return
 	}
@@ -280,7 +279,7 @@
 		return
 	}
 	m.mu.Lock()
-	before := m.state.Current().Revision
+	revision, drained := m.state.Current().Revision, m.state.Drained()
 	answers := make([]answer, 0, len(entries))
 	for _, e := range entries {
 		if e.Type == consensus.EntryCommand {
@@ -288,7 +287,7 @@
 		}
 		m.applied = e.Index
 	}
-	if m.state.Current().Revision != before {
+	if m.state.Current().Revision != revision || m.state.Drained() != drained {
 		m.announce()
 	}
 	m.mu.Unlock()
@@ -338,7 +337,6 @@
 	}
 	if leads && (!led || another) {
 		m.clock = startClock(m.state.Now(), time.Now())
-		m.toldSelf = false
 	}
 	m.role = rd.Role
 	m.term = rd.HardState.Term
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
-	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
@@ -13,7 +12,6 @@
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/durable"
 	"almondseam.dev/node/events"
-	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
 	"github.com/rs/zerolog"
 )
@@ -23,51 +21,47 @@
 	Instance api.InstanceID
 	Zone     api.Zone
 	Key      []byte
-	// Token opens the operator interface.
+	// Token lets operators in.
 	Token string
-	// DataDir is the one data folder of this member.
-	DataDir string
-	// Bootstrap starts a new group of one in an empty folder. Every other
-	// member starts without it and is added by an operator.
-	Bootstrap bool
+	// Dir is the data folder. Losing it makes this a new member.
+	Dir string
 	// Links and Operator are where members and entries, and operators, connect.
-	// Advertise is the address under which the other members reach Links.
-	Links     net.Listener
-	Operator  net.Listener
+	Links    net.Listener
+	Operator net.Listener
+	// Advertise is the address by which other members dial Links; by default
+	// the address that Links listens on.
 	Advertise string
+	// Bootstrap starts a new group of this member alone when the folder is
+	// empty. Exactly one member of a fleet is ever started with it.
+	Bootstrap bool
 }
 
-// ControlPorts are what a control process needs beside its settings.
-type ControlPorts struct {
-	Metrics *metrics.Set
-	Log     *zerolog.Logger
-}
-
-// Control is a running control role.
+// Control is a running control role with its data folder.
 type Control struct {
 	set   ControlSettings
-	ports ControlPorts
+	log   *zerolog.Logger
 	store *durable.Store
 	role  *control.Role
+	ready control.Settings
 }
 
-// ErrNotEmpty refuses to bootstrap a folder that has a past: the group it
-// belongs to would be forked.
-var ErrNotEmpty = errors.New("the data folder already belongs to a group; start without --bootstrap")
-
-// NewControl opens the data folder and starts the member.
-func NewControl(set ControlSettings, ports ControlPorts) (*Control, error) {
-	store, restored, err := durable.Open(durable.OS{}, set.DataDir)
+// NewControl opens the data folder; Start runs the role.
+func NewControl(set ControlSettings, m *metrics.Set, log *zerolog.Logger) (*Control, error) {
+	store, restored, err := durable.Open(durable.OS{}, set.Dir)
 	if err != nil {
 		return nil, err
 	}
-	c := &Control{set: set, ports: ports, store: store}
-	if set.Bootstrap {
-		if restored, err = c.bootstrap(restored); err != nil {
-			return nil, errors.Join(err, store.Close())
+	if set.Advertise == "" {
+		set.Advertise = set.Links.Addr().String()
+	}
+	c := &Control{set: set, log: log, store: store}
+	if set.Bootstrap && empty(restored) {
+		if restored, err = c.bootstrap(); err != nil {
+			_ = store.Close()
+			return nil, err
 		}
 	}
-	c.role, err = control.Start(control.Settings{
+	c.ready = control.Settings{
 		ID:           store.ID(),
 		Restored:     restored,
 		Storage:      store,
@@ -79,68 +73,65 @@
 		Key:          set.Key,
 		Token:        set.Token,
 		Validate:     validDocument,
-		Observer:     metrics.NewControl(ports.Metrics),
-		LinkObserver: ports.Metrics,
+		Observer:     control.NewMetrics(m.Registry, log, store.ID()),
+		LinkObserver: m,
 		Limits:       state.DefaultLimits(),
-	})
+	}
+	c.role, err = control.Start(c.ready)
 	if err != nil {
-		return nil, errors.Join(err, store.Close())
+		_ = store.Close()
+		return nil, err
 	}
 	return c, nil
 }
 
-func validDocument(b []byte) error {
-	d, err := fleetconfig.ReadDocument(b)
-	if err != nil {
-		return err
-	}
-	return d.Check()
+// firstIndex is that of the snapshot a bootstrap writes.
+const firstIndex = 1
+
+// empty tells whether a folder has never been part of a group. A folder that has
+// must not be bootstrapped again: it would be a second group under one name. One
+// whose bootstrap was cut short after its first file still counts as empty.
+func empty(r consensus.Restored) bool {
+	return r.HardState == (consensus.HardState{}) && r.Snapshot.Index <= firstIndex && len(r.Entries) == 0
 }
 
-// bootstrap makes the folder the first member of a new group. The state is on
-// the disk before the member starts: one that voted from memory alone and then
-// crashed would come back as an empty folder and could found a second group.
-func (c *Control) bootstrap(r consensus.Restored) (consensus.Restored, error) {
-	if r.HardState != (consensus.HardState{}) || r.Snapshot.Index > 0 || len(r.Entries) > 0 {
-		return r, ErrNotEmpty
-	}
-	first, err := consensus.Bootstrap(consensus.Membership{Voters: []consensus.Member{{ID: c.store.ID(), Addr: c.set.Advertise}}}, nil)
+func (c *Control) bootstrap() (consensus.Restored, error) {
+	first := consensus.Membership{Voters: []consensus.Member{{ID: c.store.ID(), Addr: c.set.Advertise}}}
+	r, err := consensus.Bootstrap(first, nil)
 	if err != nil {
 		return r, err
 	}
-	if err := c.store.SaveSnapshot(first.Snapshot); err != nil {
+	if err := c.store.SaveSnapshot(r.Snapshot); err != nil {
 		return r, err
 	}
-	return first, c.store.Save(&first.HardState, nil, true)
+	return r, c.store.Save(&r.HardState, r.Entries, true)
 }
 
-// ID is the member's number, which operators add it by.
-func (c *Control) ID() consensus.MemberID { return c.store.ID() }
+func validDocument(document []byte) error {
+	d, err := fleetconfig.DecodeDocument(document)
+	if err != nil {
+		return err
+	}
+	return d.Check()
+}
 
-// Start implements the role; the member runs since NewControl.
+// Start tells that the role runs; the member has been at work since NewControl.
 func (c *Control) Start() {
-	events.ProcessStarted.Log(c.ports.Log).Str("role", string(link.RoleControl)).
-		Uint64("member", uint64(c.store.ID())).Str("links", c.set.Advertise).
-		Str("operators", c.set.Operator.Addr().String()).Send()
+	events.ControlStarted.Log(c.log).Uint64("member", uint64(c.store.ID())).
+		Str("links", c.set.Advertise).Str("operators", c.set.Operator.Addr().String()).Send()
 }
 
-// Ended is closed when the member has stopped, also by a failure of its disk.
+// Ended is closed when the member has stopped; Stop then gives the reason.
 func (c *Control) Ended() <-chan struct{} { return c.role.Ended() }
 
-// Stop ends the member and closes its folder.
+// ID is the member's ID, which `almondctl members add` asks for.
+func (c *Control) ID() consensus.MemberID { return c.store.ID() }
+
+// Stop ends the role and frees the data folder.
 func (c *Control) Stop(context.Context) error {
 	err := c.role.Stop()
-	return errors.Join(err, c.store.Close())
-}
-
-// ControlLinkSettings connect an entry to the control group.
-type ControlLinkSettings struct {
-	Instance api.InstanceID
-	Zone     api.Zone
-	Key      []byte
-	// Seeds are the link addresses of control members.
-	Seeds []string
+	if cerr := c.store.Close(); err == nil && cerr != nil {
+		err = fmt.Errorf("close data folder: %w", cerr)
+	}
+	return err
 }
-
-// reportEvery is the pace at which an entry tells control what it runs.
-const reportEvery = time.Second
