--- a/cmd/almondctl/operate.go
+++ b/cmd/almondctl/operate.go
@@ -55,7 +55,7 @@
 	cmd := app.Command("drain", "Give a target no new work; what runs there is finished.")
 	cmd.Arg("target", "The target.").Required().StringVar((*string)(&d.Target))
 	cmd.Flag("incarnation", "Only this incarnation; 0 for whichever runs.").Uint64Var((*uint64)(&d.Incarnation))
-	cmd.Flag("undo", "Give it work again.").BoolVar(&d.Undo)
+	cmd.Flag("undo", "End the drain; a target that has left comes back with its agent's next start.").BoolVar(&d.Undo)
 	cmd.Flag("author", "Who asks.").Envar("USER").Default("unknown").StringVar(&d.Author)
 	cmd.Action(func(*kingpin.ParseContext) error {
 		c.run = func() error { return c.drain(d) }
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -177,6 +177,7 @@
 	n.live = ports.Live
 	if coupling != nil {
 		coupling.ShowTargets(n.entry.View)
+		coupling.DrainTargets(n.entry.SetDrains)
 	}
 	n.roles = append(n.roles, n.entry)
 	return nil
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -27,6 +27,16 @@
 		a.onTombstone(from, m)
 	case *wire.Resume:
 		a.onResume(from, m)
+	case *wire.Drain:
+		a.onDrain(m)
+	}
+}
+
+// onDrain leaves on an operator's behalf. A message meant for an earlier start
+// of this agent came late and is dropped.
+func (a *Agent) onDrain(m *wire.Drain) {
+	if m.Incarnation == a.cfg.Incarnation {
+		a.Leave()
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -40,6 +41,7 @@
 	legs    *legs
 	bids    *bids
 	work    conc.WaitGroup
+	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
 }
 
 // New makes an entry. obs may be nil.
@@ -221,6 +223,7 @@
 		Leaving:     m.Leaving,
 		Capacity:    m.Capacity,
 	})
+	t.e.drain(t.self)
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -126,6 +126,9 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return e.entry.Targets() }
 
+// SetDrains takes the targets that operators drain.
+func (e *Entry) SetDrains(drains map[api.TargetID]api.Incarnation) { e.entry.SetDrains(drains) }
+
 // View lists the linked agents' targets for the report to control.
 func (e *Entry) View() []control.TargetReport {
 	var out []control.TargetReport
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
@@ -35,6 +36,7 @@
 	hub    *rollout.Hub
 	live   *fleetconfig.Live
 	view   func() []control.TargetReport
+	drain  func(map[api.TargetID]api.Incarnation)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -44,12 +46,14 @@
 // Live before a majority has confirmed a revision.
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
+	e.drain = func(map[api.TargetID]api.Incarnation) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:       set.Seeds,
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
+		OnDrains:    e.onDrains,
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
@@ -71,6 +75,17 @@
 // ShowTargets gives the source of the targets that are reported.
 func (e *EntryControl) ShowTargets(view func() []control.TargetReport) { e.view = view }
 
+// DrainTargets gives what is told of the targets that operators drain.
+func (e *EntryControl) DrainTargets(drain func(map[api.TargetID]api.Incarnation)) { e.drain = drain }
+
+func (e *EntryControl) onDrains(list []state.Drain) {
+	drains := make(map[api.TargetID]api.Incarnation, len(list))
+	for _, d := range list {
+		drains[d.Target] = d.Incarnation
+	}
+	e.drain(drains)
+}
+
 func (e *EntryControl) report() control.Report {
 	rev, site := e.conf.InForce()
 	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view()}
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -71,5 +71,6 @@
 		ProtoOf[Tombstoned](),
 		ProtoOf[Resume](),
 		ProtoOf[Returned](),
+		ProtoOf[Drain](),
 	}
 }
