--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -27,11 +27,21 @@
 		a.onTombstone(from, m)
 	case *wire.Resume:
 		a.onResume(from, m)
+	case *wire.Drain:
+		a.onDrain(m)
 	case *wire.Pace:
 		a.onPace(from, m)
 	}
 }
 
+// onDrain leaves on an operator's behalf. A message meant for an earlier start
+// of this agent came late and is dropped.
+func (a *Agent) onDrain(m *wire.Drain) {
+	if m.Incarnation == a.cfg.Incarnation {
+		a.Leave()
+	}
+}
+
 // request gives the admission's view of an offer or a bid.
 func (a *Agent) request(k wire.Key, z wire.Size, now time.Time) admission.Request {
 	r := admission.Request{
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -41,6 +41,7 @@
 	legs    *legs
 	bids    *bids
 	work    conc.WaitGroup
+	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
 	pace    atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
@@ -225,6 +226,7 @@
 		Leaving:     m.Leaving,
 		Capacity:    m.Capacity,
 	})
+	t.e.drain(t.self)
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -74,6 +74,7 @@
 		ProtoOf[Tombstoned](),
 		ProtoOf[Resume](),
 		ProtoOf[Returned](),
+		ProtoOf[Drain](),
 		ProtoOf[Pace](),
 	}
 }
