Follow the recovery until load is as before

Cause: after the overload to 2.0 the run ended while callers who came back were still served, so it showed no recovery. Change: the recovery run lasts 500 s; the overload is as long as it was.

--- a/bench/policy/recovery.go
+++ b/bench/policy/recovery.go
@@ -18,11 +18,18 @@
 // heavy enough that callers are refused or give up, and come back.
 var overloads = []float64{1.3, 2}
 
+// The overload lasts from a part of the run to another.
+const (
+	recoveryLength = 500 * time.Second
+	overFrom       = 0.15
+	overTo         = 0.36
+)
+
 // overload is the shape of a recovery run: 0.6 of capacity, then peak, then 0.6
 // again, as parts of the peak.
 func overload(peak float64) func(at float64) float64 {
 	return func(at float64) float64 {
-		if at >= 0.25 && at < 0.6 {
+		if at >= overFrom && at < overTo {
 			return 1
 		}
 		return 0.6 / peak
@@ -62,6 +69,7 @@
 func measureRecovery(shifting *workload, seeds, workers int) {
 	steady := *shifting
 	steady.shift = 1
+	steady.length = recoveryLength
 	capacity := measureCapacity(&steady, workers)
 	for _, peak := range overloads {
 		measureOverload(&steady, peak, capacity, seeds, workers)
@@ -80,7 +88,7 @@
 	}
 	p.Wait()
 	fmt.Printf("\n### %s: 0.6 of capacity (%.1f requests/s), %.1f from %d s to %d s, 0.6 again; callers come back up to %d times\n\n",
-		load.name, capacity, peak, int(load.length.Seconds()*0.25), int(load.length.Seconds()*0.6), maxRetries)
+		load.name, capacity, peak, int(load.length.Seconds()*overFrom), int(load.length.Seconds()*overTo), maxRetries)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
 	total := load.length.Seconds()
@@ -88,8 +96,12 @@
 		name     string
 		from, to float64
 	}{
-		{"before", 0.1, 0.25}, {"overload, first half", 0.25, 0.425}, {"overload, second half", 0.425, 0.6},
-		{"after, first half", 0.6, 0.8}, {"after, second half", 0.8, 1},
+		{"before", 0.06, overFrom},
+		{"overload, first half", overFrom, (overFrom + overTo) / 2},
+		{"overload, second half", (overFrom + overTo) / 2, overTo},
+		{"after, first 110 s", overTo, 0.58},
+		{"after, next 110 s", 0.58, 0.8},
+		{"after, last 100 s", 0.8, 1},
 	}
 	names := []string{"goodput, tokens/s: median (worst)"}
 	for _, c := range cols {
