--- a/bench/policy/gates.go
+++ b/bench/policy/gates.go
@@ -6,6 +6,7 @@
 	"almondseam.dev/core/admission"
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/estimate"
+	"almondseam.dev/node/standin"
 )
 
 // epoch is the virtual time's zero.
@@ -138,6 +139,8 @@
 	// waiting are the calls accepted and not yet started.
 	waiting map[api.RequestID]*call
 	order   []*call
+	// seen is the preemptions of the last report.
+	seen int
 }
 
 func newOurs(cfg admission.Config) *ours {
@@ -180,7 +183,7 @@
 	if c.delivered == 100 {
 		c.bound100 = 100 + g.lengths.Curve(g.key(c)).Quantile(100, 0.9)
 	}
-	g.ctl.Progress(c.id, c.attempt, c.delivered, epoch)
+	g.ctl.Progress(c.id, c.attempt, c.delivered, epoch.Add(c.last))
 }
 
 func (g *ours) done(c *call, whole bool) {
@@ -198,8 +201,15 @@
 	delete(g.waiting, c.id)
 }
 
-func (g *ours) preempted(c *call, now time.Duration) {
-	g.ctl.Preempted(c.id, c.attempt, epoch.Add(now))
+// preempted does nothing: an engine doesn't say whose memory it took. The agent
+// sees the count in the late report; see report.
+func (g *ours) preempted(*call, time.Duration) {}
+
+// report takes an engine's late report.
+func (g *ours) report(l standin.Load, now time.Duration) {
+	for ; g.seen < l.Preemptions; g.seen++ {
+		g.ctl.Preempted("", 0, epoch.Add(now))
+	}
 }
 
 // yield gives the call that makes room when the engine's report shows that its
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -249,14 +249,17 @@
 	w.kick(n)
 }
 
-// yield lets our gates make room where an engine's late report shows no memory.
+// yield gives our gates the engines' late reports and lets them make room where
+// one shows no memory.
 func (w *world) yield() {
 	for _, n := range w.nodes {
 		g, ok := n.gate.(*ours)
 		if !ok || n.dead {
 			continue
 		}
-		if c := g.yield(n.eng.Report(epoch.Add(w.now)).Free); c != nil {
+		l := n.eng.Report(epoch.Add(w.now))
+		g.report(l, w.now)
+		if c := g.yield(l.Free); c != nil {
 			n.eng.Cancel(string(c.id), epoch.Add(w.now))
 			w.m.yields++
 		}
