Leave a cancelled call unknown when its service had it

Cause: TestBookingWhoseAgentDiedIsNotRunAgain failed at times: an agent stopped hard told interrupted of a booking whose service had not answered. Change: a call that was cancelled before its response keeps the outcome of the target's adapter, unknown; only the reason becomes cancelled. Conclusion: interrupted is said only where it is known to have run.

--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -66,11 +66,13 @@
 }
 
 // failed turns a target's error before any item into the final frame. The
-// target's adapter alone may claim not_run.
+// target's adapter alone may claim not_run; a call that was cancelled while its
+// service had it stays unknown, for nothing tells how far it got.
 func (s *session) failed(err error) *wire.Final {
 	e := api.AsError(err)
+	f := &wire.Final{Outcome: e.Outcome, Reason: e.Reason, RetryAfter: e.RetryAfter, Detail: detail(e)}
 	if s.isStopped() && e.Outcome != api.OutcomeNotRun {
-		return &wire.Final{Outcome: api.OutcomeInterrupted, Reason: api.ReasonCancelled}
+		f.Reason = api.ReasonCancelled
 	}
-	return &wire.Final{Outcome: e.Outcome, Reason: e.Reason, RetryAfter: e.RetryAfter, Detail: detail(e)}
+	return f
 }
