fleetconfig: bound the lines of a file, take rulers of dashes

Cause: a comment ruler of more than 64 dashes was refused as nesting; a list of two million empty entries kept the parser busy for minutes (20,000: 91 ms). Change: a dash counts as nesting only with a blank behind it; a file has at most 100,000 lines. Measured: go test -race ./core/fleetconfig passes (4.8 s). Conclusion: what the parser is given is bounded in lines too.

--- a/core/fleetconfig/reference.go
+++ b/core/fleetconfig/reference.go
@@ -31,7 +31,8 @@
 - **Strictness.** Unknown and duplicate keys, empty values, a second document and
   merge keys are refused. Each fault is told with file, line, column and path, as in
   ` + "`base.yaml:9:13: customers[atlas].weight: want at least 1, got 0`" + `.
-- **Bounds.** A file has at most 4MiB, 200000 values, 1000 aliases and 16 levels.
+- **Bounds.** A file has at most 4MiB, 100000 lines, 200000 values, 1000 aliases and
+  16 levels.
 `
 
 // Reference writes the reference page in Markdown: one table for each section,
--- a/core/fleetconfig/refuse_test.go
+++ b/core/fleetconfig/refuse_test.go
@@ -55,6 +55,8 @@
 		{"unknown alias", "weight: 4", "weight: *w", "alias"},
 		{"not a mapping", testBase, "- a", "want a mapping at the top, got a list"},
 		{"syntax", "weight: 4", "weight: [4", "base.yaml:"},
+		{"lines", "weight: 4", "weight: " + strings.Repeat("-\n", maxLines), "more than 100000 lines"},
+		{"deep block entries", "weight: 4", "weight: " + strings.Repeat("- ", 5000), "nested deeper"},
 		{"deep", "weight: 4", "weight: " + strings.Repeat("[", 5000), "nested deeper"},
 	}
 	for _, tt := range tests {
@@ -75,6 +77,13 @@
 	return strings.NewReplacer(`.`, `\.`, `[`, `\[`, `]`, `\]`, `(`, `\(`, `)`, `\)`, `?`, `\?`, `*`, `\*`).Replace(s)
 }
 
+// A ruler of dashes in a comment is no nesting.
+func TestParseTakesRulers(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse(base("# " + strings.Repeat("-", 80) + "\n" + testBase))
+	c.Assert(err, qt.IsNil)
+}
+
 // Aliases that double at each level would grow a small file into a huge tree.
 func TestParseBoundsAliases(t *testing.T) {
 	c := qt.New(t)
--- a/core/fleetconfig/yaml.go
+++ b/core/fleetconfig/yaml.go
@@ -18,6 +18,7 @@
 // the copy.
 const (
 	MaxFileBytes = 4 << 20
+	maxLines     = 100_000
 	maxDepth     = 16
 	maxNodes     = 200_000
 	maxAliases   = 1000
@@ -55,35 +56,40 @@
 	return root, nil
 }
 
-// precheck refuses what would make the recursive parser use too much stack:
-// deep flow nesting and runs of block entries on one line.
+// precheck refuses what the parser would take too much stack or time for: deep
+// flow nesting, runs of block entries on one line, and too many lines, as its
+// time grows with their square in lists of nothing.
 func precheck(file string, data []byte) (Problem, bool) {
 	if len(data) > MaxFileBytes {
 		return Problem{Pos: Pos{File: file}, Msg: fmt.Sprintf("file is longer than %s", Size(MaxFileBytes))}, false
 	}
 	line, open, run := 1, 0, 0
-	for _, b := range data {
-		switch b {
-		case '\n':
+	for i, b := range data {
+		switch {
+		case b == '\n':
 			line++
 			run = 0
-		case '[', '{':
+		case b == '[', b == '{':
 			open++
-		case ']', '}':
+		case b == ']', b == '}':
 			open = max(open-1, 0)
-		case '-', '?', ':', '!', '&', '*', '|', '>':
+		case (b == '-' || b == '?') && i+1 < len(data) && isBlank(data[i+1]):
 			run++
-		case ' ', '\t', '\r':
-		default:
+		case !isBlank(b):
 			run = 0
 		}
 		if open > 2*maxDepth || run > 4*maxDepth {
 			return Problem{Pos: Pos{File: file, Line: line}, Msg: fmt.Sprintf("nested deeper than %d", maxDepth)}, false
 		}
 	}
+	if line > maxLines {
+		return Problem{Pos: Pos{File: file, Line: line}, Msg: fmt.Sprintf("more than %d lines", maxLines)}, false
+	}
 	return Problem{}, true
 }
 
+func isBlank(b byte) bool { return b == ' ' || b == '\t' || b == '\r' || b == '\n' }
+
 // parseFile runs the library's parser. A panic inside it becomes a problem of
 // the file: an operator's broken file must not end a control process, and the
 // parser keeps no state that a panic could leave half changed.
