--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -27,6 +27,18 @@
 		a.onTombstone(from, m)
 	case *wire.Resume:
 		a.onResume(from, m)
+	case *wire.Drain:
+		a.onDrain(m)
+	case *wire.Pace:
+		a.onPace(from, m)
+	}
+}
+
+// onDrain leaves on an operator's behalf. A message meant for an earlier start
+// of this agent came late and is dropped.
+func (a *Agent) onDrain(m *wire.Drain) {
+	if m.Incarnation == a.cfg.Incarnation {
+		a.Leave()
 	}
 }
 
@@ -145,6 +157,8 @@
 	defer a.mu.Unlock()
 	s := a.lookup(m.Key)
 	if s == nil {
+		// The entry has taken another's bid: the place that ours kept is free.
+		a.admit.Release(m.Key.Request)
 		return
 	}
 	if m.Hold > 0 {
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
@@ -13,6 +15,18 @@
 	"github.com/sourcegraph/conc"
 )
 
+// ControlLinkSettings connect an entry to the control group.
+type ControlLinkSettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	// Seeds are the link addresses of control members.
+	Seeds []string
+}
+
+// reportEvery is the pace at which an entry tells control what it runs.
+const reportEvery = time.Second
+
 // EntryControl couples an entry to the control group: the configuration comes
 // from there, claims go there, and what runs here is reported there.
 type EntryControl struct {
@@ -22,6 +36,7 @@
 	hub    *rollout.Hub
 	live   *fleetconfig.Live
 	view   func() []control.TargetReport
+	drain  func(map[api.TargetID]api.Incarnation)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -31,12 +46,14 @@
 // Live before a majority has confirmed a revision.
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
+	e.drain = func(map[api.TargetID]api.Incarnation) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:       set.Seeds,
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
+		OnDrains:    e.onDrains,
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
@@ -58,6 +75,17 @@
 // ShowTargets gives the source of the targets that are reported.
 func (e *EntryControl) ShowTargets(view func() []control.TargetReport) { e.view = view }
 
+// DrainTargets gives what is told of the targets that operators drain.
+func (e *EntryControl) DrainTargets(drain func(map[api.TargetID]api.Incarnation)) { e.drain = drain }
+
+func (e *EntryControl) onDrains(list []state.Drain) {
+	drains := make(map[api.TargetID]api.Incarnation, len(list))
+	for _, d := range list {
+		drains[d.Target] = d.Incarnation
+	}
+	e.drain(drains)
+}
+
 func (e *EntryControl) report() control.Report {
 	rev, site := e.conf.InForce()
 	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view()}
