--- a/node/standin/server_test.go
+++ b/node/standin/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -147,3 +148,48 @@
 		})
 	}
 }
+
+// open starts a stream of many tokens and returns it once the first has come.
+func open(t *testing.T, url string) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	body := strings.Replace(chat, `"x_output_tokens":5`, `"x_output_tokens":1000000`, 1) + `,"stream":true}`
+	resp, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	r := bufio.NewReader(resp.Body)
+	_, err = r.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	return resp, r
+}
+
+// busy counts the sequences that the engine holds.
+func (s *Server) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.engine.byID)
+}
+
+// TestDisconnectCancels: the caller leaves in the middle of a long answer. The
+// engine must drop the sequence, or it would decode for nobody.
+func TestDisconnectCancels(t *testing.T) {
+	s, url := start(t, Config{Blocks: 100_000}, Faults{})
+	resp, _ := open(t, url)
+	qt.Check(t, s.busy(), qt.Equals, 1)
+	qt.Assert(t, resp.Body.Close(), qt.IsNil)
+	for s.busy() > 0 {
+		runtime.Gosched()
+	}
+}
+
+// TestStall: the first request's stream stands still after one token while its
+// connection stays open; a second request is answered meanwhile.
+func TestStall(t *testing.T) {
+	_, url := start(t, Config{Blocks: 100_000}, Faults{StallAtRequest: 1, StallAfterTokens: 1})
+	resp, r := open(t, url)
+	defer resp.Body.Close()
+	_, err := r.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	status, _, err := post(t, url+"/v1/chat/completions", chat+`}`)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, 200)
+	qt.Check(t, r.Buffered(), qt.Equals, 0)
+}
