--- a/bench/policy/measures.go
+++ b/bench/policy/measures.go
@@ -19,6 +19,9 @@
 	stall       time.Duration
 	preemptions int
 	yields      int
+	// told counts calls that came back when told to, taken those of them that
+	// were accepted.
+	told, taken int
 	redone      int
 	wasted      int
 	goodTokens  int
--- a/bench/policy/workload.go
+++ b/bench/policy/workload.go
@@ -126,6 +126,8 @@
 	bound90  int
 	bound100 int
 	retries  int
+	// told is set when it comes back at the time it was told.
+	told bool
 }
 
 // rates is the lunch hour: the part of the peak rate at a part of the run.
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -159,6 +159,12 @@
 		}
 	})
 	w.put(c)
+	if c.told {
+		w.m.told++
+	}
+	if c.told && c.node != nil {
+		w.m.taken++
+	}
 }
 
 // maxTries bounds the targets that one request is offered to.
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -325,3 +325,17 @@
 	}
 	b.ReportMetric(float64(len(starts)), "running")
 }
+
+// TestRetryAfterLeavesRoom: a caller that is told to come back must not stand at
+// the edge of its deadline again: by then the wait is half of what it allows.
+func TestRetryAfterLeavesRoom(t *testing.T) {
+	c := newTest(Config{Capacity: 1000, QueueLimit: 1000})
+	for i := range 100 {
+		offer(t, c, epoch, note("q"+strconv.Itoa(i), api.CustomerID(strconv.Itoa(i)), 900))
+	}
+	late := note("x", "x", 900)
+	late.Deadline = epoch.Add(10 * time.Second)
+	v := c.Offer(late, epoch)
+	qt.Assert(t, v.Refuse, qt.Equals, api.ReasonDeadlineHopeless)
+	qt.Check(t, v.RetryAfter, qt.Equals, min(v.Wait-5*time.Second, time.Minute))
+}
--- a/core/admission/wait.go
+++ b/core/admission/wait.go
@@ -162,14 +162,16 @@
 	return seconds(float64(c.prefill+c.toCompute(s)) / c.cfg.PrefillRate)
 }
 
-// retryAfter is when a refused request could be taken: once the wait has
-// shrunk to what its deadline allows, or a quarter of the queue has gone.
+// retryAfter is when a refused request could be taken: once the wait has shrunk
+// to half of what its deadline allows, or a quarter of the queue has gone. With
+// the whole deadline a caller that came back as told stood at the edge again, and
+// half of them were refused once more.
 func (c *Controller) retryAfter(s *sequence, reason api.Reason, wait time.Duration, now time.Time) time.Duration {
 	switch reason {
 	case api.ReasonNeverFits, api.ReasonDuplicate:
 		return 0
 	case api.ReasonDeadlineHopeless:
-		wait -= s.Deadline.Sub(now)
+		wait -= s.Deadline.Sub(now) / 2
 	default:
 		wait /= 4
 	}
