engine: take the answer to HEAD, tell a late head as a timeout

Cause: a HEAD call passed on to a service was read as if a body followed, so the caller was told "interrupted" although the answer was whole. A target that was silent until the head's deadline was told as engine_died: the HTTP library's timeout is no net.Error.

Change: the body of an answer to HEAD is skipped; any error that reports a timeout counts as one.

--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -110,6 +110,7 @@
 		x.Close()
 		return nil, c.fail(api.OutcomeUnknown, api.ReasonEngineDied, err)
 	}
+	x.resp.SkipBody = w.Method == fasthttp.MethodHead
 	if err := c.readHead(x); err != nil {
 		x.Close()
 		return nil, c.fail(api.OutcomeUnknown, c.headReason(err), err)
@@ -118,8 +119,9 @@
 }
 
 func (c *Client) headReason(err error) api.Reason {
-	var nerr net.Error
-	if errors.As(err, &nerr) && nerr.Timeout() {
+	// The HTTP library's own timeout is no net.Error.
+	var late interface{ Timeout() bool }
+	if errors.As(err, &late) && late.Timeout() {
 		return api.ReasonTimeout
 	}
 	return api.ReasonEngineDied
