--- a/node/agent/start.go
+++ b/node/agent/start.go
@@ -80,6 +80,9 @@
 		a.admit.Done(k.Request, k.Attempt, s.produced(), now)
 	default:
 		a.admit.Failed(k.Request, k.Attempt)
+		// One that was cancelled while it gave way is not running but queued.
+		// Left there it would be started after its session has been forgotten.
+		a.admit.Cancel(k.Request, k.Attempt, now)
 	}
 	a.mu.Unlock()
 	a.end(s, f)
