agent: a late cancel of the entry that was left ends nothing

Cause: a caller whose connection broke came back through another entry before its first one had noticed. The first entry's cancel then ended the answer that the caller was being given.

Change: once a caller has come back (a Resume without an attempt), cancels of the first dispatch are passed over; the returned caller's own cancel holds.

go test -race -count=3 ./node/agent ./node/process before: FAIL TestLateCancelOfALeftEntry (the run was cancelled) after: ok, ok

--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -417,3 +417,26 @@
 		b.c.Assert(b.target.count(), qt.Equals, 2)
 	})
 }
+
+// A caller's connection breaks, it comes back at once, and only then does its
+// first entry notice and cancel. That cancel is for the caller that left: the
+// one that has come back must get its answer to the end.
+func TestLateCancelOfALeftEntry(t *testing.T) {
+	inBench(t, Config{}, 8, func(b *bench) {
+		b.say(offerOf("r1"))
+		run := b.target.run(0)
+		run.say("a")
+		heard[*wire.Data](b.link)
+		other, _ := b.attach()
+		back := wire.Key{Request: "r1"}
+		b.agent.Handle(other, &wire.Resume{Key: back, Customer: "c1"})
+		for _, hold := range []time.Duration{0, time.Minute} {
+			b.say(&wire.Cancel{Key: key("r1"), Hold: hold})
+			b.c.Assert(run.cancelled(), qt.IsFalse)
+		}
+		run.say("b")
+		b.c.Assert(text(b.c, heard[*wire.Data](other)), qt.Equals, "ab")
+		b.agent.Handle(other, &wire.Cancel{Key: back})
+		b.c.Assert(run.cancelled(), qt.IsTrue)
+	})
+}
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -161,6 +161,11 @@
 		a.admit.Release(m.Key.Request)
 		return
 	}
+	if m.Key.Attempt != 0 && s.hasReturned() {
+		// The first dispatch's entry has noticed late that its caller is gone.
+		// The caller has come back meanwhile, and would lose its answer.
+		return
+	}
 	if m.Hold > 0 {
 		s.hold(from, now.Add(min(m.Hold, a.cfg.Grace)-a.cfg.Grace))
 		return
@@ -217,7 +222,7 @@
 		_ = from.Send(&wire.Returned{Key: m.Key, Reason: reason})
 		return
 	}
-	err := s.attach(from, m.Offset)
+	err := s.attach(from, m.Offset, m.Key.Attempt == 0)
 	if errors.Is(err, stream.ErrPassed) {
 		_ = from.Send(&wire.Returned{Key: m.Key, Reason: api.ReasonReplayPassed})
 		return
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -34,6 +34,9 @@
 	started bool
 	// received is set when the entry has the final frame or waits for none.
 	received bool
+	// returned is set once the caller has come back on a road of its own, as a
+	// Resume without an attempt tells.
+	returned bool
 	cancel   context.CancelFunc // set when started
 	stopped  bool
 	// yielded is set between giving way and the end of that run; again and next
@@ -123,14 +126,16 @@
 	return true
 }
 
-// attach makes to the session's link and sends everything from off on.
-func (s *session) attach(to sender, off uint64) error {
+// attach makes to the session's link and sends everything from off on. back
+// tells that it is the caller that came back, not its entry after a lost link.
+func (s *session) attach(to sender, off uint64, back bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, _, err := s.buf.From(nil, off, 0); err != nil {
 		return err
 	}
 	s.to = to
+	s.returned = s.returned || back
 	s.orphaned = time.Time{}
 	s.sent = off
 	if s.head != nil {
@@ -162,6 +167,12 @@
 	return nil
 }
 
+func (s *session) hasReturned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returned
+}
+
 // detach forgets a link that has ended, unless another has taken its place.
 func (s *session) detach(from sender, now time.Time) {
 	s.mu.Lock()
