--- a/node/callers/parse.go
+++ b/node/callers/parse.go
@@ -30,15 +30,43 @@
 // generationBody is what is read of a generation request; everything else goes
 // to the engine as it came.
 type generationBody struct {
-	Model         api.ModelID       `json:"model"`
-	Messages      []json.RawMessage `json:"messages"`
-	Prompt        json.RawMessage   `json:"prompt"`
-	Stream        bool              `json:"stream"`
+	Model         api.ModelID
+	Messages      []json.RawMessage
+	Prompt        json.RawMessage
+	Stream        bool
 	StreamOptions *struct {
 		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-	MaxTokens           *int `json:"max_tokens"`
-	MaxCompletionTokens *int `json:"max_completion_tokens"`
+	}
+	MaxTokens           *int
+	MaxCompletionTokens *int
+}
+
+// read takes the fields by their exact names. The standard library would also
+// take "Model" for "model", while engines go by the exact name: a body with both
+// would be allowed here for one model and run there on another.
+func (b *generationBody) read(body []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return err
+	}
+	for name, dst := range map[string]any{
+		"model":                 &b.Model,
+		"messages":              &b.Messages,
+		"prompt":                &b.Prompt,
+		"stream":                &b.Stream,
+		"stream_options":        &b.StreamOptions,
+		"max_tokens":            &b.MaxTokens,
+		"max_completion_tokens": &b.MaxCompletionTokens,
+	} {
+		raw, ok := fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, dst); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
 }
 
 // parsed is a generation request with how the caller wants its answer.
@@ -57,20 +85,23 @@
 	if len(body) > int(who.conf.Limits().MaxBody) {
 		return nil, refusal(api.StepParse, api.ReasonTooLarge, fmt.Sprintf("the body is larger than %s", who.conf.Limits().MaxBody))
 	}
+	return parseBody(s.newRequest(c, who), who, body, c.Path() == pathChat, c.Get(HeaderKind))
+}
+
+// parseBody fills req from the body of a generation. It keeps body.
+func parseBody(req *entry.Request, who *caller, body []byte, chat bool, kind string) (*parsed, *api.Error) {
 	var b generationBody
-	if err := json.Unmarshal(body, &b); err != nil {
+	if err := b.read(body); err != nil {
 		return nil, refusal(api.StepParse, api.ReasonBadRequest, "the body is not the expected JSON: "+err.Error())
 	}
 	model, err := findModel(who, b.Model)
 	if err != nil {
 		return nil, err
 	}
-	chat := c.Path() == pathChat
 	text := promptText(&b, chat)
 	if len(text) == 0 {
 		return nil, refusal(api.StepParse, api.ReasonBadRequest, "the request has no prompt: messages (chat) or prompt (completions)")
 	}
-	req := s.newRequest(c, who)
 	req.Method = fiber.MethodPost
 	req.Path = pathCompletions
 	if chat {
@@ -78,7 +109,7 @@
 	}
 	req.Body = body
 	req.Repeatable = true
-	if err := size(req, who, model, &b, text, c.Get(HeaderKind)); err != nil {
+	if err := size(req, who, model, &b, text, kind); err != nil {
 		return nil, err
 	}
 	return &parsed{
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -190,9 +190,10 @@
 		"prompt": "x", "seed": 7, "stream": true, "priority": 3,
 		"stream_options": map[string]any{"include_usage": true},
 	})
-	w.Body = []byte("[")
-	got := gather(cl.Generate(t.Context(), w))
-	c.Assert(got.outcome, qt.Equals, notRun)
+	for _, bad := range []string{"[", "[]", "null", ""} {
+		w.Body = []byte(bad)
+		c.Assert(gather(cl.Generate(t.Context(), w)).outcome, qt.Equals, notRun, qt.Commentf("%q", bad))
+	}
 	c.Assert(e.conns.Load(), qt.Equals, int32(1))
 }
 
--- a/node/engine/generate.go
+++ b/node/engine/generate.go
@@ -51,6 +51,9 @@
 	if err := json.Unmarshal(w.Body, &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, errors.New("the body is null")
+	}
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	if c.cfg.Capabilities.Priority {
