callers: do not run a call whose body could not be read

Cause: calls to services were registered with Use. After an error in reading a request, such as a body beyond the server's bound, the HTTP library still runs what is in use and only then answers with the error. The call was made at the service with an empty body, while its caller was told not_run and 413.

Change: calls are registered with All.

--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -162,7 +162,11 @@
 	s.app.Get("/v1/models/:id", s.model)
 	s.app.Post(pathChat, s.generate)
 	s.app.Post(pathCompletions, s.generate)
-	s.app.Use(s.call)
+	// All, not Use: after an error in reading a request, such as a body beyond
+	// its bound or one that was never sent whole, the HTTP library still runs
+	// what is in use. The call would be made without its body, while its caller
+	// is told that it did not run.
+	s.app.All("/*", s.call)
 }
 
 // Serve answers on ln until Drain.
