Tests that two safeguards did not turn red now do

Cause: with the look at the caller's socket taken out, and with items taken after a yield, every test still passed: the keep-alive's failed write cancelled in place of the look, and the fake run heard its Close although it was to be deaf.

Change: a case with a keep-alive of a minute; the fake run gives a late item after its Close. The memory test covers a generation's body too.

--- a/node/agent/fake_test.go
+++ b/node/agent/fake_test.go
@@ -131,17 +131,16 @@
 func (r *fakeRun) Head() (int, []wire.Header) { return 200, nil }
 
 func (r *fakeRun) Next() ([]byte, error) {
-	closed := r.closed
-	if r.deaf {
-		closed = nil
-	}
 	select {
 	case it, ok := <-r.items:
 		if !ok {
 			return nil, io.EOF
 		}
 		return []byte(it), nil
-	case <-closed:
+	case <-r.closed:
+		if r.deaf {
+			return []byte(<-r.items), nil
+		}
 		return nil, &api.Error{Step: api.StepEngine, Outcome: api.OutcomeInterrupted, Reason: api.ReasonEngineDied}
 	}
 }
--- a/node/callers/pure_test.go
+++ b/node/callers/pure_test.go
@@ -27,12 +27,12 @@
   - {id: standin, context_tokens: 100, max_output_tokens: 50}
   - {id: secret, context_tokens: 100, max_output_tokens: 50}
 services: [{id: bookings, path_prefix: /bookings, repeatable: [GET], timeout: 20s, max_body: 1KiB}]
-limits: {keepalive: 100ms, claim_answer: 64B}
+limits: {keepalive: %s, claim_answer: 64B}
 `
 )
 
-func testLive(t testing.TB) *fleetconfig.Live {
-	f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, testConf, fleetconfig.KeySum(deskKey))})
+func testLive(t testing.TB, keep string) *fleetconfig.Live {
+	f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, testConf, fleetconfig.KeySum(deskKey), keep)})
 	qt.Assert(t, err, qt.IsNil)
 	live := &fleetconfig.Live{}
 	live.Publish(fleetconfig.Compile(f).At(1, "lhr"))
@@ -40,7 +40,7 @@
 }
 
 func desk(t testing.TB) *caller {
-	conf := testLive(t).Load()
+	conf := testLive(t, "100ms").Load()
 	cust, ok := conf.CustomerByKey(deskKey)
 	qt.Assert(t, ok, qt.IsTrue)
 	return &caller{conf: conf, customer: cust, id: "r1"}
--- a/node/callers/server_test.go
+++ b/node/callers/server_test.go
@@ -141,6 +141,11 @@
 }
 
 func newFront(t *testing.T, cfg Config, claimer Claimer, do func(a *fakeAgent, o *wire.Offer)) *front {
+	return newFrontKeeping(t, "100ms", cfg, claimer, do)
+}
+
+// newFrontKeeping is newFront with a keep-alive interval.
+func newFrontKeeping(t *testing.T, keep string, cfg Config, claimer Claimer, do func(a *fakeAgent, o *wire.Offer)) *front {
 	c := qt.New(t)
 	e := entry.New(entry.Config{}, entry.NewTablePlacer(routing.Options{Ask: 8, Local: 16, Foreign: 16}), entry.Attempts{Most: 2}, nil)
 	f := &front{c: c, limiter: &fakeLimiter{}}
@@ -154,7 +159,7 @@
 		agents = append(agents, a)
 	}
 	f.agents = agents
-	srv := New(cfg, Ports{Live: testLive(t), Entry: e, Limiter: f.limiter, Claimer: claimer})
+	srv := New(cfg, Ports{Live: testLive(t, keep), Entry: e, Limiter: f.limiter, Claimer: claimer})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	f.addr = ln.Addr().String()
@@ -203,20 +208,25 @@
 }
 
 // The caller sees that its request lives while the engine says nothing, and the
-// engine's work is cancelled when the caller hangs up: nothing is ever written
-// by the agent, so only a look at the socket can tell.
+// engine's work is cancelled when the caller hangs up. A failed write of the next
+// sign of life tells that at the latest; when none is due for long, only a look
+// at the socket does.
 func TestSilentEngine(t *testing.T) {
-	for name, tc := range map[string]struct{ body, sign string }{
-		"stream": {`{"model":"standin","prompt":"x","stream":true}`, ": queued position=0\n"},
-		"whole":  {`{"model":"standin","prompt":"x"}`, "\n"},
+	for name, tc := range map[string]struct {
+		body, sign, keep string
+		signs            int
+	}{
+		"stream":       {`{"model":"standin","prompt":"x","stream":true}`, ": queued position=0\n", "100ms", 3},
+		"whole":        {`{"model":"standin","prompt":"x"}`, "\n", "100ms", 3},
+		"quiet stream": {`{"model":"standin","prompt":"x","stream":true}`, ": queued position=0\n", "60s", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFront(t, Config{}, nil, func(a *fakeAgent, o *wire.Offer) { a.accept(o) })
+			f := newFrontKeeping(t, tc.keep, Config{}, nil, func(a *fakeAgent, o *wire.Offer) { a.accept(o) })
 			c := f.dial()
 			resp := c.ask("POST", pathCompletions, tc.body, "")
 			f.c.Assert(resp.StatusCode, qt.Equals, 200)
 			br := bufio.NewReader(resp.Body)
-			for range 3 {
+			for range tc.signs {
 				line, err := br.ReadString('\n')
 				f.c.Assert(err, qt.IsNil)
 				if line != "\n" {
@@ -267,6 +277,10 @@
 	offers := make(chan *wire.Offer, 2)
 	f := newFront(t, Config{}, nil, func(a *fakeAgent, o *wire.Offer) {
 		offers <- o
+		if o.Service == "" {
+			a.at.Handle(&wire.Refused{Key: o.Key, Reason: api.ReasonBadRequest})
+			return
+		}
 		a.answer(o, "ok")
 	})
 	c := f.dial()
@@ -278,6 +292,13 @@
 	f.c.Assert(o.Path, qt.Equals, "/bookings/first")
 	f.c.Assert(o.Method, qt.Equals, "POST")
 	f.c.Assert(slices.Contains(o.Headers, wire.Header{Name: "X-Name", Value: "first"}), qt.IsTrue)
+
+	first := `{"model":"standin","prompt":"1111"}`
+	c.text(c.ask("POST", pathCompletions, first, ""))
+	o = <-offers
+	c.text(c.ask("POST", pathCompletions, strings.Replace(first, "1", "2", -1), ""))
+	<-offers
+	f.c.Assert(string(o.Body), qt.Equals, first)
 }
 
 // A request that this entry does not take costs no target anything, and its
