Let agents learn the entries and link to a few of them

Cause: an agent dialled the seeds it was given and nothing else; all-to-all links cannot carry the two-year size, and an entry's report of all its targets every second would alone pass 5 KB/s from about 150 targets on. A report says only "same" when nothing has changed. Conclusion: links an entry holds are bounded by choice, not by the fleet's size.

--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -139,6 +139,14 @@
 }
 
 func (n *node) addEntry() error {
+	cln, err := listen("listen", n.set.callers)
+	if err != nil {
+		return err
+	}
+	lln, err := listen("link-listen", n.set.links)
+	if err != nil {
+		return err
+	}
 	ports := process.EntryPorts{Metrics: n.metrics, Log: n.log}
 	var coupling *process.EntryControl
 	if len(n.set.members) > 0 {
@@ -147,6 +155,7 @@
 			Zone:     n.set.zoneID(),
 			Key:      []byte(n.set.key),
 			Seeds:    n.set.members,
+			Links:    n.set.linkAddress(lln),
 		}, n.metrics, n.log)
 		n.roles = append(n.roles, coupling)
 		ports.Live, ports.Hub, ports.Claimer = coupling.Live(), coupling.Hub(), coupling.Claimer()
@@ -158,14 +167,6 @@
 		ports.Live = &fleetconfig.Live{}
 		ports.Live.Publish(snap)
 	}
-	cln, err := listen("listen", n.set.callers)
-	if err != nil {
-		return err
-	}
-	lln, err := listen("link-listen", n.set.links)
-	if err != nil {
-		return err
-	}
 	n.entry = process.NewEntry(process.EntrySettings{
 		Instance: api.InstanceID(n.set.instance),
 		Zone:     n.set.zoneID(),
@@ -178,6 +179,7 @@
 	if coupling != nil {
 		coupling.ShowTargets(n.entry.View)
 		coupling.DrainTargets(n.entry.SetDrains)
+		coupling.TellEntries(n.entry.SetEntries)
 	}
 	n.roles = append(n.roles, n.entry)
 	return nil
@@ -201,6 +203,7 @@
 		TargetAddr:   n.set.address,
 		Models:       convert[api.ModelID](n.set.models),
 		Services:     convert[api.ServiceID](n.set.services),
+		Links:        n.set.linkCount,
 		Capacity:     n.set.capacity,
 		MaxRunning:   n.set.batch,
 		Queue:        n.set.queue,
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -45,6 +45,9 @@
 	members []string
 	control controlSettings
 
+	linkAdvertise string
+	linkCount     int
+
 	seeds    []string
 	target   string
 	address  string
@@ -74,6 +77,8 @@
 	c.Flag("config", "entry: configuration file, the base first and then the site's overlay; instead of a control group.").StringsVar(&s.conf)
 	c.Flag("control", "entry: link address of a control member; may be given more than once.").StringsVar(&s.members)
 	s.control.flags(c)
+	c.Flag("link-advertise", "entry: address under which agents reach --link-listen; the one it listens on by default.").StringVar(&s.linkAdvertise)
+	c.Flag("links", "agent: number of entries to link to, once the seeds have told of all of them.").Default("8").IntVar(&s.linkCount)
 	c.Flag("seed", "agent: link address of an entry; may be given more than once.").StringsVar(&s.seeds)
 	c.Flag("target", "agent: name of the target, unique in the fleet.").StringVar(&s.target)
 	c.Flag("target-address", "agent: address of the target, HOST:PORT.").StringVar(&s.address)
@@ -152,6 +157,14 @@
 	return nil
 }
 
+// linkAddress is what agents are told to dial.
+func (s *settings) linkAddress(ln net.Listener) string {
+	if s.linkAdvertise != "" {
+		return s.linkAdvertise
+	}
+	return ln.Addr().String()
+}
+
 const minKey = 16
 
 func (s *settings) loadKey() error { return loadSecret("fleet-key", s.keyFile, &s.key) }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -208,6 +208,28 @@
 	}
 }
 
+// Retire tells one link's entry to place no more work here over it, ahead of the
+// link's end. The target goes on serving its other links.
+func (a *Agent) Retire(to sender) {
+	a.mu.Lock()
+	ann := a.announcement()
+	a.mu.Unlock()
+	ann.Leaving = true
+	_ = to.Send(ann)
+}
+
+// Uses tells whether a request in progress depends on a link.
+func (a *Agent) Uses(to sender) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		if s.uses(to) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Agent) linkList() []sender {
 	out := make([]sender, 0, len(a.links))
 	for l := range a.links {
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -293,6 +293,13 @@
 	return s.received || lost
 }
 
+// uses tells whether the request's end has yet to reach an entry over to.
+func (s *session) uses(to sender) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.to == to && !s.received
+}
+
 // expired tells that the session may be forgotten, and abandoned that nobody
 // has asked for it since its link was lost.
 func (s *session) expired(now time.Time, keep time.Duration) bool {
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	// OnDrains is called with all targets that operators drain, whenever the
 	// list changes; on the same goroutine as OnConfig. It may be nil.
 	OnDrains func(targets []state.Drain)
+	// OnEntries is called with all live entries, whenever they change, on one
+	// goroutine.
+	OnEntries func(list []wire.EntryInfo)
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
@@ -67,6 +71,9 @@
 	if opt.OnConfig == nil {
 		opt.OnConfig = func(api.Revision, []byte) {}
 	}
+	if opt.OnEntries == nil {
+		opt.OnEntries = func([]wire.EntryInfo) {}
+	}
 	if opt.OnDrains == nil {
 		opt.OnDrains = func([]state.Drain) {}
 	}
@@ -156,6 +163,8 @@
 		c.update(conn, m)
 	case *Drains:
 		c.drains(m)
+	case *Entries:
+		c.opt.OnEntries(m.List)
 	case *Leader:
 		if !m.Self && m.Addr != "" {
 			c.move(conn, m.Addr)
@@ -218,21 +227,30 @@
 	c.opt.OnDrains(m.Targets)
 }
 
+// reportLoop reports on one link: whole at first and on change, else only that
+// nothing has changed. A report lists all linked targets; sent whole every
+// second it would by itself pass an entry's 5 KB a second from 150 targets on.
 func (c *Client) reportLoop(ctx context.Context, conn *link.Conn) {
 	if c.opt.Report == nil {
 		return
 	}
 	t := time.NewTicker(c.opt.ReportEvery)
 	defer t.Stop()
+	var told *Report
 	for {
 		r := c.opt.Report()
-		_ = conn.Send(&r)
+		if told != nil && reflect.DeepEqual(*told, r) {
+			_ = conn.Send(&Report{Instance: r.Instance, Same: true})
+		} else {
+			told = &r
+			_ = conn.Send(&r)
+		}
 		select {
-		case <-ctx.Done():
-			return
+		case <-t.C:
 		case <-conn.Done():
 			return
-		case <-t.C:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -19,6 +19,7 @@
 	kindReport
 	kindLeader
 	kindDrains
+	kindEntries
 )
 
 // Peer carries one message of the agreement between two members.
@@ -86,6 +87,11 @@
 	Targets  []TargetReport `cbor:"5,keyasint,omitempty"`
 	// Nodes are the agents behind this entry and the revision each one runs.
 	Nodes []NodeReport `cbor:"6,keyasint,omitempty"`
+	// Same tells that all is as in the last report on this link; only Instance
+	// is set beside it.
+	Same bool `cbor:"8,keyasint,omitempty"`
+	// Links is the address at which an entry takes agents' links.
+	Links string `cbor:"7,keyasint,omitempty"`
 }
 
 // TargetReport is one target as an entry sees it.
@@ -137,9 +143,18 @@
 // Kind implements wire.Message.
 func (*Leader) Kind() wire.Kind { return kindLeader }
 
+// Entries lists the entries that have reported of late, in the order of their
+// names. It answers a Report when the list is another than the session was told.
+type Entries struct {
+	List []wire.EntryInfo `cbor:"1,keyasint"`
+}
+
 // Kind implements wire.Message.
 func (*Drains) Kind() wire.Kind { return kindDrains }
 
+// Kind implements wire.Message.
+func (*Entries) Kind() wire.Kind { return kindEntries }
+
 // Protos lists the messages of control links.
 func Protos() []wire.Proto {
 	return []wire.Proto{
@@ -151,5 +166,6 @@
 		wire.ProtoOf[Report](),
 		wire.ProtoOf[Leader](),
 		wire.ProtoOf[Drains](),
+		wire.ProtoOf[Entries](),
 	}
 }
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -10,6 +10,7 @@
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/membership"
 	"almondseam.dev/node/control/opapi"
+	"almondseam.dev/node/wire"
 )
 
 // reports holds what instances last told of themselves. It is kept in memory by
@@ -35,9 +36,19 @@
 	}
 }
 
+// put takes a report. One that says only that nothing has changed renews what
+// the instance told last; a member that never heard that has nothing to renew,
+// and learns it with the next link's first report.
 func (r *reports) put(rep Report, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if rep.Same {
+		last, known := r.instances[rep.Instance]
+		if !known {
+			return
+		}
+		rep = last.Report
+	}
 	r.instances[rep.Instance] = heard{rep, now}
 	seen := make([]membership.Seen, len(rep.Targets))
 	for i, t := range rep.Targets {
@@ -46,6 +57,21 @@
 	r.targets.Report(now, rep.Instance, seen)
 }
 
+// entries lists the live entries by name. One that is silent stays for the life
+// of a report: a link that stalls for seconds must not make all agents move.
+func (r *reports) entries(now time.Time) []wire.EntryInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []wire.EntryInfo
+	for id, h := range r.instances {
+		if h.Links != "" && now.Sub(h.at) <= reportLife {
+			out = append(out, wire.EntryInfo{Instance: id, Zone: h.Zone, Addr: h.Links})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
+
 // sites gives the lowest and highest revision in force at each site.
 func (r *reports) sites(now time.Time) []opapi.Site {
 	r.mu.Lock()
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,10 +55,11 @@
 	wg     *conc.WaitGroup
 	watch  sync.Once
 	from   consensus.MemberID
+	// entries is the list last told, used by the reading goroutine alone.
+	entries []wire.EntryInfo
 }
 
 func (s *session) handle(m wire.Message) {
-	member := s.server.member
 	switch m := m.(type) {
 	case *Peer:
 		s.peer(m)
@@ -66,8 +68,25 @@
 	case *Watch:
 		s.watch.Do(func() { s.wg.Go(func() { s.push(*m) }) })
 	case *Report:
-		member.reports.put(*m, time.Now())
+		s.report(m)
+	}
+}
+
+// report takes a report and tells the entry of a change among the entries. Only
+// the leader hears all of them; a member that hears some would shorten the list.
+func (s *session) report(m *Report) {
+	now := time.Now()
+	member := s.server.member
+	member.reports.put(*m, now)
+	if member.Status().Role != consensus.RoleLeader {
+		return
+	}
+	list := member.reports.entries(now)
+	if slices.Equal(list, s.entries) {
+		return
 	}
+	s.entries = list
+	_ = s.conn.Send(&Entries{List: list})
 }
 
 func (s *session) peer(m *Peer) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +44,7 @@
 	bids    *bids
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
+	fleet   atomic.Pointer[wire.Entries]
 	pace    atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
@@ -79,6 +82,16 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return len(e.peers.all()) }
 
+// SetEntries takes the list of the fleet's entries and passes it on to the
+// linked agents, which choose some of them to link to.
+func (e *Entry) SetEntries(list []wire.EntryInfo) {
+	m := &wire.Entries{List: list}
+	e.fleet.Store(m)
+	for _, p := range e.peers.all() {
+		_ = p.to.Send(m)
+	}
+}
+
 // TargetView is one linked target as this entry sees it.
 type TargetView struct {
 	Target      api.TargetID
@@ -87,13 +100,14 @@
 	Leaving     bool
 }
 
-// View lists the linked targets, in no order.
+// View lists the linked targets by name.
 func (e *Entry) View() []TargetView {
 	all := e.peers.all()
 	out := make([]TargetView, 0, len(all))
 	for _, p := range all {
 		out = append(out, TargetView{Target: p.target, Incarnation: p.inc, Zone: p.zone, Leaving: p.leaving.Load()})
 	}
+	slices.SortFunc(out, func(a, b TargetView) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
 
@@ -210,7 +224,8 @@
 }
 
 func (t *Attached) onAnnounce(m *wire.Announce) {
-	if t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target {
+	fresh := t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target
+	if fresh {
 		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone}
 		t.e.peers.put(t.self)
 		t.e.repace(t.to)
@@ -227,6 +242,9 @@
 		Capacity:    m.Capacity,
 	})
 	t.e.drain(t.self)
+	if list := t.e.fleet.Load(); list != nil && fresh {
+		_ = t.to.Send(list)
+	}
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -24,8 +24,10 @@
 	Instance api.InstanceID
 	Zone     api.Zone
 	Key      []byte
-	// Seeds are the entries' link addresses.
+	// Seeds are link addresses of some entries, from which all others are
+	// learnt, and Links the number of entries to link to; zero means all.
 	Seeds []string
+	Links int
 	// Target is announced under this name; TargetAddr is where it listens.
 	Target     api.TargetID
 	TargetAddr string
@@ -57,6 +59,7 @@
 	ports  AgentPorts
 	agent  *agent.Agent
 	config *rollout.Agent // nil when no configuration is taken
+	links  *linkKeeper
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -90,6 +93,15 @@
 		Capacity:    set.Capacity,
 		Observer:    metrics.Agent{Set: ports.Metrics},
 	}, target, admit)
+	a.links = newLinkKeeper(linkKeeperSettings{
+		target: set.Target,
+		zone:   set.Zone,
+		seeds:  set.Seeds,
+		want:   set.Links,
+		spread: linkSpread,
+		dial:   a.runLink,
+		retire: a.retireLink,
+	})
 	if ports.Live != nil {
 		a.config = rollout.NewAgent(rollout.AgentOptions{Zone: set.Zone, Live: ports.Live, Observer: ports.Config})
 	}
@@ -102,40 +114,65 @@
 	if a.config != nil {
 		a.work.Go(func() { a.config.Run(a.ctx) })
 	}
-	for _, addr := range a.set.Seeds {
-		a.work.Go(func() { redial(a.ctx, func() { a.runLink(addr) }) })
-	}
+	a.work.Go(func() { a.links.run(a.ctx) })
 	events.ProcessStarted.Log(a.ports.Log).Str("role", string(link.RoleAgent)).
 		Str("target", string(a.set.Target)).Str("address", a.set.TargetAddr).Send()
 }
 
-func (a *Agent) runLink(addr string) {
-	conn, err := link.Dial(a.ctx, addr, link.Options{
+// runLink holds one link until it ends or ctx is done. up is told the link.
+func (a *Agent) runLink(ctx context.Context, addr string, up func(*link.Conn)) {
+	conn, err := link.Dial(ctx, addr, link.Options{
 		Key:      a.set.Key,
 		Self:     link.Peer{Instance: a.set.Instance, Zone: a.set.Zone, Role: link.RoleAgent},
 		Codec:    pathCodec,
 		Observer: a.ports.Metrics,
 	})
 	if err != nil {
-		if a.ctx.Err() == nil {
+		if ctx.Err() == nil {
 			events.LinkDialFailed.Log(a.ports.Log).Str("peer", addr).Err(err).Send()
 		}
 		return
 	}
 	a.ports.Metrics.LinkUp(conn.Peer())
+	up(conn)
+	defer up(nil)
 	detach := a.agent.Attach(conn)
 	defer detach()
-	handle := func(m wire.Message) { a.agent.Handle(conn, m) }
+	handle := func(m wire.Message) { a.handle(conn, m) }
 	if a.config != nil {
 		leave := a.config.Attach(conn)
 		defer leave()
 		handle = func(m wire.Message) {
 			if !a.config.Handle(conn, m) {
-				a.agent.Handle(conn, m)
+				a.handle(conn, m)
 			}
 		}
 	}
-	conn.Run(a.ctx, handle)
+	conn.Run(ctx, handle)
+}
+
+// retireLink returns when nothing depends on a link any more.
+func (a *Agent) retireLink(ctx context.Context, conn *link.Conn) {
+	a.agent.Retire(conn)
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for a.agent.Uses(conn) {
+		select {
+		case <-t.C:
+		case <-conn.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) handle(conn *link.Conn, m wire.Message) {
+	if list, ok := m.(*wire.Entries); ok {
+		a.links.learn(list.List)
+		return
+	}
+	a.agent.Handle(conn, m)
 }
 
 // drainPoll is the pace at which a leaving agent looks whether it is idle.
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -126,6 +126,9 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return e.entry.Targets() }
 
+// SetEntries takes the fleet's entries, for the agents.
+func (e *Entry) SetEntries(list []wire.EntryInfo) { e.entry.SetEntries(list) }
+
 // SetDrains takes the targets that operators drain.
 func (e *Entry) SetDrains(drains map[api.TargetID]api.Incarnation) { e.entry.SetDrains(drains) }
 
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/rollout"
+	"almondseam.dev/node/wire"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 )
@@ -22,6 +23,8 @@
 	Key      []byte
 	// Seeds are the link addresses of control members.
 	Seeds []string
+	// Links is the address at which this entry takes agents' links.
+	Links string
 }
 
 // reportEvery is the pace at which an entry tells control what it runs.
@@ -37,6 +40,7 @@
 	live   *fleetconfig.Live
 	view   func() []control.TargetReport
 	drain  func(map[api.TargetID]api.Incarnation)
+	tell   func([]wire.EntryInfo)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -47,6 +51,7 @@
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
 	e.drain = func(map[api.TargetID]api.Incarnation) {}
+	e.tell = func([]wire.EntryInfo) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
@@ -54,6 +59,7 @@
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
 		OnDrains:    e.onDrains,
+		OnEntries:   func(list []wire.EntryInfo) { e.tell(list) },
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
@@ -78,6 +84,9 @@
 // DrainTargets gives what is told of the targets that operators drain.
 func (e *EntryControl) DrainTargets(drain func(map[api.TargetID]api.Incarnation)) { e.drain = drain }
 
+// TellEntries gives what is told of the fleet's entries.
+func (e *EntryControl) TellEntries(tell func([]wire.EntryInfo)) { e.tell = tell }
+
 func (e *EntryControl) onDrains(list []state.Drain) {
 	drains := make(map[api.TargetID]api.Incarnation, len(list))
 	for _, d := range list {
@@ -88,7 +97,7 @@
 
 func (e *EntryControl) report() control.Report {
 	rev, site := e.conf.InForce()
-	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view()}
+	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view(), Links: e.set.Links}
 	for _, n := range e.hub.Nodes() {
 		r.Nodes = append(r.Nodes, control.NodeReport{Instance: n.Instance, Site: n.Site, Revision: n.Revision})
 	}
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -76,5 +76,6 @@
 		ProtoOf[Returned](),
 		ProtoOf[Drain](),
 		ProtoOf[Pace](),
+		ProtoOf[Entries](),
 	}
 }
