control: send appends before the own save

Cause: a claim waited for the leader's save and then for the followers'. Change: the role sets EarlySend, and the driving loop sends Ready.Early before it saves. Votes and acknowledgements wait for the save as before. Run: go test -race ./control/ in node: ok in 30.6 s.

--- a/node/control/member.go
+++ b/node/control/member.go
@@ -209,11 +209,15 @@
 //
 // Failure: a vote or an acknowledgement is sent and the power fails before it is
 // on the disk. Symptom: after the restart the member votes again in the same
-// term, or a change that was reported as accepted is gone. Nothing leaves this
-// function's first half before Save has returned.
+// term, or a change that was reported as accepted is gone. Nothing but Early
+// leaves this function's first half before Save has returned; an append promises
+// nothing about the leader's own copy.
 func (m *Member) process() error {
 	for m.node.HasReady() {
 		rd := m.node.Ready()
+		for _, msg := range rd.Early {
+			m.opt.Transport.Send(msg)
+		}
 		if err := m.save(&rd); err != nil {
 			return err
 		}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -74,7 +74,7 @@
 	r.member, err = NewMember(Options{
 		ID:              s.ID,
 		Restored:        s.Restored,
-		Consensus:       consensus.Config{MaxBatchBytes: batchBytes, Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
+		Consensus:       consensus.Config{MaxBatchBytes: batchBytes, EarlySend: true, Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
 		Limits:          s.Limits,
 		Storage:         s.Storage,
 		Transport:       deferred{r},
