callers: end background settlements when a stop's time is over

Cause: Drain waited for settlements without regard to its context, so a hard stop took up to 30 s while the control group had no majority. Change: when the context is done the background work is ended. Before: TestBookingRunsOnceOverEntriesAndLostMembers 38 s; after 7.8 s (go test -race ./node/process, run Booking|Drain|Stop: all pass). Conclusion: a stop keeps its limit; an unsettled claim stays undecided, which is safe.

--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -172,10 +172,13 @@
 
 // Drain stops accepting connections, closes idle ones and waits until every
 // response has been written or ctx is done. Requests that still arrive on open
-// connections are refused as not run.
+// connections are refused as not run. What runs on in the background, such as
+// settlements that find no majority, is ended when ctx is done.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	err := s.app.ShutdownWithContext(ctx)
+	stop := context.AfterFunc(ctx, s.abort)
+	defer stop()
 	s.work.Wait()
 	return err
 }
