Orders reach the targets through entry and agent, fenced and once

Cause: orders were replicated and listed, and no target ever got one. Change: control pushes which targets have an order waiting; entries take it for their linked agents with a reading of the agent's clock; the agent's gate lets one copy through, calls the target's /orders, renews the lease while that takes and tells the end on every link. Paced loads are asked for again after the wait they were told. An order taken again by the same incarnation has its lease anew: the agent counts from whichever copy arrives.

--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -176,8 +176,7 @@
 	}, ports)
 	n.live = ports.Live
 	if coupling != nil {
-		coupling.ShowTargets(n.entry.View)
-		coupling.DrainTargets(n.entry.SetDrains)
+		coupling.Couple(n.entry)
 	}
 	n.roles = append(n.roles, n.entry)
 	return nil
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// Two entries take the same order for one agent, the second 20 s later, and only
+// its copy arrives. The agent counts its lease from there, so the table must too.
+func TestOrderTakenAgainHasItsLeaseAnew(t *testing.T) {
+	c := qt.New(t)
+	l := DefaultLimits()
+	table := NewTable(l)
+	for i, cmd := range []Command{load("a", 1), load("b", 1), take(1)} {
+		_, err := table.Apply(api.Fence(i+1), 0, cmd)
+		c.Assert(err, qt.IsNil)
+	}
+	later := 20 * time.Second
+	_, err := table.Apply(4, later.Milliseconds(), take(1))
+	c.Assert(err, qt.IsNil)
+	_, err = table.Apply(5, (later + l.Lease).Milliseconds(), take(2))
+	c.Assert(err, qt.ErrorIs, ErrBusy)
+}
+
 // Three loads are ordered for three targets while the weight store allows one at
 // a time and 100 bytes a second. The second waits for the bucket, and is told how
 // long; it is not lost.
--- a/core/order/table.go
+++ b/core/order/table.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -40,6 +41,7 @@
 	// below zero when a load is larger than the burst.
 	tokens   int64
 	refilled int64
+	version  uint64
 }
 
 // lane is the orders of one target.
@@ -96,11 +98,14 @@
 	o := &Order{ID: c.ID, Fence: fence, Spec: c.Spec, State: StateQueued, Author: c.Author}
 	t.byID[o.ID] = o
 	l.queued = append(l.queued, o)
+	t.version++
 	return *o, nil
 }
 
 // take hands out the next order. While one is in flight the same incarnation
-// gets it again, for its answer may have been lost; another incarnation has to
+// gets it again, for its answer may have been lost or another entry asks; the
+// lease then counts anew, since the agent counts from whichever copy reaches it.
+// Another incarnation has to
 // wait for the lease: the earlier agent may still be about to pass the order to
 // a target that ignores fences.
 func (t *Table) take(now int64, c Command) (Order, error) {
@@ -110,6 +115,7 @@
 	}
 	if o := l.inFlight; o != nil {
 		if o.Incarnation == c.Incarnation {
+			o.Lease = now + t.limits.Lease.Milliseconds()
 			return *o, nil
 		}
 		return Order{}, refuse(api.ReasonStaleFence, c.Target, t.untilFree(o, now), ErrBusy)
@@ -120,6 +126,7 @@
 	}
 	l.queued = l.queued[1:]
 	l.inFlight = o
+	t.version++
 	o.State = StateIssued
 	o.Incarnation = c.Incarnation
 	o.Lease = now + t.limits.Lease.Milliseconds()
@@ -190,6 +197,7 @@
 func (t *Table) end(o *Order, now int64, s State, message string) {
 	l := t.targets[o.Spec.Target]
 	l.inFlight = nil
+	t.version++
 	if len(l.queued) == 0 {
 		delete(t.targets, o.Spec.Target)
 	}
@@ -234,6 +242,22 @@
 	return time.Duration(o.Lease-now+1)*time.Millisecond + t.limits.Margin
 }
 
+// Version changes whenever Ready may give something else. It counts within one
+// process and is no part of the replicated state.
+func (t *Table) Version() uint64 { return t.version }
+
+// Ready gives the targets that have an order waiting and none in flight.
+func (t *Table) Ready() []api.TargetID {
+	var out []api.TargetID
+	for id, l := range t.targets {
+		if l.inFlight == nil && len(l.queued) > 0 {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // List gives all orders known, by fence.
 func (t *Table) List() []Order {
 	out := make([]Order, 0, len(t.byID))
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/order"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
 )
@@ -108,6 +109,7 @@
 	links      map[sender]*reporting
 	calls      int
 	leaving    bool
+	orders     orders
 	// preemptions is the engine's count at its last report.
 	preemptions uint64
 }
@@ -124,6 +126,7 @@
 		latest:     make(map[api.RequestID]wire.Key),
 		tombstones: make(map[wire.Key]time.Time),
 		links:      make(map[sender]*reporting),
+		orders:     orders{gate: order.NewGate(cfg.Incarnation)},
 	}
 }
 
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -29,6 +29,8 @@
 		a.onResume(from, m)
 	case *wire.Drain:
 		a.onDrain(m)
+	case *wire.Order:
+		a.onOrder(from, m)
 	case *wire.Pace:
 		a.onPace(from, m)
 	}
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -36,6 +36,9 @@
 	// OnDrains is called with all targets that operators drain, whenever the
 	// list changes; on the same goroutine as OnConfig. It may be nil.
 	OnDrains func(targets []state.Drain)
+	// OnOrders is called with the targets that have an order waiting and none
+	// in flight, like OnDrains.
+	OnOrders func(ready []api.TargetID)
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
@@ -70,6 +73,9 @@
 	if opt.OnDrains == nil {
 		opt.OnDrains = func([]state.Drain) {}
 	}
+	if opt.OnOrders == nil {
+		opt.OnOrders = func([]api.TargetID) {}
+	}
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
@@ -156,6 +162,8 @@
 		c.update(conn, m)
 	case *Drains:
 		c.drains(m)
+	case *Orders:
+		c.opt.OnOrders(m.Ready)
 	case *Leader:
 		if !m.Self && m.Addr != "" {
 			c.move(conn, m.Addr)
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -279,7 +279,7 @@
 		return
 	}
 	m.mu.Lock()
-	revision, drained := m.state.Current().Revision, m.state.Drained()
+	revision, drained, orders := m.state.Current().Revision, m.state.Drained(), m.state.Orders().Version()
 	answers := make([]answer, 0, len(entries))
 	for _, e := range entries {
 		if e.Type == consensus.EntryCommand {
@@ -287,7 +287,7 @@
 		}
 		m.applied = e.Index
 	}
-	if m.state.Current().Revision != revision || m.state.Drained() != drained {
+	if m.state.Current().Revision != revision || m.state.Drained() != drained || m.state.Orders().Version() != orders {
 		m.announce()
 	}
 	m.mu.Unlock()
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -19,6 +19,7 @@
 	kindReport
 	kindLeader
 	kindDrains
+	kindOrders
 )
 
 // Peer carries one message of the agreement between two members.
@@ -137,6 +138,15 @@
 // Kind implements wire.Message.
 func (*Leader) Kind() wire.Kind { return kindLeader }
 
+// Orders lists the targets that have an order waiting and none in flight. It is
+// only a hint to ask; what is handed out is decided by the log.
+type Orders struct {
+	Ready []api.TargetID `cbor:"1,keyasint,omitempty"`
+}
+
+// Kind implements wire.Message.
+func (*Orders) Kind() wire.Kind { return kindOrders }
+
 // Kind implements wire.Message.
 func (*Drains) Kind() wire.Kind { return kindDrains }
 
@@ -151,5 +161,6 @@
 		wire.ProtoOf[Report](),
 		wire.ProtoOf[Leader](),
 		wire.ProtoOf[Drains](),
+		wire.ProtoOf[Orders](),
 	}
 }
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,6 +113,7 @@
 	base := s.base(w)
 	var told *Leader
 	drained := noDrains
+	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watchView()
 		if told == nil || *told != view.leader {
@@ -123,6 +125,10 @@
 			drained = view.drained
 			_ = s.conn.Send(&Drains{Index: drained, Targets: view.drains})
 		}
+		if !slices.Equal(ready, view.ready) {
+			ready = view.ready
+			_ = s.conn.Send(&Orders{Ready: ready})
+		}
 		if view.config.Revision > sent {
 			_ = s.conn.Send(s.server.update(base, view.config))
 			base, sent = view.config, view.config.Revision
@@ -177,6 +183,7 @@
 	leader  Leader
 	drained uint64
 	drains  []state.Drain
+	ready   []api.TargetID
 }
 
 // watchView gives what watchers are told and a channel that is closed at the
@@ -190,6 +197,7 @@
 		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
 		drained: m.state.Drained(),
 		drains:  m.state.Drains(),
+		ready:   m.state.Orders().Ready(),
 	}
 	return v, m.changed
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -42,6 +42,9 @@
 	bids    *bids
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
+	ready   atomic.Pointer[map[api.TargetID]bool]
+	orderer Orderer
+	lease   time.Duration
 	pace    atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
@@ -148,6 +151,8 @@
 		t.onAnnounce(m)
 	case *wire.Load:
 		t.onLoad(m)
+	case *wire.OrderState:
+		t.onOrderState(m)
 	case *wire.Bid:
 		t.e.bids.answer(t.target(), m)
 	case *wire.Data:
@@ -227,6 +232,9 @@
 		Capacity:    m.Capacity,
 	})
 	t.e.drain(t.self)
+	if p := t.self; t.e.orderReady(p.target) {
+		t.e.work.Go(func() { t.e.fetchOrder(context.Background(), p) })
+	}
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
--- a/node/process/control_test.go
+++ b/node/process/control_test.go
@@ -13,6 +13,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/order"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/callers"
 	"almondseam.dev/node/control"
@@ -100,8 +101,7 @@
 	callers, links := listenLoopback(f.c), listenLoopback(f.c)
 	e := NewEntry(EntrySettings{Instance: api.InstanceID(name), Zone: "lhr-a", Key: []byte(fleetKey), Callers: callers, Links: links},
 		EntryPorts{Live: coupling.Live(), Hub: coupling.Hub(), Claimer: coupling.Claimer(), Metrics: m, Log: &log})
-	coupling.ShowTargets(e.View)
-	coupling.DrainTargets(e.SetDrains)
+	coupling.Couple(e)
 	_ = stopOnce(f.t, coupling.Stop)
 	coupling.Start()
 	e.Start()
@@ -253,3 +253,35 @@
 	f.c.Assert(s.err, qt.IsNil)
 	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "note", 60))
 }
+
+// An operator orders a model and then a role for a target that ignores fences,
+// while two entries are linked to its agent. Both hand over each order; the
+// target gets each once, in the order of the fences, and the second only after
+// the first has ended.
+func TestOrdersReachTheTargetOnceAndInOrder(t *testing.T) {
+	f := newFleet(t)
+	g := f.controlGroup(1)
+	g.configure()
+	e1, e2 := g.controlled("e1"), g.controlled("e2")
+	srv, addr := f.standin(standin.Config{Seed: 1, IgnoreFence: true}, standin.Options{})
+	f.agent("g1", addr, e1.links, e2.links)
+	f.untilTargets(e1, 1)
+	f.untilTargets(e2, 1)
+	submit := func(id string, spec order.Spec) order.Order {
+		spec.Target = "g1"
+		r := g.exec(control.Request{Command: &state.Command{Order: &order.Command{Op: order.OpSubmit, ID: id, Spec: spec}}})
+		f.c.Assert(r.Result.Reason, qt.Equals, api.Reason(""))
+		return *r.Result.Order
+	}
+	first := submit("o1", order.Spec{Action: order.ActionLoadModel, Model: "m2", Bytes: 1 << 30})
+	second := submit("o2", order.Spec{Action: order.ActionChangeRole, Role: "prefill"})
+	ended := func() bool {
+		r := g.exec(control.Request{Command: &state.Command{Order: &order.Command{Op: order.OpSubmit, ID: "o2", Spec: second.Spec}}})
+		return r.Result.Order.State == order.StateDone
+	}
+	f.until("the second order's end", ended)
+	f.c.Assert(srv.Orders(), qt.DeepEquals, []standin.Order{
+		{Fence: uint64(first.Fence), Action: "load_model", Value: "m2"},
+		{Fence: uint64(second.Fence), Action: "set_role", Value: "prefill"},
+	})
+}
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/order"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/link"
@@ -37,6 +38,7 @@
 	live   *fleetconfig.Live
 	view   func() []control.TargetReport
 	drain  func(map[api.TargetID]api.Incarnation)
+	orders func(context.Context, []api.TargetID)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -47,6 +49,7 @@
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
 	e.drain = func(map[api.TargetID]api.Incarnation) {}
+	e.orders = func(context.Context, []api.TargetID) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
@@ -54,6 +57,7 @@
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
 		OnDrains:    e.onDrains,
+		OnOrders:    func(ready []api.TargetID) { e.orders(e.ctx, ready) },
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
@@ -75,6 +79,15 @@
 // ShowTargets gives the source of the targets that are reported.
 func (e *EntryControl) ShowTargets(view func() []control.TargetReport) { e.view = view }
 
+// Couple lets the entry hear of drained targets and of waiting orders. Call it
+// before Start.
+func (e *EntryControl) Couple(to *Entry) {
+	e.ShowTargets(to.View)
+	e.DrainTargets(to.SetDrains)
+	to.entry.SetOrderer(e.client, order.DefaultLimits().Lease)
+	e.orders = to.entry.SetOrders
+}
+
 // DrainTargets gives what is told of the targets that operators drain.
 func (e *EntryControl) DrainTargets(drain func(map[api.TargetID]api.Incarnation)) { e.drain = drain }
 
--- a/node/process/harness_test.go
+++ b/node/process/harness_test.go
@@ -99,6 +99,11 @@
 }
 
 func (f *fleet) engine(cfg standin.Config, opt standin.Options) string {
+	_, addr := f.standin(cfg, opt)
+	return addr
+}
+
+func (f *fleet) standin(cfg standin.Config, opt standin.Options) (*standin.Server, string) {
 	cfg.Model = testModel
 	if opt.Speed == 0 {
 		opt.Speed = 20
@@ -114,7 +119,7 @@
 		_ = s.Close()
 		<-done
 	})
-	return ln.Addr().String()
+	return s, ln.Addr().String()
 }
 
 func (f *fleet) agent(name, target string, seeds ...string) (*Agent, func(time.Duration) error) {
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -75,6 +75,8 @@
 		ProtoOf[Resume](),
 		ProtoOf[Returned](),
 		ProtoOf[Drain](),
+		ProtoOf[Order](),
+		ProtoOf[OrderState](),
 		ProtoOf[Pace](),
 	}
 }
