solo: a control group of one in a temporary folder

Cause: solo read its configuration from memory and had nothing for almondctl to speak to. Change: solo starts a control member, accepts its configuration there, couples the entry to it, and prints the almondctl line to try. Conclusion: a newcomer runs all roles with one command.

--- a/cmd/almondseam/solo.go
+++ b/cmd/almondseam/solo.go
@@ -3,15 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/state"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/process"
 	"almondseam.dev/node/standin"
@@ -28,13 +31,16 @@
 type soloCommand struct {
 	cmd    *kingpin.CmdClause
 	listen string
-	once   bool
-	tokens int
+	// operators is the address of the operator interface.
+	operators string
+	once      bool
+	tokens    int
 }
 
 func newSoloCommand(app *kingpin.Application) *soloCommand {
 	c := &soloCommand{cmd: app.Command("solo", soloHelp)}
 	c.cmd.Flag("listen", "Address for callers.").Default("127.0.0.1:8080").StringVar(&c.listen)
+	c.cmd.Flag("operator-listen", "Address for almondctl.").Default("127.0.0.1:0").StringVar(&c.operators)
 	c.cmd.Flag("once", "Stop after the first generation.").BoolVar(&c.once)
 	c.cmd.Flag("tokens", "Length of the first generation.").Default("60").IntVar(&c.tokens)
 	return c
@@ -46,6 +52,7 @@
 	soloKey      = "sk-solo"
 	soloModel    = "standin"
 	soloFleetKey = "solo-fleet-key-on-loopback"
+	soloToken    = "solo-operator-token"
 	soloConfig   = `
 name: solo
 sites:
@@ -73,7 +80,7 @@
 	if c.once {
 		return n.stopNow()
 	}
-	fmt.Fprintf(out.out, soloHint, addr, soloKey, soloModel)
+	fmt.Fprintf(out.out, soloHint, addr, soloKey, soloModel, c.operators, soloToken)
 	return n.wait()
 }
 
@@ -81,6 +88,7 @@
 Still up. In another terminal:
   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
     -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Notes for the evening recital"}]}'
+  almondctl --server=%s --token=%s status
 Stop with Ctrl-C.
 `
 
@@ -103,20 +111,20 @@
 	if err != nil {
 		return "", err
 	}
-	f, err := fleetconfig.Parse(fleetconfig.File{Name: "solo.yaml", Data: fmt.Appendf(nil, soloConfig, fleetconfig.KeySum(soloKey))})
+	coupling, err := c.startControl(n)
 	if err != nil {
 		return "", err
 	}
-	live := &fleetconfig.Live{}
-	live.Publish(fleetconfig.Compile(f).At(localRevision, "solo"))
+	n.live = coupling.Live()
 	n.entry = process.NewEntry(process.EntrySettings{
 		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Callers: callers, Links: links,
-	}, process.EntryPorts{Live: live, Metrics: n.metrics, Log: n.log})
+	}, process.EntryPorts{Live: n.live, Hub: coupling.Hub(), Claimer: coupling.Claimer(), Metrics: n.metrics, Log: n.log})
+	coupling.Couple(n.entry)
 	ag := process.NewAgent(process.AgentSettings{
 		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Seeds: []string{links.Addr().String()},
 		Target: "solo-engine", TargetAddr: eln.Addr().String(), Models: []api.ModelID{soloModel},
 	}, process.AgentPorts{Metrics: n.metrics, Log: n.log})
-	n.roles = append(n.roles, n.entry, ag)
+	n.roles = append(n.roles, coupling, n.entry, ag)
 	for _, r := range n.roles {
 		r.Start()
 	}
@@ -125,10 +133,59 @@
 
 const soloStart = 5 * time.Second
 
-// waitTarget returns when the first target is linked.
+// startControl starts a control group of one in a temporary folder and gives it
+// solo's configuration.
+func (c *soloCommand) startControl(n *node) (*process.EntryControl, error) {
+	dir, err := os.MkdirTemp("", "almondseam-solo-")
+	if err != nil {
+		return nil, err
+	}
+	n.atStop = append(n.atStop, func() { _ = os.RemoveAll(dir) })
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	operators, err := net.Listen("tcp", c.operators)
+	if err != nil {
+		return nil, err
+	}
+	c.operators = operators.Addr().String()
+	n.control, err = process.NewControl(process.ControlSettings{
+		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Token: soloToken,
+		Dir: dir, Links: links, Operator: operators, Bootstrap: true,
+	}, n.metrics, n.log)
+	if err != nil {
+		return nil, err
+	}
+	n.roles = append(n.roles, n.control)
+	if err := c.configure(n.control); err != nil {
+		return nil, err
+	}
+	return process.NewEntryControl(process.ControlLinkSettings{
+		Instance: "solo", Zone: "solo-a", Key: []byte(soloFleetKey), Seeds: []string{links.Addr().String()},
+	}, n.metrics, n.log), nil
+}
+
+func (c *soloCommand) configure(member *process.Control) error {
+	yaml := fmt.Appendf(nil, soloConfig, fleetconfig.KeySum(soloKey))
+	doc, err := fleetconfig.NewDocument(fleetconfig.File{Name: "base.yaml", Data: yaml}, nil)
+	if err != nil {
+		return err
+	}
+	b, err := fleetconfig.EncodeDocument(doc)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), soloStart)
+	defer cancel()
+	return member.Configure(ctx, state.ConfigPut{ChangeID: "solo", Author: "solo", Document: b})
+}
+
+// waitTarget returns when the first target is linked and a configuration is in
+// force.
 func (n *node) waitTarget() error {
 	for end := time.Now().Add(soloStart); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if n.entry.Targets() > 0 {
+		if n.entry.Targets() > 0 && n.live.Load() != nil {
 			return nil
 		}
 	}
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
@@ -127,6 +129,24 @@
 // ID is the member's ID, which `almondctl members add` asks for.
 func (c *Control) ID() consensus.MemberID { return c.store.ID() }
 
+// Configure proposes a configuration at this member. Without a leader yet it is
+// tried again until ctx is done.
+func (c *Control) Configure(ctx context.Context, put state.ConfigPut) error {
+	for {
+		r := c.role.Member().Do(ctx, &control.Request{Command: &state.Command{Config: &put}})
+		if r.Outcome == api.OutcomeCompleted && r.Result.Config.Accepted {
+			return nil
+		}
+		if r.Reason != api.ReasonControlUnavailable || ctx.Err() != nil {
+			return &api.Error{Step: api.StepConfig, Outcome: r.Outcome, Reason: r.Reason, Err: errors.New(r.Message)}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(control.DefaultTick):
+		}
+	}
+}
+
 // Stop ends the role and frees the data folder.
 func (c *Control) Stop(context.Context) error {
 	err := c.role.Stop()
