--- a/core/claim/snapshot.go
+++ b/core/claim/snapshot.go
@@ -8,16 +8,28 @@
 )
 
 // Snapshot gives all claims in the order of their grants, so that equal tables
-// give equal bytes. The records share memory with the table and are read-only.
+// give equal bytes.
 func (t *Table) Snapshot() []Record {
+	out := t.Records()
+	SortRecords(out)
+	return out
+}
+
+// Records gives a copy of all claims in no order. Only the answers share memory
+// with the table, which never changes their bytes.
+func (t *Table) Records() []Record {
 	out := make([]Record, 0, len(t.claims))
 	for _, h := range t.claims {
 		out = append(out, h.Record)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Grant < out[j].Grant })
 	return out
 }
 
+// SortRecords puts records in the order of their grants.
+func SortRecords(records []Record) {
+	sort.Slice(records, func(i, j int) bool { return records[i].Grant < records[j].Grant })
+}
+
 // Restore gives the table that Snapshot was taken of.
 func Restore(l Limits, records []Record) *Table {
 	t := NewTable(l)
--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -27,8 +27,16 @@
 	return l.s
 }
 
-// BenchmarkSnapshot measures how long a snapshot of a full claims table holds up
-// a member, and its size.
+// BenchmarkFreeze measures how long a snapshot of a full claims table holds up a
+// member.
+func BenchmarkFreeze(b *testing.B) {
+	s := full(b)
+	for b.Loop() {
+		s.Freeze()
+	}
+}
+
+// BenchmarkSnapshot measures a whole snapshot of a full claims table, and its size.
 func BenchmarkSnapshot(b *testing.B) {
 	s := full(b)
 	for b.Loop() {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"almondseam.dev/core/claim"
@@ -58,14 +59,28 @@
 func Encode(c Command) ([]byte, error) { return encMode.Marshal(c) }
 
 // Snapshot gives the whole state. Equal states give equal bytes.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return s.Freeze().Encode() }
+
+// Frozen is a state as it was at one index. It stays the same while the state
+// goes on, and may be encoded by another goroutine.
+type Frozen struct{ img image }
+
+// Encode gives the snapshot's bytes. Call it once.
+func (f Frozen) Encode() ([]byte, error) {
+	claim.SortRecords(f.img.Claims)
+	return encMode.Marshal(f.img)
+}
+
+// Freeze copies the state; sorting and encoding, which take most of the time of
+// a snapshot, are left to Encode.
+func (s *State) Freeze() Frozen {
 	img := image{
 		Format:  format,
 		Index:   s.index,
 		Now:     s.now,
-		Configs: s.config.kept,
-		Changes: s.config.changes,
-		Claims:  s.claims.Snapshot(),
+		Configs: slices.Clone(s.config.kept),
+		Changes: slices.Clone(s.config.changes),
+		Claims:  s.claims.Records(),
 		Orders:  s.orders.Snapshot(),
 		Drains:  s.Drains(),
 	}
@@ -73,7 +88,7 @@
 		img.Members = append(img.Members, m)
 	}
 	sort.Slice(img.Members, func(i, j int) bool { return img.Members[i].ID < img.Members[j].ID })
-	return encMode.Marshal(img)
+	return Frozen{img}
 }
 
 // Restore gives the state that a snapshot was taken of. Empty data is the state
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/state"
+	"github.com/sourcegraph/conc"
 )
 
 // Defaults of Options.
@@ -65,6 +66,9 @@
 	lastCommand time.Time
 	ticks       int
 	held        []heldChange
+	freezing    bool
+	frozen      chan frozen
+	encoding    conc.WaitGroup
 	members     consensus.Membership
 
 	// mu guards the state between Apply and its readers.
@@ -117,6 +121,7 @@
 		proposals: make(chan *call, defaultQueue),
 		done:      make(chan struct{}),
 		changed:   make(chan struct{}),
+		frozen:    make(chan frozen, 1),
 		pending:   make(map[uint64]*call),
 		reads:     make(map[uint64][]*call),
 		reports:   newReports(),
@@ -145,6 +150,7 @@
 // Run drives the member until ctx is done or its storage fails.
 func (m *Member) Run(ctx context.Context) error {
 	err := m.loop(ctx)
+	m.encoding.Wait()
 	m.stop(err)
 	if err != nil {
 		m.opt.Observer.Failed(err)
@@ -169,6 +175,10 @@
 			m.step(msg)
 		case c := <-m.proposals:
 			m.take(c)
+		case f := <-m.frozen:
+			if err := m.compact(f); err != nil {
+				return err
+			}
 		}
 		if err := m.process(); err != nil {
 			return err
@@ -226,9 +236,7 @@
 		m.node.Advance()
 		m.answerReads()
 		m.answerChanges()
-		if err := m.compact(); err != nil {
-			return err
-		}
+		m.freeze()
 		m.publish()
 	}
 	return nil
@@ -350,30 +358,6 @@
 	m.announce()
 }
 
-// compact takes a snapshot when enough has been applied since the last one.
-func (m *Member) compact() error {
-	st := m.node.Status()
-	if m.applied-m.lastSnap < m.opt.SnapshotEntries && st.LogBytes < snapshotBytes || m.applied == m.lastSnap {
-		return nil
-	}
-	m.mu.RLock()
-	data, err := m.state.Snapshot()
-	m.mu.RUnlock()
-	if err != nil {
-		return &api.Error{Step: api.StepPersist, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: err}
-	}
-	snap, err := m.node.Compact(m.applied, data)
-	if err != nil {
-		return &api.Error{Step: api.StepPersist, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: err}
-	}
-	if err := m.opt.Storage.SaveSnapshot(snap); err != nil {
-		return &api.Error{Step: api.StepPersist, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: err}
-	}
-	m.lastSnap = m.applied
-	m.opt.Observer.Snapshotted(snap.Index, len(data), false)
-	return nil
-}
-
 // publish shows the agreement's picture to readers and the group's addresses to
 // the transport.
 func (m *Member) publish() {
