--- a/node/control/client.go
+++ b/node/control/client.go
@@ -40,6 +40,9 @@
 	// OnEntries is called with all live entries, whenever they change, on one
 	// goroutine.
 	OnEntries func(list []wire.EntryInfo)
+	// OnOrders is called with the targets that have an order waiting and none
+	// in flight, like OnDrains.
+	OnOrders func(ready []api.TargetID)
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
@@ -77,6 +80,9 @@
 	if opt.OnDrains == nil {
 		opt.OnDrains = func([]state.Drain) {}
 	}
+	if opt.OnOrders == nil {
+		opt.OnOrders = func([]api.TargetID) {}
+	}
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
@@ -165,6 +171,8 @@
 		c.drains(m)
 	case *Entries:
 		c.opt.OnEntries(m.List)
+	case *Orders:
+		c.opt.OnOrders(m.Ready)
 	case *Leader:
 		if !m.Self && m.Addr != "" {
 			c.move(conn, m.Addr)
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -20,6 +20,7 @@
 	kindLeader
 	kindDrains
 	kindEntries
+	kindOrders
 )
 
 // Peer carries one message of the agreement between two members.
@@ -149,6 +150,15 @@
 	List []wire.EntryInfo `cbor:"1,keyasint"`
 }
 
+// Orders lists the targets that have an order waiting and none in flight. It is
+// only a hint to ask; what is handed out is decided by the log.
+type Orders struct {
+	Ready []api.TargetID `cbor:"1,keyasint,omitempty"`
+}
+
+// Kind implements wire.Message.
+func (*Orders) Kind() wire.Kind { return kindOrders }
+
 // Kind implements wire.Message.
 func (*Drains) Kind() wire.Kind { return kindDrains }
 
@@ -167,5 +177,6 @@
 		wire.ProtoOf[Leader](),
 		wire.ProtoOf[Drains](),
 		wire.ProtoOf[Entries](),
+		wire.ProtoOf[Orders](),
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -45,7 +45,12 @@
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
 	fleet   atomic.Pointer[wire.Entries]
-	pace    atomic.Int64 // interval of load reports last told, in nanoseconds
+	ready   atomic.Pointer[map[api.TargetID]bool]
+	orderer Orderer
+	// fetching ends the fetching of orders.
+	fetching context.Context
+	lease    time.Duration
+	pace     atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
 // New makes an entry. obs may be nil.
@@ -162,6 +167,8 @@
 		t.onAnnounce(m)
 	case *wire.Load:
 		t.onLoad(m)
+	case *wire.OrderState:
+		t.onOrderState(m)
 	case *wire.Bid:
 		t.e.bids.answer(t.target(), m)
 	case *wire.Data:
@@ -245,6 +252,9 @@
 	if list := t.e.fleet.Load(); list != nil && fresh {
 		_ = t.to.Send(list)
 	}
+	if p := t.self; t.e.orderReady(p.target) {
+		t.e.work.Go(func() { t.e.fetchOrder(t.e.fetching, p) })
+	}
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
