Charge a tenth for a retry after a loss

Cause: a target that is lost fails all that it had at once, and the budget that guards against refusals in a crowded hour cut most of it off. Measured: go test ./core/retry passes, the metastability test among it. Conclusion: losses move, refusals stay rationed.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -45,21 +45,21 @@
 	b.level = min(r.Most, b.level+r.PerTry)
 }
 
-func (b *bucket) withdraw(r Ratio, now time.Time) bool {
+func (b *bucket) withdraw(r Ratio, cost float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill(r, now)
-	if b.level < 1 {
+	if b.level < cost {
 		return false
 	}
-	b.level--
+	b.level -= cost
 	return true
 }
 
-func (b *bucket) refund() {
+func (b *bucket) refund(cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.level++
+	b.level += cost
 }
 
 // budgets holds the bucket of each customer and the one over all.
@@ -84,13 +84,13 @@
 }
 
 // take pays for one retry from both budgets or from none.
-func (b *budgets) take(c api.CustomerID, now time.Time) bool {
+func (b *budgets) take(c api.CustomerID, cost float64, now time.Time) bool {
 	own := b.of(c)
-	if !own.withdraw(b.customer, now) {
+	if !own.withdraw(b.customer, cost, now) {
 		return false
 	}
-	if !b.all.withdraw(b.overall, now) {
-		own.refund()
+	if !b.all.withdraw(b.overall, cost, now) {
+		own.refund(cost)
 		return false
 	}
 	return true
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -137,7 +137,7 @@
 		return WhyDeadline
 	case handedBack(err):
 		return ""
-	case !p.budgets.take(a.Customer, now):
+	case !p.budgets.take(a.Customer, cost(err.Reason), now):
 		return WhyBudget
 	default:
 		return ""
@@ -153,6 +153,19 @@
 	return err.Outcome == api.OutcomeNotRun && err.Reason == api.ReasonTargetLeaving
 }
 
+// lossCost is what a retry costs after a loss, where one after a refusal costs 1.
+const lossCost = 0.1
+
+// cost gives what a retry takes from the budgets. They are there for refusals,
+// of which a crowded hour makes ever more. A target that is lost fails what it
+// had only once; that isn't free, for a request may be what breaks targets.
+func cost(r api.Reason) float64 {
+	if lost[r] {
+		return lossCost
+	}
+	return 1
+}
+
 // allowed tells whether trying again is safe and may help.
 //
 // Safe: it is proved that the request did not run, or it may run twice and the
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -84,10 +84,11 @@
 		Overall:  Ratio{PerSecond: 1, Most: 12},
 	}
 	p := New(o, counts{})
+	reason := api.ReasonQueueFull
 	fail := func(customer api.CustomerID, n int, now time.Time) (retries int) {
 		for range n {
 			p.First(customer, now)
-			d := p.Next(Attempt{Customer: customer, Number: 1}, &api.Error{Outcome: api.OutcomeNotRun, Reason: api.ReasonQueueFull}, 0, false, now, rnd(1))
+			d := p.Next(Attempt{Customer: customer, Number: 1}, &api.Error{Outcome: api.OutcomeNotRun, Reason: reason}, 0, false, now, rnd(1))
 			if d.Retry {
 				retries++
 			} else {
@@ -102,6 +103,11 @@
 	c.Assert(fail("small", 10, t0), qt.Equals, 3)
 	c.Assert(fail("third", 10, t0), qt.Equals, 0)
 	c.Assert(fail("large", 1, t0.Add(2*time.Second)), qt.Equals, 1)
+
+	// One engine is lost: what it had moves, far more than refusals may.
+	p = New(o, counts{})
+	reason = api.ReasonEngineDied
+	c.Assert(fail("large", 200, t0), qt.Equals, 120)
 }
 
 // A target with a long queue leaves and hands all of it back at once. Every
