Count bids that start within 30 ms of each other as equal

Cause: bids were compared to the microsecond, so that a few milliseconds of prompt decided, and the target that won went on winning while it had room.

--- a/core/routing/bid.go
+++ b/core/routing/bid.go
@@ -12,6 +12,11 @@
 // answer's tokens would cross zones for nothing.
 const zoneWait = 20 * time.Millisecond
 
+// tieWait is the difference in waiting that says nothing: a bid's estimate is no
+// better than that, and a few milliseconds of prompt would otherwise lead all
+// requests to one target for as long as it has room.
+const tieWait = 30 * time.Millisecond
+
 // Bid is a target's answer to the question when it could start a request.
 type Bid struct {
 	// From is the candidate that was asked.
@@ -28,29 +33,43 @@
 	return b.Wait + zoneWait
 }
 
-// Compare gives the index of the best bid: the earliest start, then the most
-// prefix held, then the lower score. It gives -1 when every bid refuses.
+// Compare gives the index of the best bid: of those that start within tieWait of
+// the earliest, the one with the lowest score, then the one with the most prefix
+// held. It gives -1 when every bid refuses.
 func Compare(bids []Bid) int {
+	first, ok := earliest(bids)
+	if !ok {
+		return -1
+	}
 	best := -1
 	for i := range bids {
-		if bids[i].Refuse != "" {
+		b := &bids[i]
+		if b.Refuse != "" || b.cost() > first+tieWait {
 			continue
 		}
-		if best < 0 || better(&bids[i], &bids[best]) {
+		if best < 0 || better(b, &bids[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
-func better(a, b *Bid) bool {
-	if a.cost() != b.cost() {
-		return a.cost() < b.cost()
+// earliest gives the lowest cost of the bids that don't refuse.
+func earliest(bids []Bid) (first time.Duration, ok bool) {
+	for i := range bids {
+		b := &bids[i]
+		if b.Refuse == "" && (!ok || b.cost() < first) {
+			first, ok = b.cost(), true
+		}
 	}
-	if a.Cached != b.Cached {
-		return a.Cached > b.Cached
+	return first, ok
+}
+
+func better(a, b *Bid) bool {
+	if a.From.Score != b.From.Score {
+		return a.From.Score < b.From.Score
 	}
-	return a.From.Score < b.From.Score
+	return a.Cached > b.Cached
 }
 
 // Refusal sums up bids of which none can be taken, for the caller: the reason
