--- a/bench/policy/ways.go
+++ b/bench/policy/ways.go
@@ -28,6 +28,7 @@
 		{"reports 0.2 s", ownGate, reports(1)},
 		{"reports 1 s", ownGate, reports(5)},
 		{"reports 5 s", ownGate, reports(25)},
+		{"reports 0.2 s, 4 offers", ownGate, func(w *world) placer { return &reportsOnly{bids: newBids(w), every: 1, offers: 4} }},
 		{"1 bid", ownGate, asking(1)},
 		{"3 bids", ownGate, asking(3)},
 		{"2 bids, reports 5 s", ownGate, func(w *world) placer { return &slowReports{bids: newBids(w), every: 25} }},
@@ -40,6 +41,9 @@
 type reportsOnly struct {
 	*bids
 	every, ticks int
+	// offers is the number of targets that a request is offered to; 0 is that
+	// of the other ways, of which those with two bids ask twice as many.
+	offers int
 }
 
 func (p *reportsOnly) choose(w *world, c *call) []*node {
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -170,10 +170,18 @@
 // maxTries bounds the targets that one request is offered to.
 const maxTries = 2
 
+// tries is the number of targets that one request is offered to.
+func (w *world) tries() int {
+	if p, ok := w.place.(*reportsOnly); ok && p.offers > 0 {
+		return p.offers
+	}
+	return maxTries
+}
+
 // put offers a call until a target takes it.
 func (w *world) put(c *call) {
 	c.refused, c.retryAfter = api.ReasonNoTarget, 0
-	for c.tries = 0; c.tries < maxTries; c.tries++ {
+	for c.tries = 0; c.tries < w.tries(); c.tries++ {
 		chosen := w.place.choose(w, c)
 		if len(chosen) == 0 {
 			continue
