--- a/node/control/server.go
+++ b/node/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,10 +55,11 @@
 	wg     *conc.WaitGroup
 	watch  sync.Once
 	from   consensus.MemberID
+	// entries is the list last told, used by the reading goroutine alone.
+	entries []wire.EntryInfo
 }
 
 func (s *session) handle(m wire.Message) {
-	member := s.server.member
 	switch m := m.(type) {
 	case *Peer:
 		s.peer(m)
@@ -66,10 +68,27 @@
 	case *Watch:
 		s.watch.Do(func() { s.wg.Go(func() { s.push(*m) }) })
 	case *Report:
-		member.reports.put(*m, time.Now())
+		s.report(m)
 	}
 }
 
+// report takes a report and tells the entry of a change among the entries. Only
+// the leader hears all of them; a member that hears some would shorten the list.
+func (s *session) report(m *Report) {
+	now := time.Now()
+	member := s.server.member
+	member.reports.put(*m, now)
+	if member.Status().Role != consensus.RoleLeader {
+		return
+	}
+	list := member.reports.entries(now)
+	if slices.Equal(list, s.entries) {
+		return
+	}
+	s.entries = list
+	_ = s.conn.Send(&Entries{List: list})
+}
+
 func (s *session) peer(m *Peer) {
 	if s.conn.Peer().Role != link.RoleControl {
 		return
@@ -112,6 +131,7 @@
 	base := s.base(w)
 	var told *Leader
 	drained := noDrains
+	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watchView()
 		if told == nil || *told != view.leader {
@@ -123,6 +143,10 @@
 			drained = view.drained
 			_ = s.conn.Send(&Drains{Index: drained, Targets: view.drains})
 		}
+		if !slices.Equal(ready, view.ready) {
+			ready = view.ready
+			_ = s.conn.Send(&Orders{Ready: ready})
+		}
 		if view.config.Revision > sent {
 			_ = s.conn.Send(s.server.update(base, view.config))
 			base, sent = view.config, view.config.Revision
@@ -177,6 +201,7 @@
 	leader  Leader
 	drained uint64
 	drains  []state.Drain
+	ready   []api.TargetID
 }
 
 // watchView gives what watchers are told and a channel that is closed at the
@@ -190,6 +215,7 @@
 		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
 		drained: m.state.Drained(),
 		drains:  m.state.Drains(),
+		ready:   m.state.Orders().Ready(),
 	}
 	return v, m.changed
 }
