--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -20,6 +20,7 @@
 	kindLeader
 	kindDrains
 	kindOrders
+	kindEntries
 )
 
 // Peer carries one message of the agreement between two members.
@@ -87,6 +88,11 @@
 	Targets  []TargetReport `cbor:"5,keyasint,omitempty"`
 	// Nodes are the agents behind this entry and the revision each one runs.
 	Nodes []NodeReport `cbor:"6,keyasint,omitempty"`
+	// Same tells that all is as in the last report on this link; only Instance
+	// is set beside it.
+	Same bool `cbor:"8,keyasint,omitempty"`
+	// Links is the address at which an entry takes agents' links.
+	Links string `cbor:"7,keyasint,omitempty"`
 }
 
 // TargetReport is one target as an entry sees it.
@@ -147,9 +153,18 @@
 // Kind implements wire.Message.
 func (*Orders) Kind() wire.Kind { return kindOrders }
 
+// Entries lists the entries that have reported of late, in the order of their
+// names. It answers a Report when the list is another than the session was told.
+type Entries struct {
+	List []wire.EntryInfo `cbor:"1,keyasint"`
+}
+
 // Kind implements wire.Message.
 func (*Drains) Kind() wire.Kind { return kindDrains }
 
+// Kind implements wire.Message.
+func (*Entries) Kind() wire.Kind { return kindEntries }
+
 // Protos lists the messages of control links.
 func Protos() []wire.Proto {
 	return []wire.Proto{
@@ -162,5 +177,6 @@
 		wire.ProtoOf[Leader](),
 		wire.ProtoOf[Drains](),
 		wire.ProtoOf[Orders](),
+		wire.ProtoOf[Entries](),
 	}
 }
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -130,6 +130,9 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return e.entry.Targets() }
 
+// SetEntries takes the fleet's entries, for the agents.
+func (e *Entry) SetEntries(list []wire.EntryInfo) { e.entry.SetEntries(list) }
+
 // SetDrains takes the targets that operators drain.
 func (e *Entry) SetDrains(drains map[api.TargetID]api.Incarnation) { e.entry.SetDrains(drains) }
 
@@ -163,6 +166,15 @@
 	c.Run(e.ctx, handle)
 }
 
+// closeListeners closes what the servers' own shutdown may have missed: a server
+// that is told to shut down before its goroutine has taken the listener closes
+// nothing, then listens for ever, and Stop would wait for it. After the drain
+// the listeners are closed already in every other case.
+func (e *Entry) closeListeners() {
+	_ = e.set.Callers.Close()
+	_ = e.set.Links.Close()
+}
+
 // Stop drains: no new connection is taken, requests in progress go on until
 // they end or ctx is done; then it stops hard.
 func (e *Entry) Stop(ctx context.Context) error {
@@ -178,6 +190,7 @@
 	if cerr := e.links.Shutdown(); err == nil {
 		err = cerr
 	}
+	e.closeListeners()
 	e.work.Wait()
 	events.ProcessDrained.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
 	return err
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -12,6 +12,7 @@
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/rollout"
+	"almondseam.dev/node/wire"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 )
@@ -23,6 +24,8 @@
 	Key      []byte
 	// Seeds are the link addresses of control members.
 	Seeds []string
+	// Links is the address at which this entry takes agents' links.
+	Links string
 }
 
 // reportEvery is the pace at which an entry tells control what it runs.
@@ -39,6 +42,7 @@
 	view   func() []control.TargetReport
 	drain  func(map[api.TargetID]api.Incarnation)
 	orders func([]api.TargetID)
+	tell   func([]wire.EntryInfo)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -50,6 +54,7 @@
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
 	e.drain = func(map[api.TargetID]api.Incarnation) {}
 	e.orders = func([]api.TargetID) {}
+	e.tell = func([]wire.EntryInfo) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
@@ -58,6 +63,7 @@
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
 		OnDrains:    e.onDrains,
 		OnOrders:    func(ready []api.TargetID) { e.orders(ready) },
+		OnEntries:   func(list []wire.EntryInfo) { e.tell(list) },
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
@@ -84,6 +90,7 @@
 func (e *EntryControl) Couple(to *Entry) {
 	e.ShowTargets(to.View)
 	e.DrainTargets(to.SetDrains)
+	e.TellEntries(to.SetEntries)
 	to.entry.SetOrderer(to.ctxOrders, e.client, order.DefaultLimits().Lease)
 	e.orders = to.entry.SetOrders
 }
@@ -91,6 +98,9 @@
 // DrainTargets gives what is told of the targets that operators drain.
 func (e *EntryControl) DrainTargets(drain func(map[api.TargetID]api.Incarnation)) { e.drain = drain }
 
+// TellEntries gives what is told of the fleet's entries.
+func (e *EntryControl) TellEntries(tell func([]wire.EntryInfo)) { e.tell = tell }
+
 func (e *EntryControl) onDrains(list []state.Drain) {
 	drains := make(map[api.TargetID]api.Incarnation, len(list))
 	for _, d := range list {
@@ -101,7 +111,7 @@
 
 func (e *EntryControl) report() control.Report {
 	rev, site := e.conf.InForce()
-	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view()}
+	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view(), Links: e.set.Links}
 	for _, n := range e.hub.Nodes() {
 		r.Nodes = append(r.Nodes, control.NodeReport{Instance: n.Instance, Site: n.Site, Revision: n.Revision})
 	}
--- a/node/wire/kinds.go
+++ b/node/wire/kinds.go
@@ -78,5 +78,6 @@
 		ProtoOf[Order](),
 		ProtoOf[OrderState](),
 		ProtoOf[Pace](),
+		ProtoOf[Entries](),
 	}
 }
