--- a/node/wire/order.go
+++ b/node/wire/order.go
@@ -9,7 +9,7 @@
 
 // The kinds of orders.
 const (
-	KindOrder Kind = iota + 41
+	KindOrder Kind = iota + 42
 	KindOrderState
 )
 
