--- a/node/control/client.go
+++ b/node/control/client.go
@@ -37,12 +37,12 @@
 	// OnDrains is called with all targets that operators drain, whenever the
 	// list changes; on the same goroutine as OnConfig. It may be nil.
 	OnDrains func(targets []state.Drain)
-	// OnOrders is called with the targets that have an order waiting and none
-	// in flight, like OnDrains.
-	OnOrders func(ready []api.TargetID)
 	// OnEntries is called with all live entries, whenever they change, on one
 	// goroutine.
 	OnEntries func(list []wire.EntryInfo)
+	// OnOrders is called with the targets that have an order waiting and none
+	// in flight, like OnDrains.
+	OnOrders func(ready []api.TargetID)
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
@@ -169,10 +169,10 @@
 		c.update(conn, m)
 	case *Drains:
 		c.drains(m)
-	case *Orders:
-		c.opt.OnOrders(m.Ready)
 	case *Entries:
 		c.opt.OnEntries(m.List)
+	case *Orders:
+		c.opt.OnOrders(m.Ready)
 	case *Leader:
 		if !m.Self && m.Addr != "" {
 			c.move(conn, m.Addr)
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -19,8 +19,8 @@
 	kindReport
 	kindLeader
 	kindDrains
-	kindOrders
 	kindEntries
+	kindOrders
 )
 
 // Peer carries one message of the agreement between two members.
@@ -144,6 +144,12 @@
 // Kind implements wire.Message.
 func (*Leader) Kind() wire.Kind { return kindLeader }
 
+// Entries lists the entries that have reported of late, in the order of their
+// names. It answers a Report when the list is another than the session was told.
+type Entries struct {
+	List []wire.EntryInfo `cbor:"1,keyasint"`
+}
+
 // Orders lists the targets that have an order waiting and none in flight. It is
 // only a hint to ask; what is handed out is decided by the log.
 type Orders struct {
@@ -153,12 +159,6 @@
 // Kind implements wire.Message.
 func (*Orders) Kind() wire.Kind { return kindOrders }
 
-// Entries lists the entries that have reported of late, in the order of their
-// names. It answers a Report when the list is another than the session was told.
-type Entries struct {
-	List []wire.EntryInfo `cbor:"1,keyasint"`
-}
-
 // Kind implements wire.Message.
 func (*Drains) Kind() wire.Kind { return kindDrains }
 
@@ -176,7 +176,7 @@
 		wire.ProtoOf[Report](),
 		wire.ProtoOf[Leader](),
 		wire.ProtoOf[Drains](),
-		wire.ProtoOf[Orders](),
 		wire.ProtoOf[Entries](),
+		wire.ProtoOf[Orders](),
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -44,12 +44,12 @@
 	bids    *bids
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
+	fleet   atomic.Pointer[wire.Entries]
 	ready   atomic.Pointer[map[api.TargetID]bool]
 	orderer Orderer
 	// fetching ends the fetching of orders.
 	fetching context.Context
 	lease    time.Duration
-	fleet    atomic.Pointer[wire.Entries]
 	pace     atomic.Int64 // interval of load reports last told, in nanoseconds
 }
 
@@ -249,12 +249,12 @@
 		Capacity:    m.Capacity,
 	})
 	t.e.drain(t.self)
-	if p := t.self; t.e.orderReady(p.target) {
-		t.e.work.Go(func() { t.e.fetchOrder(t.e.fetching, p) })
-	}
 	if list := t.e.fleet.Load(); list != nil && fresh {
 		_ = t.to.Send(list)
 	}
+	if p := t.self; t.e.orderReady(p.target) {
+		t.e.work.Go(func() { t.e.fetchOrder(t.e.fetching, p) })
+	}
 }
 
 func (t *Attached) onLoad(m *wire.Load) {
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -41,8 +41,8 @@
 	live   *fleetconfig.Live
 	view   func() []control.TargetReport
 	drain  func(map[api.TargetID]api.Incarnation)
-	orders func([]api.TargetID)
 	tell   func([]wire.EntryInfo)
+	orders func([]api.TargetID)
 	work   conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -53,8 +53,8 @@
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
 	e.drain = func(map[api.TargetID]api.Incarnation) {}
-	e.orders = func([]api.TargetID) {}
 	e.tell = func([]wire.EntryInfo) {}
+	e.orders = func([]api.TargetID) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	self := link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}
 	e.client = control.NewClient(control.ClientOptions{
@@ -62,8 +62,8 @@
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
 		OnDrains:    e.onDrains,
-		OnOrders:    func(ready []api.TargetID) { e.orders(ready) },
 		OnEntries:   func(list []wire.EntryInfo) { e.tell(list) },
+		OnOrders:    func(ready []api.TargetID) { e.orders(ready) },
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
--- a/node/wire/entries.go
+++ b/node/wire/entries.go
@@ -3,7 +3,7 @@
 import "almondseam.dev/core/api"
 
 // KindEntries is the kind of Entries.
-const KindEntries Kind = 41
+const KindEntries Kind = 43
 
 // EntryInfo is one entry of the fleet and the address of its links.
 type EntryInfo struct {
