Report targets to control only when they change

Change: a report says that its targets are as before. Conclusion: a change of configuration costs an entry's report its own size only.

--- a/node/control/client.go
+++ b/node/control/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -235,9 +236,9 @@
 	c.opt.OnDrains(m.Targets)
 }
 
-// reportLoop reports on one link: whole at first and on change, else only that
-// nothing has changed. A report lists all linked targets; sent whole every
-// second it would by itself pass an entry's 5 KB a second from 150 targets on.
+// reportLoop reports on one link: whole at first, then what has changed. A report
+// lists all linked targets; sent whole every second it would by itself pass an
+// entry's 5 KB a second from 150 targets on.
 func (c *Client) reportLoop(ctx context.Context, conn *link.Conn) {
 	if c.opt.Report == nil {
 		return
@@ -247,12 +248,8 @@
 	var told *Report
 	for {
 		r := c.opt.Report()
-		if told != nil && reflect.DeepEqual(*told, r) {
-			_ = conn.Send(&Report{Instance: r.Instance, Same: true})
-		} else {
-			told = &r
-			_ = conn.Send(&r)
-		}
+		_ = conn.Send(difference(told, r))
+		told = &r
 		select {
 		case <-t.C:
 		case <-conn.Done():
@@ -400,3 +397,19 @@
 	}
 	return r
 }
+
+// difference gives what is sent of a report after told was sent on the same link,
+// nil for the first one.
+func difference(told *Report, r Report) *Report {
+	if told == nil {
+		return &r
+	}
+	if reflect.DeepEqual(*told, r) {
+		return &Report{Instance: r.Instance, Same: true}
+	}
+	if slices.Equal(told.Targets, r.Targets) {
+		r.Targets = nil
+		r.SameTargets = true
+	}
+	return &r
+}
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -89,8 +89,9 @@
 	// Nodes are the agents behind this entry and the revision each one runs.
 	Nodes []NodeReport `cbor:"6,keyasint,omitempty"`
 	// Same tells that all is as in the last report on this link; only Instance
-	// is set beside it.
-	Same bool `cbor:"8,keyasint,omitempty"`
+	// is set beside it. SameTargets tells it of Targets alone.
+	Same        bool `cbor:"8,keyasint,omitempty"`
+	SameTargets bool `cbor:"9,keyasint,omitempty"`
 	// Links is the address at which an entry takes agents' links.
 	Links string `cbor:"7,keyasint,omitempty"`
 }
--- a/node/control/reports.go
+++ b/node/control/reports.go
@@ -36,19 +36,23 @@
 	}
 }
 
-// put takes a report. One that says only that nothing has changed renews what
-// the instance told last; a member that never heard that has nothing to renew,
-// and learns it with the next link's first report.
+// put takes a report. What it says to be the same is taken from the instance's
+// last one; a member that never heard that has nothing to renew, and learns it
+// with the next link's first report.
 func (r *reports) put(rep Report, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	last, known := r.instances[rep.Instance]
+	if !known && (rep.Same || rep.SameTargets) {
+		return
+	}
 	if rep.Same {
-		last, known := r.instances[rep.Instance]
-		if !known {
-			return
-		}
 		rep = last.Report
 	}
+	if rep.SameTargets {
+		rep.Targets = last.Targets
+		rep.SameTargets = false
+	}
 	r.instances[rep.Instance] = heard{rep, now}
 	seen := make([]membership.Seen, len(rep.Targets))
 	for i, t := range rep.Targets {
