Tell each agent its own choice of entries, and only when it changes

Change: the entry works out the agent's subset, which every entry works out alike, and sends it when it differs from what the agent was told.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -21,6 +21,8 @@
 	Models      []api.ModelID
 	Services    []api.ServiceID
 	Capacity    int // engine memory in tokens
+	// Links is the number of entries to link to, 0 for all.
+	Links int
 	// Unacked bounds the bytes of one stream that wait for the caller.
 	Unacked int
 	// Replay bounds the acknowledged bytes kept of one stream, and ReplayTime
@@ -187,6 +189,7 @@
 		Leaving:     a.leaving,
 		Capacity:    a.cfg.Capacity,
 		Clock:       a.uptime(),
+		Links:       a.cfg.Links,
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -44,7 +44,7 @@
 	bids    *bids
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
-	fleet   atomic.Pointer[wire.Entries]
+	fleet   atomic.Pointer[fleetEntries]
 	ready   atomic.Pointer[map[api.TargetID]bool]
 	orderer Orderer
 	// fetching ends the fetching of orders.
@@ -87,16 +87,6 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return len(e.peers.all()) }
 
-// SetEntries takes the list of the fleet's entries and passes it on to the
-// linked agents, which choose some of them to link to.
-func (e *Entry) SetEntries(list []wire.EntryInfo) {
-	m := &wire.Entries{List: list}
-	e.fleet.Store(m)
-	for _, p := range e.peers.all() {
-		_ = p.to.Send(m)
-	}
-}
-
 // TargetView is one linked target as this entry sees it.
 type TargetView struct {
 	Target      api.TargetID
@@ -233,7 +223,7 @@
 func (t *Attached) onAnnounce(m *wire.Announce) {
 	fresh := t.self == nil || t.self.inc != m.Incarnation || t.self.target != m.Target
 	if fresh {
-		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone}
+		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone, links: m.Links}
 		t.e.peers.put(t.self)
 		t.e.repace(t.to)
 	}
@@ -249,9 +239,7 @@
 		Capacity:    m.Capacity,
 	})
 	t.e.drain(t.self)
-	if list := t.e.fleet.Load(); list != nil && fresh {
-		_ = t.to.Send(list)
-	}
+	t.e.tellEntries(t.self)
 	if p := t.self; t.e.orderReady(p.target) {
 		t.e.work.Go(func() { t.e.fetchOrder(t.e.fetching, p) })
 	}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -20,6 +20,9 @@
 	inc    api.Incarnation
 	to     sender
 	zone   api.Zone
+	links  int // entries that the agent wants to link to
+	// told is the list of entries that the agent was last told.
+	told atomic.Pointer[[]wire.EntryInfo]
 	// leaving and clock are from the newest announcement or report.
 	leaving atomic.Bool
 	// clock is the newest reading of the agent's monotonic clock.
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -91,13 +91,11 @@
 		Models:      set.Models,
 		Services:    set.Services,
 		Capacity:    set.Capacity,
+		Links:       set.Links,
 		Observer:    metrics.Agent{Set: ports.Metrics},
 	}, target, admit)
 	a.links = newLinkKeeper(linkKeeperSettings{
-		target: set.Target,
-		zone:   set.Zone,
 		seeds:  set.Seeds,
-		want:   set.Links,
 		spread: linkSpread,
 		dial:   a.runLink,
 		retire: a.retireLink,
--- a/node/process/links.go
+++ b/node/process/links.go
@@ -24,10 +24,7 @@
 
 // linkKeeperSettings are what a linkKeeper works with.
 type linkKeeperSettings struct {
-	target api.TargetID
-	zone   api.Zone
 	seeds  []string
-	want   int // entries to link to, 0 for all
 	spread time.Duration
 	// dial holds a link until it or ctx ends; up is told the link, and nil at
 	// its end.
@@ -36,9 +33,9 @@
 	retire func(ctx context.Context, conn *link.Conn)
 }
 
-// linkKeeper holds an agent's links. It begins with the seeds, learns of all
-// entries over them, and moves to the few that rendezvous hashing gives it: an
-// entry of a large fleet could not hold a link to every agent.
+// linkKeeper holds an agent's links. It begins with the seeds, learns from them
+// which few entries it is to link to, and moves there: an entry of a large fleet
+// could not hold a link to every agent.
 type linkKeeper struct {
 	set  linkKeeperSettings
 	work conc.WaitGroup
@@ -63,7 +60,7 @@
 	return &linkKeeper{set: set, news: make(chan []wire.EntryInfo, 1), held: make(map[string]*heldLink)}
 }
 
-// learn takes a list of all entries. Only the newest one counts.
+// learn takes the list of entries to link to. Only the newest one counts.
 func (k *linkKeeper) learn(list []wire.EntryInfo) {
 	select {
 	case <-k.news:
@@ -119,17 +116,12 @@
 		return
 	}
 	addr := make(map[membership.Entry]string, len(list))
-	all := make([]membership.Entry, len(list))
+	wanted := make([]membership.Entry, len(list))
 	for i, e := range list {
-		all[i] = membership.Entry{Instance: e.Instance, Zone: e.Zone}
-		addr[all[i]] = e.Addr
-	}
-	want := k.set.want
-	if want == 0 {
-		want = len(all)
+		wanted[i] = membership.Entry{Instance: e.Instance, Zone: e.Zone}
+		addr[wanted[i]] = e.Addr
 	}
 	held := k.name(list, addr)
-	wanted := membership.Subset(k.set.target, k.set.zone, all, want)
 	k.want(wanted, addr)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for _, m := range membership.Plan(held, wanted, k.set.spread, rng) {
--- a/node/wire/entries.go
+++ b/node/wire/entries.go
@@ -12,8 +12,8 @@
 	Addr     string         `cbor:"3,keyasint"`
 }
 
-// Entries tells an agent all entries of the fleet, of which it links to some. It
-// is sent to each agent that announces itself and whenever the list changes.
+// Entries tells an agent which entries it is to link to. It is sent to each agent
+// that announces itself and whenever its own choice changes.
 type Entries struct {
 	List []EntryInfo `cbor:"1,keyasint"`
 }
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -47,6 +47,8 @@
 	Capacity int `cbor:"7,keyasint,omitempty"`
 	// Clock is the agent's monotonic clock; see claim.Window.
 	Clock time.Duration `cbor:"8,keyasint,omitempty"`
+	// Links is the number of entries that the agent wants to link to, 0 for all.
+	Links int `cbor:"9,keyasint,omitempty"`
 }
 
 // Load is the agent's periodic report.
