fleetconfig: say which keys no process reads yet

Cause: many keys are accepted, replicated and shown, but nothing reads them; an operator who sets one changes nothing, and docs/CONFIG.md says otherwise. The body bounds are read, but the callers' server reads no body over its own 2MiB. Proof: go test ./cmd/almondctl/ ./core/fleetconfig/ - ok, ok.

--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -69,7 +69,7 @@
 type Model struct {
 	// ID of the model, as callers spell it.
 	ID api.ModelID `yaml:"id" required:"true"`
-	// Version of the weights that targets are ordered to load; empty accepts what a target announces.
+	// Version of the weights that targets are ordered to load; empty accepts what a target announces (not read by any process yet: an order names its version).
 	Version string `yaml:"version"`
 	// ContextTokens bounds prompt and output together.
 	ContextTokens int `yaml:"context_tokens" required:"true" min:"1" max:"10000000"`
@@ -77,7 +77,7 @@
 	MaxOutputTokens int `yaml:"max_output_tokens" required:"true" min:"1" max:"10000000"`
 	// Kinds tell short answers from long ones; without any, every request is a note.
 	Kinds []Kind `yaml:"kinds"`
-	// Adapters that targets are ordered to load beside the weights.
+	// Adapters that targets are ordered to load beside the weights (not read by any process yet: an order names its adapter).
 	Adapters []Adapter `yaml:"adapters"`
 }
 
@@ -122,47 +122,47 @@
 	Repeatable []string `yaml:"repeatable" scope:"fleet"`
 	// Timeout of one call, from dispatch to the end of the answer.
 	Timeout time.Duration `yaml:"timeout" default:"30s" min:"1ms" max:"1h"`
-	// MaxBody bounds the body of one call.
+	// MaxBody bounds the body of one call; an entry reads no body over 2MiB, whatever stands here.
 	MaxBody Size `yaml:"max_body" default:"1MiB" min:"1B" max:"64MiB"`
 }
 
 // Limits bound what one process accepts and keeps.
 type Limits struct {
-	// MaxBody bounds the body of a model request.
+	// MaxBody bounds the body of a model request; an entry reads no body over 2MiB, whatever stands here.
 	MaxBody Size `yaml:"max_body" default:"2MiB" min:"1KiB" max:"64MiB"`
-	// MaxHeader bounds the headers of any request.
+	// MaxHeader bounds the headers of any request (not read by any process yet).
 	MaxHeader Size `yaml:"max_header" default:"16KiB" min:"1KiB" max:"1MiB"`
-	// MaxConnections bounds the callers' connections of one entry.
+	// MaxConnections bounds the callers' connections of one entry (not read by any process yet).
 	MaxConnections int `yaml:"max_connections" default:"4096" min:"1" max:"1000000"`
 	// KeepAlive is the time between the comment lines that tell a waiting caller that its answer is still coming.
 	KeepAlive time.Duration `yaml:"keepalive" default:"2s" min:"100ms" max:"1m"`
-	// Drain bounds how long a process that shuts down waits for requests in progress.
+	// Drain bounds how long a process that shuts down waits for requests in progress (not read by any process yet).
 	Drain time.Duration `yaml:"drain" default:"10m" min:"0s" max:"2h"`
-	// ReplayBytes is the output that an agent keeps of one request for a caller that comes back.
+	// ReplayBytes is the output that an agent keeps of one request for a caller that comes back (not read by any process yet: 64KiB are kept).
 	ReplayBytes Size `yaml:"replay_bytes" default:"256KiB" min:"4KiB" max:"64MiB"`
-	// ReplayTime is how long that output is kept after the request has ended.
+	// ReplayTime is how long that output is kept after the request has ended (not read by any process yet).
 	ReplayTime time.Duration `yaml:"replay_time" default:"2m" min:"0s" max:"1h"`
 	// ClaimAnswer bounds the answer kept of a call that must not be repeated; a longer one is not kept.
 	ClaimAnswer Size `yaml:"claim_answer" default:"16KiB" min:"0B" max:"1MiB"`
-	// ClaimKeep is how long such a call is remembered after it has ended.
+	// ClaimKeep is how long such a call is remembered after it has ended (not read by any process yet).
 	ClaimKeep time.Duration `yaml:"claim_keep" default:"24h" min:"1m" max:"720h"`
 }
 
 // Policy steers admission, routing, retries and shedding.
 type Policy struct {
-	// Overflow is the admitted probability that a target's memory fills before running requests end.
+	// Overflow is the admitted probability that a target's memory fills before running requests end (not read by any process yet).
 	Overflow float64 `yaml:"overflow" default:"0.02" min:"0.0001" max:"0.5"`
-	// RetryBudget is the ratio of retries to first attempts that an entry may add.
+	// RetryBudget is the ratio of retries to first attempts that an entry may add (not read by any process yet).
 	RetryBudget float64 `yaml:"retry_budget" default:"0.1" min:"0" max:"1"`
-	// RetryAttempts bounds the dispatches of one request.
+	// RetryAttempts bounds the dispatches of one request (not read by any process yet).
 	RetryAttempts int `yaml:"retry_attempts" default:"3" min:"1" max:"10"`
-	// BidFanOut is the number of targets asked for a bid on one request.
+	// BidFanOut is the number of targets asked for a bid on one request (not read by any process yet).
 	BidFanOut int `yaml:"bid_fan_out" default:"2" min:"1" max:"8"`
-	// AffinityBound is how far above the mean load a target may be and still be chosen for its cached prefix.
+	// AffinityBound is how far above the mean load a target may be and still be chosen for its cached prefix (not read by any process yet).
 	AffinityBound float64 `yaml:"affinity_bound" default:"1.25" min:"1" max:"10"`
-	// PreferZone asks targets of the entry's own availability zone first.
+	// PreferZone asks targets of the entry's own availability zone first (not read by any process yet).
 	PreferZone bool `yaml:"prefer_zone" default:"true"`
-	// ZoneSlack is the longer wait borne in the own availability zone before another one is taken.
+	// ZoneSlack is the longer wait borne in the own availability zone before another one is taken (not read by any process yet).
 	ZoneSlack time.Duration `yaml:"zone_slack" default:"250ms" min:"0s" max:"1m"`
 	// Shed gives the thresholds at which new work is refused.
 	Shed Shed `yaml:"shed"`
@@ -170,19 +170,19 @@
 
 // Shed gives the thresholds at which new work is refused.
 type Shed struct {
-	// QueueLength is the number of requests waiting at one target.
+	// QueueLength is the number of requests waiting at one target (not read by any process yet).
 	QueueLength int `yaml:"queue_length" default:"256" min:"1" max:"100000"`
-	// QueueWait is the expected wait for the first token.
+	// QueueWait is the expected wait for the first token (not read by any process yet).
 	QueueWait time.Duration `yaml:"queue_wait" default:"30s" min:"100ms" max:"1h"`
-	// Memory is the part of a target's memory in use above which tags alone are started.
+	// Memory is the part of a target's memory in use above which tags alone are started (not read by any process yet).
 	Memory float64 `yaml:"memory" default:"0.95" min:"0.1" max:"1"`
 }
 
 // WeightStore paces the loads of model weights.
 type WeightStore struct {
-	// Rate that the weight store grants to the whole fleet.
+	// Rate that the weight store grants to the whole fleet (not read by any process yet).
 	Rate ByteRate `yaml:"rate" default:"1GiB/s" min:"1KiB/s" max:"1024GiB/s"`
-	// MaxLoads bounds the loads in progress over the whole fleet.
+	// MaxLoads bounds the loads in progress over the whole fleet (not read by any process yet).
 	MaxLoads int `yaml:"max_loads" default:"4" min:"1" max:"1000"`
 }
 
@@ -190,8 +190,8 @@
 type TargetRule struct {
 	// ID is the kind that a target announces.
 	ID string `yaml:"id" required:"true"`
-	// ChecksFence tells that the target itself refuses an order with an old fence; else its agent checks alone.
+	// ChecksFence tells that the target itself refuses an order with an old fence; else its agent checks alone (not read by any process yet).
 	ChecksFence bool `yaml:"checks_fence"`
-	// OrderLease bounds how long one order may hold the target before the next is let through.
+	// OrderLease bounds how long one order may hold the target before the next is let through (not read by any process yet).
 	OrderLease time.Duration `yaml:"order_lease" default:"10m" min:"1s" max:"6h"`
 }
