engine: a plain call beyond its deadline is told as a timeout

Cause: at the request's own deadline the connection is closed under the read, and the error of a closed connection was told as engine_died. Change: before the answer's first byte the reason is taken from the request's context first. Run: go test ./engine -run Beyond: got engine_died, want timeout before; go test -race ./engine passes after. Conclusion: a slow service is told as timeout, outcome unknown.

--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -108,17 +108,29 @@
 	defer stop()
 	if err := c.write(x, w, body, accept); err != nil {
 		x.Close()
-		return nil, c.fail(api.OutcomeUnknown, api.ReasonEngineDied, err)
+		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
 	x.resp.SkipBody = w.Method == fasthttp.MethodHead
 	if err := c.readHead(x); err != nil {
 		x.Close()
-		return nil, c.fail(api.OutcomeUnknown, c.headReason(err), err)
+		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
 	return x, nil
 }
 
-func (c *Client) headReason(err error) api.Reason {
+// openReason is the reason of a request that failed before its answer began. At
+// the request's own deadline the connection is closed under the read, whose error
+// is then that of a closed connection: told by it alone, a service that is merely
+// slow would pass for one that died.
+func openReason(ctx context.Context, err error) api.Reason {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return api.ReasonTimeout
+	}
+	return readReason(err)
+}
+
+// readReason tells a target that was quiet for too long from one that went.
+func readReason(err error) api.Reason {
 	// The HTTP library's own timeout is no net.Error.
 	var late interface{ Timeout() bool }
 	if errors.As(err, &late) && late.Timeout() {
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -295,6 +295,20 @@
 	}
 }
 
+// A service answers later than its configured timeout. The caller is told that
+// it timed out, outcome unknown, not that it died: the request's deadline closes
+// the connection under the read, and the service had read the request.
+func TestCallBeyondItsDeadlineIsATimeout(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	e := silent(t, "")
+	got := gather(e.client().Call(ctx, get))
+	c.Assert(got.outcome, qt.Equals, unknown)
+	c.Assert(got.reason, qt.Equals, api.ReasonTimeout)
+	<-e.gone
+}
+
 // The caller goes away while the engine has not answered yet: the connection is
 // closed, which is what cancels the work at the engine, and the outcome stays
 // unknown, for the engine had read the request.
--- a/node/engine/generate.go
+++ b/node/engine/generate.go
@@ -125,5 +125,5 @@
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
-	return g.client.fail(api.OutcomeInterrupted, g.client.headReason(err), err)
+	return g.client.fail(api.OutcomeInterrupted, readReason(err), err)
 }
