Give a change its first answer also when it is resent on a newer base

Change: a change ID stands for its document; base and author are not compared. Conclusion: the plain repeat of a command is safe.

--- a/core/state/config.go
+++ b/core/state/config.go
@@ -182,12 +182,11 @@
 	}
 }
 
-func (p *ConfigPut) digest() [32]byte {
-	h := sha256.New()
-	fmt.Fprintf(h, "%d %q\n", p.Base, p.Author)
-	h.Write(p.Document)
-	return [32]byte(h.Sum(nil))
-}
+// digest tells changes under one ID apart by what they would put in force. The
+// base is not in it: an operator who repeats the same command after a lost answer
+// names the revision that is now in force, which may be the change itself, and
+// must still get the first answer.
+func (p *ConfigPut) digest() [32]byte { return sha256.Sum256(p.Document) }
 
 // Current gives the configuration in force; its Revision is 0 when there is none.
 func (s *State) Current() Config { return s.config.current() }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -80,6 +80,11 @@
 	lostAgain.Repeated = false
 	c.Assert(lostAgain, qt.DeepEquals, lost)
 	c.Assert(l.s.Current().Revision, qt.Equals, api.Revision(2))
+	// The same command again names the revision that is in force by now.
+	rebased := l.put("c0", "ana", 2, "one")
+	c.Assert(rebased.Repeated, qt.IsTrue)
+	c.Assert(rebased.Revision, qt.Equals, first.Revision)
+	c.Assert(l.s.Current().Revision, qt.Equals, api.Revision(2))
 	reused := l.put("c0", "ana", 2, "three")
 	c.Assert(reused.Accepted, qt.IsFalse)
 	c.Assert(reused.Message, qt.Contains, "used for another change")
