entry: follow the policy in force for retries, bids and zones

Cause: policy.retry_attempts, retry_budget, bid_fan_out, affinity_bound, prefer_zone and zone_slack were accepted, replicated and read by nothing. Change: the options of core/retry and core/routing are replaced as a whole through an atomic pointer; a decision goes by those that it began with. A fan-out beyond two widens the sample too: six bids drawn from the standard sample asked five targets. The default of zone_slack is 20ms, by which bids were compared all along, in place of 250ms, by which none ever was. A bound of exactly 1 is taken as it is. The wait that another zone costs is now part of a candidate, so the table of TestCompareAndRefusal sets it; its cases are the same. Conclusion: six keys take effect without a restart.

--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -152,18 +152,18 @@
 type Policy struct {
 	// Overflow is the admitted probability that a target's memory fills before running requests end (not read by any process yet).
 	Overflow float64 `yaml:"overflow" default:"0.02" min:"0.0001" max:"0.5"`
-	// RetryBudget is the ratio of retries to first attempts that an entry may add (not read by any process yet).
+	// RetryBudget is the ratio of retries to first attempts that an entry may add beside a few a second; 0 leaves only those of work that a leaving target hands back.
 	RetryBudget float64 `yaml:"retry_budget" default:"0.1" min:"0" max:"1"`
-	// RetryAttempts bounds the dispatches of one request (not read by any process yet).
+	// RetryAttempts bounds the dispatches of one request.
 	RetryAttempts int `yaml:"retry_attempts" default:"3" min:"1" max:"10"`
-	// BidFanOut is the number of targets asked for a bid on one request (not read by any process yet).
+	// BidFanOut is the number of targets asked for a bid on one request.
 	BidFanOut int `yaml:"bid_fan_out" default:"2" min:"1" max:"8"`
-	// AffinityBound is how far above the mean load a target may be and still be chosen for its cached prefix (not read by any process yet).
+	// AffinityBound is how far above the mean load a target may be and still be chosen for its cached prefix.
 	AffinityBound float64 `yaml:"affinity_bound" default:"1.25" min:"1" max:"10"`
-	// PreferZone asks targets of the entry's own availability zone first (not read by any process yet).
+	// PreferZone asks targets of the entry's own availability zone first.
 	PreferZone bool `yaml:"prefer_zone" default:"true"`
-	// ZoneSlack is the longer wait borne in the own availability zone before another one is taken (not read by any process yet).
-	ZoneSlack time.Duration `yaml:"zone_slack" default:"250ms" min:"0s" max:"1m"`
+	// ZoneSlack is the longer wait borne in the own availability zone before another one is taken.
+	ZoneSlack time.Duration `yaml:"zone_slack" default:"20ms" min:"0s" max:"1m"`
 	// Shed gives the thresholds at which new work is refused.
 	Shed Shed `yaml:"shed"`
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -33,9 +33,11 @@
 		return
 	}
 	if d := now.Sub(b.at); d > 0 {
-		b.level = min(r.Most, b.level+r.PerSecond*d.Seconds())
+		b.level += r.PerSecond * d.Seconds()
 		b.at = now
 	}
+	// Most may have been lowered since.
+	b.level = min(r.Most, b.level)
 }
 
 func (b *bucket) deposit(r Ratio, now time.Time) {
@@ -64,10 +66,8 @@
 
 // budgets holds the bucket of each customer and the one over all.
 type budgets struct {
-	customer Ratio
-	overall  Ratio
-	all      bucket
-	each     sync.Map // api.CustomerID to *bucket
+	all  bucket
+	each sync.Map // api.CustomerID to *bucket
 }
 
 func (b *budgets) of(c api.CustomerID) *bucket {
@@ -78,18 +78,18 @@
 	return v.(*bucket)
 }
 
-func (b *budgets) first(c api.CustomerID, now time.Time) {
-	b.of(c).deposit(b.customer, now)
-	b.all.deposit(b.overall, now)
+func (b *budgets) first(o *Options, c api.CustomerID, now time.Time) {
+	b.of(c).deposit(o.Customer, now)
+	b.all.deposit(o.Overall, now)
 }
 
 // take pays for one retry from both budgets or from none.
-func (b *budgets) take(c api.CustomerID, cost float64, now time.Time) bool {
+func (b *budgets) take(o *Options, c api.CustomerID, cost float64, now time.Time) bool {
 	own := b.of(c)
-	if !own.withdraw(b.customer, cost, now) {
+	if !own.withdraw(o.Customer, cost, now) {
 		return false
 	}
-	if !b.all.withdraw(b.overall, cost, now) {
+	if !b.all.withdraw(o.Overall, cost, now) {
 		own.refund(cost)
 		return false
 	}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -70,7 +71,8 @@
 
 // Policy decides on retries. It may be used from several goroutines.
 type Policy struct {
-	opts    Options
+	made    Options // as New took them
+	opts    atomic.Pointer[Options]
 	budgets budgets
 	meter   Meter
 }
@@ -78,7 +80,23 @@
 // New gives a policy that counts with m.
 func New(o Options, m Meter) *Policy {
 	o = o.withDefaults()
-	return &Policy{opts: o, meter: m, budgets: budgets{customer: o.Customer, overall: o.Overall}}
+	p := &Policy{made: o, meter: m}
+	p.opts.Store(&o)
+	return p
+}
+
+// Set bounds the attempts of one request, 1 or more, and sets what a first try
+// adds to either budget, from now on. With perTry 0 no retry is paid for, not
+// even by time. What the budgets hold stays; a decision under way ends by the
+// options that it began with.
+func (p *Policy) Set(attempts int, perTry float64) {
+	o := p.made
+	o.Attempts = max(1, attempts)
+	o.Customer.PerTry, o.Overall.PerTry = perTry, perTry
+	if perTry <= 0 {
+		o.Customer, o.Overall = Ratio{}, Ratio{}
+	}
+	p.opts.Store(&o)
 }
 
 // Attempt is one attempt that failed.
@@ -107,7 +125,7 @@
 }
 
 // First notes a request's first attempt, which pays into the budgets.
-func (p *Policy) First(c api.CustomerID, now time.Time) { p.budgets.first(c, now) }
+func (p *Policy) First(c api.CustomerID, now time.Time) { p.budgets.first(p.opts.Load(), c, now) }
 
 // Next decides on a failed attempt. delivered is the number of tokens or bytes
 // that the caller has been sent; repeatable tells that running the request
@@ -117,8 +135,9 @@
 	if !allowed(err, delivered, repeatable) {
 		return d
 	}
-	d.After = p.backoff(a.Number, err, rng)
-	d.Why = p.hindrance(a, err, d.After, now)
+	o := p.opts.Load()
+	d.After = o.backoff(a.Number, err, rng)
+	d.Why = p.hindrance(o, a, err, d.After, now)
 	if d.Why != "" {
 		p.meter.Refused(d.Why)
 		return d
@@ -129,15 +148,15 @@
 }
 
 // hindrance pays for a retry, or says why there is none.
-func (p *Policy) hindrance(a Attempt, err *api.Error, after time.Duration, now time.Time) Why {
+func (p *Policy) hindrance(o *Options, a Attempt, err *api.Error, after time.Duration, now time.Time) Why {
 	switch {
-	case int(a.Number) >= p.opts.Attempts:
+	case int(a.Number) >= o.Attempts:
 		return WhyAttempts
 	case !a.Deadline.IsZero() && !now.Add(after).Before(a.Deadline):
 		return WhyDeadline
 	case handedBack(err):
 		return ""
-	case !p.budgets.take(a.Customer, cost(err.Reason), now):
+	case !p.budgets.take(o, a.Customer, cost(err.Reason), now):
 		return WhyBudget
 	default:
 		return ""
@@ -217,10 +236,10 @@
 //
 // A RetryAfter that speaks for all targets asked (StepRoute) is waited out. One
 // target's own binds only a return to it, and the retry goes elsewhere.
-func (p *Policy) backoff(n api.Attempt, err *api.Error, rng *rand.Rand) time.Duration {
-	d := p.opts.Max
+func (o *Options) backoff(n api.Attempt, err *api.Error, rng *rand.Rand) time.Duration {
+	d := o.Max
 	if n < 16 {
-		d = min(d, p.opts.Base<<(max(n, 1)-1))
+		d = min(d, o.Base<<(max(n, 1)-1))
 	}
 	if err.Step == api.StepRoute {
 		d = max(d, 2*err.RetryAfter)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -65,7 +65,7 @@
 
 func TestBackoff(t *testing.T) {
 	c := qt.New(t)
-	p := New(Options{}, counts{})
+	p := New(Options{}, counts{}).opts.Load()
 	route := &api.Error{Step: api.StepRoute, RetryAfter: 3 * time.Second}
 	queue := &api.Error{Step: api.StepQueue, RetryAfter: 3 * time.Second}
 	for seed := range uint64(20) {
@@ -132,3 +132,27 @@
 
 func (nopMeter) Retried(api.Reason) {}
 func (nopMeter) Refused(Why)        {}
+
+// Attempts and budget are changed between failures: the next decision goes by
+// the new ones, also after the budget was shut and opened again.
+func TestSetChangesTheNextDecision(t *testing.T) {
+	c := qt.New(t)
+	m := counts{}
+	p := New(Options{}, m)
+	refused := &api.Error{Outcome: api.OutcomeNotRun, Reason: api.ReasonQueueFull}
+	next := func(number api.Attempt, now time.Time) Why {
+		return p.Next(Attempt{Customer: "c", Number: number}, refused, 0, true, now, rnd(1)).Why
+	}
+	c.Assert(next(1, t0), qt.Equals, Why(""))
+	p.Set(1, 0.1)
+	c.Assert(next(1, t0), qt.Equals, WhyAttempts)
+	p.Set(5, 0.1)
+	c.Assert(next(4, t0), qt.Equals, Why(""))
+	p.Set(5, 0)
+	c.Assert(next(1, t0), qt.Equals, WhyBudget)
+	c.Assert(next(1, t0.Add(time.Hour)), qt.Equals, WhyBudget)
+	p.Set(5, 1)
+	p.First("c", t0.Add(time.Hour))
+	c.Assert(next(1, t0.Add(time.Hour)), qt.Equals, Why(""))
+	c.Assert(next(1, t0.Add(time.Hour)), qt.Equals, WhyBudget)
+}
--- a/core/routing/affinity.go
+++ b/core/routing/affinity.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	snap := c.snapshot(t)
-	return !snap.Aside && snap.Load+1 <= c.r.opts.Bound*c.mean+1
+	return !snap.Aside && snap.Load+1 <= c.o.Bound*c.mean+1
 }
 
 // lookup fills met with the targets that the probes meet, nearest first; one
--- a/core/routing/bid.go
+++ b/core/routing/bid.go
@@ -7,10 +7,10 @@
 	"almondseam.dev/core/api"
 )
 
-// zoneWait is how much sooner a target outside of the entry's zone must start
+// defaultZoneWait is how much sooner a target outside of the entry's zone must start
 // to be preferred: below it the difference is within a bid's own error, and the
 // answer's tokens would cross zones for nothing.
-const zoneWait = 20 * time.Millisecond
+const defaultZoneWait = 20 * time.Millisecond
 
 // tieWait is the difference in waiting that says nothing: a bid's estimate is no
 // better than that, and a few milliseconds of prompt would otherwise lead all
@@ -26,12 +26,7 @@
 }
 
 // cost orders bids.
-func (b *Bid) cost() time.Duration {
-	if b.From.Own {
-		return b.Wait
-	}
-	return b.Wait + zoneWait
-}
+func (b *Bid) cost() time.Duration { return b.Wait + b.From.ZoneWait }
 
 // Compare gives the index of the best bid: of those that start within tieWait of
 // the earliest, the one with the lowest score, then the one with the most prefix
--- a/core/routing/parts.go
+++ b/core/routing/parts.go
@@ -30,7 +30,7 @@
 	r := t.report.Load()
 	age := max(0, c.now.Sub(r.Reported))
 	sequences, tokens := t.pending(clampReported(r.Reported, c.now))
-	return Candidate{
+	out := Candidate{
 		ID:          t.info.ID,
 		Incarnation: t.info.Incarnation,
 		Zone:        t.info.Zone,
@@ -41,6 +41,10 @@
 		Own:         t.info.Zone == c.s.q.Zone,
 		Aside:       t.aside(c.now) || age > silentAfter,
 	}
+	if !out.Own {
+		out.ZoneWait = c.o.ZoneWait
+	}
+	return out
 }
 
 // clampReported keeps the time of a report within what the rings remember.
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -41,6 +42,11 @@
 	// Bound is the load, relative to the mean, up to which prefix hashing may
 	// lead to a target; 1.25.
 	Bound float64
+	// AnyZone makes all availability zones alike.
+	AnyZone bool
+	// ZoneWait is how much sooner a target outside of the entry's zone must
+	// start to be taken; 20 ms, and none when negative.
+	ZoneWait time.Duration
 	// Filters, Scorers and Picker replace the standard parts.
 	Filters []Filter
 	Scorers []Scorer
@@ -63,14 +69,23 @@
 	o.Ask = bounded(o.Ask, defaultAsk, maxAsk)
 	o.Local = bounded(o.Local, defaultLocal, maxSample)
 	o.Foreign = bounded(o.Foreign, defaultForeign, maxSample)
-	if o.Bound <= 1 {
+	if o.Bound < 1 {
 		o.Bound = defaultBound
 	}
+	if o.ZoneWait == 0 {
+		o.ZoneWait = defaultZoneWait
+	}
+	if o.AnyZone || o.ZoneWait < 0 {
+		o.ZoneWait = 0
+	}
 	if o.Filters == nil {
 		o.Filters = []Filter{NotAvoided{}, NotAside{}}
 	}
 	if o.Scorers == nil {
 		o.Scorers = []Scorer{ByLoad{}, ByMemory{}, ByZone{}, ByPrefix{}, ByAge{}}
+		if o.AnyZone {
+			o.Scorers = []Scorer{ByLoad{}, ByMemory{}, ByPrefix{}, ByAge{}}
+		}
 	}
 	if o.Picker == nil {
 		o.Picker = Lowest{}
@@ -88,17 +103,24 @@
 // Router chooses targets from a Table. It may be used from several goroutines.
 type Router struct {
 	table   *Table
-	opts    Options
+	opts    atomic.Pointer[Options]
 	scratch sync.Pool
 }
 
 // NewRouter gives a router over tb.
 func NewRouter(tb *Table, o Options) *Router {
-	r := &Router{table: tb, opts: o.withDefaults()}
+	r := &Router{table: tb}
+	r.Set(o)
 	r.scratch.New = func() any { return &scratch{} }
 	return r
 }
 
+// Set replaces the options, for the choices that begin from now on.
+func (r *Router) Set(o Options) {
+	o = o.withDefaults()
+	r.opts.Store(&o)
+}
+
 // scratch is the working memory of one decision; its size depends on Options
 // only, not on the number of targets.
 type scratch struct {
@@ -120,13 +142,13 @@
 	if g == nil || g.size == 0 {
 		return dst
 	}
-	c := choice{r: r, s: s, g: g, mean: g.mean(), now: now, rng: rng}
+	c := choice{r: r, o: r.opts.Load(), s: s, g: g, mean: g.mean(), now: now, rng: rng}
 	c.gather()
 	if len(s.pool) == 0 {
 		c.walk()
 	}
 	c.score()
-	return r.opts.Picker.Pick(dst, s.pool, r.opts.Ask, rng)
+	return c.o.Picker.Pick(dst, s.pool, c.o.Ask, rng)
 }
 
 func (r *Router) release(s *scratch) {
@@ -141,6 +163,7 @@
 // choice is one decision under way.
 type choice struct {
 	r    *Router
+	o    *Options
 	s    *scratch
 	g    *group
 	mean float64
@@ -156,12 +179,15 @@
 	own := c.ownZone()
 	c.affinity(own)
 	if own != nil {
-		c.sample(own.points, c.r.opts.Local)
+		c.sample(own.points, c.o.Local)
 	}
 	c.sampleOthers(own)
 }
 
 func (c *choice) ownZone() *zoneSet {
+	if c.o.AnyZone {
+		return nil
+	}
 	i := slices.IndexFunc(c.g.zones, func(z zoneSet) bool { return z.zone == c.s.q.Zone })
 	if i < 0 {
 		return nil
@@ -189,9 +215,9 @@
 	if own != nil {
 		total -= len(own.points)
 	}
-	n := c.r.opts.Foreign
+	n := c.o.Foreign
 	if own == nil {
-		n += c.r.opts.Local
+		n += c.o.Local
 	}
 	for i := range min(n, total) {
 		at := i
@@ -225,7 +251,7 @@
 	steps := min(c.g.size, maxWalk)
 	for i := range steps {
 		c.consider(c.other(nil, (start+i)%c.g.size), false)
-		if len(c.s.pool) >= c.r.opts.Ask {
+		if len(c.s.pool) >= c.o.Ask {
 			return
 		}
 	}
@@ -234,7 +260,7 @@
 	}
 	for i := range steps {
 		c.lastResort(c.other(nil, (start+i)%c.g.size))
-		if len(c.s.pool) >= c.r.opts.Ask {
+		if len(c.s.pool) >= c.o.Ask {
 			return
 		}
 	}
@@ -254,7 +280,7 @@
 	c.s.pool = append(c.s.pool, c.snapshot(t))
 	cand := &c.s.pool[at]
 	cand.Affinity = affinity
-	for _, f := range c.r.opts.Filters {
+	for _, f := range c.o.Filters {
 		if !f.Keep(&c.s.q, cand) {
 			c.s.pool = c.s.pool[:at]
 			return
@@ -272,7 +298,7 @@
 func (c *choice) score() {
 	for i := range c.s.pool {
 		cand := &c.s.pool[i]
-		for _, sc := range c.r.opts.Scorers {
+		for _, sc := range c.o.Scorers {
 			cand.Score += sc.Score(&c.s.q, cand)
 		}
 	}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -182,10 +182,14 @@
 func TestCompareAndRefusal(t *testing.T) {
 	scores := map[string]float64{}
 	bid := func(name string, own bool, wait time.Duration, cached int, refuse api.Reason, after time.Duration) Bid {
-		return Bid{
+		b := Bid{
 			From: Candidate{ID: api.TargetID(name), Own: own, Score: scores[name]},
 			Bid:  admission.Bid{Wait: wait, Cached: cached, Refuse: refuse, RetryAfter: after},
 		}
+		if !own {
+			b.From.ZoneWait = defaultZoneWait
+		}
+		return b
 	}
 	scores["busy"] = 2
 	ms := time.Millisecond
@@ -221,3 +225,51 @@
 		})
 	}
 }
+
+// The options change between two choices: the next one goes by the new ones.
+func TestOptionsChangeWhileInUse(t *testing.T) {
+	c := qt.New(t)
+	r := NewRouter(fleet(12, zones, 3), Options{})
+	q := Query{Model: model, Zone: "lhr-b", Prefix: 7}
+	c.Assert(r.Choose(nil, q, t0, rnd(1)), qt.HasLen, 2)
+	r.Set(Options{Ask: 4, AnyZone: true})
+	foreign := 0
+	for seed := range uint64(50) {
+		got := r.Choose(nil, q, t0, rnd(seed))
+		c.Assert(got, qt.HasLen, 4)
+		for _, cand := range got {
+			c.Assert(cand.ZoneWait, qt.Equals, time.Duration(0))
+			if !cand.Own {
+				foreign++
+			}
+		}
+	}
+	c.Assert(foreign > 50, qt.IsTrue, qt.Commentf("%d of 200 outside of the zone", foreign))
+	r.Set(Options{Ask: 8, ZoneWait: time.Second})
+	for _, cand := range r.Choose(nil, q, t0, rnd(1)) {
+		c.Assert(cand.ZoneWait == time.Second, qt.Equals, !cand.Own)
+	}
+}
+
+// All targets carry the mean load but the one that the prefix leads to, which
+// carries a third more. A tight bound passes it over; a wide one takes it.
+func TestBoundChangesWhileInUse(t *testing.T) {
+	c := qt.New(t)
+	tb := fleet(12, zones[:1], 30)
+	r := NewRouter(tb, Options{})
+	q := Query{Model: model, Zone: "lhr-a", Prefix: 7}
+	led := func() api.TargetID {
+		for _, cand := range r.Choose(nil, q, t0, rnd(1)) {
+			if cand.Affinity {
+				return cand.ID
+			}
+		}
+		return ""
+	}
+	home := led()
+	tb.Report(home, 1, Load{Running: 40, Free: 50_000, Capacity: 100_000, Reported: t0.Add(time.Millisecond)})
+	r.Set(Options{Ask: 8, Local: 16, Bound: 1})
+	c.Assert(led(), qt.Not(qt.Equals), home)
+	r.Set(Options{Ask: 8, Local: 16, Bound: 2})
+	c.Assert(led(), qt.Equals, home)
+}
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -86,6 +86,9 @@
 	Age time.Duration
 	// Own tells that the target is in the entry's availability zone.
 	Own bool
+	// ZoneWait is how much sooner the target must start than one of the entry's
+	// own zone to be taken; zero for one of that zone.
+	ZoneWait time.Duration
 	// Affinity tells that prefix hashing leads to this target.
 	Affinity bool
 	// Aside tells that the target failed or refused lately, or is silent.
--- a/node/entry/placer.go
+++ b/node/entry/placer.go
@@ -14,6 +14,7 @@
 	*routing.Table
 	router *routing.Router
 	rngs   sync.Pool
+	policy policyFollower
 }
 
 var _ Placer = (*TablePlacer)(nil)
@@ -41,6 +42,7 @@
 
 // Choose implements Placer.
 func (p *TablePlacer) Choose(q routing.Query, now time.Time) []routing.Candidate {
+	p.policy.refresh()
 	rng := p.rngs.Get().(*rand.Rand)
 	defer p.rngs.Put(rng)
 	return p.router.Choose(nil, q, now, rng)
--- a/node/entry/retries.go
+++ b/node/entry/retries.go
@@ -12,7 +12,8 @@
 // Retries is the Retrier over core/retry: it pays for attempts from budgets.
 type Retries struct {
 	*retry.Policy
-	rngs sync.Pool
+	rngs   sync.Pool
+	policy policyFollower
 }
 
 var _ Retrier = (*Retries)(nil)
@@ -28,12 +29,19 @@
 	if !movable {
 		return false, 0
 	}
+	r.policy.refresh()
 	rng := r.rngs.Get().(*rand.Rand)
 	defer r.rngs.Put(rng)
 	d := r.Policy.Next(a, err, 0, movable, now, rng)
 	return d.Retry, d.After
 }
 
+// First implements Retrier.
+func (r *Retries) First(c api.CustomerID, now time.Time) {
+	r.policy.refresh()
+	r.Policy.First(c, now)
+}
+
 // newRands gives a pool of generators: one is used by one goroutine at a time.
 func newRands() sync.Pool {
 	return sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }}
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -79,7 +79,10 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.ctxOrders, e.endOrders = context.WithCancel(context.Background())
 	placer := entry.NewTablePlacer(routing.Options{})
-	e.entry = entry.New(entry.Config{}, placer, entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics}), metrics.Entry{Set: ports.Metrics})
+	placer.Follow(ports.Live)
+	retries := entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics})
+	retries.Follow(ports.Live)
+	e.entry = entry.New(entry.Config{}, placer, retries, metrics.Entry{Set: ports.Metrics})
 	e.peers = &peerLinks{set: set, ports: ports, conns: make(map[api.InstanceID]*link.Conn)}
 	e.limits = newLimits(set, ports, e.peers)
 	if ports.Limiter == nil {
