callers: an early failure has its own status; X-Request-Id of who comes back

Cause: the first change of phase opened the stream, so that a failure a moment later (an engine that cannot be reached) was told inside status 200. A caller that came back got a new X-Request-Id. Change: for up to openWithin the phases are gathered until the first item or the end; they are sent as comments once the stream opens. Both headers name the old request. Conclusion: a failure within a second and before the first token has its status.

--- a/node/callers/body.go
+++ b/node/callers/body.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// early gives the events up to the first that carries a part of the answer or its
+// end; or those of the first wait, with EventIdle last.
+func (f *feed) early(wait time.Duration) []entry.Event {
+	deadline := time.Now().Add(wait)
+	var out []entry.Event
+	for {
+		e := f.next(time.Until(deadline))
+		out = append(out, e)
+		if e.Kind != entry.EventPhase {
+			return out
+		}
+	}
+}
+
 func (f *feed) note(e entry.Event) {
 	if e.Kind == entry.EventEnd {
 		f.ended = true
@@ -115,9 +129,10 @@
 // goroutine: each Read becomes one chunk, written at once. Close is called after
 // the last write, or when a write has failed because the caller has gone.
 type body struct {
-	feed  *feed
-	r     renderer
-	first *entry.Event
+	feed *feed
+	r    renderer
+	// early are events that were taken before the body was opened.
+	early []entry.Event
 	out   []byte
 	at    int
 	last  error
@@ -163,9 +178,9 @@
 }
 
 func (b *body) nextEvent() entry.Event {
-	if b.first != nil {
-		e := *b.first
-		b.first = nil
+	if len(b.early) > 0 {
+		e := b.early[0]
+		b.early = b.early[1:]
 		return e
 	}
 	return b.feed.next(b.feed.keep)
--- a/node/callers/generate.go
+++ b/node/callers/generate.go
@@ -11,9 +11,11 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// openWithin bounds the wait for a first sign before a stream is opened. A
-// refusal within it is answered with its own HTTP status, which ordinary client
-// libraries understand best.
+// openWithin bounds the wait for a first item before a stream is opened. A
+// refusal or failure within it is answered with its own HTTP status, which
+// ordinary client libraries understand best. A change of phase does not open the
+// stream: an agent says "queued" to every request that it takes, also to those
+// that fail at once because its engine cannot be reached.
 const openWithin = time.Second
 
 // generate serves both OpenAI-compatible generation paths.
@@ -53,16 +55,16 @@
 }
 
 func (s *Server) answerStream(c fiber.Ctx, who *caller, p *parsed, f *feed) error {
-	first := f.next(openWithin)
-	if first.Kind == entry.EventEnd && first.End.Outcome != api.OutcomeCompleted {
+	early := f.early(openWithin)
+	if last := early[len(early)-1]; last.Kind == entry.EventEnd && last.End.Outcome != api.OutcomeCompleted {
 		f.Close()
-		return s.writeError(c, who.customerID(), who.id, first.End)
+		return s.writeError(c, who.customerID(), who.id, last.End)
 	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Set("X-Accel-Buffering", "no")
 	r := newSSE(who.id, p, s.cfg.Clock())
-	c.RequestCtx().Response.SetBodyStream(&body{feed: f, r: r, first: &first}, -1)
+	c.RequestCtx().Response.SetBodyStream(&body{feed: f, r: r, early: early}, -1)
 	return nil
 }
 
@@ -118,6 +120,7 @@
 	who.id = api.RequestID(id)
 	p.req.ID = who.id
 	c.Set(HeaderRequestID, id)
+	c.Set(headerXRequestID, id)
 	ans, err := s.entry.Resume(s.base, p.req, from)
 	if err != nil {
 		return s.writeError(c, who.customerID(), who.id, entry.AsEnd(err))
