--- a/bench/policy/ways.go
+++ b/bench/policy/ways.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"almondseam.dev/core/routing"
 )
@@ -27,6 +28,7 @@
 		{"reports 0.2 s", ownGate, reports(1)},
 		{"reports 1 s", ownGate, reports(5)},
 		{"reports 5 s", ownGate, reports(25)},
+		{"reports 0.2 s, 4 offers", ownGate, func(w *world) placer { return &reportsOnly{bids: newBids(w), every: 1, offers: 4} }},
 		{"1 bid", ownGate, asking(1)},
 		{"3 bids", ownGate, asking(3)},
 		{"2 bids, reports 5 s", ownGate, func(w *world) placer { return &slowReports{bids: newBids(w), every: 25} }},
@@ -39,6 +41,9 @@
 type reportsOnly struct {
 	*bids
 	every, ticks int
+	// offers is the number of targets that a request is offered to; 0 is that
+	// of the other ways, of which those with two bids ask twice as many.
+	offers int
 }
 
 func (p *reportsOnly) choose(w *world, c *call) []*node {
@@ -90,7 +95,8 @@
 		if !n.open() {
 			continue
 		}
-		b := routing.Bid{From: routing.Candidate{ID: n.id, Own: true}}
+		running, waiting, _ := n.gate.(*ours).ctl.Counts()
+		b := routing.Bid{From: routing.Candidate{ID: n.id, Own: true, Score: float64(running + waiting)}}
 		b.Bid = n.gate.(*ours).ctl.Bid(c.request(epoch), epoch.Add(w.now))
 		if b.Refuse != "" {
 			c.refused, c.retryAfter = b.Refuse, b.RetryAfter
@@ -110,9 +116,36 @@
 }
 
 // measureWays prints the ways to place for one workload and load.
-func measureWays(load *workload, part, capacity float64, seeds, workers int) {
-	cols := placementWays()
+func measureWays(load *workload, names []string, part, capacity float64, seeds, workers int) {
+	cols := slices.DeleteFunc(placementWays(), func(c column) bool {
+		return len(names) > 0 && !slices.Contains(names, c.name)
+	})
 	all := runColumns(load, cols, part, capacity, seeds, workers)
 	fmt.Printf("\n### Placing, %s at %.1f of capacity, %d seeds: median (worst)\n\n", load.name, part, seeds)
 	printTable(load, cols, all)
+	printWins(load, cols, all)
+}
+
+// printWins tells in how many seeds the last column is better than each other:
+// with few seeds that says more than medians that lie close together.
+func printWins(load *workload, cols []column, all [][]*measures) {
+	last := len(cols) - 1
+	fmt.Printf("\n%s is better (of the seeds in which the two differ):\n", cols[last].name)
+	for _, r := range rows(load) {
+		fmt.Printf("- %s:", r.name)
+		for i := range last {
+			better, differ := 0, 0
+			for s := range all[i] {
+				own, other := r.of(all[last][s]), r.of(all[i][s])
+				if own != other {
+					differ++
+				}
+				if own != other && own > other == r.more {
+					better++
+				}
+			}
+			fmt.Printf(" %s %d/%d;", cols[i].name, better, differ)
+		}
+		fmt.Println()
+	}
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -33,9 +33,11 @@
 		return
 	}
 	if d := now.Sub(b.at); d > 0 {
-		b.level = min(r.Most, b.level+r.PerSecond*d.Seconds())
+		b.level += r.PerSecond * d.Seconds()
 		b.at = now
 	}
+	// Most may have been lowered since.
+	b.level = min(r.Most, b.level)
 }
 
 func (b *bucket) deposit(r Ratio, now time.Time) {
@@ -45,29 +47,27 @@
 	b.level = min(r.Most, b.level+r.PerTry)
 }
 
-func (b *bucket) withdraw(r Ratio, now time.Time) bool {
+func (b *bucket) withdraw(r Ratio, cost float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill(r, now)
-	if b.level < 1 {
+	if b.level < cost {
 		return false
 	}
-	b.level--
+	b.level -= cost
 	return true
 }
 
-func (b *bucket) refund() {
+func (b *bucket) refund(cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.level++
+	b.level += cost
 }
 
 // budgets holds the bucket of each customer and the one over all.
 type budgets struct {
-	customer Ratio
-	overall  Ratio
-	all      bucket
-	each     sync.Map // api.CustomerID to *bucket
+	all  bucket
+	each sync.Map // api.CustomerID to *bucket
 }
 
 func (b *budgets) of(c api.CustomerID) *bucket {
@@ -78,19 +78,19 @@
 	return v.(*bucket)
 }
 
-func (b *budgets) first(c api.CustomerID, now time.Time) {
-	b.of(c).deposit(b.customer, now)
-	b.all.deposit(b.overall, now)
+func (b *budgets) first(o *Options, c api.CustomerID, now time.Time) {
+	b.of(c).deposit(o.Customer, now)
+	b.all.deposit(o.Overall, now)
 }
 
 // take pays for one retry from both budgets or from none.
-func (b *budgets) take(c api.CustomerID, now time.Time) bool {
+func (b *budgets) take(o *Options, c api.CustomerID, cost float64, now time.Time) bool {
 	own := b.of(c)
-	if !own.withdraw(b.customer, now) {
+	if !own.withdraw(o.Customer, cost, now) {
 		return false
 	}
-	if !b.all.withdraw(b.overall, now) {
-		own.refund()
+	if !b.all.withdraw(o.Overall, cost, now) {
+		own.refund(cost)
 		return false
 	}
 	return true
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/order"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
 )
@@ -20,6 +21,8 @@
 	Models      []api.ModelID
 	Services    []api.ServiceID
 	Capacity    int // engine memory in tokens
+	// Links is the number of entries to link to, 0 for all.
+	Links int
 	// Unacked bounds the bytes of one stream that wait for the caller.
 	Unacked int
 	// Replay bounds the acknowledged bytes kept of one stream, and ReplayTime
@@ -108,6 +111,7 @@
 	links      map[sender]*reporting
 	calls      int
 	leaving    bool
+	orders     orders
 	// preemptions is the engine's count at its last report.
 	preemptions uint64
 }
@@ -124,6 +128,7 @@
 		latest:     make(map[api.RequestID]wire.Key),
 		tombstones: make(map[wire.Key]time.Time),
 		links:      make(map[sender]*reporting),
+		orders:     orders{gate: order.NewGate(cfg.Incarnation)},
 	}
 }
 
@@ -184,6 +189,7 @@
 		Leaving:     a.leaving,
 		Capacity:    a.cfg.Capacity,
 		Clock:       a.uptime(),
+		Links:       a.cfg.Links,
 	}
 }
 
@@ -208,6 +214,28 @@
 	}
 }
 
+// Retire tells one link's entry to place no more work here over it, ahead of the
+// link's end. The target goes on serving its other links.
+func (a *Agent) Retire(to sender) {
+	a.mu.Lock()
+	ann := a.announcement()
+	a.mu.Unlock()
+	ann.Leaving = true
+	_ = to.Send(ann)
+}
+
+// Uses tells whether a request in progress depends on a link.
+func (a *Agent) Uses(to sender) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		if s.uses(to) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Agent) linkList() []sender {
 	out := make([]sender, 0, len(a.links))
 	for l := range a.links {
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -67,15 +67,22 @@
 	work    conc.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
-	failed  chan error
+	// ctxOrders ends with the drain: a stopping entry hands over no more orders.
+	ctxOrders context.Context
+	endOrders context.CancelFunc
+	failed    chan error
 }
 
 // NewEntry makes the role; Start runs it.
 func NewEntry(set EntrySettings, ports EntryPorts) *Entry {
 	e := &Entry{set: set, ports: ports, failed: make(chan error, 2)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.ctxOrders, e.endOrders = context.WithCancel(context.Background())
 	placer := entry.NewTablePlacer(routing.Options{})
-	e.entry = entry.New(entry.Config{}, placer, entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics}), metrics.Entry{Set: ports.Metrics})
+	placer.Follow(ports.Live)
+	retries := entry.NewRetries(retry.Options{}, metrics.Retries{Set: ports.Metrics})
+	retries.Follow(ports.Live)
+	e.entry = entry.New(entry.Config{}, placer, retries, metrics.Entry{Set: ports.Metrics})
 	e.peers = &peerLinks{set: set, ports: ports, conns: make(map[api.InstanceID]*link.Conn)}
 	e.limits = newLimits(set, ports, e.peers)
 	if ports.Limiter == nil {
@@ -126,6 +133,9 @@
 // Targets counts the linked agents.
 func (e *Entry) Targets() int { return e.entry.Targets() }
 
+// SetEntries takes the fleet's entries, for the agents.
+func (e *Entry) SetEntries(list []wire.EntryInfo) { e.entry.SetEntries(list) }
+
 // SetDrains takes the targets that operators drain.
 func (e *Entry) SetDrains(drains map[api.TargetID]api.Incarnation) { e.entry.SetDrains(drains) }
 
@@ -171,6 +181,7 @@
 // Stop drains: no new connection is taken, requests in progress go on until
 // they end or ctx is done; then it stops hard.
 func (e *Entry) Stop(ctx context.Context) error {
+	e.endOrders()
 	events.ProcessDraining.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
 	err := e.callers.Drain(ctx)
 	if err != nil {
