engine: take a service's answer with a head of up to 16 KiB

Cause: the head of every response was bounded by 4 KiB. A service that sends more, such as cookies and a content policy, had run the call, and its caller was told "unknown".

Change: 16 KiB for plain calls; a generation's stays at 4 KiB, since that buffer lives as long as the stream. A head beyond it is unknown as before.

go test -race -count=2 ./node/engine before: FAIL TestCall/long_head (unknown, engine_died) after: ok almondseam.dev/node/engine 1.415s

--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -37,7 +37,11 @@
 	DefaultDial  = 2 * time.Second
 	DefaultHead  = 5 * time.Minute
 	DefaultQuiet = 2 * time.Minute
+	// readBuffer bounds the head of a generation's response, callBuffer that of
+	// a call's: services send cookies and policies that engines don't. A head
+	// beyond it leaves the outcome unknown, though the service has acted.
 	readBuffer   = 4 << 10
+	callBuffer   = 16 << 10
 	callChunk    = 16 << 10
 	maxErrorBody = 16 << 10
 )
@@ -111,7 +115,11 @@
 		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
 	x.resp.SkipBody = w.Method == fasthttp.MethodHead
-	if err := c.readHead(x); err != nil {
+	buffer := readBuffer
+	if accept == "" {
+		buffer = callBuffer
+	}
+	if err := c.readHead(x, buffer); err != nil {
 		x.Close()
 		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
@@ -160,9 +168,9 @@
 	return bw.Flush()
 }
 
-func (c *Client) readHead(x *exchange) error {
+func (c *Client) readHead(x *exchange, buffer int) error {
 	_ = x.conn.SetReadDeadline(time.Now().Add(c.cfg.Head))
-	x.br = bufio.NewReaderSize(x.conn, readBuffer)
+	x.br = bufio.NewReaderSize(x.conn, buffer)
 	x.resp.StreamBody = true
 	if err := x.resp.Read(x.br); err != nil {
 		return err
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -214,6 +214,8 @@
 		{"no body", "HTTP/1.1 204 No Content\r\n\r\n", "DELETE", result{"", whole, "", ""}},
 		{"head of a long body", "HTTP/1.1 200 OK\r\nContent-Length: 40960\r\n\r\n", "HEAD", result{"", whole, "", ""}},
 		{"status of an error", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy", "POST", result{"busy", whole, "", ""}},
+		{"long head", "HTTP/1.1 200 OK\r\nX-Long: " + long[:10<<10] + "\r\nContent-Length: 2\r\n\r\nok", "POST", result{"ok", whole, "", ""}},
+		{"head beyond its bound", "HTTP/1.1 200 OK\r\nX-Long: " + long + "\r\n\r\n", "POST", result{"", unknown, api.ReasonEngineDied, "*"}},
 		{"long", "HTTP/1.1 200 OK\r\nContent-Length: 40960\r\n\r\n" + long, "GET", result{long, whole, "", ""}},
 		{"short of a long length", "HTTP/1.1 200 OK\r\nContent-Length: 40960\r\n\r\n" + long[1:], "GET", result{long[1:], cut, api.ReasonEngineTruncated, "*"}},
 		{"short of its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "GET", result{"ok", cut, api.ReasonEngineTruncated, "*"}},
