--- a/node/callers/server_test.go
+++ b/node/callers/server_test.go
@@ -336,15 +336,25 @@
 	}
 }
 
-// A caller dies while it writes its booking. What the entry has read is no
-// request: nothing may be offered for it, with half a body or with none.
+// A caller dies, or goes silent, while it writes its booking. What the entry has
+// read is no request: nothing may be offered for it, with half a body or none.
 func TestBodyNeverWhole(t *testing.T) {
-	f := newFront(t, Config{}, nil, func(*fakeAgent, *wire.Offer) { panic("offered") })
-	c := f.dial()
-	_, err := fmt.Fprintf(c, "POST /bookings HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 9\r\n\r\nhalf", deskKey)
-	f.c.Assert(err, qt.IsNil)
-	f.c.Assert(c.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
-	_, _ = io.Copy(io.Discard, c.br) // until the entry has closed
+	for name, silent := range map[string]bool{"cut off": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			cfg := Config{ReadTimeout: time.Minute}
+			if silent {
+				cfg.ReadTimeout = 50 * time.Millisecond
+			}
+			f := newFront(t, cfg, nil, func(*fakeAgent, *wire.Offer) { panic("offered") })
+			c := f.dial()
+			_, err := fmt.Fprintf(c, "POST /bookings HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 9\r\n\r\nhalf", deskKey)
+			f.c.Assert(err, qt.IsNil)
+			if !silent {
+				f.c.Assert(c.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			}
+			_, _ = io.Copy(io.Discard, c.br) // until the entry has closed
+		})
+	}
 }
 
 func decided(v claim.Verdict, r claim.Record) func(uint64) (claim.Decision, error) {
