Acknowledge by the bytes handed out, not by the last event's

Cause: found on reading: an entry acknowledged after 256 items or when one event had 4 KB. Items of 1 KB that come one at a time meet the agent's bound of 32 KB unacknowledged first; the agent stops, the entry waits, the answer stands still. Change: the entry counts the bytes handed out since the last acknowledgement. Measured: TestLargeItemsAreAcknowledgedByTheirBytes: before, the fifth item is not acknowledged (nor any after it); after, at most 4 KB are outstanding. Conclusion: large chunks flow.

--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -61,6 +61,7 @@
 	pos     int
 	moved   bool // phase changed since it was last told
 	end     *End
+	owed    int                     // bytes handed out and not acknowledged
 	taken   uint64                  // items handed out by Next
 	acked   uint64                  // items acknowledged to the agent
 	ack     func(off uint64)        // set while a leg is attached
@@ -153,6 +154,7 @@
 	a.pending, a.spare = a.spare[:0], a.pending
 	a.off += uint64(a.n)
 	a.taken = a.off
+	a.owed += len(e.Packed)
 	a.n = 0
 	return e
 }
@@ -163,9 +165,10 @@
 	a.mu.Lock()
 	ack := a.ack
 	off := a.taken
-	due := ack != nil && off > a.acked && (off-a.acked >= ackItems || len(a.spare) >= ackEvery)
+	due := ack != nil && off > a.acked && (off-a.acked >= ackItems || a.owed >= ackEvery)
 	if due {
 		a.acked = off
+		a.owed = 0
 	}
 	a.mu.Unlock()
 	if due {
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,3 +196,32 @@
 		}
 	})
 }
+
+// An answer of large items, such as chunks with log probabilities, comes one
+// item at a time. The entry must acknowledge by bytes handed out: an agent stops
+// at its bound of unacknowledged bytes, long before a count of items is reached,
+// and the answer would stand still for good.
+func TestLargeItemsAreAcknowledgedByTheirBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(generation())
+		o := hear[*wire.Offer](a)
+		a.accept(o)
+		item := strings.Repeat("x", 1<<10)
+		var acked uint64
+		for i := range uint64(32) {
+			a.data(o, "g-t1", i, item)
+			for ans.Next(time.Hour).Kind != EventItems {
+			}
+			ans.Next(0)
+			select {
+			case m := <-a.link.sent:
+				acked = m.(*wire.Ack).Offset
+			default:
+			}
+			b.c.Assert(i+1-acked <= ackEvery>>10, qt.IsTrue, qt.Commentf("%d items, acknowledged up to %d", i+1, acked))
+		}
+		ans.Cancel(0)
+	})
+}
