entry, callers: a kept answer counts as completed

Cause: the answer of an earlier run was handed over as an error of outcome not_run, so that the request was logged as event 301 and counted as not_run. Change: the error's outcome is completed, and the entry ends such a request in order.

--- a/node/callers/claims.go
+++ b/node/callers/claims.go
@@ -117,7 +117,8 @@
 	return &api.Error{Step: api.StepClaim, Outcome: o, Reason: reason, Err: errors.New(text)}
 }
 
-// answered takes the kept answer. Without one the caller is told the outcome.
+// answered takes the kept answer. Its error ends the request as completed, which
+// it is: only no dispatch follows. Without one the caller is told the outcome.
 func (t *ticket) answered(r claim.Record) error {
 	if !r.Kept || r.Outcome != api.OutcomeCompleted {
 		return t.refuse(r.Outcome, api.ReasonDuplicate, "the call with this key ended as "+string(r.Outcome)+" and its answer is not kept")
@@ -127,7 +128,7 @@
 		return t.refuse(r.Outcome, api.ReasonIntegrity, "the kept answer cannot be read")
 	}
 	t.kept = &k
-	return t.refuse(api.OutcomeNotRun, api.ReasonDuplicate, "the kept answer is given")
+	return t.refuse(api.OutcomeCompleted, api.ReasonDuplicate, "the kept answer is given")
 }
 
 // settle tells the control group how the call ended, in the background, so that
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -22,6 +22,9 @@
 			return End{Outcome: api.OutcomeCompleted}
 		}
 		failed := api.AsError(err)
+		if failed.Outcome == api.OutcomeCompleted {
+			return AsEnd(failed)
+		}
 		if ctx.Err() != nil {
 			return AsEnd(e.callerLeft(failed))
 		}
--- a/node/entry/ports.go
+++ b/node/entry/ports.go
@@ -75,7 +75,8 @@
 	// Repeatable tells that running it twice does no harm.
 	Repeatable bool
 	// Claimed is called before the dispatch of a request that must not be
-	// repeated, with the target and its incarnation; nil for none.
+	// repeated, with the target and its incarnation; nil for none. An error of
+	// outcome completed ends the request in order: its answer is there already.
 	Claimed func(t api.TargetID, inc api.Incarnation, n api.Attempt) error
 }
 
