callers: count each end short of the whole answer once

Cause: only what was refused before the status went out was counted in refusals_total; a stream, a late JSON answer or a service's body that broke off after status 200 was counted nowhere by its reason. Change: a body counts the end that its caller is told, not what ends after the caller has left. The renderer's end gives that end beside its bytes, and the tests of it take the further result and check the reason.

--- a/node/callers/body.go
+++ b/node/callers/body.go
@@ -121,8 +121,10 @@
 type renderer interface {
 	// render appends what e tells the caller.
 	render(dst []byte, e entry.Event) ([]byte, error)
-	// end appends the last bytes; cut tells to end the connection unfinished.
-	end(dst []byte, e entry.End) (out []byte, cut bool)
+	// end appends the last bytes. told is the end that the caller is given, which
+	// is another than e when a completed answer turns out not to be whole; cut
+	// tells to end the connection unfinished.
+	end(dst []byte, e entry.End) (out []byte, told entry.End, cut bool)
 }
 
 // body is a response body that the HTTP library reads on the connection's
@@ -136,6 +138,10 @@
 	out   []byte
 	at    int
 	last  error
+	// refused counts an end short of the whole answer that the caller is told; it
+	// may be nil. What ends after the caller has left is told to nobody.
+	refused func(api.Reason)
+	left    bool
 	// after runs what is left when the caller has gone early; nil cancels it.
 	after func(rest func())
 }
@@ -169,9 +175,12 @@
 }
 
 func (b *body) finish(e entry.End) {
-	var cut bool
-	b.out, cut = b.r.end(b.out, e)
+	out, told, cut := b.r.end(b.out, e)
+	b.out = out
 	b.last = io.EOF
+	if told.Outcome != api.OutcomeCompleted && !b.left && b.refused != nil {
+		b.refused(told.Reason)
+	}
 	if cut {
 		b.last = errCut
 	}
@@ -198,6 +207,7 @@
 
 // drain reads the answer to its end for the record alone.
 func (b *body) drain() {
+	b.left = true
 	for b.last == nil {
 		b.fill()
 	}
--- a/node/callers/errors.go
+++ b/node/callers/errors.go
@@ -77,6 +77,11 @@
 	return c.Status(status).Send(errorJSON(id, end))
 }
 
+// refusedTo counts what a caller is told after its status has been sent.
+func (s *Server) refusedTo(who *caller) func(api.Reason) {
+	return func(reason api.Reason) { s.obs.Refused(who.customerID(), reason) }
+}
+
 // retryAfter is in whole seconds, rounded up: a caller that comes back early
 // only meets the same crowd again.
 func retryAfter(d time.Duration) string {
--- a/node/callers/pure_test.go
+++ b/node/callers/pure_test.go
@@ -208,11 +208,11 @@
 func TestStreamEnds(t *testing.T) {
 	c := qt.New(t)
 	r := newSSE("r1", testParsed(false, false), time.Unix(5, 0))
-	out, cut := r.end(nil, entry.End{Outcome: api.OutcomeCompleted})
+	out, _, cut := r.end(nil, entry.End{Outcome: api.OutcomeCompleted})
 	c.Assert(string(out), qt.Equals, "data: [DONE]\n\n")
 	c.Assert(cut, qt.IsFalse)
 	for _, o := range []api.Outcome{api.OutcomeInterrupted, api.OutcomeUnknown, api.OutcomeNotRun} {
-		out, _ = r.end(nil, entry.End{Outcome: o, Reason: api.ReasonEngineDied})
+		out, _, _ = r.end(nil, entry.End{Outcome: o, Reason: api.ReasonEngineDied})
 		c.Assert(string(out), qt.Not(qt.Contains), "[DONE]")
 		c.Assert(string(out), qt.Contains, `"outcome":"`+string(o)+`"`)
 	}
@@ -258,10 +258,11 @@
 			c := qt.New(t)
 			w := newWhole("r1", testParsed(tc.chat, true), time.Unix(5, 0))
 			c.Assert(w.add(itemsEvent(tc.items...)), qt.IsNil)
-			out, cut := w.end(nil, entry.End{Outcome: api.OutcomeCompleted})
+			out, told, cut := w.end(nil, entry.End{Outcome: api.OutcomeCompleted})
 			c.Assert(cut, qt.Equals, tc.want == "")
 			if tc.want == "" {
 				c.Assert(string(out), qt.Contains, `"outcome":"interrupted"`)
+				c.Assert(told.Reason, qt.Equals, api.ReasonIntegrity)
 				return
 			}
 			var obj struct{ Choices json.RawMessage }
--- a/node/callers/record.go
+++ b/node/callers/record.go
@@ -61,9 +61,9 @@
 }
 
 // end implements renderer. A body cut short ends the connection.
-func (r *record) end(dst []byte, e entry.End) ([]byte, bool) {
+func (r *record) end(dst []byte, e entry.End) ([]byte, entry.End, bool) {
 	r.settle(e)
-	return dst, e.Outcome != api.OutcomeCompleted
+	return dst, e, e.Outcome != api.OutcomeCompleted
 }
 
 // settle tells the claim how the call ended, once.
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -44,8 +44,8 @@
 	Acquire(c *fleetconfig.Customer, tokens int, now time.Time) (settle func(used int), err *api.Error)
 }
 
-// Observer hears of requests that never reach the entry. Called from several
-// goroutines.
+// Observer hears of each request that a caller is told has ended short of its
+// whole answer, once, wherever it is told. Called from several goroutines.
 type Observer interface {
 	Refused(c api.CustomerID, reason api.Reason)
 }
--- a/node/callers/sse.go
+++ b/node/callers/sse.go
@@ -103,13 +103,13 @@
 // end writes the end mark after a whole answer, and an error object in place of
 // it after any other: client libraries take the object for an error, and the
 // missing mark for a broken stream.
-func (s *sse) end(dst []byte, e entry.End) ([]byte, bool) {
+func (s *sse) end(dst []byte, e entry.End) ([]byte, entry.End, bool) {
 	if e.Outcome == api.OutcomeCompleted {
-		return append(dst, "data: [DONE]\n\n"...), false
+		return append(dst, "data: [DONE]\n\n"...), e, false
 	}
 	dst = append(dst, "event: error\ndata: "...)
 	dst = append(dst, errorJSON(s.id, e)...)
-	return append(dst, "\n\n"...), false
+	return append(dst, "\n\n"...), e, false
 }
 
 const hexDigits = "0123456789abcdef"
--- a/node/callers/whole.go
+++ b/node/callers/whole.go
@@ -239,14 +239,14 @@
 // end implements renderer. An answer that is not whole is cut off: with the
 // status long sent, only a broken connection keeps a client library from taking
 // the error object for an answer.
-func (w *whole) end(dst []byte, e entry.End) ([]byte, bool) {
+func (w *whole) end(dst []byte, e entry.End) ([]byte, entry.End, bool) {
 	if e.Outcome != api.OutcomeCompleted {
-		return append(dst, errorJSON(w.id, e)...), true
+		return append(dst, errorJSON(w.id, e)...), e, true
 	}
 	out, err := w.object()
 	if err != nil {
 		end := entry.End{Outcome: api.OutcomeInterrupted, Reason: api.ReasonIntegrity, Detail: err.Error()}
-		return append(dst, errorJSON(w.id, end)...), true
+		return append(dst, errorJSON(w.id, end)...), end, true
 	}
-	return append(dst, out...), false
+	return append(dst, out...), e, false
 }
