Bound each write to a caller, not the whole response

Change: the body sets the deadline anew before each write. Conclusion: the bound holds for a caller that does not read, and only for it.

--- a/node/callers/body.go
+++ b/node/callers/body.go
@@ -131,8 +131,10 @@
 // goroutine: each Read becomes one chunk, written at once. Close is called after
 // the last write, or when a write has failed because the caller has gone.
 type body struct {
-	feed *feed
-	r    renderer
+	conn  net.Conn
+	write time.Duration // bound of one write
+	feed  *feed
+	r     renderer
 	// early are events that were taken before the body was opened.
 	early []entry.Event
 	out   []byte
@@ -156,9 +158,17 @@
 	}
 	n := copy(p, b.out[b.at:])
 	b.at += n
+	b.allowWrite()
 	return n, nil
 }
 
+// allowWrite gives the write that follows its own time. The HTTP library sets its
+// deadline once for a whole response: a stream that outlived it was cut off in
+// mid-answer, however fast its caller read.
+func (b *body) allowWrite() {
+	_ = b.conn.SetWriteDeadline(time.Now().Add(b.write))
+}
+
 func (b *body) fill() {
 	e := b.nextEvent()
 	b.out, b.at = b.out[:0], 0
--- a/node/callers/generate.go
+++ b/node/callers/generate.go
@@ -64,7 +64,7 @@
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Set("X-Accel-Buffering", "no")
 	r := newSSE(who.id, p, s.cfg.Clock())
-	c.RequestCtx().Response.SetBodyStream(&body{feed: f, r: r, early: early, refused: s.refusedTo(who)}, -1)
+	c.RequestCtx().Response.SetBodyStream(&body{conn: c.RequestCtx().Conn(), write: s.cfg.WriteTimeout, feed: f, r: r, early: early, refused: s.refusedTo(who)}, -1)
 	return nil
 }
 
@@ -91,7 +91,7 @@
 		}
 	}
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	c.RequestCtx().Response.SetBodyStream(&body{feed: f, r: w, refused: s.refusedTo(who)}, -1)
+	c.RequestCtx().Response.SetBodyStream(&body{conn: c.RequestCtx().Conn(), write: s.cfg.WriteTimeout, feed: f, r: w, refused: s.refusedTo(who)}, -1)
 	return nil
 }
 
--- a/node/callers/plain.go
+++ b/node/callers/plain.go
@@ -50,7 +50,7 @@
 	}
 	ans := s.entry.Start(s.base, req)
 	f := &feed{ans: ans, keep: svc.Timeout, settle: settle, gone: connGone(c.RequestCtx().Conn())}
-	b := &body{feed: f, refused: s.refusedTo(who)}
+	b := &body{conn: c.RequestCtx().Conn(), write: s.cfg.WriteTimeout, feed: f, refused: s.refusedTo(who)}
 	if !req.Repeatable {
 		// The service may be acting on the call already. Cutting it off would
 		// leave an outcome that nobody knows, and a caller that comes back with
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -39,8 +39,8 @@
 	Links   net.Listener
 	// Peers are the other entries that share the customers' limits.
 	Peers []EntryPeer
-	// Drain bounds a graceful shutdown.
-	Drain time.Duration
+	// Write bounds one write to a caller, 0 for the default.
+	Write time.Duration
 }
 
 // EntryPorts are what an entry process needs beside its settings. Nil ports
@@ -88,7 +88,7 @@
 	if ports.Limiter == nil {
 		ports.Limiter = e.limits
 	}
-	e.callers = callers.New(callers.Config{Zone: set.Zone}, callers.Ports{
+	e.callers = callers.New(callers.Config{Zone: set.Zone, WriteTimeout: set.Write}, callers.Ports{
 		Live:     ports.Live,
 		Entry:    e.entry,
 		Limiter:  ports.Limiter,
--- a/node/process/harness_test.go
+++ b/node/process/harness_test.go
@@ -71,10 +71,13 @@
 	stop  func(grace time.Duration) error
 }
 
-func (f *fleet) entry(name string) *testEntry {
+func (f *fleet) entry(name string) *testEntry { return f.entryWriting(name, 0) }
+
+// entryWriting is an entry with a bound of its own on one write to a caller.
+func (f *fleet) entryWriting(name string, write time.Duration) *testEntry {
 	log := zerolog.Nop()
 	callers, links := listenLoopback(f.c), listenLoopback(f.c)
-	e := NewEntry(EntrySettings{Instance: api.InstanceID(name), Zone: "lhr-a", Key: []byte(fleetKey), Callers: callers, Links: links},
+	e := NewEntry(EntrySettings{Instance: api.InstanceID(name), Zone: "lhr-a", Key: []byte(fleetKey), Callers: callers, Links: links, Write: write},
 		EntryPorts{Live: f.live, Metrics: metrics.New(&log), Log: &log})
 	e.Start()
 	te := &testEntry{Entry: e, url: "http://" + callers.Addr().String(), links: links.Addr().String()}
--- a/node/process/path_test.go
+++ b/node/process/path_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/callers"
@@ -358,3 +359,17 @@
 		_ = e.stop(patience)
 	}
 }
+
+// A generation takes longer than the bound on one write to its caller. The bound
+// is there for a caller that does not read; one that reads must get the whole
+// answer, however long it takes.
+func TestStreamOutlivesTheBoundOfOneWrite(t *testing.T) {
+	f := newFleet(t)
+	e := f.entryWriting("e1", 200*time.Millisecond)
+	f.agent("g1", f.engine(standin.Config{Seed: 1}, standin.Options{Speed: 1}), e.links)
+	f.untilTargets(e, 1)
+	s := f.open(e.url, testKey, "notes", 100)
+	s.readAll()
+	f.c.Assert(s.err, qt.IsNil)
+	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "notes", 100))
+}
