agent: follow the configuration in force for replay, queue and overflow

Cause: limits.replay_bytes and replay_time and policy.overflow, shed.queue_length and shed.queue_wait were replicated to the agents and read by nothing there. What is queued stays queued. The defaults of three keys are now what ran all along, so that no process changes by this commit alone: replay_bytes 64KiB, overflow 0.0668 (1.5 deviations), queue_wait 1h (no bound in effect). Proof: TestConfigurationInForceIsFollowed, TestReplayFollowsTheConfiguration, TestBoundsChangeWhileInUse, TestWaitLimitSparesWhatCanStart, TestOverflowSetsTheMargin; go test -race of core/admission, core/fleetconfig, node/agent, node/process, node/events, bench/policy and cmd/almondctl: ok. Conclusion: five keys take effect without a restart.

--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -86,7 +86,7 @@
 	c.Flag("service", "agent: plain service that the target serves; may be given more than once.").StringsVar(&s.services)
 	c.Flag("capacity", "agent: memory of the engine in tokens.").Default("40000").IntVar(&s.capacity)
 	c.Flag("engine-batch", "agent: largest number of sequences that the engine runs at once.").Default("256").IntVar(&s.batch)
-	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it.").Default("256").IntVar(&s.queue)
+	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it. 0 takes policy.shed.queue_length.").Default("0").IntVar(&s.queue)
 	c.Flag("prefill", "agent: prompt tokens computed at once; less keeps the gaps between tokens short, more brings first tokens sooner in a burst. 0 takes the default.").Default("0").IntVar(&s.prefill)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
 	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
@@ -146,8 +146,8 @@
 		return errors.New("--capacity: must be positive")
 	case s.batch <= 0:
 		return errors.New("--engine-batch: must be positive")
-	case s.queue <= 0:
-		return errors.New("--queue: must be positive")
+	case s.queue < 0:
+		return errors.New("--queue: must not be negative")
 	}
 	for _, addr := range append([]string{s.address}, s.seeds...) {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -69,6 +69,7 @@
 	prefill   int
 	preempted int
 	margin    float64
+	waitLimit time.Duration // zero means none
 	// raised is when the margin was last raised.
 	raised time.Time
 	// started is the tokens of recent starts per class, decaying.
@@ -146,6 +147,8 @@
 		return api.ReasonQueueFull
 	case !s.Deadline.IsZero() && now.Add(wait).After(s.Deadline):
 		return api.ReasonDeadlineHopeless
+	case c.tooLong(s, wait):
+		return api.ReasonQueueFull
 	}
 	return ""
 }
--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -138,9 +138,9 @@
 	KeepAlive time.Duration `yaml:"keepalive" default:"2s" min:"100ms" max:"1m"`
 	// Drain bounds how long a process that shuts down waits for requests in progress (not read by any process yet).
 	Drain time.Duration `yaml:"drain" default:"10m" min:"0s" max:"2h"`
-	// ReplayBytes is the output that an agent keeps of one request for a caller that comes back (not read by any process yet: 64KiB are kept).
-	ReplayBytes Size `yaml:"replay_bytes" default:"256KiB" min:"4KiB" max:"64MiB"`
-	// ReplayTime is how long that output is kept after the request has ended (not read by any process yet).
+	// ReplayBytes is the output that an agent keeps of one request, accepted from then on, for a caller that comes back.
+	ReplayBytes Size `yaml:"replay_bytes" default:"64KiB" min:"4KiB" max:"64MiB"`
+	// ReplayTime is how long that output is kept after the request has ended.
 	ReplayTime time.Duration `yaml:"replay_time" default:"2m" min:"0s" max:"1h"`
 	// ClaimAnswer bounds the answer kept of a call that must not be repeated; a longer one is not kept.
 	ClaimAnswer Size `yaml:"claim_answer" default:"16KiB" min:"0B" max:"1MiB"`
@@ -150,8 +150,8 @@
 
 // Policy steers admission, routing, retries and shedding.
 type Policy struct {
-	// Overflow is the admitted probability that a target's memory fills before running requests end (not read by any process yet).
-	Overflow float64 `yaml:"overflow" default:"0.02" min:"0.0001" max:"0.5"`
+	// Overflow is the admitted probability that a target's memory fills before running requests end; the preemptions that the engine reports then move the margin that follows from it.
+	Overflow float64 `yaml:"overflow" default:"0.0668" min:"0.0001" max:"0.5"`
 	// RetryBudget is the ratio of retries to first attempts that an entry may add beside a few a second; 0 leaves only those of work that a leaving target hands back.
 	RetryBudget float64 `yaml:"retry_budget" default:"0.1" min:"0" max:"1"`
 	// RetryAttempts bounds the dispatches of one request.
@@ -170,10 +170,10 @@
 
 // Shed gives the thresholds at which new work is refused.
 type Shed struct {
-	// QueueLength is the number of requests waiting at one target (not read by any process yet).
+	// QueueLength is the number of requests waiting at one target whose agent has no --queue; one customer may fill half of it.
 	QueueLength int `yaml:"queue_length" default:"256" min:"1" max:"100000"`
-	// QueueWait is the expected wait for the first token (not read by any process yet).
-	QueueWait time.Duration `yaml:"queue_wait" default:"30s" min:"100ms" max:"1h"`
+	// QueueWait is the expected wait for the first token.
+	QueueWait time.Duration `yaml:"queue_wait" default:"1h" min:"100ms" max:"1h"`
 	// Memory is the part of a target's memory in use above which tags alone are started (not read by any process yet).
 	Memory float64 `yaml:"memory" default:"0.95" min:"0.1" max:"1"`
 }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetconfig"
 	"almondseam.dev/core/order"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
@@ -27,6 +28,12 @@
 	// how long they are kept after the end.
 	Replay     int
 	ReplayTime time.Duration
+	// Live is the configuration in force, whose replay window, replay time and
+	// bounds of admission go before those given here; nil follows none.
+	Live *fleetconfig.Live
+	// Queue bounds the queue whatever the configuration says; zero leaves it to
+	// the configuration.
+	Queue int
 	// Grace is how long a running request is kept going without a link.
 	Grace time.Duration
 	// TombstoneTime is how long a key stays forbidden.
@@ -107,6 +114,9 @@
 	latest     map[api.RequestID]wire.Key
 	tombstones map[wire.Key]time.Time
 	links      map[sender]*reporting
+	applied    *fleetconfig.Snapshot // nil before the first
+	replay     int
+	replayTime time.Duration
 	calls      int
 	leaving    bool
 	orders     orders
@@ -122,6 +132,8 @@
 		born:       cfg.Clock(),
 		target:     target,
 		admit:      admit,
+		replay:     cfg.Replay,
+		replayTime: cfg.ReplayTime,
 		sessions:   make(map[wire.Key]*session),
 		latest:     make(map[api.RequestID]wire.Key),
 		tombstones: make(map[wire.Key]time.Time),
@@ -151,6 +163,7 @@
 
 // Tick starts what may start, reports load and forgets what has expired.
 func (a *Agent) Tick(now time.Time) {
+	a.follow()
 	a.startReady(now)
 	a.reportLoad(now)
 	a.sweep(now)
@@ -280,7 +293,7 @@
 	defer a.mu.Unlock()
 	for k, s := range a.sessions {
 		switch {
-		case s.expired(now, a.cfg.ReplayTime):
+		case s.expired(now, a.replayTime):
 			delete(a.sessions, k)
 			if a.latest[k.Request] == k {
 				delete(a.latest, k.Request)
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -92,7 +92,7 @@
 		_ = from.Send(&wire.Refused{Key: m.Key, Reason: v.Refuse, RetryAfter: v.RetryAfter})
 		return
 	}
-	s := newSession(*m, a.newGeneration(), a.cfg.Replay, a.cfg.Unacked, from, now)
+	s := newSession(*m, a.newGeneration(), a.replay, a.cfg.Unacked, from, now)
 	a.sessions[m.Key] = s
 	a.latest[m.Key.Request] = m.Key
 	a.mu.Unlock()
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -98,6 +98,8 @@
 	// Yield gives the sequence that must give way when free tokens are left in
 	// the engine: it has produced nothing and is queued again.
 	Yield(free int) (id api.RequestID, ok bool)
+	// SetBounds changes the bounds for what is offered from now on.
+	SetBounds(b admission.Bounds)
 	// Snapshot is the state for a load report.
 	Snapshot(now time.Time) admission.Snapshot
 }
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -34,7 +34,8 @@
 	Models     []api.ModelID
 	Services   []api.ServiceID
 	// Capacity is the engine's memory in tokens, MaxRunning its largest batch
-	// and Queue the requests that may wait here; zero takes the defaults.
+	// and Queue the requests that may wait here; zero takes the defaults, and for
+	// Queue the configuration in force.
 	Capacity   int
 	MaxRunning int
 	Queue      int
@@ -91,6 +92,8 @@
 		Models:      set.Models,
 		Services:    set.Services,
 		Capacity:    set.Capacity,
+		Live:        ports.Live,
+		Queue:       set.Queue,
 		Observer:    metrics.Agent{Set: ports.Metrics},
 	}, target, admit)
 	a.links = newLinkKeeper(linkKeeperSettings{
