Take what the agent said before the end of its link

Cause: found on reading: with a final frame and the link's end both ready, the driver took either by chance; after the end it waited 10 s for an agent that had gone and told interrupted of an answer that was whole. Change: news goes first. Measured: TestFinalFrameGoesBeforeTheEndOfItsLink fails without the change and passes with it. Conclusion: a killed agent costs no answer that had arrived.

--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -225,3 +225,25 @@
 		ans.Cancel(0)
 	})
 }
+
+// The agent sends the last items and the final frame and is killed, and the
+// driver comes to run only then. The caller must get its whole answer at once,
+// since all of it has arrived, and not wait for an agent that is gone.
+func TestFinalFrameGoesBeforeTheEndOfItsLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 { // the runtime chooses at random between what is ready
+			b := newBench(t)
+			a := b.agent("t1", 1)
+			g := newLeg(&Request{ID: "r1"}, newAnswer(), 1, b.entry.peers.get("t1"), b.drops)
+			b.entry.legs.add(g)
+			f := follower{e: b.entry, g: g, accepted: true, deadline: stoppedTimer()}
+			o := &wire.Offer{Key: g.key}
+			a.data(o, "g", 0, "a")
+			a.final(o, "g", "a")
+			a.lose()
+			done, err := f.step(t.Context())
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(done, qt.IsTrue)
+		}
+	})
+}
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -39,8 +39,15 @@
 	deadline *time.Timer
 }
 
-// step waits for one thing to happen.
+// step waits for one thing to happen. What the agent has said goes first: a final
+// frame with the link's end right behind it is a whole answer, and must not wait
+// for an agent that is gone.
 func (f *follower) step(ctx context.Context) (bool, error) {
+	select {
+	case m := <-f.g.news:
+		return f.news(m)
+	default:
+	}
 	select {
 	case m := <-f.g.news:
 		return f.news(m)
