--- a/node/callers/body.go
+++ b/node/callers/body.go
@@ -121,21 +121,29 @@
 type renderer interface {
 	// render appends what e tells the caller.
 	render(dst []byte, e entry.Event) ([]byte, error)
-	// end appends the last bytes; cut tells to end the connection unfinished.
-	end(dst []byte, e entry.End) (out []byte, cut bool)
+	// end appends the last bytes. told is the end that the caller is given, which
+	// is another than e when a completed answer turns out not to be whole; cut
+	// tells to end the connection unfinished.
+	end(dst []byte, e entry.End) (out []byte, told entry.End, cut bool)
 }
 
 // body is a response body that the HTTP library reads on the connection's
 // goroutine: each Read becomes one chunk, written at once. Close is called after
 // the last write, or when a write has failed because the caller has gone.
 type body struct {
-	feed *feed
-	r    renderer
+	conn  net.Conn
+	write time.Duration // bound of one write
+	feed  *feed
+	r     renderer
 	// early are events that were taken before the body was opened.
 	early []entry.Event
 	out   []byte
 	at    int
 	last  error
+	// refused counts an end short of the whole answer that the caller is told; it
+	// may be nil. What ends after the caller has left is told to nobody.
+	refused func(api.Reason)
+	left    bool
 	// after runs what is left when the caller has gone early; nil cancels it.
 	after func(rest func())
 }
@@ -150,9 +158,17 @@
 	}
 	n := copy(p, b.out[b.at:])
 	b.at += n
+	b.allowWrite()
 	return n, nil
 }
 
+// allowWrite gives the write that follows its own time. The HTTP library sets its
+// deadline once for a whole response: a stream that outlived it was cut off in
+// mid-answer, however fast its caller read.
+func (b *body) allowWrite() {
+	_ = b.conn.SetWriteDeadline(time.Now().Add(b.write))
+}
+
 func (b *body) fill() {
 	e := b.nextEvent()
 	b.out, b.at = b.out[:0], 0
@@ -169,9 +185,12 @@
 }
 
 func (b *body) finish(e entry.End) {
-	var cut bool
-	b.out, cut = b.r.end(b.out, e)
+	out, told, cut := b.r.end(b.out, e)
+	b.out = out
 	b.last = io.EOF
+	if told.Outcome != api.OutcomeCompleted && !b.left && b.refused != nil {
+		b.refused(told.Reason)
+	}
 	if cut {
 		b.last = errCut
 	}
@@ -198,6 +217,7 @@
 
 // drain reads the answer to its end for the record alone.
 func (b *body) drain() {
+	b.left = true
 	for b.last == nil {
 		b.fill()
 	}
