entry, run: follow limits.max_connections and limits.drain

Cause: neither was read by any process; beyond 8,192 connections the HTTP library answered 503 by itself, without an error object and uncounted. Change: the callers' listener takes connections up to the limit in force. The next 256 are served as far as their first request, which is refused with connection_limit, proved not run and counted; a flood beyond is closed and counted. core/limit.Cap, unused till now, can be set anew. The default of max_connections is 8192, which held all along, in place of 4096. Proof: TestConnectionLimitFollowsTheConfiguration (20 times with the race detector: ok), TestDrainFollowsTheConfiguration; go test -race of core/limit, core/fleetconfig, node/callers, node/events, node/process, cmd/almondctl and cmd/almondseam: ok. Conclusion: two keys take effect without a restart.

--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
@@ -86,8 +87,10 @@
 	entry   *process.Entry
 	control *process.Control
 	live    *fleetconfig.Live
-	ops     *ops.Server
-	work    conc.WaitGroup
+	// agentLive is the configuration that an agent here was given.
+	agentLive *fleetconfig.Live
+	ops       *ops.Server
+	work      conc.WaitGroup
 	// atStop runs after the roles have stopped.
 	atStop []func()
 }
@@ -192,6 +195,7 @@
 }
 
 func (n *node) newAgent() *process.Agent {
+	n.agentLive = &fleetconfig.Live{}
 	return process.NewAgent(process.AgentSettings{
 		Instance:     api.InstanceID(n.set.instance),
 		Zone:         n.set.zoneID(),
@@ -207,7 +211,7 @@
 		Queue:        n.set.queue,
 		Prefill:      n.set.prefill,
 		Capabilities: n.set.capabilities(),
-	}, process.AgentPorts{Live: &fleetconfig.Live{}, Config: n.configObserver(), Metrics: n.metrics, Log: n.log})
+	}, process.AgentPorts{Live: n.agentLive, Config: n.configObserver(), Metrics: n.metrics, Log: n.log})
 }
 
 // configObserver counts what becomes of configurations at an agent. In a
@@ -242,7 +246,7 @@
 		// callers need not suffer for the member's disk.
 		code = exitFailed
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
+	ctx, cancel := context.WithTimeout(context.Background(), n.drain())
 	defer cancel()
 	go func() {
 		<-sig
@@ -251,9 +255,25 @@
 	return max(code, n.stop(ctx))
 }
 
+// drain is how long a graceful stop that begins now may wait.
+func (n *node) drain() time.Duration {
+	if n.set.drainGiven {
+		return n.set.drain
+	}
+	for _, live := range []*fleetconfig.Live{n.live, n.agentLive} {
+		if live == nil {
+			continue
+		}
+		if conf := live.Load(); conf != nil {
+			return conf.Limits().Drain
+		}
+	}
+	return n.set.drain
+}
+
 // stopNow drains within the process's limit, without a signal.
 func (n *node) stopNow() int {
-	ctx, cancel := context.WithTimeout(context.Background(), n.set.drain)
+	ctx, cancel := context.WithTimeout(context.Background(), n.drain())
 	defer cancel()
 	return n.stop(ctx)
 }
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -34,7 +34,10 @@
 	keyFile  string
 	logLevel string
 	drain    time.Duration
-	ops      string
+	// drainGiven is set when --drain was given, which then goes before the
+	// configuration.
+	drainGiven bool
+	ops        string
 
 	callers string
 	links   string
@@ -69,7 +72,7 @@
 	c.Flag("fleet-key", "Key that all processes of the fleet share; better given by --fleet-key-file.").StringVar(&s.key)
 	c.Flag("fleet-key-file", "File that holds the fleet key.").StringVar(&s.keyFile)
 	c.Flag("log-level", "Least level that is logged.").Default("info").EnumVar(&s.logLevel, "debug", "info", "warn", "error")
-	c.Flag("drain", "Longest time a graceful stop waits for requests in progress.").Default("10m").DurationVar(&s.drain)
+	c.Flag("drain", "Longest time a graceful stop waits for requests in progress; limits.drain goes for an entry or agent when it is not given.").Default("10m").IsSetByUser(&s.drainGiven).DurationVar(&s.drain)
 	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
--- a/cmd/almondseam/solo.go
+++ b/cmd/almondseam/solo.go
@@ -66,7 +66,7 @@
 
 func (c *soloCommand) execute(out streams) int {
 	log := zerolog.New(zerolog.ConsoleWriter{Out: out.err, NoColor: true}).Level(zerolog.WarnLevel).With().Timestamp().Logger()
-	n := &node{set: &settings{drain: 10 * time.Second, ops: "127.0.0.1:0"}, log: &log, metrics: metrics.New(&log)}
+	n := &node{set: &settings{drain: 10 * time.Second, drainGiven: true, ops: "127.0.0.1:0"}, log: &log, metrics: metrics.New(&log)}
 	addr, err := c.start(n)
 	if err != nil {
 		fmt.Fprintf(out.err, "almondseam: solo: %v\n", err)
--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -132,11 +132,11 @@
 	MaxBody Size `yaml:"max_body" default:"2MiB" min:"1KiB" max:"64MiB"`
 	// MaxHeader bounds the headers of any request (not read by any process yet).
 	MaxHeader Size `yaml:"max_header" default:"16KiB" min:"1KiB" max:"1MiB"`
-	// MaxConnections bounds the callers' connections of one entry (not read by any process yet).
-	MaxConnections int `yaml:"max_connections" default:"4096" min:"1" max:"1000000"`
+	// MaxConnections bounds the callers' connections of one entry; those open beyond a lowered bound stay.
+	MaxConnections int `yaml:"max_connections" default:"8192" min:"1" max:"1000000"`
 	// KeepAlive is the time between the comment lines that tell a waiting caller that its answer is still coming.
 	KeepAlive time.Duration `yaml:"keepalive" default:"2s" min:"100ms" max:"1m"`
-	// Drain bounds how long a process that shuts down waits for requests in progress (not read by any process yet).
+	// Drain bounds how long a process that shuts down waits for requests in progress, unless --drain is given to it; a control member goes by --drain alone.
 	Drain time.Duration `yaml:"drain" default:"10m" min:"0s" max:"2h"`
 	// ReplayBytes is the output that an agent keeps of one request, accepted from then on, for a caller that comes back.
 	ReplayBytes Size `yaml:"replay_bytes" default:"64KiB" min:"4KiB" max:"64MiB"`
--- a/core/limit/cap.go
+++ b/core/limit/cap.go
@@ -10,7 +10,7 @@
 // Cap bounds something that one process has in hand, such as connections or
 // bytes in buffers. It is safe for use from several goroutines.
 type Cap struct {
-	most   int64
+	most   atomic.Int64
 	reason api.Reason
 	retry  time.Duration
 	used   atomic.Int64
@@ -19,12 +19,17 @@
 // NewCap gives a cap of most units. A refusal has the given reason and
 // RetryAfter.
 func NewCap(most int64, reason api.Reason, retry time.Duration) *Cap {
-	return &Cap{most: most, reason: reason, retry: retry}
+	c := &Cap{reason: reason, retry: retry}
+	c.most.Store(most)
+	return c
 }
 
+// Set bounds what is taken from now on; what is in hand beyond it stays.
+func (c *Cap) Set(most int64) { c.most.Store(most) }
+
 // Take takes n units or refuses.
 func (c *Cap) Take(n int64) *api.Error {
-	if c.used.Add(n) <= c.most {
+	if c.used.Add(n) <= c.most.Load() {
 		return nil
 	}
 	c.used.Add(-n)
--- a/node/callers/auth.go
+++ b/node/callers/auth.go
@@ -27,6 +27,10 @@
 	if s.draining.Load() {
 		return who, refusal(api.StepParse, api.ReasonShuttingDown, "this entry is shutting down")
 	}
+	if err := beyond(c.RequestCtx().Conn()); err != nil {
+		c.RequestCtx().SetConnectionClose()
+		return who, err
+	}
 	who.conf = s.live.Load()
 	if who.conf == nil {
 		return who, refusal(api.StepConfig, api.ReasonNoConfig, "no configuration is in force yet")
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -56,8 +56,9 @@
 
 // Config of the callers' interface. Zero values take the defaults below.
 type Config struct {
-	// MaxBody, MaxHeader and MaxConnections bound what is read before the
-	// configuration in force is looked at, which may be stricter.
+	// MaxBody and MaxHeader bound what is read before the configuration in
+	// force is looked at, which may be stricter. MaxConnections holds while
+	// none is in force.
 	MaxBody        int
 	MaxHeader      int
 	MaxConnections int
@@ -80,6 +81,10 @@
 	DefaultIdleTimeout    = 90 * time.Second
 )
 
+// hardConnections is the HTTP library's own bound, beyond the largest that the
+// configuration may set: what it refuses by itself is not counted.
+const hardConnections = 1_000_000 + spareConnections
+
 // Server serves callers. Make it with New.
 type Server struct {
 	cfg      Config
@@ -117,7 +122,7 @@
 		AppName:           "almondseam",
 		BodyLimit:         cfg.MaxBody,
 		ReadBufferSize:    cfg.MaxHeader,
-		Concurrency:       cfg.MaxConnections,
+		Concurrency:       hardConnections,
 		ReadTimeout:       cfg.ReadTimeout,
 		WriteTimeout:      cfg.WriteTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
@@ -167,7 +172,7 @@
 
 // Serve answers on ln until Drain.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	return s.app.Listener(newConnections(ln, s.live, s.obs, int64(s.cfg.MaxConnections)), fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Drain stops accepting connections, closes idle ones and waits until every
