link, control: links come up and end at one observer; a failed dial is told

Cause: links between entries and control members were counted when they ended and not when they came up, so that almondseam_links{role="control"} fell below zero, and a client that could not reach control logged nothing. Change: the link itself tells its observer LinkUp, as it tells LinkClosed, which covers the control members' side too; control.ClientObserver hears the first failed dial in a row (event 202). Conclusion: the gauge is right by construction on both sides.

--- a/node/control/client.go
+++ b/node/control/client.go
@@ -43,11 +43,25 @@
 	// OnOrders is called with the targets that have an order waiting and none
 	// in flight, like OnDrains.
 	OnOrders func(ready []api.TargetID)
+	// Observer hears of failed dials; it may be nil.
+	Observer ClientObserver
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
 }
 
+// ClientObserver hears of links that don't come up; of the others the observer of
+// the link options hears. Its methods are called on one goroutine.
+type ClientObserver interface {
+	// DialFailed is told of the first failure in a row: a client tries again
+	// several times a second.
+	DialFailed(addr string, err error)
+}
+
+type noClientObserver struct{}
+
+func (noClientObserver) DialFailed(string, error) {}
+
 // Client is an entry's road to the control group. It keeps one link, to the
 // leader if one is known. Run drives it; the other methods may be called from
 // several goroutines and retry within their context.
@@ -67,6 +81,8 @@
 	document []byte
 	whole    bool
 	drained  uint64
+	// failing tells that the last dial failed; Run's goroutine only.
+	failing bool
 }
 
 // NewClient makes a client.
@@ -83,6 +99,9 @@
 	if opt.OnOrders == nil {
 		opt.OnOrders = func([]api.TargetID) {}
 	}
+	if opt.Observer == nil {
+		opt.Observer = noClientObserver{}
+	}
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
@@ -113,11 +132,14 @@
 // once dials one member and stays until the link ends.
 func (c *Client) once(ctx context.Context) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
-	conn, err := link.Dial(dialCtx, c.address(), c.opt.Link)
+	addr := c.address()
+	conn, err := link.Dial(dialCtx, addr, c.opt.Link)
 	cancel()
 	if err != nil {
+		c.dialFailed(ctx, addr, err)
 		return false
 	}
+	c.failing = false
 	c.attach(conn)
 	_ = conn.Send(&Watch{From: c.revision, Whole: c.whole})
 	var wg conc.WaitGroup
@@ -128,6 +150,16 @@
 	return true
 }
 
+// dialFailed tells of a row of failures once, and not of a dial that the end of
+// this process cut short.
+func (c *Client) dialFailed(ctx context.Context, addr string, err error) {
+	if c.failing || ctx.Err() != nil {
+		return
+	}
+	c.failing = true
+	c.opt.Observer.DialFailed(addr, err)
+}
+
 // address gives the leader's address if it was told, else any seed.
 func (c *Client) address() string {
 	c.mu.Lock()
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -85,19 +85,23 @@
 	MaxMessage int64
 	// MaxQueue bounds the bytes waiting to be written.
 	MaxQueue int
-	// Observer hears how links end; nil for none.
+	// Observer hears how links come up and end; nil for none.
 	Observer Observer
 }
 
-// Observer hears of the ends of links. Its methods may be called from several
-// goroutines.
+// Observer hears of links. LinkUp and LinkClosed are told once each for every link
+// whose handshake has succeeded, on both sides: a gauge of links that took them
+// from different places fell below zero where one was left out. Its methods may
+// be called from several goroutines.
 type Observer interface {
+	LinkUp(peer Peer)
 	LinkClosed(peer Peer, why string)
 	HandshakeFailed(why error)
 }
 
 type noObserver struct{}
 
+func (noObserver) LinkUp(Peer)             {}
 func (noObserver) LinkClosed(Peer, string) {}
 func (noObserver) HandshakeFailed(error)   {}
 
@@ -132,6 +136,7 @@
 }
 
 func newConn(ws *websocket.Conn, opt Options, peer Peer) *Conn {
+	opt.Observer.LinkUp(peer)
 	return &Conn{
 		ws:     ws,
 		opt:    opt,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -79,12 +79,17 @@
 	}
 }
 
-// LinkUp counts a link that has come up.
+// LinkUp implements link.Observer.
 func (s *Set) LinkUp(p link.Peer) {
 	s.links.WithLabelValues(string(p.Role)).Inc()
 	events.LinkUp.Log(s.log).Str("peer", string(p.Instance)).Str("role", string(p.Role)).Send()
 }
 
+// DialFailed implements control.ClientObserver: it tells of a link that could not be opened.
+func (s *Set) DialFailed(addr string, err error) {
+	events.LinkDialFailed.Log(s.log).Str("peer", addr).Err(err).Send()
+}
+
 // LinkClosed implements link.Observer.
 func (s *Set) LinkClosed(p link.Peer, why string) {
 	s.links.WithLabelValues(string(p.Role)).Dec()
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -129,11 +129,10 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			events.LinkDialFailed.Log(a.ports.Log).Str("peer", addr).Err(err).Send()
+			a.ports.Metrics.DialFailed(addr, err)
 		}
 		return
 	}
-	a.ports.Metrics.LinkUp(conn.Peer())
 	up(conn)
 	defer up(nil)
 	detach := a.agent.Attach(conn)
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -146,7 +146,6 @@
 }
 
 func (e *Entry) serveLink(c *link.Conn) {
-	e.ports.Metrics.LinkUp(c.Peer())
 	if c.Peer().Role == link.RoleEntry {
 		e.servePeer(c)
 		return
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -64,6 +64,7 @@
 		OnDrains:    e.onDrains,
 		OnEntries:   func(list []wire.EntryInfo) { e.tell(list) },
 		OnOrders:    func(ready []api.TargetID) { e.orders(ready) },
+		Observer:    m,
 		Report:      e.report,
 		ReportEvery: reportEvery,
 	})
--- a/node/process/limits.go
+++ b/node/process/limits.go
@@ -7,7 +7,6 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/entry"
-	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/wire"
 )
@@ -61,11 +60,10 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			events.LinkDialFailed.Log(p.ports.Log).Str("peer", to.Addr).Err(err).Send()
+			p.ports.Metrics.DialFailed(to.Addr, err)
 		}
 		return
 	}
-	p.ports.Metrics.LinkUp(conn.Peer())
 	p.put(to.Instance, conn)
 	defer p.put(to.Instance, nil)
 	conn.Run(ctx, func(wire.Message) {})
--- a/node/process/told_test.go
+++ b/node/process/told_test.go
@@ -11,6 +11,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/callers"
+	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/standin"
 	qt "github.com/frankban/quicktest"
 )
@@ -64,9 +65,9 @@
 	f.c.Assert(again.resp.Header.Get("X-Request-Id"), qt.Equals, id)
 }
 
-// counts gives the values of a counter by its label, without those at zero.
-func counts(f *fleet, e *testEntry, name string) map[string]float64 {
-	families, err := e.ports.Metrics.Registry.Gather()
+// values gives a counter or gauge by its label, without those at zero.
+func values(f *fleet, m *metrics.Set, name string) map[string]float64 {
+	families, err := m.Registry.Gather()
 	f.c.Assert(err, qt.IsNil)
 	out := make(map[string]float64)
 	for _, fam := range families {
@@ -82,6 +83,10 @@
 	return out
 }
 
+func counts(f *fleet, e *testEntry, name string) map[string]float64 {
+	return values(f, e.ports.Metrics, name)
+}
+
 const refusals = "almondseam_refusals_total"
 
 // A stream, a JSON answer and a service's body each break off after their status
