entry, agent: log what becomes of targets (events 400-403)

Cause: the catalogue had the four events and nothing logged them. Change: entry.Observer hears TargetAnnounced, TargetLeaving and TargetGone, once per change; agent.Observer hears LoadFailed when load reports begin to fail. Run: with the calls taken out TestTargetsAreTold got none of four and TestFailedLoadIsToldOnceEach 0, want 1; both pass with them under the race detector. Conclusion: each change of a target is one line of the log.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -59,6 +59,9 @@
 	Accepted(key wire.Key)
 	Refused(key wire.Key, reason api.Reason)
 	Ended(key wire.Key, outcome api.Outcome, reason api.Reason)
+	// LoadFailed is told when the target's load reports begin to fail, not of
+	// each one that does.
+	LoadFailed(err error)
 }
 
 type noObserver struct{}
@@ -66,6 +69,7 @@
 func (noObserver) Accepted(wire.Key)                       {}
 func (noObserver) Refused(wire.Key, api.Reason)            {}
 func (noObserver) Ended(wire.Key, api.Outcome, api.Reason) {}
+func (noObserver) LoadFailed(error)                        {}
 
 func orDefault[T comparable](v *T, def T) {
 	var zero T
--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -440,3 +442,26 @@
 		b.c.Assert(run.cancelled(), qt.IsTrue)
 	})
 }
+
+// loadFailures counts what the agent tells of failed load reports.
+type loadFailures struct {
+	noObserver
+	n atomic.Int32
+}
+
+func (l *loadFailures) LoadFailed(error) { l.n.Add(1) }
+
+// The engine stops reporting its load, comes back and stops again, each for many
+// polls. The log tells twice: a line for each poll would hide all others.
+func TestFailedLoadIsToldOnceEach(t *testing.T) {
+	told := &loadFailures{}
+	inBench(t, Config{Observer: told}, 1, func(b *bench) {
+		for i, err := range []error{nil, errors.New("down"), nil, errors.New("down")} {
+			b.target.mu.Lock()
+			b.target.noLoad = err
+			b.target.mu.Unlock()
+			b.pass(10 * DefaultLoadEvery)
+			b.c.Assert(told.n.Load(), qt.Equals, int32((i+1)/2))
+		}
+	})
+}
--- a/node/agent/fake_test.go
+++ b/node/agent/fake_test.go
@@ -81,6 +81,7 @@
 	runs   []*fakeRun
 	refuse error
 	load   TargetLoad
+	noLoad error
 }
 
 // fakeRun is one answer under the test's hand. deaf makes it ignore Close, as an
@@ -111,7 +112,7 @@
 func (t *fakeTarget) Load(context.Context) (TargetLoad, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.load, nil
+	return t.load, t.noLoad
 }
 
 func (t *fakeTarget) run(i int) *fakeRun {
--- a/node/agent/start.go
+++ b/node/agent/start.go
@@ -122,6 +122,7 @@
 func (a *Agent) poll(ctx context.Context) {
 	t := time.NewTicker(a.cfg.LoadEvery)
 	defer t.Stop()
+	failing := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,8 +132,15 @@
 		lctx, cancel := context.WithTimeout(ctx, a.cfg.LoadEvery)
 		l, err := a.target.Load(lctx)
 		cancel()
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
 			a.observe(l)
 		}
+		if err != nil && !failing {
+			a.cfg.Observer.LoadFailed(err)
+		}
+		failing = err != nil
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -110,7 +110,7 @@
 	all := e.peers.all()
 	out := make([]TargetView, 0, len(all))
 	for _, p := range all {
-		out = append(out, TargetView{Target: p.target, Incarnation: p.inc, Zone: p.zone, Leaving: p.leaving.Load()})
+		out = append(out, p.view())
 	}
 	slices.SortFunc(out, func(a, b TargetView) int { return cmp.Compare(a.Target, b.Target) })
 	return out
@@ -157,6 +157,7 @@
 	if t.e.peers.drop(t.self.target, t.to) {
 		t.e.placer.Remove(t.self.target, t.self.inc)
 		t.e.repace(nil)
+		t.e.obs.TargetGone(t.self.view())
 	}
 }
 
@@ -236,8 +237,11 @@
 		t.self = &peer{target: m.Target, inc: m.Incarnation, to: t.to, zone: m.Zone}
 		t.e.peers.put(t.self)
 		t.e.repace(t.to)
+		t.e.obs.TargetAnnounced(t.self.view())
+	}
+	if !t.self.leaving.Swap(m.Leaving) && m.Leaving {
+		t.e.obs.TargetLeaving(t.self.view())
 	}
-	t.self.leaving.Store(m.Leaving)
 	t.self.clock.Store(int64(m.Clock))
 	t.e.placer.Announce(routing.Target{
 		ID:          m.Target,
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -195,3 +195,19 @@
 		}
 	})
 }
+
+// What an entry tells of a target that starts, leaves, starts anew on another
+// link and loses it: each once, though an agent announces itself again and again.
+func TestTargetsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		leaving := &wire.Announce{Target: "t1", Incarnation: 1, Leaving: true}
+		a.say(leaving)
+		a.say(leaving)
+		next := b.agent("t1", 2)
+		a.lose() // the newer link has replaced it already
+		next.lose()
+		b.c.Assert(b.drops.targets, qt.DeepEquals, []string{"announced 1", "leaving 1", "announced 2", "gone 2"})
+	})
+}
--- a/node/entry/fake_test.go
+++ b/node/entry/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -119,12 +120,21 @@
 	a.say(&wire.Final{Key: o.Key, Sum: stream.NewBuffer(0).Sum(), Outcome: outcome, Reason: reason})
 }
 
-// drops counts what the entry did not take.
+// drops counts what the entry did not take, and keeps what it told of targets.
 type drops struct {
 	noObserver
-	n map[string]int
+	n       map[string]int
+	targets []string
 }
 
+func (d *drops) tell(what string, t TargetView) {
+	d.targets = append(d.targets, fmt.Sprintf("%s %d", what, t.Incarnation))
+}
+
+func (d *drops) TargetAnnounced(t TargetView) { d.tell("announced", t) }
+func (d *drops) TargetLeaving(t TargetView)   { d.tell("leaving", t) }
+func (d *drops) TargetGone(t TargetView)      { d.tell("gone", t) }
+
 func (d *drops) Dropped(why string) { d.n[why]++ }
 
 // bench is an entry between fake agents and a caller.
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -26,6 +26,10 @@
 	clock atomic.Int64
 }
 
+func (p *peer) view() TargetView {
+	return TargetView{Target: p.target, Incarnation: p.inc, Zone: p.zone, Leaving: p.leaving.Load()}
+}
+
 // peers is the table of linked agents: read without a lock, copied on change,
 // which happens when a link comes or goes. waiters learn of changes.
 type peers struct {
--- a/node/entry/ports.go
+++ b/node/entry/ports.go
@@ -50,6 +50,11 @@
 	Retried(r *Request, reason api.Reason)
 	// Dropped counts frames that were not taken: duplicate, gap, foreign, late.
 	Dropped(why string)
+	// TargetAnnounced is told of each start of a target on each link,
+	// TargetLeaving once when it begins to leave, TargetGone when its link ended.
+	TargetAnnounced(t TargetView)
+	TargetLeaving(t TargetView)
+	TargetGone(t TargetView)
 }
 
 type noObserver struct{}
@@ -57,6 +62,9 @@
 func (noObserver) Ended(*Request, End)          {}
 func (noObserver) Retried(*Request, api.Reason) {}
 func (noObserver) Dropped(string)               {}
+func (noObserver) TargetAnnounced(TargetView)   {}
+func (noObserver) TargetLeaving(TargetView)     {}
+func (noObserver) TargetGone(TargetView)        {}
 
 // Request is one parsed request of one customer. Its strings and bytes belong to
 // the entry: an HTTP server that reuses request memory must copy them first.
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -132,6 +132,20 @@
 // Dropped implements entry.Observer.
 func (s Entry) Dropped(why string) { s.dropped.WithLabelValues(why).Inc() }
 
+// TargetAnnounced implements entry.Observer.
+func (s Entry) TargetAnnounced(t entry.TargetView) { s.target(events.TargetAnnounced, t) }
+
+// TargetLeaving implements entry.Observer.
+func (s Entry) TargetLeaving(t entry.TargetView) { s.target(events.TargetLeaving, t) }
+
+// TargetGone implements entry.Observer.
+func (s Entry) TargetGone(t entry.TargetView) { s.target(events.TargetGone, t) }
+
+func (s Entry) target(e events.Event, t entry.TargetView) {
+	e.Log(s.log).Str("target", string(t.Target)).Uint64("incarnation", uint64(t.Incarnation)).
+		Str("zone", string(t.Zone)).Bool("leaving", t.Leaving).Send()
+}
+
 // Retries is the view that the retry policy reports to.
 type Retries struct{ *Set }
 
@@ -164,3 +178,6 @@
 	e.Log(s.log).Str("request", string(k.Request)).Uint32("attempt", uint32(k.Attempt)).
 		Str("outcome", string(o)).Str("reason", string(reason)).Send()
 }
+
+// LoadFailed implements agent.Observer.
+func (s Agent) LoadFailed(err error) { events.TargetLoadFailed.Log(s.log).Err(err).Send() }
