--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -68,6 +68,9 @@
 	Accepted(key wire.Key)
 	Refused(key wire.Key, reason api.Reason)
 	Ended(key wire.Key, outcome api.Outcome, reason api.Reason)
+	// LoadFailed is told when the target's load reports begin to fail, not of
+	// each one that does.
+	LoadFailed(err error)
 }
 
 type noObserver struct{}
@@ -75,6 +78,7 @@
 func (noObserver) Accepted(wire.Key)                       {}
 func (noObserver) Refused(wire.Key, api.Reason)            {}
 func (noObserver) Ended(wire.Key, api.Outcome, api.Reason) {}
+func (noObserver) LoadFailed(error)                        {}
 
 func orDefault[T comparable](v *T, def T) {
 	var zero T
