--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -245,6 +245,8 @@
 			b.c.Assert(err, qt.IsNil)
 			b.c.Assert(done, qt.IsTrue)
 		}
+	})
+}
 
 // What an entry tells of a target that starts, leaves, starts anew on another
 // link and loses it: each once, though an agent announces itself again and again.
