control: take the script's turn before sending in a test of the client

Cause: TestClientNeverGoesBack counted a link's turn after it had sent its script. The client drops the link on the script's last message and may be back on the next one before that: a data race, and the first script could be played twice.

Change: the turn is taken atomically before anything is sent. The assertions are unchanged.

--- a/node/control/client_test.go
+++ b/node/control/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -32,17 +33,22 @@
 			&Update{Revision: 8, Document: []byte("eight")},
 		},
 	}
-	turn := 0
+	// The client may be back on a second link before the first has sent its last
+	// message, so a turn is taken before anything is sent.
+	var turn atomic.Int32
 	addr := serveScript(t, func(conn *link.Conn, m wire.Message) {
 		w, ok := m.(*Watch)
-		if !ok || turn == len(scripts) {
+		if !ok {
+			return
+		}
+		n := int(turn.Add(1)) - 1
+		if n >= len(scripts) {
 			return
 		}
 		asked <- *w
-		for _, out := range scripts[turn] {
+		for _, out := range scripts[n] {
 			_ = conn.Send(out)
 		}
-		turn++
 	})
 	var got []api.Revision
 	var drains int
