Decode CBOR in one place, with one set of bounds

Cause: five packages made their own encoder and decoder; one of them, the handshake of links, took indefinite lengths and tags that the others refuse. Change: core/codec gives both; the bounds of each place stay its own. Conclusion: one reason less for two readers to disagree.

--- a/core/consensus/codec.go
+++ b/core/consensus/codec.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"almondseam.dev/core/codec"
 )
 
 // Bounds on what is decoded, so that a damaged or hostile input costs no more
@@ -15,33 +15,10 @@
 )
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Bounds{Nesting: maxDecodedNested, Items: maxDecodedArray, Pairs: maxDecodedPairs})
 )
 
-func mustEncMode() cbor.EncMode {
-	em, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return em
-}
-
-func mustDecMode() cbor.DecMode {
-	dm, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-		MaxArrayElements: maxDecodedArray,
-		MaxMapPairs:      maxDecodedPairs,
-		MaxNestedLevels:  maxDecodedNested,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return dm
-}
-
 // Encode gives v (Message, Entry, HardState, Membership or Snapshot) as
 // deterministic CBOR.
 func Encode(v any) ([]byte, error) { return encMode.Marshal(v) }
--- a/core/fleetconfig/document.go
+++ b/core/fleetconfig/document.go
@@ -8,9 +8,8 @@
 	"slices"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/codec"
 )
 
 // Format is the version of the encoding of documents and deltas. A reader
@@ -124,34 +123,10 @@
 }
 
 var (
-	encoding = mustEncMode()
-	decoding = mustDecMode()
+	encoding = codec.Encoder()
+	decoding = codec.Decoder(codec.Bounds{Nesting: 8, Items: maxLeaves, Pairs: 16, Strict: true})
 )
 
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		MaxNestedLevels:   8,
-		MaxArrayElements:  maxLeaves,
-		MaxMapPairs:       16,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // NewDocument reads a base and its overlays and checks the configuration of
 // every site, and that of the base alone.
 func NewDocument(base File, overlays map[api.Site]File) (*Document, error) {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -6,8 +6,8 @@
 	"sort"
 
 	"almondseam.dev/core/claim"
+	"almondseam.dev/core/codec"
 	"almondseam.dev/core/order"
-	"github.com/fxamacker/cbor/v2"
 )
 
 // format is raised when a snapshot can no longer be read by older versions.
@@ -17,32 +17,10 @@
 const maxItems = 1 << 22
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Bounds{Nesting: 16, Items: maxItems, Pairs: maxItems})
 )
 
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		MaxNestedLevels:  16,
-		MaxArrayElements: maxItems,
-		MaxMapPairs:      maxItems,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 type image struct {
 	Format  int            `cbor:"1,keyasint"`
 	Index   uint64         `cbor:"2,keyasint"`
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/codec"
 	"almondseam.dev/node/wire"
 	"github.com/fasthttp/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 )
 
@@ -49,25 +49,9 @@
 // ErrTooLarge is returned by Send for a message beyond the peer's bound.
 var ErrTooLarge = errors.New("link: message too large")
 
-var handshakeEnc = mustEnc()
+var handshakeEnc = codec.Encoder()
 
-var handshakeDec = mustDec()
-
-func mustEnc() cbor.EncMode {
-	m, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDec() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 16, MaxMapPairs: 16}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
+var handshakeDec = codec.Decoder(codec.Bounds{Nesting: 4, Items: 16, Pairs: 16})
 
 // Options of both ends of a link.
 type Options struct {
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -22,10 +22,10 @@
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
-var codec = wire.NewCodec(wire.PathProtos()...)
+var pathCodec = wire.NewCodec(wire.PathProtos()...)
 
 func options(key string, role Role) Options {
-	return Options{Key: []byte(key), Self: Peer{Instance: api.InstanceID(role), Role: role}, Codec: codec}
+	return Options{Key: []byte(key), Self: Peer{Instance: api.InstanceID(role), Role: role}, Codec: pathCodec}
 }
 
 // listen accepts links on loopback until the test ends.
@@ -162,14 +162,14 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	seed, err := codec.Append(nil, &wire.Data{Generation: "g", N: 1, Packed: []byte{1, 'a'}})
+	seed, err := pathCodec.Append(nil, &wire.Data{Generation: "g", N: 1, Packed: []byte{1, 'a'}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for len(data) > 0 {
-			_, rest, err := codec.Decode(data)
+			_, rest, err := pathCodec.Decode(data)
 			if err != nil {
 				return
 			}
--- a/node/wire/codec.go
+++ b/node/wire/codec.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 
+	"almondseam.dev/core/codec"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -62,21 +63,11 @@
 // NewCodec makes a codec for the given types. It panics on two types with one
 // kind, which is a mistake in the program.
 func NewCodec(protos ...Proto) *Codec {
-	enc, err := cbor.EncOptions{}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	dec, err := cbor.DecOptions{
-		MaxNestedLevels:  maxNesting,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
+	c := &Codec{
+		enc:    codec.Encoder(),
+		dec:    codec.Decoder(codec.Bounds{Nesting: maxNesting, Items: maxElements, Pairs: maxElements}),
+		protos: make(map[Kind]Proto, len(protos)),
 	}
-	c := &Codec{enc: enc, dec: dec, protos: make(map[Kind]Proto, len(protos))}
 	for _, p := range protos {
 		if _, twice := c.protos[p.kind]; twice {
 			panic(fmt.Sprintf("wire: kind %d registered twice", p.kind))
