control: pace loads by weight_store of the configuration

Cause: weight_store.rate and max_loads were read by nothing; loads went by fixed limits. Change: the member that validates a document reads the pace from it and puts it into the command beside the document, over whatever the sender put there. The table of orders takes it up when the change is accepted, so all members do so at the same log index and none has to read the document there. What the old rate granted until then is kept. The defaults are now those that ran all along: 2GiB/s and 16 loads, in place of 1GiB/s and 4. A document accepted earlier sets no pace until the next one. Conclusion: two keys take effect without a restart; targets are still not read.

--- a/core/fleetconfig/types.go
+++ b/core/fleetconfig/types.go
@@ -180,10 +180,10 @@
 
 // WeightStore paces the loads of model weights.
 type WeightStore struct {
-	// Rate that the weight store grants to the whole fleet (not read by any process yet).
-	Rate ByteRate `yaml:"rate" default:"1GiB/s" min:"1KiB/s" max:"1024GiB/s"`
-	// MaxLoads bounds the loads in progress over the whole fleet (not read by any process yet).
-	MaxLoads int `yaml:"max_loads" default:"4" min:"1" max:"1000"`
+	// Rate that the weight store grants to the whole fleet.
+	Rate ByteRate `yaml:"rate" default:"2GiB/s" min:"1KiB/s" max:"1024GiB/s"`
+	// MaxLoads bounds the loads in progress over the whole fleet.
+	MaxLoads int `yaml:"max_loads" default:"16" min:"1" max:"1000"`
 }
 
 // TargetRule tells how targets of one kind are ordered.
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -132,6 +132,14 @@
 	MaxEnded  int
 }
 
+// Pace is the part of Limits that the configuration sets. It travels in the
+// replicated log beside the document it comes from, so that every member
+// changes it at the same command, whatever else it makes of the document.
+type Pace struct {
+	MaxLoads           int   `cbor:"1,keyasint"`
+	LoadBytesPerSecond int64 `cbor:"2,keyasint"`
+}
+
 // DefaultLimits suit a weight store of 2 GB/s.
 func DefaultLimits() Limits {
 	return Limits{
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -188,3 +188,32 @@
 		t.Fatalf("seed %d: %d loads in flight, %d counted, %d allowed", seed, total, table.loads, l.MaxLoads)
 	}
 }
+
+// The weight store's rate is changed while loads wait for its bucket: what the
+// old rate granted until then stays, and the rest comes at the new one.
+func TestPaceChangesWhileLoadsWait(t *testing.T) {
+	c := qt.New(t)
+	l := DefaultLimits()
+	l.LoadBytesPerSecond, l.LoadBurst = 100, 1000
+	table := NewTable(l)
+	for i := range 2 {
+		cmd := load(fmt.Sprint(i), 1000)
+		cmd.Spec.Target = api.TargetID(fmt.Sprint(i))
+		_, err := table.Apply(api.Fence(i+1), 0, cmd)
+		c.Assert(err, qt.IsNil)
+	}
+	from := func(table *Table, target string, at int64) error {
+		_, err := table.Apply(9, at, Command{Op: OpTake, Target: api.TargetID(target), Incarnation: 1})
+		return err
+	}
+	c.Assert(from(table, "0", 0), qt.IsNil)
+	table.SetPace(5000, Pace{MaxLoads: 2, LoadBytesPerSecond: 50})
+	table.SetPace(5000, Pace{})
+	for _, table := range []*Table{table, Restore(l, table.Snapshot())} {
+		err := from(table, "1", 5000)
+		c.Assert(err, qt.ErrorIs, ErrPaced)
+		c.Assert(api.AsError(err).RetryAfter, qt.Equals, 10*time.Second)
+		c.Assert(from(table, "1", 14_000), qt.ErrorIs, ErrPaced)
+	}
+	c.Assert(from(table, "1", 15_000), qt.IsNil)
+}
--- a/core/order/table.go
+++ b/core/order/table.go
@@ -41,6 +41,7 @@
 	// below zero when a load is larger than the burst.
 	tokens   int64
 	refilled int64
+	paced    *Pace
 	version  uint64
 }
 
@@ -153,6 +154,22 @@
 	return 0, true
 }
 
+// SetPace changes the pace of the loads handed out from replicated time now on.
+// What the old rate has granted until then is kept, and loads in flight beyond a
+// lowered bound go on. A pace that is not positive is ignored.
+func (t *Table) SetPace(now int64, p Pace) {
+	if p.MaxLoads <= 0 || p.LoadBytesPerSecond <= 0 {
+		return
+	}
+	t.refill(now)
+	t.usePace(p)
+}
+
+func (t *Table) usePace(p Pace) {
+	t.paced = &p
+	t.limits.MaxLoads, t.limits.LoadBytesPerSecond = p.MaxLoads, p.LoadBytesPerSecond
+}
+
 func (t *Table) refill(now int64) {
 	passed := now - t.refilled
 	t.refilled = now
@@ -275,11 +292,13 @@
 	Ended    []string `cbor:"2,keyasint"`
 	Tokens   int64    `cbor:"3,keyasint"`
 	Refilled int64    `cbor:"4,keyasint"`
+	// Pace is nil before the first SetPace.
+	Pace *Pace `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot gives the table's content. Equal tables give equal images.
 func (t *Table) Snapshot() Image {
-	img := Image{Orders: t.List(), Tokens: t.tokens, Refilled: t.refilled}
+	img := Image{Orders: t.List(), Tokens: t.tokens, Refilled: t.refilled, Pace: t.paced}
 	for _, o := range t.ended {
 		img.Ended = append(img.Ended, o.ID)
 	}
@@ -290,6 +309,9 @@
 func Restore(limits Limits, img Image) *Table {
 	t := NewTable(limits)
 	t.tokens, t.refilled = img.Tokens, img.Refilled
+	if img.Pace != nil {
+		t.usePace(*img.Pace)
+	}
 	for i := range img.Orders {
 		t.restore(&img.Orders[i])
 	}
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/order"
 )
 
 // ConfigPut asks for a new configuration on top of revision Base. The document
@@ -17,6 +18,9 @@
 	Author   string       `cbor:"2,keyasint"`
 	Base     api.Revision `cbor:"3,keyasint"`
 	Document []byte       `cbor:"4,keyasint"`
+	// Pace is that of loads by the document, as the member that validated it
+	// reads it; nil leaves the pace as it is.
+	Pace *order.Pace `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigResult answers a ConfigPut. Revision is the one made, or on a refusal
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -137,6 +137,9 @@
 	switch {
 	case c.Config != nil:
 		r := s.config.put(index, c.Wall, c.Config)
+		if r.Accepted && !r.Repeated && c.Config.Pace != nil {
+			s.orders.SetPace(s.now, *c.Config.Pace)
+		}
 		return Result{Reason: r.Reason, Message: r.Message, Config: &r}
 	case c.Claim != nil:
 		d := s.claims.Claim(index, s.now, *c.Claim)
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -228,3 +228,43 @@
 	}
 	grants[key] = r.Claim.Record.Grant
 }
+
+// A change of configuration slows the loads down. The pace holds from that
+// command on, also at a member that is restored from a snapshot; a change that
+// is refused, or one that is sent again after a later one, does not move it.
+func TestConfigurationSetsThePaceOfLoads(t *testing.T) {
+	l := newLog(t)
+	now := int64(0)
+	put := func(id string, base api.Revision, most int) ConfigResult {
+		c := &ConfigPut{ChangeID: id, Base: base, Document: []byte(id), Pace: &order.Pace{MaxLoads: most, LoadBytesPerSecond: 1 << 30}}
+		return *l.apply(Command{Now: now, Config: c}).Config
+	}
+	targets := 0
+	load := func() api.Reason {
+		targets++
+		target := api.TargetID(fmt.Sprint("t", targets))
+		l.apply(Command{Now: now, Order: &order.Command{Op: order.OpSubmit, ID: fmt.Sprint("o", targets), Spec: order.Spec{Target: target, Action: order.ActionLoadModel, Model: "m", Bytes: 1}}})
+		return l.apply(Command{Now: now, Order: &order.Command{Op: order.OpTake, Target: target, Incarnation: 1}}).Reason
+	}
+	put("two", 0, 2)
+	for i, want := range []api.Reason{"", "", api.ReasonQueueFull} {
+		if got := load(); got != want {
+			t.Fatalf("load %d: %q, want %q", i, got, want)
+		}
+	}
+	if put("stale", 0, 9).Accepted || load() != api.ReasonQueueFull {
+		t.Fatal("a refused change moved the pace")
+	}
+	put("three", 1, 3)
+	l.reload()
+	if load() != "" || load() != api.ReasonQueueFull {
+		t.Fatal("the pace of the snapshot is not three loads")
+	}
+	if !put("two", 0, 2).Repeated {
+		t.Fatal("not told as repeated")
+	}
+	put("four", 2, 4)
+	if load() != "" || load() != api.ReasonQueueFull {
+		t.Fatal("the pace is not four loads")
+	}
+}
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -119,6 +119,12 @@
 	if err := m.opt.Validate(req.Command.Config.Document); err != nil {
 		return m.refused(req, api.ReasonBadRequest, err.Error())
 	}
+	// The command is copied: an earlier call of the same caller may still be
+	// encoding its own.
+	command, put := *req.Command, *req.Command.Config
+	put.Pace = m.opt.Pace(put.Document)
+	command.Config = &put
+	req.Command = &command
 	return nil
 }
 
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/order"
 	"almondseam.dev/core/state"
 	"github.com/sourcegraph/conc"
 )
@@ -39,6 +40,8 @@
 	// Tick is the agreement's unit of time.
 	Tick     time.Duration
 	Validate Validator
+	// Pace gives the pace of loads that a valid document sets.
+	Pace     Pacer
 	Observer Observer
 	// SnapshotEntries is how many applied entries make a snapshot due.
 	SnapshotEntries uint64
@@ -96,6 +99,9 @@
 	if opt.Validate == nil {
 		opt.Validate = func([]byte) error { return nil }
 	}
+	if opt.Pace == nil {
+		opt.Pace = func([]byte) *order.Pace { return nil }
+	}
 	if opt.SnapshotEntries == 0 {
 		opt.SnapshotEntries = snapshotEntries
 	}
--- a/node/control/ports.go
+++ b/node/control/ports.go
@@ -9,6 +9,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/order"
 )
 
 // Storage is a member's data folder. It is used from one goroutine. An error of
@@ -36,6 +37,10 @@
 // Validator checks a document before it is proposed. Safe for concurrent use.
 type Validator func(document []byte) error
 
+// Pacer gives the pace of loads that a valid document sets, nil for none. Safe
+// for concurrent use.
+type Pacer func(document []byte) *order.Pace
+
 // Observer hears what a member does, for metrics and events. Its methods are
 // called from several goroutines and must not block.
 type Observer interface {
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -34,6 +34,7 @@
 	Key          []byte
 	Token        string
 	Validate     Validator
+	Pace         Pacer
 	Observer     Observer
 	LinkObserver link.Observer
 	Limits       state.Limits
@@ -81,6 +82,7 @@
 		Storage:         s.Storage,
 		Transport:       deferred{r},
 		Validate:        s.Validate,
+		Pace:            s.Pace,
 		Observer:        s.Observer,
 		SnapshotEntries: s.SnapshotEntries,
 	})
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -10,6 +10,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/fleetconfig"
+	"almondseam.dev/core/order"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/durable"
@@ -75,6 +76,7 @@
 		Key:          set.Key,
 		Token:        set.Token,
 		Validate:     validDocument,
+		Pace:         loadPace,
 		Observer:     control.NewMetrics(m.Registry, log, store.ID()),
 		LinkObserver: m,
 		Limits:       state.DefaultLimits(),
@@ -117,6 +119,21 @@
 	return d.Check()
 }
 
+// loadPace gives the pace of loads of a valid document. The weight store belongs
+// to the fleet, so the base alone is asked.
+func loadPace(document []byte) *order.Pace {
+	d, err := fleetconfig.DecodeDocument(document)
+	if err != nil {
+		return nil
+	}
+	conf, err := d.Snapshot("")
+	if err != nil {
+		return nil
+	}
+	w := conf.WeightStore()
+	return &order.Pace{MaxLoads: w.MaxLoads, LoadBytesPerSecond: int64(w.Rate)}
+}
+
 // Start tells that the role runs; the member has been at work since NewControl.
 func (c *Control) Start() {
 	events.ControlStarted.Log(c.log).Uint64("member", uint64(c.store.ID())).
