--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -22,6 +22,8 @@
 	Models      []api.ModelID
 	Services    []api.ServiceID
 	Capacity    int // engine memory in tokens
+	// Links is the number of entries to link to, 0 for all.
+	Links int
 	// Unacked bounds the bytes of one stream that wait for the caller.
 	Unacked int
 	// Replay bounds the acknowledged bytes kept of one stream, and ReplayTime
@@ -66,6 +68,9 @@
 	Accepted(key wire.Key)
 	Refused(key wire.Key, reason api.Reason)
 	Ended(key wire.Key, outcome api.Outcome, reason api.Reason)
+	// LoadFailed is told when the target's load reports begin to fail, not of
+	// each one that does.
+	LoadFailed(err error)
 }
 
 type noObserver struct{}
@@ -73,6 +78,7 @@
 func (noObserver) Accepted(wire.Key)                       {}
 func (noObserver) Refused(wire.Key, api.Reason)            {}
 func (noObserver) Ended(wire.Key, api.Outcome, api.Reason) {}
+func (noObserver) LoadFailed(error)                        {}
 
 func orDefault[T comparable](v *T, def T) {
 	var zero T
@@ -200,6 +206,7 @@
 		Leaving:     a.leaving,
 		Capacity:    a.cfg.Capacity,
 		Clock:       a.uptime(),
+		Links:       a.cfg.Links,
 	}
 }
 
--- a/node/agent/fake_test.go
+++ b/node/agent/fake_test.go
@@ -81,6 +81,7 @@
 	runs   []*fakeRun
 	refuse error
 	load   TargetLoad
+	noLoad error
 }
 
 // fakeRun is one answer under the test's hand. deaf makes it ignore Close, as an
@@ -111,7 +112,7 @@
 func (t *fakeTarget) Load(context.Context) (TargetLoad, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.load, nil
+	return t.load, t.noLoad
 }
 
 func (t *fakeTarget) run(i int) *fakeRun {
@@ -131,17 +132,16 @@
 func (r *fakeRun) Head() (int, []wire.Header) { return 200, nil }
 
 func (r *fakeRun) Next() ([]byte, error) {
-	closed := r.closed
-	if r.deaf {
-		closed = nil
-	}
 	select {
 	case it, ok := <-r.items:
 		if !ok {
 			return nil, io.EOF
 		}
 		return []byte(it), nil
-	case <-closed:
+	case <-r.closed:
+		if r.deaf {
+			return []byte(<-r.items), nil
+		}
 		return nil, &api.Error{Step: api.StepEngine, Outcome: api.OutcomeInterrupted, Reason: api.ReasonEngineDied}
 	}
 }
--- a/node/callers/pure_test.go
+++ b/node/callers/pure_test.go
@@ -27,12 +27,12 @@
   - {id: standin, context_tokens: 100, max_output_tokens: 50}
   - {id: secret, context_tokens: 100, max_output_tokens: 50}
 services: [{id: bookings, path_prefix: /bookings, repeatable: [GET], timeout: 20s, max_body: 1KiB}]
-limits: {keepalive: 100ms, claim_answer: 64B}
+limits: {keepalive: %s, claim_answer: 64B}
 `
 )
 
-func testLive(t testing.TB) *fleetconfig.Live {
-	f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, testConf, fleetconfig.KeySum(deskKey))})
+func testLive(t testing.TB, keep string) *fleetconfig.Live {
+	f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, testConf, fleetconfig.KeySum(deskKey), keep)})
 	qt.Assert(t, err, qt.IsNil)
 	live := &fleetconfig.Live{}
 	live.Publish(fleetconfig.Compile(f).At(1, "lhr"))
@@ -40,7 +40,7 @@
 }
 
 func desk(t testing.TB) *caller {
-	conf := testLive(t).Load()
+	conf := testLive(t, "100ms").Load()
 	cust, ok := conf.CustomerByKey(deskKey)
 	qt.Assert(t, ok, qt.IsTrue)
 	return &caller{conf: conf, customer: cust, id: "r1"}
@@ -208,11 +208,11 @@
 func TestStreamEnds(t *testing.T) {
 	c := qt.New(t)
 	r := newSSE("r1", testParsed(false, false), time.Unix(5, 0))
-	out, cut := r.end(nil, entry.End{Outcome: api.OutcomeCompleted})
+	out, _, cut := r.end(nil, entry.End{Outcome: api.OutcomeCompleted})
 	c.Assert(string(out), qt.Equals, "data: [DONE]\n\n")
 	c.Assert(cut, qt.IsFalse)
 	for _, o := range []api.Outcome{api.OutcomeInterrupted, api.OutcomeUnknown, api.OutcomeNotRun} {
-		out, _ = r.end(nil, entry.End{Outcome: o, Reason: api.ReasonEngineDied})
+		out, _, _ = r.end(nil, entry.End{Outcome: o, Reason: api.ReasonEngineDied})
 		c.Assert(string(out), qt.Not(qt.Contains), "[DONE]")
 		c.Assert(string(out), qt.Contains, `"outcome":"`+string(o)+`"`)
 	}
@@ -258,10 +258,11 @@
 			c := qt.New(t)
 			w := newWhole("r1", testParsed(tc.chat, true), time.Unix(5, 0))
 			c.Assert(w.add(itemsEvent(tc.items...)), qt.IsNil)
-			out, cut := w.end(nil, entry.End{Outcome: api.OutcomeCompleted})
+			out, told, cut := w.end(nil, entry.End{Outcome: api.OutcomeCompleted})
 			c.Assert(cut, qt.Equals, tc.want == "")
 			if tc.want == "" {
 				c.Assert(string(out), qt.Contains, `"outcome":"interrupted"`)
+				c.Assert(told.Reason, qt.Equals, api.ReasonIntegrity)
 				return
 			}
 			var obj struct{ Choices json.RawMessage }
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -44,8 +44,8 @@
 	Acquire(c *fleetconfig.Customer, tokens int, now time.Time) (settle func(used int), err *api.Error)
 }
 
-// Observer hears of requests that never reach the entry. Called from several
-// goroutines.
+// Observer hears of each request that a caller is told has ended short of its
+// whole answer, once, wherever it is told. Called from several goroutines.
 type Observer interface {
 	Refused(c api.CustomerID, reason api.Reason)
 }
@@ -167,7 +167,11 @@
 	s.app.Get("/v1/models/:id", s.model)
 	s.app.Post(pathChat, s.generate)
 	s.app.Post(pathCompletions, s.generate)
-	s.app.Use(s.call)
+	// All, not Use: after an error in reading a request, such as a body beyond
+	// its bound or one that was never sent whole, the HTTP library still runs
+	// what is in use. The call would be made without its body, while its caller
+	// is told that it did not run.
+	s.app.All("/*", s.call)
 }
 
 // Serve answers on ln until Drain.
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,11 +44,25 @@
 	// OnOrders is called with the targets that have an order waiting and none
 	// in flight, like OnDrains.
 	OnOrders func(ready []api.TargetID)
+	// Observer hears of failed dials; it may be nil.
+	Observer ClientObserver
 	// Report gives what is told of this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
 }
 
+// ClientObserver hears of links that don't come up; of the others the observer of
+// the link options hears. Its methods are called on one goroutine.
+type ClientObserver interface {
+	// DialFailed is told of the first failure in a row: a client tries again
+	// several times a second.
+	DialFailed(addr string, err error)
+}
+
+type noClientObserver struct{}
+
+func (noClientObserver) DialFailed(string, error) {}
+
 // Client is an entry's road to the control group. It keeps one link, to the
 // leader if one is known. Run drives it; the other methods may be called from
 // several goroutines and retry within their context.
@@ -67,6 +82,8 @@
 	document []byte
 	whole    bool
 	drained  uint64
+	// failing tells that the last dial failed; Run's goroutine only.
+	failing bool
 }
 
 // NewClient makes a client.
@@ -83,6 +100,9 @@
 	if opt.OnOrders == nil {
 		opt.OnOrders = func([]api.TargetID) {}
 	}
+	if opt.Observer == nil {
+		opt.Observer = noClientObserver{}
+	}
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
@@ -113,11 +133,14 @@
 // once dials one member and stays until the link ends.
 func (c *Client) once(ctx context.Context) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
-	conn, err := link.Dial(dialCtx, c.address(), c.opt.Link)
+	addr := c.address()
+	conn, err := link.Dial(dialCtx, addr, c.opt.Link)
 	cancel()
 	if err != nil {
+		c.dialFailed(ctx, addr, err)
 		return false
 	}
+	c.failing = false
 	c.attach(conn)
 	_ = conn.Send(&Watch{From: c.revision, Whole: c.whole})
 	var wg conc.WaitGroup
@@ -128,6 +151,16 @@
 	return true
 }
 
+// dialFailed tells of a row of failures once, and not of a dial that the end of
+// this process cut short.
+func (c *Client) dialFailed(ctx context.Context, addr string, err error) {
+	if c.failing || ctx.Err() != nil {
+		return
+	}
+	c.failing = true
+	c.opt.Observer.DialFailed(addr, err)
+}
+
 // address gives the leader's address if it was told, else any seed.
 func (c *Client) address() string {
 	c.mu.Lock()
@@ -235,9 +268,9 @@
 	c.opt.OnDrains(m.Targets)
 }
 
-// reportLoop reports on one link: whole at first and on change, else only that
-// nothing has changed. A report lists all linked targets; sent whole every
-// second it would by itself pass an entry's 5 KB a second from 150 targets on.
+// reportLoop reports on one link: whole at first, then what has changed. A report
+// lists all linked targets; sent whole every second it would by itself pass an
+// entry's 5 KB a second from 150 targets on.
 func (c *Client) reportLoop(ctx context.Context, conn *link.Conn) {
 	if c.opt.Report == nil {
 		return
@@ -247,12 +280,8 @@
 	var told *Report
 	for {
 		r := c.opt.Report()
-		if told != nil && reflect.DeepEqual(*told, r) {
-			_ = conn.Send(&Report{Instance: r.Instance, Same: true})
-		} else {
-			told = &r
-			_ = conn.Send(&r)
-		}
+		_ = conn.Send(difference(told, r))
+		told = &r
 		select {
 		case <-t.C:
 		case <-conn.Done():
@@ -400,3 +429,19 @@
 	}
 	return r
 }
+
+// difference gives what is sent of a report after told was sent on the same link,
+// nil for the first one.
+func difference(told *Report, r Report) *Report {
+	if told == nil {
+		return &r
+	}
+	if reflect.DeepEqual(*told, r) {
+		return &Report{Instance: r.Instance, Same: true}
+	}
+	if slices.Equal(told.Targets, r.Targets) {
+		r.Targets = nil
+		r.SameTargets = true
+	}
+	return &r
+}
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -37,7 +37,11 @@
 	DefaultDial  = 2 * time.Second
 	DefaultHead  = 5 * time.Minute
 	DefaultQuiet = 2 * time.Minute
+	// readBuffer bounds the head of a generation's response, callBuffer that of
+	// a call's: services send cookies and policies that engines don't. A head
+	// beyond it leaves the outcome unknown, though the service has acted.
 	readBuffer   = 4 << 10
+	callBuffer   = 16 << 10
 	callChunk    = 16 << 10
 	maxErrorBody = 16 << 10
 )
@@ -108,17 +112,33 @@
 	defer stop()
 	if err := c.write(x, w, body, accept); err != nil {
 		x.Close()
-		return nil, c.fail(api.OutcomeUnknown, api.ReasonEngineDied, err)
+		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
 	x.resp.SkipBody = w.Method == fasthttp.MethodHead
-	if err := c.readHead(x); err != nil {
+	buffer := readBuffer
+	if accept == "" {
+		buffer = callBuffer
+	}
+	if err := c.readHead(x, buffer); err != nil {
 		x.Close()
-		return nil, c.fail(api.OutcomeUnknown, c.headReason(err), err)
+		return nil, c.fail(api.OutcomeUnknown, openReason(ctx, err), err)
 	}
 	return x, nil
 }
 
-func (c *Client) headReason(err error) api.Reason {
+// openReason is the reason of a request that failed before its answer began. At
+// the request's own deadline the connection is closed under the read, whose error
+// is then that of a closed connection: told by it alone, a service that is merely
+// slow would pass for one that died.
+func openReason(ctx context.Context, err error) api.Reason {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return api.ReasonTimeout
+	}
+	return readReason(err)
+}
+
+// readReason tells a target that was quiet for too long from one that went.
+func readReason(err error) api.Reason {
 	// The HTTP library's own timeout is no net.Error.
 	var late interface{ Timeout() bool }
 	if errors.As(err, &late) && late.Timeout() {
@@ -148,9 +168,9 @@
 	return bw.Flush()
 }
 
-func (c *Client) readHead(x *exchange) error {
+func (c *Client) readHead(x *exchange, buffer int) error {
 	_ = x.conn.SetReadDeadline(time.Now().Add(c.cfg.Head))
-	x.br = bufio.NewReaderSize(x.conn, readBuffer)
+	x.br = bufio.NewReaderSize(x.conn, buffer)
 	x.resp.StreamBody = true
 	if err := x.resp.Read(x.br); err != nil {
 		return err
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,3 +196,70 @@
 		}
 	})
 }
+
+// An answer of large items, such as chunks with log probabilities, comes one
+// item at a time. The entry must acknowledge by bytes handed out: an agent stops
+// at its bound of unacknowledged bytes, long before a count of items is reached,
+// and the answer would stand still for good.
+func TestLargeItemsAreAcknowledgedByTheirBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		ans := b.start(generation())
+		o := hear[*wire.Offer](a)
+		a.accept(o)
+		item := strings.Repeat("x", 1<<10)
+		var acked uint64
+		for i := range uint64(32) {
+			a.data(o, "g-t1", i, item)
+			for ans.Next(time.Hour).Kind != EventItems {
+			}
+			ans.Next(0)
+			select {
+			case m := <-a.link.sent:
+				acked = m.(*wire.Ack).Offset
+			default:
+			}
+			b.c.Assert(i+1-acked <= ackEvery>>10, qt.IsTrue, qt.Commentf("%d items, acknowledged up to %d", i+1, acked))
+		}
+		ans.Cancel(0)
+	})
+}
+
+// The agent sends the last items and the final frame and is killed, and the
+// driver comes to run only then. The caller must get its whole answer at once,
+// since all of it has arrived, and not wait for an agent that is gone.
+func TestFinalFrameGoesBeforeTheEndOfItsLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 { // the runtime chooses at random between what is ready
+			b := newBench(t)
+			a := b.agent("t1", 1)
+			g := newLeg(&Request{ID: "r1"}, newAnswer(), 1, b.entry.peers.get("t1"), b.drops)
+			b.entry.legs.add(g)
+			f := follower{e: b.entry, g: g, accepted: true, deadline: stoppedTimer()}
+			o := &wire.Offer{Key: g.key}
+			a.data(o, "g", 0, "a")
+			a.final(o, "g", "a")
+			a.lose()
+			done, err := f.step(t.Context())
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(done, qt.IsTrue)
+		}
+	})
+}
+
+// What an entry tells of a target that starts, leaves, starts anew on another
+// link and loses it: each once, though an agent announces itself again and again.
+func TestTargetsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		leaving := &wire.Announce{Target: "t1", Incarnation: 1, Leaving: true}
+		a.say(leaving)
+		a.say(leaving)
+		next := b.agent("t1", 2)
+		a.lose() // the newer link has replaced it already
+		next.lose()
+		b.c.Assert(b.drops.targets, qt.DeepEquals, []string{"announced 1", "leaving 1", "announced 2", "gone 2"})
+	})
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -20,12 +20,19 @@
 	inc    api.Incarnation
 	to     sender
 	zone   api.Zone
+	links  int // entries that the agent wants to link to
+	// told is the list of entries that the agent was last told.
+	told atomic.Pointer[[]wire.EntryInfo]
 	// leaving and clock are from the newest announcement or report.
 	leaving atomic.Bool
 	// clock is the newest reading of the agent's monotonic clock.
 	clock atomic.Int64
 }
 
+func (p *peer) view() TargetView {
+	return TargetView{Target: p.target, Incarnation: p.inc, Zone: p.zone, Leaving: p.leaving.Load()}
+}
+
 // peers is the table of linked agents: read without a lock, copied on change,
 // which happens when a link comes or goes. waiters learn of changes.
 type peers struct {
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -92,15 +92,13 @@
 		Models:      set.Models,
 		Services:    set.Services,
 		Capacity:    set.Capacity,
+		Links:       set.Links,
 		Live:        ports.Live,
 		Queue:       set.Queue,
 		Observer:    metrics.Agent{Set: ports.Metrics},
 	}, target, admit)
 	a.links = newLinkKeeper(linkKeeperSettings{
-		target: set.Target,
-		zone:   set.Zone,
 		seeds:  set.Seeds,
-		want:   set.Links,
 		spread: linkSpread,
 		dial:   a.runLink,
 		retire: a.retireLink,
@@ -132,11 +130,10 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			events.LinkDialFailed.Log(a.ports.Log).Str("peer", addr).Err(err).Send()
+			a.ports.Metrics.DialFailed(addr, err)
 		}
 		return
 	}
-	a.ports.Metrics.LinkUp(conn.Peer())
 	up(conn)
 	defer up(nil)
 	detach := a.agent.Attach(conn)
