control: a member that is stopped right after its start ends at once

Cause: the operator listener was not among those that Stop closes itself, so a server shut down before it had taken it listened for ever; and the report of the operator address waited for its own bound, not for the stop. Change: the listener is closed too, and the report ends with the role. Conclusion: stop no longer depends on how far the start has come.

--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -77,8 +77,11 @@
 }
 
 // exec carries out a request here, or at the leader when that is elsewhere.
-func (o *Operator) exec(req Request) *Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+func (o *Operator) exec(req Request) *Reply { return o.execWithin(context.Background(), req) }
+
+// execWithin is exec that ends with ctx too.
+func (o *Operator) execWithin(ctx context.Context, req Request) *Reply {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	r := o.member.Do(ctx, &req)
 	elsewhere := r.Outcome == api.OutcomeNotRun && r.Reason == api.ReasonControlUnavailable
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -120,6 +120,7 @@
 	r.wg.Go(func() { forward.Run(ctx) })
 	operator := NewOperator(r.member, forward, s.Token)
 	r.operator = operator.App()
+	r.listeners = append(r.listeners, s.Operator)
 	info := state.MemberInfo{ID: uint64(s.ID), Operator: s.OperatorAddr, Zone: s.Zone}
 	r.wg.Go(func() { tellSelf(ctx, operator, info) })
 	r.wg.Go(func() {
@@ -133,7 +134,7 @@
 // recorded. A member that waits to be added tries on meanwhile.
 func tellSelf(ctx context.Context, o *Operator, info state.MemberInfo) {
 	for ctx.Err() == nil {
-		r := o.exec(Request{Command: &state.Command{Member: &info}})
+		r := o.execWithin(ctx, Request{Command: &state.Command{Member: &info}})
 		if r.Outcome == api.OutcomeCompleted {
 			return
 		}
--- a/node/process/control_test.go
+++ b/node/process/control_test.go
@@ -285,3 +285,18 @@
 		{Fence: uint64(second.Fence), Action: "set_role", Value: "prefill"},
 	})
 }
+
+// A control member is stopped in the instant in which it starts, before its
+// servers have taken their listeners. It must end all the same.
+func TestControlStopRightAfterStart(t *testing.T) {
+	f := newFleet(t)
+	log := zerolog.Nop()
+	for range 100 {
+		c, err := NewControl(ControlSettings{
+			Instance: "c1", Zone: "lhr-a", Key: []byte(fleetKey), Token: "token",
+			Dir: f.t.TempDir(), Links: listenLoopback(f.c), Operator: listenLoopback(f.c),
+		}, metrics.New(&log), &log)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(c.Stop(context.Background()), qt.IsNil)
+	}
+}
