--- a/cmd/almondseam/main.go
+++ b/cmd/almondseam/main.go
@@ -35,9 +35,14 @@
 	run := newRunCommand(app)
 	solo := newSoloCommand(app)
 	engine := newEngineCommand(app)
+	helped := false
+	app.Terminate(func(int) { helped = true })
 	cmd, err := app.Parse(args)
+	if helped {
+		return exitOK
+	}
 	if err != nil {
-		fmt.Fprintf(stderr, "almondseam: %v (see almondseam --help)\n", err)
+		fmt.Fprintf(stderr, "almondseam: %v (see almondseam --help)\n", named(app, args, err))
 		return exitUsage
 	}
 	out := streams{stdout, stderr}
@@ -50,6 +55,27 @@
 	return run.execute(out)
 }
 
+// named adds the flag to an error of kingpin's that lacks it: for a value that a
+// flag refuses kingpin gives the value's error alone. Values of the environment
+// stay without.
+func named(app *kingpin.Application, args []string, err error) error {
+	ctx, perr := app.ParseContext(args)
+	if perr != nil {
+		return err
+	}
+	for _, el := range ctx.Elements {
+		flag, ok := el.Clause.(*kingpin.FlagClause)
+		if !ok || el.Value == nil {
+			continue
+		}
+		m := flag.Model()
+		if verr := m.Value.Set(*el.Value); verr != nil && verr.Error() == err.Error() {
+			return fmt.Errorf("--%s: %w", m.Name, err)
+		}
+	}
+	return err
+}
+
 // streams are the outputs of a command.
 type streams struct {
 	out io.Writer
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"almondseam.dev/core/api"
@@ -84,9 +85,13 @@
 	metrics *metrics.Set
 	roles   []role
 	entry   *process.Entry
+	agent   *process.Agent
 	control *process.Control
 	live    *fleetconfig.Live
 	ops     *ops.Server
+	// started is set once roles and what belongs to them stand: the operations
+	// port answers before, on goroutines of its own.
+	started atomic.Bool
 	work    conc.WaitGroup
 	// atStop runs after the roles have stopped.
 	atStop []func()
@@ -110,11 +115,13 @@
 		}
 	}
 	if n.set.has(roleAgent) {
-		n.roles = append(n.roles, n.newAgent())
+		n.agent = n.newAgent()
+		n.roles = append(n.roles, n.agent)
 	}
 	for _, r := range n.roles {
 		r.Start()
 	}
+	n.started.Store(true)
 	return nil
 }
 
@@ -128,13 +135,23 @@
 	return nil
 }
 
+// ready tells what is missing before the process can serve.
 func (n *node) ready() (bool, string) {
+	if !n.started.Load() {
+		return false, "the process is starting"
+	}
 	if n.live != nil && n.live.Load() == nil {
 		return false, "no configuration is in force"
 	}
 	if n.entry != nil && n.entry.Targets() == 0 {
 		return false, "no target is linked"
 	}
+	if n.agent != nil && n.agent.Links() == 0 {
+		return false, "no link to an entry is up"
+	}
+	if n.control != nil && n.control.Leader() == 0 {
+		return false, "no leader of the control group is known"
+	}
 	return true, ""
 }
 
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -24,7 +24,7 @@
 )
 
 // settings are the flags of `run`; each is also an environment variable, named
-// ALMONDSEAM_RUN_ and the flag's name.
+// ALMONDSEAM_ and the flag's name in capitals: ALMONDSEAM_FLEET_KEY.
 type settings struct {
 	roles    []string
 	instance string
--- a/cmd/almondseam/solo.go
+++ b/cmd/almondseam/solo.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -68,6 +69,10 @@
 	log := zerolog.New(zerolog.ConsoleWriter{Out: out.err, NoColor: true}).Level(zerolog.WarnLevel).With().Timestamp().Logger()
 	n := &node{set: &settings{drain: 10 * time.Second, ops: "127.0.0.1:0"}, log: &log, metrics: metrics.New(&log)}
 	addr, err := c.start(n)
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return out.usage(err)
+	}
 	if err != nil {
 		fmt.Fprintf(out.err, "almondseam: solo: %v\n", err)
 		return exitFailed
@@ -103,7 +108,7 @@
 	engine := standin.NewServer(standin.Config{Model: soloModel}, standin.Options{})
 	n.work.Go(func() { _ = engine.Serve(eln) })
 	n.atStop = append(n.atStop, func() { _ = engine.Close() })
-	callers, err := net.Listen("tcp", c.listen)
+	callers, err := listen("listen", c.listen)
 	if err != nil {
 		return "", err
 	}
@@ -128,6 +133,7 @@
 	for _, r := range n.roles {
 		r.Start()
 	}
+	n.started.Store(true)
 	return callers.Addr().String(), n.waitTarget()
 }
 
@@ -145,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operators, err := net.Listen("tcp", c.operators)
+	operators, err := listen("operator-listen", c.operators)
 	if err != nil {
 		return nil, err
 	}
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -119,6 +119,9 @@
 		Str("target", string(a.set.Target)).Str("address", a.set.TargetAddr).Send()
 }
 
+// Links counts the entries that this agent is linked to.
+func (a *Agent) Links() int { return a.links.up() }
+
 // runLink holds one link until it ends or ctx is done. up is told the link.
 func (a *Agent) runLink(ctx context.Context, addr string, up func(*link.Conn)) {
 	conn, err := link.Dial(ctx, addr, link.Options{
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -129,6 +129,9 @@
 // ID is the member's ID, which `almondctl members add` asks for.
 func (c *Control) ID() consensus.MemberID { return c.store.ID() }
 
+// Leader is the member that leads as far as this one knows, zero for nobody.
+func (c *Control) Leader() consensus.MemberID { return c.role.Member().Status().Leader }
+
 // Configure proposes a configuration at this member. Without a leader yet it is
 // tried again until ctx is done.
 func (c *Control) Configure(ctx context.Context, put state.ConfigPut) error {
