--- a/cmd/almondseam/main_test.go
+++ b/cmd/almondseam/main_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,9 +16,27 @@
 	"github.com/rs/zerolog"
 )
 
+// output is a stream that several goroutines write to, as they do to a file.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
 // call runs a command line as a shell would.
 func call(args ...string) (code int, stdout, stderr string) {
-	var out, err bytes.Buffer
+	var out, err output
 	code = execute(args, &out, &err)
 	return code, out.String(), err.String()
 }
