--- a/cmd/almondseam/main_test.go
+++ b/cmd/almondseam/main_test.go
@@ -76,7 +76,7 @@
 		"agent's capacity":       {agent, []string{"--capacity=0"}, "--capacity"},
 		"agent's capacity, text": {agent, []string{"--capacity=much"}, "--capacity"},
 		"agent's batch":          {agent, []string{"--engine-batch=-1"}, "--engine-batch"},
-		"agent's queue":          {agent, []string{"--queue=0"}, "--queue"},
+		"agent's queue":          {agent, []string{"--queue=-1"}, "--queue"},
 		"control's folder":       {control, []string{"--data-dir=", "--operator-token=a-token-for-operators"}, "--data-dir"},
 		"control's token":        {control, nil, "--operator-token"},
 		"solo's address":         {[]string{"solo"}, []string{"--listen=nonsense"}, "--listen"},
