Found a group by a command of its own, and leave the balancer before draining

An entry told to stop closed its port while the balancer still sent callers there, with /readyz at 200 to the end. Change: almondseam bootstrap, which refuses a folder with a past; run has no such flag. Conclusion: no restart founds a group, no orderly stop refuses a connection.

--- a/cmd/almondseam/control.go
+++ b/cmd/almondseam/control.go
@@ -16,7 +16,6 @@
 	operators string
 	token     string
 	tokenFile string
-	bootstrap bool
 }
 
 func (s *controlSettings) flags(c *kingpin.CmdClause) {
@@ -26,7 +25,6 @@
 	c.Flag("operator-listen", "control: address for almondctl.").Default("127.0.0.1:7402").StringVar(&s.operators)
 	c.Flag("operator-token", "control: token that lets operators in; better given by --operator-token-file.").StringVar(&s.token)
 	c.Flag("operator-token-file", "control: file that holds the operator token.").StringVar(&s.tokenFile)
-	c.Flag("bootstrap", "control: start a new group if the data folder is empty; for exactly one member of a fleet.").BoolVar(&s.bootstrap)
 }
 
 func (s *controlSettings) check() error {
@@ -55,6 +53,5 @@
 		Links:     links,
 		Operator:  operators,
 		Advertise: s.advertise,
-		Bootstrap: s.bootstrap,
 	}, n.metrics, n.log)
 }
--- a/cmd/almondseam/main.go
+++ b/cmd/almondseam/main.go
@@ -35,6 +35,7 @@
 	run := newRunCommand(app)
 	solo := newSoloCommand(app)
 	engine := newEngineCommand(app)
+	bootstrap := newBootstrapCommand(app)
 	helped := false
 	app.Terminate(func(int) { helped = true })
 	cmd, err := app.Parse(args)
@@ -51,6 +52,8 @@
 		return solo.execute(out)
 	case engine.cmd.FullCommand():
 		return engine.execute(out)
+	case bootstrap.cmd.FullCommand():
+		return bootstrap.execute(out)
 	}
 	return run.execute(out)
 }
--- a/cmd/almondseam/main_test.go
+++ b/cmd/almondseam/main_test.go
@@ -158,3 +158,42 @@
 	log := zerolog.Nop()
 	return &node{set: &run.set, log: &log, metrics: metrics.New(&log)}
 }
+
+// A member's folder is lost and its process is started again as before. It must
+// come up as a new member that waits to be added, and found no second group: a
+// key could then be granted by both. Founding is a command of its own, which
+// refuses a folder that belongs to a group.
+func TestOnlyBootstrapFoundsAGroup(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	code, out, errs := call("bootstrap", "--data-dir="+dir, "--control-advertise=127.0.0.1:7401")
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errs))
+	c.Assert(out, qt.Contains, "founded a control group")
+	code, _, errs = call("bootstrap", "--data-dir="+dir)
+	c.Assert(code, qt.Equals, exitFailed)
+	c.Assert(errs, qt.Contains, "already belongs")
+	code, _, errs = call("run", "--role=control", "--bootstrap")
+	c.Assert(code, qt.Equals, exitUsage)
+	c.Assert(errs, qt.Contains, "--bootstrap")
+}
+
+// The process is told to stop. The balancer must see it at once, while callers
+// that it still sends are served: the port closes only after the delay.
+func TestReadyEndsBeforeTheDrainBegins(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, []string{"--role=control", "--operator-token=a-token-for-operators", "--control-listen=127.0.0.1:0", "--operator-listen=127.0.0.1:0", "--data-dir=" + t.TempDir()})
+	c.Assert(n.start(), qt.IsNil)
+	n.leaveBalancer(t.Context())
+	ok, missing := n.ready()
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(missing, qt.Contains, "stopping")
+	c.Assert(n.control.Ended(), qt.Not(qt.IsNil))
+	select {
+	case <-n.control.Ended():
+		c.Fatal("stopped before its drain")
+	default:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c.Assert(n.stop(ctx), qt.Equals, exitOK)
+}
--- a/cmd/almondseam/run.go
+++ b/cmd/almondseam/run.go
@@ -95,6 +95,7 @@
 	// started is set once roles and what belongs to them stand: the operations
 	// port answers before, on goroutines of its own.
 	started atomic.Bool
+	leaving atomic.Bool // told to stop
 	work    conc.WaitGroup
 	// atStop runs after the roles have stopped.
 	atStop []func()
@@ -143,6 +144,9 @@
 	if !n.started.Load() {
 		return false, "the process is starting"
 	}
+	if n.leaving.Load() {
+		return false, "the process is stopping"
+	}
 	if n.live != nil && n.live.Load() == nil {
 		return false, "no configuration is in force"
 	}
@@ -269,9 +273,26 @@
 		<-sig
 		cancel()
 	}()
+	n.leaveBalancer(ctx)
 	return max(code, n.stop(ctx))
 }
 
+// leaveBalancer goes on serving with /readyz at 503. Without the wait the callers'
+// port would close while the balancer still sends callers there, and each of them
+// would be refused a connection by an orderly stop.
+func (n *node) leaveBalancer(ctx context.Context) {
+	n.leaving.Store(true)
+	if n.entry == nil || n.set.drainDelay <= 0 {
+		return
+	}
+	t := time.NewTimer(n.set.drainDelay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // drain is how long a graceful stop that begins now may wait.
 func (n *node) drain() time.Duration {
 	if n.set.drainGiven {
--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -38,6 +38,8 @@
 	// configuration.
 	drainGiven bool
 	ops        string
+	// drainDelay comes before draining.
+	drainDelay time.Duration
 
 	callers string
 	links   string
@@ -73,6 +75,7 @@
 	c.Flag("fleet-key-file", "File that holds the fleet key.").StringVar(&s.keyFile)
 	c.Flag("log-level", "Least level that is logged.").Default("info").EnumVar(&s.logLevel, "debug", "info", "warn", "error")
 	c.Flag("drain", "Longest time a graceful stop waits for requests in progress; limits.drain goes for an entry or agent when it is not given.").Default("10m").IsSetByUser(&s.drainGiven).DurationVar(&s.drain)
+	c.Flag("drain-delay", "Time for which a process that is told to stop goes on as before, with /readyz at 503, so that the balancer takes it out first.").Default("2s").DurationVar(&s.drainDelay)
 	c.Flag("ops-listen", "Address for metrics, /healthz and /readyz.").Default("127.0.0.1:0").StringVar(&s.ops)
 	c.Flag("listen", "entry: address for callers.").Default("127.0.0.1:8080").StringVar(&s.callers)
 	c.Flag("link-listen", "entry: address for agents.").Default("127.0.0.1:8081").StringVar(&s.links)
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -35,7 +35,8 @@
 	// the address that Links listens on.
 	Advertise string
 	// Bootstrap starts a new group of this member alone when the folder is
-	// empty. Exactly one member of a fleet is ever started with it.
+	// empty. It is for groups that live as long as their process, such as solo's;
+	// a fleet's group is founded once, by Bootstrap.
 	Bootstrap bool
 }
 
@@ -111,6 +112,27 @@
 	return r, c.store.Save(&r.HardState, r.Entries, true)
 }
 
+// ErrNotEmpty refuses to found a group in a folder that belongs to one.
+var ErrNotEmpty = errors.New("the folder already belongs to a control group")
+
+// Bootstrap founds a group of one in an empty folder and gives its member's ID.
+// The state is on the disk before any member runs: one that led from memory alone
+// and then crashed would come back as an empty folder.
+func Bootstrap(dir, advertise string) (consensus.MemberID, error) {
+	store, restored, err := durable.Open(durable.OS{}, dir)
+	if err != nil {
+		return 0, err
+	}
+	c := &Control{set: ControlSettings{Advertise: advertise}, store: store}
+	if !empty(restored) {
+		return 0, errors.Join(ErrNotEmpty, store.Close())
+	}
+	if _, err := c.bootstrap(); err != nil {
+		return 0, errors.Join(err, store.Close())
+	}
+	return store.ID(), store.Close()
+}
+
 func validDocument(document []byte) error {
 	d, err := fleetconfig.DecodeDocument(document)
 	if err != nil {
