--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 )
@@ -57,24 +58,16 @@
 	DefaultKeepBytes           = 4 << 20
 )
 
-func setDefault(v *int, d int) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 func (c *Config) normalize() error {
-	setDefault(&c.ElectionTicks, DefaultElectionTicks)
-	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
-	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
-	setDefault(&c.MaxInflight, DefaultMaxInflight)
-	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
-	setDefault(&c.MaxPendingReads, DefaultMaxPendingReads)
-	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
-	setDefault(&c.KeepBytes, DefaultKeepBytes)
-	if c.KeepEntries == 0 {
-		c.KeepEntries = DefaultKeepEntries
-	}
+	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
+	c.HeartbeatTicks = cmp.Or(c.HeartbeatTicks, DefaultHeartbeatTicks)
+	c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, DefaultMaxBatchBytes)
+	c.MaxInflight = cmp.Or(c.MaxInflight, DefaultMaxInflight)
+	c.MaxUncommittedBytes = cmp.Or(c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	c.MaxPendingReads = cmp.Or(c.MaxPendingReads, DefaultMaxPendingReads)
+	c.MaxSnapshotBytes = cmp.Or(c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	c.KeepBytes = cmp.Or(c.KeepBytes, DefaultKeepBytes)
+	c.KeepEntries = cmp.Or(c.KeepEntries, DefaultKeepEntries)
 	switch {
 	case c.ID == 0:
 		return fmt.Errorf("%w: ID is zero", ErrBadConfig)
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"sync"
@@ -80,22 +81,15 @@
 func (noObserver) Ended(wire.Key, api.Outcome, api.Reason) {}
 func (noObserver) LoadFailed(error)                        {}
 
-func orDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (c Config) withDefaults() Config {
-	orDefault(&c.Unacked, DefaultUnacked)
-	orDefault(&c.Replay, DefaultReplay)
-	orDefault(&c.ReplayTime, DefaultReplayTime)
-	orDefault(&c.Grace, DefaultGrace)
-	orDefault(&c.TombstoneTime, DefaultTombstoneTime)
-	orDefault(&c.Tick, DefaultTick)
-	orDefault(&c.LoadEvery, DefaultLoadEvery)
-	orDefault(&c.CallSlots, DefaultCallSlots)
+	c.Unacked = cmp.Or(c.Unacked, DefaultUnacked)
+	c.Replay = cmp.Or(c.Replay, DefaultReplay)
+	c.ReplayTime = cmp.Or(c.ReplayTime, DefaultReplayTime)
+	c.Grace = cmp.Or(c.Grace, DefaultGrace)
+	c.TombstoneTime = cmp.Or(c.TombstoneTime, DefaultTombstoneTime)
+	c.Tick = cmp.Or(c.Tick, DefaultTick)
+	c.LoadEvery = cmp.Or(c.LoadEvery, DefaultLoadEvery)
+	c.CallSlots = cmp.Or(c.CallSlots, DefaultCallSlots)
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -3,6 +3,7 @@
 package callers
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -138,24 +139,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxBody == 0 {
-		c.MaxBody = DefaultMaxBody
-	}
-	if c.MaxHeader == 0 {
-		c.MaxHeader = DefaultMaxHeader
-	}
-	if c.MaxConnections == 0 {
-		c.MaxConnections = DefaultMaxConnections
-	}
-	if c.ReadTimeout == 0 {
-		c.ReadTimeout = DefaultReadTimeout
-	}
-	if c.WriteTimeout == 0 {
-		c.WriteTimeout = DefaultWriteTimeout
-	}
-	if c.IdleTimeout == 0 {
-		c.IdleTimeout = DefaultIdleTimeout
-	}
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxHeader = cmp.Or(c.MaxHeader, DefaultMaxHeader)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
--- a/node/callers/whole.go
+++ b/node/callers/whole.go
@@ -38,13 +38,15 @@
 
 // toolCall is one tool call, whose arguments come in pieces.
 type toolCall struct {
-	Index    int    `json:"-"`
-	ID       string `json:"id"`
-	Type     string `json:"type"`
-	Function struct {
-		Name      string `json:"name"`
-		Arguments string `json:"arguments"`
-	} `json:"function"`
+	Index    int          `json:"-"`
+	ID       string       `json:"id"`
+	Type     string       `json:"type"`
+	Function toolFunction `json:"function"`
+}
+
+type toolFunction struct {
+	Name      string `json:"name"`
+	Arguments string `json:"arguments"`
 }
 
 // rawChunk is an engine's chunk as far as it is gathered.
@@ -56,13 +58,10 @@
 			Content   string `json:"content"`
 			Refusal   string `json:"refusal"`
 			ToolCalls []struct {
-				Index    int    `json:"index"`
-				ID       string `json:"id"`
-				Type     string `json:"type"`
-				Function struct {
-					Name      string `json:"name"`
-					Arguments string `json:"arguments"`
-				} `json:"function"`
+				Index    int          `json:"index"`
+				ID       string       `json:"id"`
+				Type     string       `json:"type"`
+				Function toolFunction `json:"function"`
 			} `json:"tool_calls"`
 		} `json:"delta"`
 		Finish   *string `json:"finish_reason"`
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -58,15 +59,9 @@
 
 // New makes a client. It opens no connection.
 func New(cfg Config) *Client {
-	if cfg.Dial == 0 {
-		cfg.Dial = DefaultDial
-	}
-	if cfg.Head == 0 {
-		cfg.Head = DefaultHead
-	}
-	if cfg.Quiet == 0 {
-		cfg.Quiet = DefaultQuiet
-	}
+	cfg.Dial = cmp.Or(cfg.Dial, DefaultDial)
+	cfg.Head = cmp.Or(cfg.Head, DefaultHead)
+	cfg.Quiet = cmp.Or(cfg.Quiet, DefaultQuiet)
 	return &Client{cfg: cfg, dial: net.Dialer{Timeout: cfg.Dial}}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -55,15 +55,9 @@
 
 // New makes an entry. obs may be nil.
 func New(cfg Config, placer Placer, retrier Retrier, obs Observer) *Entry {
-	if cfg.Bid == 0 {
-		cfg.Bid = DefaultBid
-	}
-	if cfg.Offer == 0 {
-		cfg.Offer = DefaultOffer
-	}
-	if cfg.Relink == 0 {
-		cfg.Relink = DefaultRelink
-	}
+	cfg.Bid = cmp.Or(cfg.Bid, DefaultBid)
+	cfg.Offer = cmp.Or(cfg.Offer, DefaultOffer)
+	cfg.Relink = cmp.Or(cfg.Relink, DefaultRelink)
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -6,6 +6,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -90,15 +91,9 @@
 func (noObserver) HandshakeFailed(error)   {}
 
 func (o Options) withDefaults() Options {
-	if o.Silence == 0 {
-		o.Silence = DefaultSilence
-	}
-	if o.MaxMessage == 0 {
-		o.MaxMessage = DefaultMaxMessage
-	}
-	if o.MaxQueue == 0 {
-		o.MaxQueue = DefaultMaxQueue
-	}
+	o.Silence = cmp.Or(o.Silence, DefaultSilence)
+	o.MaxMessage = cmp.Or(o.MaxMessage, DefaultMaxMessage)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
