Give a returning caller nothing before its agent has accepted it

Cause: found on reading: an entry gave a request's frames to whoever had last asked for it by its ID. A customer that had learnt another's request ID and asked for it at the same entry took the place of its owner's leg until the agent's refusal came, and was given the items in flight. Change: the agent accepts a returning caller in words before it sends; the entry passes nothing on until then, and does not replace another customer's leg. Measured: TestStrangerGetsNothingOfARequestItNames: without the first guard the stranger is given "secret", without the second its second request is taken; both guards in place it passes. Conclusion: a request's ID is no key to its answer.

--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -224,6 +224,11 @@
 		_ = from.Send(&wire.Returned{Key: m.Key, Reason: reason})
 		return
 	}
+	if m.Key.Attempt == 0 {
+		// The entry gives a returning caller nothing before this: until here only
+		// the caller's own word said whose request it is.
+		_ = from.Send(&wire.Accepted{Key: m.Key, Generation: s.gen})
+	}
 	err := s.attach(from, m.Offset, m.Key.Attempt == 0)
 	if errors.Is(err, stream.ErrPassed) {
 		_ = from.Send(&wire.Returned{Key: m.Key, Reason: api.ReasonReplayPassed})
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -190,7 +190,11 @@
 		return
 	}
 	g.heard.Store(true)
-	g.answer.setPhase(wire.PhaseQueued, m.Position)
+	if g.key.Attempt == 0 {
+		g.answer.setPhase(wire.PhaseStarted, 0)
+	} else {
+		g.answer.setPhase(wire.PhaseQueued, m.Position)
+	}
 	g.tell(m)
 }
 
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -263,3 +263,36 @@
 		b.c.Assert(b.drops.targets, qt.DeepEquals, []string{"announced 1", "leaving 1", "announced 2", "gone 2"})
 	})
 }
+
+// A customer comes back for its answer; another one, who has learnt the request's
+// ID, asks for it at the same entry. The agent has accepted the first alone, and
+// not one item may reach the other, nor be kept from the first.
+func TestStrangerGetsNothingOfARequestItNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.agent("t1", 1)
+		place := Place{Target: "t1", Generation: "g-t1", Offset: 1}
+		request := func(c api.CustomerID) *Request { return &Request{ID: "r1", Size: wire.Size{Customer: c}} }
+		o := &wire.Offer{Key: wire.Key{Request: "r1", Attempt: 2}}
+
+		early, err := b.entry.Resume(t.Context(), request("stranger"), place)
+		b.c.Assert(err, qt.IsNil)
+		asked := hear[*wire.Resume](a)
+		a.data(o, "g-t1", 1, "secret") // for its owner, on the same link
+		a.say(&wire.Returned{Key: asked.Key, Reason: api.ReasonTargetGone})
+		got := read(early)
+		b.c.Assert(got.text, qt.Equals, "")
+		b.c.Assert(got.end.Reason, qt.Equals, api.ReasonTargetGone)
+		synctest.Wait()
+
+		owner, err := b.entry.Resume(t.Context(), request("owner"), place)
+		b.c.Assert(err, qt.IsNil)
+		asked = hear[*wire.Resume](a)
+		a.say(&wire.Accepted{Key: asked.Key, Generation: "g-t1"})
+		_, err = b.entry.Resume(t.Context(), request("stranger"), place)
+		b.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonTargetGone)
+		a.data(o, "g-t1", 1, "b", "c")
+		a.say(&wire.Final{Key: o.Key, Generation: "g-t1", Count: 3, Outcome: api.OutcomeCompleted})
+		b.c.Assert(read(owner), qt.Equals, told{text: "bc", end: End{Outcome: api.OutcomeCompleted}})
+	})
+}
--- a/node/entry/leg.go
+++ b/node/entry/leg.go
@@ -132,11 +132,18 @@
 	return &l.shards[maphash.String(l.seed, string(r))%legShards]
 }
 
-func (l *legs) add(g *leg) {
+// add makes a leg known, unless another customer has one under the same key. A
+// request's ID may become known to others: whoever quoted it would take the place
+// of its owner's leg, and be given the frames that are on their way to it.
+func (l *legs) add(g *leg) bool {
 	s := l.shard(g.key.Request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if other := s.m[g.key]; other != nil && other.req.Size.Customer != g.req.Size.Customer {
+		return false
+	}
 	s.m[g.key] = g
+	return true
 }
 
 func (l *legs) remove(g *leg) {
@@ -148,8 +155,9 @@
 	}
 }
 
-// find gives the leg of a frame. A leg of attempt 0 belongs to a caller that
-// came back and does not know the attempt.
+// find gives the leg of a frame. A leg of attempt 0 belongs to a caller that came
+// back and does not know the attempt; it is given the request's frames only once
+// the agent, which checks whose request it is, has accepted it.
 func (l *legs) find(k wire.Key) *leg {
 	s := l.shard(k.Request)
 	s.mu.RLock()
@@ -157,5 +165,8 @@
 	if g := s.m[k]; g != nil {
 		return g
 	}
-	return s.m[wire.Key{Request: k.Request}]
+	if g := s.m[wire.Key{Request: k.Request}]; g != nil && g.heard.Load() {
+		return g
+	}
+	return nil
 }
--- a/node/entry/resume.go
+++ b/node/entry/resume.go
@@ -28,23 +28,25 @@
 	a.recv = stream.NewReceiverAt(from.Generation, from.Offset)
 	a.off = from.Offset
 	a.acked = from.Offset
+	g := newLeg(r, a, 0, p, e.obs)
+	if !e.legs.add(g) {
+		return nil, &api.Error{Step: api.StepRoute, Peer: string(from.Target), Outcome: api.OutcomeUnknown, Reason: api.ReasonTargetGone, Err: errors.New("no such request")}
+	}
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	e.work.Go(func() {
 		defer a.cancel(nil)
-		end := e.followResumed(ctx, a, r, p)
+		end := e.followResumed(ctx, a, g)
 		e.obs.Ended(r, end)
 		a.finish(end)
 	})
 	return a, nil
 }
 
-func (e *Entry) followResumed(ctx context.Context, a *Answer, r *Request, p *peer) End {
-	g := newLeg(r, a, 0, p, e.obs)
-	e.legs.add(g)
+func (e *Entry) followResumed(ctx context.Context, a *Answer, g *leg) End {
 	defer e.legs.remove(g)
 	a.setAck(func(off uint64) { _ = g.link().Send(&wire.Ack{Key: g.key, Offset: off}) })
 	defer a.setAck(nil)
-	if err := p.to.Send(g.resume()); err != nil {
+	if err := g.link().Send(g.resume()); err != nil {
 		return AsEnd(err)
 	}
 	f := follower{e: e, g: g, accepted: true, deadline: stoppedTimer()}
