Prove orders at a target that checks fences as well as at one that does not

Cause: the issue asks for both; the test over entries and agent had one only. Conclusion: where the target checks, an old road to it is closed too.

--- a/node/process/control_test.go
+++ b/node/process/control_test.go
@@ -254,16 +254,22 @@
 	f.c.Assert(s.text.String(), qt.Equals, answerOf(1, "note", 60))
 }
 
-// An operator orders a model and then a role for a target that ignores fences,
-// while two entries are linked to its agent. Both hand over each order; the
-// target gets each once, in the order of the fences, and the second only after
-// the first has ended.
+// An operator orders a model and then a role while two entries are linked to the
+// target's agent. Both hand over each order; the target gets each once, in the
+// order of the fences, and the second only after the first has ended. An old
+// order that comes to the target past its agent is refused by a target that
+// checks, and is what remains open at one that does not.
 func TestOrdersReachTheTargetOnceAndInOrder(t *testing.T) {
+	t.Run("target ignores fences", func(t *testing.T) { ordersInOrder(t, true, http.StatusOK) })
+	t.Run("target checks fences", func(t *testing.T) { ordersInOrder(t, false, http.StatusConflict) })
+}
+
+func ordersInOrder(t *testing.T, ignore bool, late int) {
 	f := newFleet(t)
 	g := f.controlGroup(1)
 	g.configure()
 	e1, e2 := g.controlled("e1"), g.controlled("e2")
-	srv, addr := f.standin(standin.Config{Seed: 1, IgnoreFence: true}, standin.Options{})
+	srv, addr := f.standin(standin.Config{Seed: 1, IgnoreFence: ignore}, standin.Options{})
 	f.agent("g1", addr, e1.links, e2.links)
 	f.untilTargets(e1, 1)
 	f.untilTargets(e2, 1)
@@ -284,6 +290,11 @@
 		{Fence: uint64(first.Fence), Action: "load_model", Value: "m2"},
 		{Fence: uint64(second.Fence), Action: "set_role", Value: "prefill"},
 	})
+	old := fmt.Sprintf(`{"fence":%d,"action":"load_model","value":"m3"}`, first.Fence)
+	resp, err := testClient.Post("http://"+addr+"/orders", "application/json", strings.NewReader(old))
+	f.c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	f.c.Assert(resp.StatusCode, qt.Equals, late)
 }
 
 // A control member is stopped in the instant in which it starts, before its
