--- a/cmd/almondseam/settings.go
+++ b/cmd/almondseam/settings.go
@@ -95,7 +95,7 @@
 	c.Flag("queue", "agent: requests that may wait here; one customer may fill half of it. 0 takes policy.shed.queue_length.").Default("0").IntVar(&s.queue)
 	c.Flag("prefill", "agent: prompt tokens computed at once; less keeps the gaps between tokens short, more brings first tokens sooner in a burst. 0 takes the default.").Default("0").IntVar(&s.prefill)
 	c.Flag("engine-priority", "agent: the engine honours the priority field.").BoolVar(&s.priority)
-	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence.").BoolVar(&s.fences)
+	c.Flag("target-checks-fence", "agent: the target itself refuses orders with an old fence. Changes nothing yet: every target is treated as one that does not.").BoolVar(&s.fences)
 }
 
 func (s *settings) has(role string) bool {
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -16,11 +16,7 @@
 // the missing ones once, not once for each frame behind the gap.
 func TestFramesThatCross(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		a := b.agent("t1", 1)
-		ans := b.start(generation())
-		o := hear[*wire.Offer](a)
-		a.accept(o)
+		b, a, ans, o := accepted(t)
 		a.data(o, "g-t1", 0, "a", "b")
 		a.data(o, "g-t1", 0, "a", "b") // repeated
 		a.data(o, "other", 2, "X")     // another generation
@@ -43,11 +39,7 @@
 // mended by asking for the rest; the second must reach the caller as an error.
 func TestFinalThatDoesNotAgree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		a := b.agent("t1", 1)
-		ans := b.start(generation())
-		o := hear[*wire.Offer](a)
-		a.accept(o)
+		b, a, ans, o := accepted(t)
 		a.data(o, "g-t1", 0, "a")
 		a.final(o, "g-t1", "a", "b")
 		b.c.Assert(hear[*wire.Resume](a).Offset, qt.Equals, uint64(1))
@@ -203,11 +195,7 @@
 // and the answer would stand still for good.
 func TestLargeItemsAreAcknowledgedByTheirBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		a := b.agent("t1", 1)
-		ans := b.start(generation())
-		o := hear[*wire.Offer](a)
-		a.accept(o)
+		b, a, ans, o := accepted(t)
 		item := strings.Repeat("x", 1<<10)
 		var acked uint64
 		for i := range uint64(32) {
--- a/node/entry/fake_test.go
+++ b/node/entry/fake_test.go
@@ -207,3 +207,13 @@
 		}
 	}
 }
+
+// accepted is a bench with one generation that its one agent has accepted.
+func accepted(t *testing.T) (*bench, *fakeAgent, *Answer, *wire.Offer) {
+	b := newBench(t)
+	a := b.agent("t1", 1)
+	ans := b.start(generation())
+	o := hear[*wire.Offer](a)
+	a.accept(o)
+	return b, a, ans, o
+}
