--- a/cmd/almondseam/main.go
+++ b/cmd/almondseam/main.go
@@ -36,6 +36,7 @@
 	solo := newSoloCommand(app)
 	engine := newEngineCommand(app)
 	bootstrap := newBootstrapCommand(app)
+	routed := newRoutedCommand(app)
 	helped := false
 	app.Terminate(func(int) { helped = true })
 	cmd, err := app.Parse(args)
@@ -52,6 +53,8 @@
 		return solo.execute(out)
 	case engine.cmd.FullCommand():
 		return engine.execute(out)
+	case routed.cmd.FullCommand():
+		return routed.execute(out)
 	case bootstrap.cmd.FullCommand():
 		return bootstrap.execute(out)
 	}
--- /dev/null
+++ b/cmd/almondseam/routed.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"almondseam.dev/core/repeats"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/logsink"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/ops"
+	"almondseam.dev/node/process"
+	"almondseam.dev/node/upstream"
+	"almondseam.dev/platform"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gofiber/fiber/v3"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+const routedHelp = `Run a process on the users' platform.
+
+Its settings come from the platform's file, which ALMONDSEAM_CONFIG names.`
+
+// routedCommand is `almondseam routed ROLE`.
+type routedCommand struct {
+	cmd     *kingpin.CmdClause
+	role    string
+	key     string
+	level   string
+	opsPort int
+}
+
+func newRoutedCommand(app *kingpin.Application) *routedCommand {
+	c := &routedCommand{cmd: app.Command("routed", routedHelp)}
+	c.cmd.Arg("role", "entry or control.").Required().EnumVar(&c.role, roleEntry, roleControl)
+	c.cmd.Flag("link-key", "Key that all processes of the fleet share.").Required().StringVar(&c.key)
+	c.cmd.Flag("routed-log-level", "Least level that is logged.").Default("info").EnumVar(&c.level, "debug", "info", "warn", "error")
+	c.cmd.Flag("routed-ops-port", "Port for metrics, /healthz and /readyz.").Default("9464").IntVar(&c.opsPort)
+	return c
+}
+
+// memoryShare is the part of the platform's memory limit that the runtime may use
+// before it collects harder; the rest is for stacks that are not counted and for
+// bytes that have arrived and are not read yet.
+const memoryShare = 0.7
+
+// logClose is how long the end of a process waits for its log to be written.
+const logClose = 300 * time.Millisecond
+
+// routed is one process on the platform.
+type routed struct {
+	set     platform.Settings
+	command *routedCommand
+	log     *zerolog.Logger
+	metrics *metrics.Set
+	apps    []*fiber.App
+	ops     *ops.Server
+	ready   func() bool
+	stop    func(context.Context) error
+	work    conc.WaitGroup
+}
+
+func (c *routedCommand) execute(out streams) int {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		return out.usage(err)
+	}
+	if len(c.key) < minKey {
+		return out.usage(fmt.Errorf("--link-key: at least %d characters are needed", minKey))
+	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryShare))
+	}
+	level, err := zerolog.ParseLevel(c.level)
+	if err != nil {
+		return out.usage(fmt.Errorf("--routed-log-level: %w", err))
+	}
+	sink := logsink.New(out.out)
+	defer sink.Close(logClose)
+	log := zerolog.New(sink).Level(level).With().Timestamp().Str("instance", string(set.Instance)).Logger()
+	r := &routed{set: set, command: c, log: &log, metrics: metrics.New(&log)}
+	if err := r.start(); err != nil {
+		events.ProcessFailed.Log(&log).Err(err).Send()
+		var usage *usageError
+		if errors.As(err, &usage) {
+			return out.usage(err)
+		}
+		return exitFailed
+	}
+	return r.wait()
+}
+
+func (r *routed) start() error {
+	var err error
+	if r.command.role == roleEntry {
+		err = r.startEntry()
+	} else {
+		err = r.startControl()
+	}
+	if err != nil {
+		return err
+	}
+	return r.startOps()
+}
+
+func (r *routed) startOps() error {
+	ln, err := net.Listen("tcp", net.JoinHostPort(r.set.Host, strconv.Itoa(r.command.opsPort)))
+	if err != nil {
+		return err
+	}
+	r.ops = ops.New(r.metrics.Registry, func() (bool, string) { return r.ready(), "not ready" }, ln)
+	r.work.Go(func() { _ = r.ops.Serve() })
+	return nil
+}
+
+// serve runs an app on an address of the settings.
+func (r *routed) serve(field, addr string, app *fiber.App) error {
+	if addr == "" {
+		return &usageError{fmt.Errorf("%w: field listen.%s is missing", platform.ErrSettings, field)}
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	r.apps = append(r.apps, app)
+	r.work.Go(func() {
+		if err := platform.Serve(app, ln); err != nil {
+			events.ProcessFailed.Log(r.log).Err(err).Send()
+		}
+	})
+	return nil
+}
+
+func (r *routed) startEntry() error {
+	if r.set.Callers == "" {
+		return &usageError{fmt.Errorf("%w: field listen.front is missing", platform.ErrSettings)}
+	}
+	ln, err := net.Listen("tcp", r.set.Callers)
+	if err != nil {
+		return err
+	}
+	observer := metrics.NewRelay(r.metrics)
+	pool := upstream.NewPool(observer)
+	b := r.set.Bounds
+	entry := process.NewRoutedEntry(process.RoutedEntrySettings{
+		Instance: r.set.Instance,
+		Zone:     r.set.Zone,
+		Key:      []byte(r.command.key),
+		Callers:  ln,
+		Seeds:    r.set.SeedLinks(),
+		Repeats:  repeats.Limits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Window: b.RepeatWindow},
+		Grace:    b.Grace,
+	}, process.RoutedEntryPorts{
+		Dialect:  platform.Dialect{},
+		Pool:     pool,
+		Engines:  &platform.Engines{Pool: pool},
+		Decode:   platform.DecodeConfiguration,
+		Observer: observer,
+		Metrics:  r.metrics,
+		Log:      r.log,
+	})
+	r.ready, r.stop = entry.Ready, entry.Stop
+	entry.Start()
+	return r.serve("ready", r.set.Ready, platform.ReadyApp(entry.Ready))
+}
+
+func (r *routed) startControl() error {
+	c := process.NewRoutedControl(process.RoutedControlSettings{
+		Instance:      r.set.Instance,
+		Zone:          r.set.Zone,
+		Key:           []byte(r.command.key),
+		Dir:           r.set.DataDir,
+		Links:         r.set.LinkAddress(r.set.Host),
+		Seeds:         r.set.SeedLinks(),
+		Founding:      r.set.Founding,
+		AnnounceEvery: r.set.AnnounceEvery,
+		Validate: func(document []byte) error {
+			_, err := platform.DecodeConfiguration(document)
+			return err
+		},
+	}, r.metrics, r.log)
+	r.ready, r.stop = func() bool { return true }, c.Stop
+	c.Start()
+	return r.serve("control", r.set.Operators, platform.ControlApp(c, c))
+}
+
+// wait runs until it is told to stop. SIGHUP says that the settings file has
+// changed; nothing in it changes while a process runs but the seeds, which the
+// group itself tells better.
+func (r *routed) wait() int {
+	sig := make(chan os.Signal, 2)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range sig {
+		if s != syscall.SIGHUP {
+			break
+		}
+		events.ProcessReloaded.Log(r.log).Send()
+	}
+	code := exitOK
+	if err := r.stop(context.Background()); err != nil {
+		code = exitFailed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), logClose)
+	defer cancel()
+	for _, app := range r.apps {
+		_ = app.ShutdownWithContext(ctx) // the process ends next
+	}
+	_ = r.ops.Close(ctx)
+	return code
+}
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -102,6 +102,19 @@
 	ChangeRemove
 )
 
+// String gives the change as logs print it.
+func (t ChangeType) String() string {
+	switch t {
+	case ChangeAddLearner:
+		return "add_learner"
+	case ChangePromote:
+		return "promote"
+	case ChangeRemove:
+		return "remove"
+	}
+	return "unknown"
+}
+
 // Change is one step of membership. Addr matters for ChangeAddLearner only.
 type Change struct {
 	Type ChangeType
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,101 @@
+// Package placement chooses the target of a request among those that announce
+// themselves, from what one entry knows of them. It is pure: a Filter leaves out
+// what must not be asked, a Scorer weighs the rest, and a Picker takes the best of
+// two drawn at random.
+package placement
+
+import (
+	"almondseam.dev/core/api"
+)
+
+// Candidate is a target at the time of the choice.
+type Candidate struct {
+	Zone api.Zone
+	// Slots is how many requests the target runs at once; Running how many are
+	// known to be there.
+	Slots   int
+	Running int
+	// Tokens is the memory that those are expected to take, of Capacity; both are
+	// zero for a plain service.
+	Tokens   int
+	Capacity int
+	// Cold targets are still slow after their start.
+	Cold bool
+	// Avoid is set for a while after a failure.
+	Avoid bool
+	// Excluded targets must not be asked.
+	Excluded bool
+}
+
+// Need is what a request asks of its target.
+type Need struct {
+	Zone   api.Zone
+	Tokens int
+}
+
+const (
+	// otherZone is what a target in another zone counts more, in parts of its
+	// load: a crossing costs a millisecond and bytes that are paid for, which is
+	// less than waiting behind one more request.
+	otherZone = 0.02
+	// coldLoad is what a target counts more while it is slow after its start.
+	coldLoad = 0.5
+	// avoidLoad puts a target that has just failed behind all that have not.
+	avoidLoad = 100
+)
+
+// Pick gives the index of the chosen candidate, -1 if none may be asked. draw is
+// uniform in [0,1).
+func Pick(list []Candidate, need Need, draw func() float64) int {
+	eligible := filter(list, need)
+	if len(eligible) == 0 {
+		return -1
+	}
+	best, bestScore := -1, 0.0
+	for _, i := range eligible {
+		// A little noise keeps entries that see the same loads from all taking the
+		// same target.
+		s := score(&list[i], need) + draw()*noise
+		if best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// noise is the breadth of the random part of a score, in parts of a target's load.
+const noise = 0.03
+
+// filter gives the indexes of candidates that may be asked.
+func filter(list []Candidate, need Need) []int {
+	out := make([]int, 0, len(list))
+	for i := range list {
+		c := &list[i]
+		if c.Excluded || c.Capacity > 0 && need.Tokens > c.Capacity {
+			continue
+		}
+		out = append(out, i)
+	}
+	return out
+}
+
+// score gives the load of a target with the request on it, lower is better.
+func score(c *Candidate, need Need) float64 {
+	s := 0.0
+	if c.Slots > 0 {
+		s = float64(c.Running+1) / float64(c.Slots)
+	}
+	if c.Capacity > 0 {
+		s = max(s, float64(c.Tokens+need.Tokens)/float64(c.Capacity))
+	}
+	if c.Zone != need.Zone {
+		s += otherZone
+	}
+	if c.Cold {
+		s += coldLoad
+	}
+	if c.Avoid {
+		s += avoidLoad
+	}
+	return s
+}
--- /dev/null
+++ b/core/regroup/regroup_test.go
@@ -0,0 +1,60 @@
+package regroup
+
+import (
+	"testing"
+	"time"
+
+	"almondseam.dev/core/consensus"
+	qt "github.com/frankban/quicktest"
+)
+
+func voter(id consensus.MemberID, addr string, active bool) consensus.Progress {
+	return consensus.Progress{ID: id, Addr: addr, Voter: true, Active: active}
+}
+
+func status(members ...consensus.Progress) *consensus.Status {
+	st := &consensus.Status{Role: consensus.RoleLeader, Members: members}
+	for _, p := range members {
+		m := consensus.Member{ID: p.ID, Addr: p.Addr}
+		if p.Voter {
+			st.Membership.Voters = append(st.Membership.Voters, m)
+		} else {
+			st.Membership.Learners = append(st.Membership.Learners, m)
+		}
+	}
+	return st
+}
+
+// Operators see a group that mends itself after a machine comes back with an
+// empty disk or another takes its place, and one that stays as it is while a
+// member is merely silent: a partition or a frozen process must not cost a vote.
+func TestPlan(t *testing.T) {
+	learner := consensus.Progress{ID: 9, Addr: "d", Active: true}
+	lagging := consensus.Progress{ID: 9, Addr: "d", Active: true, Lag: 500}
+	for _, tt := range []struct {
+		name   string
+		st     *consensus.Status
+		silent time.Duration
+		want   *consensus.Change
+	}{
+		{"all well", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", true)), time.Minute, nil},
+		{"a learner that has caught up gets its vote", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", false), learner), 0,
+			&consensus.Change{Type: consensus.ChangePromote, ID: 9}},
+		{"a learner behind waits", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", true), lagging), 0, nil},
+		{"three voters are never made two", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", false)), time.Hour, nil},
+		{"the identity of a lost folder goes at once", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", false), voter(9, "c", true)), 0,
+			&consensus.Change{Type: consensus.ChangeRemove, ID: 3}},
+		{"a fourth voter makes up for a lost one", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", false), voter(9, "d", true)), 4 * time.Second,
+			&consensus.Change{Type: consensus.ChangeRemove, ID: 3}},
+		{"but not before it has been silent for a while", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", false), voter(9, "d", true)), time.Second, nil},
+		{"two silent voters may be behind a partition", status(voter(1, "a", true), voter(2, "b", true), voter(3, "c", true), voter(4, "d", false), voter(5, "e", false), voter(6, "f", true)), time.Hour, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := NewKeeper(DefaultLimits())
+			start := time.Unix(0, 0)
+			k.observe(tt.st, start)
+			c.Assert(k.Plan(tt.st, start.Add(tt.silent)), qt.DeepEquals, tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/routeconf/routeconf.go
@@ -0,0 +1,119 @@
+// Package routeconf is the configuration of routed traffic: which host and path
+// prefix goes to which services, what may be repeated there, who may call, and
+// what a caller may send. A Table is the compiled form that requests are looked
+// up in; it is immutable and shared by all goroutines.
+package routeconf
+
+import (
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind uint8
+
+// The kinds. Idempotent requests may run more than once. Once requests run at
+// most once for each attempt of a caller. Stream answers are series of events,
+// at most once too unless the route may resume them.
+const (
+	KindIdempotent Kind = iota + 1
+	KindOnce
+	KindStream
+)
+
+// Config is one whole version of the configuration, as the operator sent it.
+type Config struct {
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+	// HasCustomers tells that the configuration names customers at all; without
+	// them no key is asked for.
+	HasCustomers bool
+}
+
+// Route sends the requests of one host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting for the end of
+	// its answer, from when its request was read.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to a stream's first event, within
+	// which the caller is well served.
+	Objective time.Duration
+	// GapObjective is the longest pause between two events of a stream within
+	// which the caller is well served.
+	GapObjective time.Duration
+	// MaxTargets is the number of targets that one attempt of a caller may be
+	// sent to.
+	MaxTargets int
+	// Rank orders routes under pressure: 0 goes first.
+	Rank int
+	// Public routes ask for no key.
+	Public bool
+	// Resumable streams may be run again from the event after the last one that
+	// the caller has.
+	Resumable bool
+	// Generates marks routes whose requests tell their model, tokens and prompt.
+	Generates bool
+	Split     []Share
+}
+
+// Share is one service of a route and its weight among the route's services.
+type Share struct {
+	Service api.ServiceID
+	Weight  int
+}
+
+// Service is a group of targets that serve the same requests.
+type Service struct {
+	Name api.ServiceID
+	// HealthPath answers 200 at a target that takes itself for healthy.
+	HealthPath string
+	// MaxConnections is what one target accepts from all callers together.
+	MaxConnections int
+	// Engine is set for services of model engines.
+	Engine *Engine
+}
+
+// Engine tells what the engines of a service can do.
+type Engine struct {
+	// Batch is how many requests one engine runs at once.
+	Batch int
+	// CacheTokens is the memory of one engine in tokens.
+	CacheTokens int
+	// BytesPerToken is what one token takes when it is moved between engines.
+	BytesPerToken int
+	// LinkMbps is the rate of moves between engines, megabits a second.
+	LinkMbps float64
+	// Moves and Backups tell that a running request can be moved to another
+	// engine, and that its memory can be copied there as it grows.
+	Moves   bool
+	Backups bool
+	// TokensPerEvent is how many tokens one event of a stream holds.
+	TokensPerEvent int
+	// CopyLife is how long a copied memory is kept before it is used.
+	CopyLife time.Duration
+}
+
+// Customer is who holds keys, and in which rank its requests go before a route's.
+type Customer struct {
+	Name api.CustomerID
+	Keys []string
+	// Rank is in force instead of the route's when HasRank is set.
+	Rank    int
+	HasRank bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -21,6 +21,10 @@
 	// Pace is that of loads by the document, as the member that validated it
 	// reads it; nil leaves the pace as it is.
 	Pace *order.Pace `cbor:"5,keyasint,omitempty"`
+	// Version is the operator's own number of the document. Above zero it takes
+	// the place of Base and ChangeID: the highest version is in force, and one at
+	// or below it is accepted without effect.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ConfigResult answers a ConfigPut. Revision is the one made, or on a refusal
@@ -33,6 +37,8 @@
 	ChangeID string       `cbor:"5,keyasint,omitempty"`
 	Reason   api.Reason   `cbor:"6,keyasint,omitempty"`
 	Message  string       `cbor:"7,keyasint,omitempty"`
+	// Version is the operator's version in force after a versioned put.
+	Version uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Config is one accepted revision.
@@ -46,6 +52,8 @@
 	Size int   `cbor:"6,keyasint"`
 	// Document is nil once only the history line is kept.
 	Document []byte `cbor:"7,keyasint,omitempty"`
+	// Version is the operator's own number, zero for a put without one.
+	Version uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ConfigLimits bound what is remembered of configurations.
@@ -102,6 +110,9 @@
 // made in between. The memory is part of the snapshot, so neither a compaction
 // nor a new leader forgets it.
 func (c *configs) put(index uint64, wall int64, p *ConfigPut) ConfigResult {
+	if p.Version > 0 {
+		return c.putVersion(index, wall, p)
+	}
 	digest := p.digest()
 	if known, ok := c.byID[p.ChangeID]; ok {
 		return repeat(known, digest)
@@ -114,6 +125,26 @@
 	return r
 }
 
+// putVersion accepts a document under the operator's own version.
+//
+// Failure: two operators write at once, or a change whose answer was lost is sent
+// again after a later one. Symptom without the comparison: the older document
+// comes back in force, or the repetition is refused though it had been accepted.
+// Only a higher version changes anything, so repetitions and latecomers have no
+// effect in whatever order they arrive, and other content under the version held
+// is never read back.
+func (c *configs) putVersion(index uint64, wall int64, p *ConfigPut) ConfigResult {
+	cur := c.current()
+	if p.Version <= cur.Version {
+		return ConfigResult{Accepted: true, Repeated: true, Revision: cur.Revision, Version: cur.Version}
+	}
+	if bad := c.checkDocument(p); bad != nil {
+		return *bad
+	}
+	c.append(index, wall, p)
+	return ConfigResult{Accepted: true, Revision: c.current().Revision, Version: p.Version}
+}
+
 func repeat(known change, digest [32]byte) ConfigResult {
 	if known.Digest != digest {
 		return ConfigResult{
@@ -128,10 +159,15 @@
 }
 
 func (c *configs) check(p *ConfigPut) *ConfigResult {
+	if p.ChangeID == "" {
+		return &ConfigResult{Revision: c.current().Revision, Reason: api.ReasonBadRequest, Message: "change ID is empty"}
+	}
+	return c.checkDocument(p)
+}
+
+func (c *configs) checkDocument(p *ConfigPut) *ConfigResult {
 	bad := ConfigResult{Revision: c.current().Revision, Reason: api.ReasonBadRequest}
 	switch {
-	case p.ChangeID == "":
-		bad.Message = "change ID is empty"
 	case len(p.Document) == 0:
 		bad.Message = "document is empty"
 	case len(p.Document) > c.limits.MaxDocument:
@@ -154,18 +190,24 @@
 			Message:  fmt.Sprintf("based on revision %d, but revision %d by %s (change %s) is in force", p.Base, cur.Revision, cur.Author, cur.ChangeID),
 		}
 	}
+	c.append(index, wall, p)
+	return ConfigResult{Accepted: true, Revision: c.current().Revision, Author: p.Author, ChangeID: p.ChangeID}
+}
+
+// append makes the next revision.
+func (c *configs) append(index uint64, wall int64, p *ConfigPut) {
 	next := Config{
-		Revision: cur.Revision + 1,
+		Revision: c.current().Revision + 1,
 		ChangeID: p.ChangeID,
 		Author:   p.Author,
 		Index:    index,
 		Wall:     wall,
 		Size:     len(p.Document),
 		Document: p.Document,
+		Version:  p.Version,
 	}
 	c.kept = append(c.kept, next)
 	c.trim()
-	return ConfigResult{Accepted: true, Revision: next.Revision, Author: p.Author, ChangeID: p.ChangeID}
 }
 
 func (c *configs) trim() {
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -25,13 +25,21 @@
 	// tryFor bounds one attempt. A stopped member keeps its connections open,
 	// so that without the bound a call would wait for the link's silence.
 	tryFor = 2 * time.Second
+	// leaderlessFor is how long a client stays with a member that knows of no
+	// leader: a little over one election.
+	leaderlessFor = 1500 * time.Millisecond
 )
 
 // ClientOptions of a Client.
 type ClientOptions struct {
 	// Seeds are addresses of control members, host:port. More are learnt.
 	Seeds []string
-	Link  link.Options
+	// Not is an address that is never dialled unless it is the only one.
+	Not  string
+	Link link.Options
+	// OnMembers is called with the link addresses of the whole group whenever a
+	// member tells them; it may be nil.
+	OnMembers func(addrs []string)
 	// OnConfig is called with each newer revision, in rising order, on one
 	// goroutine. It must not block for long. Document is read-only.
 	OnConfig func(revision api.Revision, document []byte)
@@ -72,9 +80,13 @@
 	mu      sync.Mutex
 	conn    *link.Conn
 	up      chan struct{} // closed while a link is up
-	next    string        // address to dial next, empty for any seed
-	seq     uint64
-	waiting map[uint64]chan *Reply
+	next    string        // address to dial next, empty for any known
+	last    string        // address dialled last
+	members []string      // learnt addresses of the group
+	// leaderless closes a link to a member that knows of no leader.
+	leaderless *time.Timer
+	seq        uint64
+	waiting    map[uint64]chan *Reply
 
 	// revision and document are what was last delivered, whole asks for no
 	// patch next; Run's goroutine only.
@@ -91,6 +103,9 @@
 	if opt.OnConfig == nil {
 		opt.OnConfig = func(api.Revision, []byte) {}
 	}
+	if opt.OnMembers == nil {
+		opt.OnMembers = func([]string) {}
+	}
 	if opt.OnEntries == nil {
 		opt.OnEntries = func([]wire.EntryInfo) {}
 	}
@@ -167,9 +182,16 @@
 	defer c.mu.Unlock()
 	if addr := c.next; addr != "" {
 		c.next = ""
+		c.last = addr
 		return addr
 	}
-	return c.opt.Seeds[rand.IntN(len(c.opt.Seeds))]
+	known := slices.Concat(c.opt.Seeds, c.members)
+	known = slices.DeleteFunc(known, func(a string) bool { return a == c.last || a == c.opt.Not })
+	if len(known) == 0 {
+		known = c.opt.Seeds
+	}
+	c.last = known[rand.IntN(len(known))]
+	return c.last
 }
 
 func (c *Client) attach(conn *link.Conn) {
@@ -207,12 +229,43 @@
 	case *Orders:
 		c.opt.OnOrders(m.Ready)
 	case *Leader:
-		if !m.Self && m.Addr != "" {
-			c.move(conn, m.Addr)
-		}
+		c.leader(conn, m)
+	}
+}
+
+// leader follows what a member says of the leader. A member that knows of none is
+// given a while, for an election is mostly over soon, and then left for another:
+// it may be cut off from the majority for as long as a partition lasts, and what
+// the majority accepts meanwhile would not arrive here.
+func (c *Client) leader(conn *link.Conn, m *Leader) {
+	if len(m.Members) > 0 {
+		c.learn(m.Members)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaderless != nil {
+		c.leaderless.Stop()
+		c.leaderless = nil
+	}
+	switch {
+	case m.Self:
+	case m.Addr != "":
+		c.next = m.Addr
+		// Closing ends the link's own goroutines; it takes no lock of this type.
+		conn.Close()
+	default:
+		c.leaderless = time.AfterFunc(leaderlessFor, conn.Close)
 	}
 }
 
+// learn keeps the group's addresses, to dial when the seeds don't answer.
+func (c *Client) learn(members []string) {
+	c.mu.Lock()
+	c.members = slices.Clone(members)
+	c.mu.Unlock()
+	c.opt.OnMembers(members)
+}
+
 func (c *Client) reply(conn *link.Conn, r *Reply) {
 	c.mu.Lock()
 	ch := c.waiting[r.ID]
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/regroup"
 	"almondseam.dev/core/state"
 	"github.com/sourcegraph/conc"
 )
@@ -25,6 +26,7 @@
 	snapshotEntries     = 8192
 	snapshotBytes       = 16 << 20
 	statusRefresh       = 20
+	mendTicks           = 5
 	defaultReplyTimeout = 10 * time.Second
 )
 
@@ -45,6 +47,9 @@
 	Observer Observer
 	// SnapshotEntries is how many applied entries make a snapshot due.
 	SnapshotEntries uint64
+	// Mend lets the group give votes to new members and remove lost ones by
+	// itself (core/regroup); without it an operator does so.
+	Mend bool
 }
 
 // Member is one member of the control group. Run drives it; all other methods
@@ -73,6 +78,7 @@
 	frozen      chan frozen
 	encoding    conc.WaitGroup
 	members     consensus.Membership
+	keeper      *regroup.Keeper // of this office; nil when not leading
 
 	// mu guards the state between Apply and its readers.
 	mu      sync.RWMutex
@@ -143,6 +149,32 @@
 // Status gives the newest picture of the agreement.
 func (m *Member) Status() consensus.Status { return *m.status.Load() }
 
+// ConfigAt gives the newest configuration that this member has applied once that
+// is at least a revision; false if it isn't when ctx ends or waitApplied has passed.
+func (m *Member) ConfigAt(ctx context.Context, least api.Revision) (state.Config, bool) {
+	limit := time.NewTimer(waitApplied)
+	defer limit.Stop()
+	for {
+		m.mu.RLock()
+		conf, changed := m.state.Current(), m.changed
+		m.mu.RUnlock()
+		if conf.Revision >= least {
+			return conf, true
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return conf, false
+		case <-ctx.Done():
+			return conf, false
+		}
+	}
+}
+
+// waitApplied is how long a member that lags may take to apply what a majority
+// has accepted before a read is refused.
+const waitApplied = 800 * time.Millisecond
+
 // Receive takes a peer's message. It never blocks: when the inbox is full the
 // message is dropped, which the agreement tolerates.
 func (m *Member) Receive(msg consensus.Message) {
@@ -200,13 +232,32 @@
 	}
 	m.releaseChanges()
 	if m.role != consensus.RoleLeader {
+		m.keeper = nil
 		return
 	}
+	if m.opt.Mend && m.ticks%mendTicks == 0 {
+		m.mend()
+	}
 	if time.Since(m.lastCommand) > clockTick {
 		m.keepClock()
 	}
 }
 
+// mend makes the membership change that is due, if any. A refusal needs no more
+// than the next try: the agreement refuses what would cost the majority.
+func (m *Member) mend() {
+	if m.keeper == nil {
+		m.keeper = regroup.NewKeeper(regroup.DefaultLimits())
+	}
+	st := m.node.Status()
+	change := m.keeper.Plan(&st, time.Now())
+	if change == nil {
+		return
+	}
+	err := m.node.ProposeChange(*change)
+	m.opt.Observer.Mended(*change, err)
+}
+
 // step takes a message and whatever else waits, so that one save covers all.
 func (m *Member) step(msg consensus.Message) {
 	_ = m.node.Step(msg)
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -115,6 +116,13 @@
 type Leader struct {
 	Self bool   `cbor:"1,keyasint,omitempty"`
 	Addr string `cbor:"2,keyasint,omitempty"`
+	// Members are the link addresses of the whole group, so that a client that
+	// was given few seeds, or seeds that are gone, can still find the others.
+	Members []string `cbor:"3,keyasint,omitempty"`
+}
+
+func (l Leader) equal(o Leader) bool {
+	return l.Self == o.Self && l.Addr == o.Addr && slices.Equal(l.Members, o.Members)
 }
 
 // Drains lists all targets that operators drain at the log index Index. A list
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -25,7 +26,7 @@
 	leads     prometheus.Gauge
 	snapshots *prometheus.CounterVec
 	dropped   prometheus.Counter
-	self      consensus.MemberID
+	self      atomic.Uint64
 }
 
 // NewMetrics registers a member's metrics.
@@ -38,8 +39,7 @@
 		return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
 	}
 	m := &Metrics{
-		log:  log,
-		self: self,
+		log: log,
 		saves: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "save_seconds",
@@ -55,12 +55,17 @@
 		snapshots: f.NewCounterVec(counter("snapshots_total", "Snapshots, taken here or received."), []string{"how"}),
 		dropped:   f.NewCounter(counter("inbox_dropped_total", "Messages of peers dropped for want of room.")),
 	}
+	m.Is(self)
 	for r := range api.Reasons {
 		m.refusals.WithLabelValues(string(r))
 	}
 	return m
 }
 
+// Is sets whose metrics these are: a member whose folder was lost comes back as
+// another.
+func (m *Metrics) Is(self consensus.MemberID) { m.self.Store(uint64(self)) }
+
 // Saved implements Observer.
 func (m *Metrics) Saved(entries int, sync bool, took time.Duration) {
 	label := "no"
@@ -87,7 +92,7 @@
 	m.leaders.Inc()
 	m.term.Set(float64(term))
 	m.leads.Set(0)
-	if leader == m.self {
+	if uint64(leader) == m.self.Load() {
 		m.leads.Set(1)
 	}
 	e := events.ControlLeader
@@ -110,5 +115,10 @@
 // InboxFull implements Observer.
 func (m *Metrics) InboxFull() { m.dropped.Inc() }
 
+// Mended implements Observer.
+func (m *Metrics) Mended(c consensus.Change, err error) {
+	events.ControlMended.Log(m.log).Str("change", c.Type.String()).Uint64("member", uint64(c.ID)).AnErr("refused", err).Send()
+}
+
 // Failed implements Observer.
 func (m *Metrics) Failed(err error) { events.ControlFailed.Log(m.log).Err(err).Send() }
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"strconv"
@@ -17,9 +16,6 @@
 )
 
 const (
-	operatorTimeout = 10 * time.Second
-	// forwardTimeout is how long a member looks for the leader: two elections.
-	forwardTimeout    = 2500 * time.Millisecond
 	operatorBodyLimit = 2 << 20
 	bearer            = "Bearer "
 )
@@ -27,15 +23,14 @@
 // Operator serves the operator interface of one member over HTTP. What only the
 // leader can do is passed on to it.
 type Operator struct {
-	member  *Member
-	forward *Client
-	token   []byte
+	member *Member
+	exec   *executor
+	token  []byte
 }
 
-// NewOperator makes the interface. forward is a client of role control, and
-// token must not be empty.
-func NewOperator(m *Member, forward *Client, token string) *Operator {
-	return &Operator{member: m, forward: forward, token: []byte(token)}
+// NewOperator makes the interface; token must not be empty.
+func NewOperator(x *executor, token string) *Operator {
+	return &Operator{member: x.member, exec: x, token: []byte(token)}
 }
 
 // App gives the fiber app to listen with.
@@ -76,25 +71,8 @@
 	return c.Status(api.Reasons[reason].Status).JSON(opapi.Error{Outcome: outcome, Reason: reason, Message: message})
 }
 
-// exec carries out a request here, or at the leader when that is elsewhere.
-func (o *Operator) exec(req Request) *Reply { return o.execWithin(context.Background(), req) }
-
-// execWithin is exec that ends with ctx too.
-func (o *Operator) execWithin(ctx context.Context, req Request) *Reply {
-	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
-	defer cancel()
-	r := o.member.Do(ctx, &req)
-	elsewhere := r.Outcome == api.OutcomeNotRun && r.Reason == api.ReasonControlUnavailable
-	if !elsewhere || o.forward == nil {
-		return r
-	}
-	forwardCtx, stop := context.WithTimeout(ctx, forwardTimeout)
-	defer stop()
-	return o.forward.Exec(forwardCtx, req)
-}
-
 func (o *Operator) status(c fiber.Ctx) error {
-	r := o.exec(Request{Status: true})
+	r := o.exec.run(Request{Status: true})
 	if r.Outcome == api.OutcomeCompleted {
 		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 		return c.Send(r.Status)
@@ -106,7 +84,7 @@
 }
 
 func (o *Operator) targets(c fiber.Ctx) error {
-	r := o.exec(Request{Status: true})
+	r := o.exec.run(Request{Status: true})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
@@ -123,7 +101,7 @@
 		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
 	}
 	put := state.ConfigPut{ChangeID: in.ChangeID, Author: in.Author, Base: in.Base, Document: in.Document}
-	r := o.exec(Request{Command: &state.Command{Config: &put}})
+	r := o.exec.run(Request{Command: &state.Command{Config: &put}})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
@@ -200,7 +178,7 @@
 // catchUp asks a majority for the highest revision and waits until this member
 // has it, so that an operator never reads less than was accepted before.
 func (o *Operator) catchUp() *api.Error {
-	r := o.exec(Request{Read: true})
+	r := o.exec.run(Request{Read: true})
 	if r.Outcome != api.OutcomeCompleted {
 		return &api.Error{Step: api.StepConfig, Outcome: api.OutcomeNotRun, Reason: r.Reason}
 	}
@@ -247,7 +225,7 @@
 		Target: in.Target, Action: order.Action(in.Action), Model: in.Model,
 		Adapter: in.Adapter, Version: in.Version, Role: in.Role, Bytes: in.Bytes,
 	}}
-	r := o.exec(Request{Command: &state.Command{Order: &cmd}})
+	r := o.exec.run(Request{Command: &state.Command{Order: &cmd}})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
@@ -266,7 +244,7 @@
 		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, "target is empty")
 	}
 	cmd := state.Command{Drain: &state.Drain{Target: in.Target, Incarnation: in.Incarnation, Undo: in.Undo, Author: in.Author}}
-	r := o.exec(Request{Command: &cmd})
+	r := o.exec.run(Request{Command: &cmd})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
@@ -277,7 +255,7 @@
 }
 
 func (o *Operator) members(c fiber.Ctx) error {
-	r := o.exec(Request{Status: true})
+	r := o.exec.run(Request{Status: true})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
@@ -303,7 +281,7 @@
 	if !ok || in.ID == 0 {
 		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, "change or member ID is not valid")
 	}
-	r := o.exec(Request{Change: &MemberChange{Type: kind, ID: consensus.MemberID(in.ID), Addr: in.Address}})
+	r := o.exec.run(Request{Change: &MemberChange{Type: kind, ID: consensus.MemberID(in.ID), Addr: in.Address}})
 	if r.Outcome != api.OutcomeCompleted {
 		return o.refuse(c, r.Outcome, r.Reason, r.Message)
 	}
--- a/node/control/ports.go
+++ b/node/control/ports.go
@@ -56,6 +56,9 @@
 	Snapshotted(index uint64, bytes int, received bool)
 	// InboxFull counts a peer's message that was dropped for want of room.
 	InboxFull()
+	// Mended tells of a membership change that the leader made by itself, or of
+	// why the agreement refused it.
+	Mended(c consensus.Change, err error)
 	// Failed tells why the member stopped.
 	Failed(err error)
 }
@@ -68,4 +71,5 @@
 func (noObserver) LeaderChanged(consensus.MemberID, uint64) {}
 func (noObserver) Snapshotted(uint64, int, bool)            {}
 func (noObserver) InboxFull()                               {}
+func (noObserver) Mended(consensus.Change, error)           {}
 func (noObserver) Failed(error)                             {}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/registry"
 	"almondseam.dev/node/wire"
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
@@ -40,6 +42,20 @@
 	Limits       state.Limits
 	// SnapshotEntries is Options.SnapshotEntries.
 	SnapshotEntries uint64
+	// Join makes this member find its group by itself; nil leaves that to an
+	// operator.
+	Join *Join
+	// Registry is told to whoever subscribes; nil for none.
+	Registry *registry.Registry
+	// Silence is that of the links, zero for the default.
+	Silence time.Duration
+}
+
+// Join is how a member finds its group.
+type Join struct {
+	// Seeds are link addresses of members, Self this member's own.
+	Seeds []string
+	Self  string
 }
 
 // Role is a running control role.
@@ -51,6 +67,7 @@
 	server   *fasthttp.Server
 	sessions *Server
 	operator *fiber.App
+	executor *executor
 	// listeners are those of server and operator.
 	listeners []net.Listener
 	once      sync.Once
@@ -59,7 +76,7 @@
 }
 
 // Codec knows the messages of control links.
-var Codec = wire.NewCodec(Protos()...)
+var Codec = wire.NewCodec(slices.Concat(Protos(), registry.Protos())...)
 
 // LinkOptions gives the options of a control link for a process in some role.
 func LinkOptions(key []byte, self link.Peer, observer link.Observer) link.Options {
@@ -72,6 +89,7 @@
 	r := &Role{cancel: cancel, ended: make(chan struct{})}
 	self := link.Peer{Instance: s.Instance, Zone: s.Zone, Role: link.RoleControl, Start: uint64(s.ID)}
 	opt := LinkOptions(s.Key, self, s.LinkObserver)
+	opt.Silence = s.Silence
 	r.links = NewLinks(ctx, s.ID, opt, func(m consensus.Message) { r.member.Receive(m) })
 	var err error
 	r.member, err = NewMember(Options{
@@ -85,6 +103,7 @@
 		Pace:            s.Pace,
 		Observer:        s.Observer,
 		SnapshotEntries: s.SnapshotEntries,
+		Mend:            s.Join != nil,
 	})
 	if err != nil {
 		cancel()
@@ -107,6 +126,7 @@
 
 func (r *Role) serve(ctx context.Context, s Settings, opt link.Options) {
 	r.sessions = NewServer(ctx, r.member, r.links)
+	r.sessions.registry = s.Registry
 	acceptor := link.NewAcceptor(opt, r.sessions.Serve)
 	r.server = &fasthttp.Server{Handler: acceptor.Handler}
 	r.listeners = append(r.listeners, s.Link)
@@ -115,28 +135,63 @@
 		r.err = r.member.Run(ctx)
 		close(r.ended)
 	})
-	if s.Operator == nil {
+	if s.Operator == nil && s.Join == nil {
 		return
 	}
-	forward := NewClient(ClientOptions{Seeds: []string{s.Link.Addr().String()}, Link: opt})
-	r.wg.Go(func() { forward.Run(ctx) })
-	operator := NewOperator(r.member, forward, s.Token)
+	r.executor = &executor{member: r.member, forward: NewClient(ClientOptions{Seeds: s.forwardSeeds(), Not: s.notDialled(), Link: opt})}
+	r.wg.Go(func() { r.executor.forward.Run(ctx) })
+	if s.Join != nil {
+		r.wg.Go(func() { keepJoined(ctx, r.executor, s.Join.Self) })
+	}
+	if s.Operator != nil {
+		r.serveOperators(ctx, s)
+	}
+}
+
+// forwardSeeds gives where this member looks for the leader. A member that joins
+// by itself may hold nothing, and would only tell itself that it knows of no
+// leader, so it asks others.
+func (s *Settings) forwardSeeds() []string {
+	own := s.Link.Addr().String()
+	if s.Join == nil {
+		return []string{own}
+	}
+	others := slices.DeleteFunc(slices.Clone(s.Join.Seeds), func(a string) bool { return a == s.Join.Self })
+	if len(others) == 0 {
+		return []string{own}
+	}
+	return others
+}
+
+func (s *Settings) notDialled() string {
+	if s.Join == nil {
+		return ""
+	}
+	return s.Join.Self
+}
+
+func (r *Role) serveOperators(ctx context.Context, s Settings) {
+	operator := NewOperator(r.executor, s.Token)
 	r.operator = operator.App()
 	r.listeners = append(r.listeners, s.Operator)
 	info := state.MemberInfo{ID: uint64(s.ID), Operator: s.OperatorAddr, Zone: s.Zone}
-	r.wg.Go(func() { tellSelf(ctx, operator, info) })
+	r.wg.Go(func() { tellSelf(ctx, r.executor, info) })
 	r.wg.Go(func() {
 		_ = r.operator.Listener(s.Operator, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 }
 
+// Exec carries out a request here, or at the leader when that is elsewhere. It
+// needs Join or Operator in the settings.
+func (r *Role) Exec(ctx context.Context, req Request) *Reply { return r.executor.within(ctx, req) }
+
 const tellPause = time.Second
 
 // tellSelf tells the group where this member's operators connect, until that is
 // recorded. A member that waits to be added tries on meanwhile.
-func tellSelf(ctx context.Context, o *Operator, info state.MemberInfo) {
+func tellSelf(ctx context.Context, x *executor, info state.MemberInfo) {
 	for ctx.Err() == nil {
-		r := o.execWithin(ctx, Request{Command: &state.Command{Member: &info}})
+		r := x.within(ctx, Request{Command: &state.Command{Member: &info}})
 		if r.Outcome == api.OutcomeCompleted {
 			return
 		}
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -10,6 +10,7 @@
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/registry"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
 )
@@ -20,6 +21,8 @@
 	links  *Links
 	ctx    context.Context
 	active sync.WaitGroup
+	// registry is told to subscribers; nil where targets have agents.
+	registry *registry.Registry
 	// last is the newest update made; most clients need the same one.
 	mu   sync.Mutex
 	last *Update
@@ -42,6 +45,16 @@
 	conn.Run(ctx, session.handle)
 	cancel()
 	s.links.Gone(conn)
+	if s.registry != nil {
+		s.registry.Unsubscribe(conn)
+	}
+}
+
+// subscribe lets a link follow the targets that announce themselves here.
+func (s *Server) subscribe(conn *link.Conn) {
+	if s.registry != nil {
+		s.registry.Subscribe(conn)
+	}
 }
 
 // Wait returns once all links have ended. No new ones may be accepted any more.
@@ -69,6 +82,8 @@
 		s.watch.Do(func() { s.wg.Go(func() { s.push(*m) }) })
 	case *Report:
 		s.report(m)
+	case *registry.Subscribe:
+		s.server.subscribe(s.conn)
 	}
 }
 
@@ -134,7 +149,7 @@
 	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watchView()
-		if told == nil || *told != view.leader {
+		if told == nil || !told.equal(view.leader) {
 			leader := view.leader
 			told = &leader
 			_ = s.conn.Send(told)
@@ -212,7 +227,7 @@
 	st := m.Status()
 	v := watchView{
 		config:  m.state.Current(),
-		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader)},
+		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader), Members: addresses(st.Membership)},
 		drained: m.state.Drained(),
 		drains:  m.state.Drains(),
 		ready:   m.state.Orders().Ready(),
@@ -220,6 +235,16 @@
 	return v, m.changed
 }
 
+func addresses(g consensus.Membership) []string {
+	out := make([]string, 0, len(g.Voters)+len(g.Learners))
+	for _, list := range [][]consensus.Member{g.Voters, g.Learners} {
+		for _, m := range list {
+			out = append(out, m.Addr)
+		}
+	}
+	return out
+}
+
 func (m *Member) revision(r api.Revision) (state.Config, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/node/durable/recover.go
+++ b/node/durable/recover.go
@@ -273,9 +273,12 @@
 	if s.id != 0 {
 		return nil
 	}
-	id, err := randomID()
-	if err != nil {
-		return recoverError(identityName, -1, err)
+	id := s.firstID
+	if id == 0 {
+		var err error
+		if id, err = randomID(); err != nil {
+			return recoverError(identityName, -1, err)
+		}
 	}
 	if err := s.writeWhole(identityName, 0, identityFile{Version: formatVersion, ID: id}); err != nil {
 		return err
--- a/node/durable/store.go
+++ b/node/durable/store.go
@@ -31,6 +31,7 @@
 	dir          string
 	lock         io.Closer
 	id           consensus.MemberID
+	firstID      consensus.MemberID // given to a folder without an identity; 0 draws one
 	segmentBytes uint64
 
 	segments  []segmentInfo // oldest first; the last one is open
@@ -58,7 +59,17 @@
 	return open(fs, dir, DefaultSegmentBytes)
 }
 
+// OpenAs is Open that gives a folder without an identity this one. It is for the
+// founders of a group, who must know each other's IDs before any of them runs.
+func OpenAs(fs FS, dir string, id consensus.MemberID) (*Store, consensus.Restored, error) {
+	return openWith(fs, dir, DefaultSegmentBytes, id)
+}
+
 func open(fs FS, dir string, segmentBytes uint64) (*Store, consensus.Restored, error) {
+	return openWith(fs, dir, segmentBytes, 0)
+}
+
+func openWith(fs FS, dir string, segmentBytes uint64, first consensus.MemberID) (*Store, consensus.Restored, error) {
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, consensus.Restored{}, recoverError(dir, -1, err)
 	}
@@ -67,7 +78,7 @@
 	if err != nil {
 		return nil, consensus.Restored{}, recoverError(lockName, -1, err)
 	}
-	s := &Store{fs: fs, dir: dir, lock: lock, segmentBytes: segmentBytes}
+	s := &Store{fs: fs, dir: dir, lock: lock, segmentBytes: segmentBytes, firstID: first}
 	r, err := s.recover()
 	if err != nil {
 		_ = s.Close()
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -31,38 +31,50 @@
 	ProcessDrained   = Event{102, zerolog.InfoLevel, "process drained", "None."}
 	ProcessHardStop  = Event{103, zerolog.WarnLevel, "process stopped hard, requests in progress were cut off", "Find who sent the second signal, or why draining took longer than its limit."}
 	ProcessFailed    = Event{104, zerolog.ErrorLevel, "process failed", "Read the error field; settings are the usual cause."}
+	ProcessReloaded  = Event{105, zerolog.InfoLevel, "settings file changed", "None; a process takes new settings at its next start."}
 	LinkUp           = Event{200, zerolog.InfoLevel, "link up", "None."}
 	LinkDown         = Event{201, zerolog.WarnLevel, "link down", "Read the why field: silence means a stalled network, backlog a peer that does not read, malformed a version or a fault."}
 	LinkDialFailed   = Event{202, zerolog.WarnLevel, "link could not be opened", "Check the address and that the peer is up; it is tried again with growing waits."}
 	LinkRefused      = Event{203, zerolog.WarnLevel, "link refused in the handshake", "Check that both ends were given the same fleet key."}
 	RequestEnded     = Event{300, zerolog.DebugLevel, "request ended", "None."}
 	RequestFailed    = Event{301, zerolog.InfoLevel, "request ended without its whole answer", "Look the reason up in OPERATIONS.md."}
+	RequestRefused   = Event{303, zerolog.InfoLevel, "request refused, it has not run", "Look the reason up in OPERATIONS.md."}
+	RequestSent      = Event{304, zerolog.InfoLevel, "request sent to a target", "None."}
+	RequestAttempted = Event{305, zerolog.InfoLevel, "a target did not answer the request", "Look at the target's own lines by its name."}
+	RequestMoved     = Event{306, zerolog.InfoLevel, "stream goes on at another engine", "None, unless the pause is long: see how full the engines' links are."}
 	RequestRetried   = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
+	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
 	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+	TargetChanged    = Event{404, zerolog.InfoLevel, "what is believed of a target has changed", "None."}
+	TargetDialFailed = Event{406, zerolog.InfoLevel, "a connection to a target could not be opened", "None, unless one address recurs: see whether its machine is up, and whether it is out of connections."}
+	TargetUnusable   = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out who writes announcements of another form; the other targets hold."}
 	ControlStarted   = Event{500, zerolog.InfoLevel, "control member started", "None."}
 	ControlLeader    = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
 	ControlNoLeader  = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
 	ControlSnapshot  = Event{503, zerolog.InfoLevel, "control snapshot", "None."}
 	ControlStranger  = Event{504, zerolog.WarnLevel, "control refused a stranger", "Find who calls the operator interface with a wrong token, or which process asks for what only operators may."}
 	ControlFailed    = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save the disk is to be checked before the member is started again; a lost data folder is replaced by a new member (almondctl members add, promote, remove)."}
+	ControlMended    = Event{506, zerolog.InfoLevel, "control group changes its members by itself", "None, unless refused recurs: then see with the members' logs which of them are up."}
 	ConfigInForce    = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable   = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict   = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
 	ConfigSwitched   = Event{603, zerolog.InfoLevel, "agent follows another entry's configuration", "None, unless it recurs with why=silence: the network between them stalls."}
+	ConfigPut        = Event{605, zerolog.InfoLevel, "configuration proposed", "None, unless the outcome is not completed for long: see whether the control group has a leader."}
+	ConfigInvalid    = Event{606, zerolog.WarnLevel, "invalid configuration refused", "Show the error to the operator who sent it."}
 	ConfigNoSite     = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
 )
 
 // All lists the catalogue in the order of its numbers.
 func All() []Event {
 	return []Event{
-		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed,
+		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed,
-		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed,
-		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
+		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid,
 	}
 }
--- /dev/null
+++ b/node/metrics/relay.go
@@ -0,0 +1,138 @@
+package metrics
+
+import (
+	stdlog "log"
+	"strconv"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/directory"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/relay"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+	"github.com/rs/zerolog"
+)
+
+// Relay implements relay.Observer and upstream.Observer: it counts and logs what
+// becomes of routed requests.
+type Relay struct {
+	log      *zerolog.Logger
+	refusals *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	moves    *prometheus.CounterVec
+	ended    *prometheus.CounterVec
+	dials    *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	pause    *prometheus.HistogramVec
+}
+
+// latencyBuckets reach from a quick answer to the longest stream, in seconds.
+var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 14)
+
+// NewRelay registers the metrics of a relay.
+func NewRelay(s *Set) *Relay {
+	f := promauto.With(s.Registry)
+	r := &Relay{
+		log:      s.log,
+		refusals: s.refusals,
+		sends:    f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
+		attempts: f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
+		moves:    f.NewCounterVec(counter("relay_moves_total", "Streams that went on at another engine, by how."), []string{"how"}),
+		ended:    f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
+		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
+		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_move_pause_seconds", Help: "Pause of a stream that went on elsewhere.", Buckets: latencyBuckets}, []string{"how"}),
+	}
+	return r
+}
+
+func request(e *zerolog.Event, r *relay.Request) *zerolog.Event {
+	e = e.Str("request", string(r.Ask.Request)).Uint64("version", r.Version).Dur("after", time.Since(r.Arrived))
+	if r.Route != nil {
+		e = e.Str("route", r.Route.Name).Str("service", string(r.Service))
+	}
+	return e
+}
+
+func target(e *zerolog.Event, key string, t *relay.Target) *zerolog.Event {
+	return e.Str(key, string(t.Target)).Str(key+"_address", t.Address).Int64(key+"_running", t.Running()).Int64(key+"_tokens", t.Tokens())
+}
+
+func routeName(r *relay.Request) string {
+	if r.Route == nil {
+		return ""
+	}
+	return r.Route.Name
+}
+
+// Refused implements relay.Observer.
+func (m *Relay) Refused(r *relay.Request, status int, reason api.Reason) {
+	m.refusals.WithLabelValues(string(reason)).Inc()
+	request(events.RequestRefused.Log(m.log), r).Int("status", status).Str("reason", string(reason)).Send()
+}
+
+// Sent implements relay.Observer.
+func (m *Relay) Sent(r *relay.Request, t *relay.Target, why string) {
+	m.sends.WithLabelValues(why).Inc()
+	target(request(events.RequestSent.Log(m.log), r).Str("why", why), "target", t).Send()
+}
+
+// Attempted implements relay.Observer.
+func (m *Relay) Attempted(r *relay.Request, t *relay.Target, outcome string, err error) {
+	m.attempts.WithLabelValues(outcome).Inc()
+	if outcome == relay.Answered {
+		return
+	}
+	target(request(events.RequestAttempted.Log(m.log), r).Str("outcome", outcome).AnErr("error", err), "target", t).Send()
+}
+
+// Moved implements relay.Observer.
+func (m *Relay) Moved(r *relay.Request, from, to *relay.Target, how string, pause time.Duration) {
+	m.moves.WithLabelValues(how).Inc()
+	m.pause.WithLabelValues(how).Observe(pause.Seconds())
+	e := request(events.RequestMoved.Log(m.log), r).Str("how", how).Dur("pause", pause)
+	target(target(e, "from", from), "to", to).Send()
+}
+
+// Ended implements relay.Observer.
+func (m *Relay) Ended(r *relay.Request, status int, outcome string) {
+	m.ended.WithLabelValues(routeName(r), outcome).Inc()
+	m.latency.WithLabelValues(routeName(r)).Observe(time.Since(r.Arrived).Seconds())
+	e := events.RequestEnded
+	if outcome != relay.Answered {
+		e = events.RequestFailed
+	}
+	request(e.Log(m.log), r).Int("status", status).Str("outcome", outcome).Send()
+}
+
+// Dialled implements upstream.Observer.
+func (m *Relay) Dialled(addr string, err error) {
+	m.dials.WithLabelValues(strconv.FormatBool(err == nil)).Inc()
+	if err != nil {
+		events.TargetDialFailed.Log(m.log).Str("address", addr).Err(err).Send()
+	}
+}
+
+// Directory implements registry.Observer.
+type Directory struct{ Log *zerolog.Logger }
+
+// Changed implements registry.Observer.
+func (d Directory) Changed(r directory.Record, source string) {
+	events.TargetChanged.Log(d.Log).Str("target", string(r.Target)).Str("service", string(r.Service)).
+		Str("address", r.Address).Str("state", r.State.String()).Int64("born", r.Born).Uint64("sequence", r.Sequence).
+		Str("source", source).Send()
+}
+
+// serverLog passes what the HTTP server logs on as events.
+type serverLog struct{ log *zerolog.Logger }
+
+// Write implements io.Writer.
+func (s serverLog) Write(line []byte) (int, error) {
+	events.CallerFault.Log(s.log).Str("error", string(line)).Send()
+	return len(line), nil
+}
+
+// ServerLog gives the log of an HTTP server for callers.
+func ServerLog(log *zerolog.Logger) *stdlog.Logger { return stdlog.New(serverLog{log}, "", 0) }
--- /dev/null
+++ b/node/process/routed_entry.go
@@ -0,0 +1,201 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/rollout"
+	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/control"
+	"almondseam.dev/node/events"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/registry"
+	"almondseam.dev/node/relay"
+	"almondseam.dev/node/upstream"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+// RoutedEntrySettings are the settings of an entry that routes to targets which
+// announce themselves and have no agent.
+type RoutedEntrySettings struct {
+	Instance api.InstanceID
+	Zone     api.Zone
+	Key      []byte
+	Callers  net.Listener
+	// Seeds are link addresses of control members.
+	Seeds   []string
+	Repeats repeats.Limits
+	// Grace is how long a stop may take in all.
+	Grace time.Duration
+}
+
+// RoutedEntryPorts are what it needs beside its settings.
+type RoutedEntryPorts struct {
+	Dialect relay.Dialect
+	Pool    *upstream.Pool
+	Engines relay.Engines
+	// Decode reads an operator's document.
+	Decode   func(document []byte) (*routeconf.Table, error)
+	Observer relay.Observer
+	Metrics  *metrics.Set
+	Log      *zerolog.Logger
+}
+
+const (
+	// routedSilence ends a link without a sign of life. A configuration has to be
+	// in force within two seconds of its confirmation and three of calm, so that a
+	// stalled link must be noticed within that.
+	routedSilence = 2400 * time.Millisecond
+	// leaveBalancerFor is how long a stopping entry goes on taking connections: the
+	// balancer asks every second and goes by two misses.
+	leaveBalancerFor = 2300 * time.Millisecond
+	// stopMargin is kept from the grace for the end of the process itself.
+	stopMargin = 400 * time.Millisecond
+	// headTime bounds the reading of a request's head; the configuration's own
+	// bound is never longer.
+	headTime = 10 * time.Second
+	// idleTime is how long a caller's idle connection is kept; callers use theirs
+	// again within the configuration's bound, which is a few times shorter.
+	idleTime = 2 * time.Minute
+	// maxHead bounds a request's head in bytes, above any configuration's bound.
+	maxHead = 64 << 10
+)
+
+// RoutedEntry is a running entry.
+type RoutedEntry struct {
+	set      RoutedEntrySettings
+	ports    RoutedEntryPorts
+	live     atomic.Pointer[routeconf.Table]
+	client   *control.Client
+	targets  *relay.Targets
+	registry *registry.Registry
+	follower *registry.Follower
+	server   *http.Server
+	leaving  atomic.Bool
+	work     conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu   sync.Mutex
+	gate rollout.Gate
+}
+
+// NewRoutedEntry makes the role; Start runs it.
+func NewRoutedEntry(set RoutedEntrySettings, p RoutedEntryPorts) *RoutedEntry {
+	e := &RoutedEntry{set: set, ports: p, targets: relay.NewTargets()}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}, p.Metrics)
+	opt.Silence = routedSilence
+	e.registry = registry.New(metrics.Directory{Log: p.Log}, e.targets.Update)
+	e.follower = registry.NewFollower(e.ctx, e.registry, opt, "")
+	e.client = control.NewClient(control.ClientOptions{
+		Seeds:     set.Seeds,
+		Link:      opt,
+		OnConfig:  e.onConfig,
+		OnMembers: e.follower.Follow,
+		Observer:  p.Metrics,
+	})
+	handler := relay.New(relay.Settings{Zone: set.Zone}, relay.Ports{
+		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
+		Repeats: relay.NewRepeats(set.Repeats), Observer: p.Observer,
+	})
+	e.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
+		ErrorLog: metrics.ServerLog(p.Log),
+	}
+	return e
+}
+
+// Start serves callers.
+func (e *RoutedEntry) Start() {
+	e.follower.Follow(e.set.Seeds)
+	e.work.Go(func() { e.client.Run(e.ctx) })
+	e.work.Go(e.confirm)
+	e.work.Go(func() {
+		if err := e.server.Serve(e.set.Callers); !errors.Is(err, http.ErrServerClosed) {
+			events.ProcessFailed.Log(e.ports.Log).Err(err).Send()
+		}
+	})
+	events.ProcessStarted.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Str("callers", e.set.Callers.Addr().String()).Send()
+}
+
+// confirmPause is the wait after a question to the majority without an answer.
+const confirmPause = 100 * time.Millisecond
+
+// confirm asks a majority which revision may be served, until it is told.
+func (e *RoutedEntry) confirm() {
+	for e.ctx.Err() == nil {
+		rev, err := e.client.HighestRevision(e.ctx)
+		if err == nil {
+			e.mu.Lock()
+			document, ok := e.gate.Confirm(rev)
+			e.publish(document, ok)
+			e.mu.Unlock()
+			return
+		}
+		select {
+		case <-e.ctx.Done():
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+func (e *RoutedEntry) onConfig(rev api.Revision, document []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	taken, ok := e.gate.Take(rev, document)
+	e.publish(taken, ok)
+}
+
+// publish puts a document in force. The lock is held, so that revisions come in
+// force in order.
+func (e *RoutedEntry) publish(document []byte, ok bool) {
+	if !ok {
+		return
+	}
+	table, err := e.ports.Decode(document)
+	if err != nil {
+		// A member of a newer version may have accepted what this process can't
+		// read. The last configuration stays in force.
+		events.ConfigUnusable.Log(e.ports.Log).Err(err).Uint64("revision", uint64(e.gate.Served())).Send()
+		return
+	}
+	e.live.Store(table)
+	events.ConfigInForce.Log(e.ports.Log).Uint64("revision", uint64(e.gate.Served())).Uint64("version", table.Config.Version).Send()
+}
+
+// Ready tells whether callers are served.
+func (e *RoutedEntry) Ready() bool {
+	return !e.leaving.Load() && e.live.Load() != nil && e.targets.Len() > 0
+}
+
+// Stop drains: the balancer is told first, then no new connection is taken, and
+// requests in progress go on until the grace is nearly over.
+func (e *RoutedEntry) Stop(context.Context) error {
+	e.leaving.Store(true)
+	events.ProcessDraining.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
+	ctx, cancel := context.WithTimeout(context.Background(), e.set.Grace-stopMargin)
+	defer cancel()
+	// Kept connections end with their next answer, so that callers go elsewhere.
+	e.server.SetKeepAlivesEnabled(false)
+	time.Sleep(min(leaveBalancerFor, e.set.Grace/3))
+	err := e.server.Shutdown(ctx)
+	if err != nil {
+		events.ProcessHardStop.Log(e.ports.Log).Err(err).Send()
+		err = e.server.Close()
+	}
+	e.cancel()
+	e.work.Wait()
+	e.follower.Wait()
+	events.ProcessDrained.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Send()
+	return err
+}
--- /dev/null
+++ b/node/registry/follow.go
@@ -0,0 +1,99 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// followPause grows from its least to its most while a member can't be
+	// reached; the most keeps a restarted member from waiting long for entries.
+	followPauseMin = 50 * time.Millisecond
+	followPauseMax = time.Second
+	// dialWithin bounds one attempt: a machine without power answers nothing.
+	dialWithin = time.Second
+)
+
+// Follower keeps a link to each of a changing set of addresses and merges what
+// they tell into a registry.
+type Follower struct {
+	reg  *Registry
+	opt  link.Options
+	self string
+
+	mu     sync.Mutex
+	ctx    context.Context
+	work   conc.WaitGroup
+	active map[string]context.CancelFunc
+}
+
+// NewFollower makes a follower that ends with ctx. It never dials self.
+func NewFollower(ctx context.Context, reg *Registry, opt link.Options, self string) *Follower {
+	return &Follower{reg: reg, opt: opt, self: self, ctx: ctx, active: make(map[string]context.CancelFunc)}
+}
+
+// Follow sets the addresses.
+func (f *Follower) Follow(addrs []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	want := make(map[string]bool, len(addrs))
+	for _, a := range addrs {
+		want[a] = a != f.self
+	}
+	for a, cancel := range f.active {
+		if !want[a] {
+			cancel()
+			delete(f.active, a)
+		}
+	}
+	for a, ok := range want {
+		if ok && f.active[a] == nil && f.ctx.Err() == nil {
+			f.start(a)
+		}
+	}
+}
+
+func (f *Follower) start(addr string) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.active[addr] = cancel
+	f.work.Go(func() { f.keep(ctx, addr) })
+}
+
+func (f *Follower) keep(ctx context.Context, addr string) {
+	pause := followPauseMin
+	for ctx.Err() == nil {
+		if f.once(ctx, addr) {
+			pause = followPauseMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, followPauseMax)
+	}
+}
+
+func (f *Follower) once(ctx context.Context, addr string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
+	conn, err := link.Dial(dialCtx, addr, f.opt)
+	cancel()
+	if err != nil {
+		return false
+	}
+	_ = conn.Send(&Subscribe{})
+	conn.Run(ctx, func(m wire.Message) {
+		if records, ok := m.(*Records); ok {
+			f.reg.Merge(records.List)
+		}
+	})
+	return true
+}
+
+// Wait returns once all links have ended; the follower's context must be done.
+func (f *Follower) Wait() { f.work.Wait() }
--- /dev/null
+++ b/node/registry/registry.go
@@ -0,0 +1,144 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/directory"
+	"almondseam.dev/node/wire"
+)
+
+// Sender is the sending side of a link. Send does not block.
+type Sender interface {
+	Send(m wire.Message) error
+}
+
+// Observer hears of every change of what is believed of a target. Its methods
+// are called with a lock held and must neither block nor call back.
+type Observer interface {
+	// Changed tells a record that is now in force, and where it came from: the
+	// target itself, another process, or silence.
+	Changed(r directory.Record, source string)
+}
+
+// Sources of a change.
+const (
+	SourceTarget  = "target"
+	SourcePeer    = "peer"
+	SourceSilence = "silence"
+)
+
+// Registry is one process's list of targets.
+type Registry struct {
+	obs Observer
+
+	mu          sync.Mutex
+	dir         *directory.Directory
+	subscribers map[Sender]struct{}
+	// onChange is called with the changed records, in order.
+	onChange func([]directory.Record)
+}
+
+// New makes an empty registry. onChange may be nil; it is called with the lock
+// held and must not call back.
+func New(obs Observer, onChange func([]directory.Record)) *Registry {
+	if onChange == nil {
+		onChange = func([]directory.Record) {}
+	}
+	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), onChange: onChange}
+}
+
+// Announce takes what a target says of itself. When it returns, the news has been
+// queued on every link to a subscriber.
+func (r *Registry) Announce(rec directory.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if got, news := r.dir.Announce(rec, time.Now()); news {
+		r.tell([]directory.Record{got}, SourceTarget)
+	}
+}
+
+// Leave takes a target's word that it is going.
+func (r *Registry) Leave(id api.TargetID, born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if got, news := r.dir.Leave(id, born, time.Now()); news {
+		r.tell([]directory.Record{got}, SourceTarget)
+	}
+}
+
+// Merge takes records from another process.
+func (r *Registry) Merge(list []directory.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var news []directory.Record
+	for _, rec := range list {
+		if r.dir.Merge(rec, now) {
+			news = append(news, rec)
+		}
+	}
+	if len(news) > 0 {
+		r.tell(news, SourcePeer)
+	}
+}
+
+// tell passes news on. The lock is held, so that subscribers hear of changes in
+// the order in which they were made here.
+func (r *Registry) tell(news []directory.Record, source string) {
+	for _, rec := range news {
+		r.obs.Changed(rec, source)
+	}
+	r.onChange(news)
+	for s := range r.subscribers {
+		// A link that has ended is taken out by Unsubscribe, and the peer gets the
+		// whole list on its next one.
+		_ = s.Send(&Records{List: news})
+	}
+}
+
+// Subscribe sends a link all records, and from then on every change.
+func (r *Registry) Subscribe(s Sender) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers[s] = struct{}{}
+	_ = s.Send(&Records{List: r.dir.Records()})
+}
+
+// Unsubscribe ends that.
+func (r *Registry) Unsubscribe(s Sender) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.subscribers, s)
+}
+
+// Records gives all records.
+func (r *Registry) Records() []directory.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dir.Records()
+}
+
+// Run notices targets that have fallen silent, until ctx is done.
+func (r *Registry) Run(ctx context.Context, silence time.Duration) {
+	t := time.NewTicker(silence / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.expire(silence)
+		}
+	}
+}
+
+func (r *Registry) expire(silence time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if gone := r.dir.Expire(time.Now(), silence); len(gone) > 0 {
+		r.tell(gone, SourceSilence)
+	}
+}
--- /dev/null
+++ b/node/relay/backup.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/placement"
+	"almondseam.dev/core/routeconf"
+)
+
+// longStream is from how many tokens on a stream's memory is copied to a second
+// engine as it grows. A shorter one is over before its engine's notice runs out.
+const longStream = 100
+
+// backupRoom is how full an engine may be, in parts of its memory, that is given
+// copies of other engines' runs. Copies take the place of requests that would
+// start there.
+const backupRoom = 0.7
+
+func (s *streamRun) engine() *routeconf.Engine {
+	table := s.relay.live.Load()
+	if table == nil {
+		return nil
+	}
+	service := table.Service(s.req.Service)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+// canMove tells whether the stream's engines copy runs on demand.
+func (s *streamRun) canMove() bool {
+	e := s.engine()
+	return e != nil && e.Moves
+}
+
+// backupFor chooses the engine that gets a copy of the run's memory, nil for none.
+func (s *streamRun) backupFor(t *Target) *Target {
+	e := s.engine()
+	if e == nil || !e.Backups || s.req.Ask.MaxTokens < longStream {
+		return nil
+	}
+	list := s.relay.targets.Of(s.req.Service)
+	candidates := s.relay.candidates(list, []*Target{t}, time.Now())
+	for i := range candidates {
+		c := &candidates[i]
+		full := float64(c.Tokens+s.req.tokens) > backupRoom*float64(c.Capacity)
+		c.Excluded = c.Excluded || c.Avoid || full
+	}
+	choice := placement.Pick(candidates, placement.Need{Zone: t.Zone, Tokens: s.req.tokens}, rand.Float64)
+	if choice < 0 {
+		return nil
+	}
+	return list[choice]
+}
--- /dev/null
+++ b/node/relay/events.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// event is one event of a stream with its bytes as the target wrote them.
+type event struct {
+	raw []byte
+	// id is the event's own, empty if it has none.
+	id []byte
+}
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 1 << 20
+
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
+// errBroken is a stream that ended in the middle of an event.
+var errBroken = errors.New("the stream ended within an event")
+
+// eventReader splits a stream into whole events. Failure: a target stops in the
+// middle of an event, and the stream goes on elsewhere with that same event.
+// Symptom if bytes were passed on as they come: the caller gets half an event and
+// then the whole. An event that is not whole is never given out.
+type eventReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+// next gives the next whole event; io.EOF at the end of the stream. The event is
+// valid until the next call.
+func (e *eventReader) next() (event, error) {
+	e.buf = e.buf[:0]
+	ev := event{}
+	idStart, idEnd := 0, 0
+	for {
+		start := len(e.buf)
+		if err := e.line(); err != nil {
+			if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+				return event{}, errBroken
+			}
+			return event{}, err
+		}
+		line := bytes.TrimRight(e.buf[start:], "\r\n")
+		if len(line) == 0 {
+			ev.raw, ev.id = e.buf, e.buf[idStart:idEnd]
+			return ev, nil
+		}
+		if bytes.HasPrefix(line, []byte("id:")) {
+			value := bytes.TrimPrefix(line[len("id:"):], []byte(" "))
+			idStart = start + len(line) - len(value)
+			idEnd = start + len(line)
+		}
+	}
+}
+
+// line appends one line with its end.
+func (e *eventReader) line() error {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		e.buf = append(e.buf, part...)
+		if len(e.buf) > maxEvent {
+			return errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/node/relay/place.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/placement"
+)
+
+// place chooses a target of a service for a request, nil if there is none that
+// may be asked. Targets in not are left out.
+func (r *Relay) place(req *Request, service api.ServiceID, not []*Target) *Target {
+	list := r.targets.Of(service)
+	now := time.Now()
+	choice := placement.Pick(r.candidates(list, not, now), placement.Need{
+		Zone:   r.set.Zone,
+		Tokens: req.tokens,
+	}, rand.Float64)
+	if choice < 0 {
+		return nil
+	}
+	return list[choice]
+}
+
+// candidates describes targets to the placement, in their order.
+func (r *Relay) candidates(list []*Target, not []*Target, now time.Time) []placement.Candidate {
+	out := make([]placement.Candidate, len(list))
+	for i, t := range list {
+		out[i] = placement.Candidate{
+			Zone:     t.Zone,
+			Slots:    t.Slots,
+			Running:  int(t.running.Load()),
+			Tokens:   int(t.tokens.Load()),
+			Capacity: r.capacity(t),
+			Cold:     now.Before(t.coldTill),
+			Avoid:    t.avoided(now),
+			Excluded: t.departs.Load() || contains(not, t),
+		}
+	}
+	return out
+}
+
+func (r *Relay) capacity(t *Target) int {
+	table := r.live.Load()
+	if table == nil {
+		return 0
+	}
+	s := table.Service(t.Service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.CacheTokens
+}
+
+func contains(list []*Target, t *Target) bool {
+	for _, other := range list {
+		if other == t || other.Address == t.Address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/relay/ports.go
@@ -0,0 +1,112 @@
+// Package relay is the front of the system for routed traffic: it takes callers'
+// HTTP requests as they are, finds their route, customer and target, and passes
+// requests and answers on unchanged.
+//
+// A Relay serves many requests at once. What it routes by, the configuration and
+// the table of targets, is read without a lock and replaced whole.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Ask is what a caller's request says of itself.
+type Ask struct {
+	Request api.RequestID
+	// Patience is how long the caller will wait, counted from the arrival of the
+	// request; zero if it does not say.
+	Patience time.Duration
+	Key      string
+	Model    api.ModelID
+	// PromptTokens and MaxTokens are the length of the prompt and the most tokens
+	// that may be generated. LikelyTokens is the caller's guess of how many will.
+	PromptTokens int
+	MaxTokens    int
+	LikelyTokens int
+	// Parts are those of the prompt, in order; requests share the first ones.
+	Parts []Part
+	// LastEvent is the last event of a broken stream that the caller has.
+	LastEvent string
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Directive is what the system tells a target along with a request.
+type Directive struct {
+	Target   api.TargetID
+	Customer api.CustomerID
+	// Remaining is how long the target may work.
+	Remaining time.Duration
+	// Urgency orders requests at an engine, 0 first; below zero is not said.
+	Urgency int
+	// CopyTo is the address of the engine to which the run's memory is copied as
+	// it grows.
+	CopyTo string
+	// CopyFrom names the memory to go on from.
+	CopyFrom Copy
+	// LastEvent is the event after which the answer goes on.
+	LastEvent string
+}
+
+// Copy names the memory of a run that is kept at an engine.
+type Copy struct {
+	Address string
+	ID      string
+}
+
+// Reply is what a target's answer says of itself.
+type Reply struct {
+	Request api.RequestID
+	// NotRun is set when the target states that it did not run the request.
+	NotRun bool
+	// WrongTarget is set when another target has the address.
+	WrongTarget bool
+}
+
+// Dialect encodes and decodes the headers of requests and answers. It is safe for
+// concurrent use.
+type Dialect interface {
+	// Ask decodes a caller's headers. An error means that they can't be read.
+	Ask(h http.Header) (Ask, error)
+	// Direct takes out of h what only the system may say, and sets d.
+	Direct(h http.Header, d Directive)
+	// Reply decodes a target's answer.
+	Reply(status int, h http.Header) Reply
+}
+
+// Moved is a run that was stopped with its memory at two engines.
+type Moved struct {
+	// Copy is where the memory can be taken up.
+	Copy Copy
+	// Made is the number of events that were made before the stop.
+	Made int
+}
+
+// Engines are the calls to model engines beside requests. Safe for concurrent use.
+type Engines interface {
+	// Move copies a run's memory to another engine; with stop the run ends first.
+	Move(ctx context.Context, at string, run api.RequestID, to string, stop bool) (Moved, error)
+}
+
+// Observer hears of requests, for metrics and events. Its methods are called from
+// many goroutines and must not block.
+type Observer interface {
+	// Refused tells of a request that was answered without having run.
+	Refused(r *Request, status int, reason api.Reason)
+	// Sent tells of each time that a request goes to a target.
+	Sent(r *Request, t *Target, why string)
+	// Attempted tells what one send came to.
+	Attempted(r *Request, t *Target, outcome string, err error)
+	// Moved tells that a stream goes on elsewhere after a pause.
+	Moved(r *Request, from, to *Target, how string, pause time.Duration)
+	// Ended tells how a request ended towards its caller.
+	Ended(r *Request, status int, outcome string)
+}
--- /dev/null
+++ b/node/relay/relay.go
@@ -0,0 +1,259 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/upstream"
+)
+
+// Settings of a Relay.
+type Settings struct {
+	Zone api.Zone
+}
+
+// Ports of a Relay.
+type Ports struct {
+	// Live is the configuration in force; nil in it means none yet.
+	Live     *atomic.Pointer[routeconf.Table]
+	Targets  *Targets
+	Pool     *upstream.Pool
+	Dialect  Dialect
+	Engines  Engines
+	Repeats  *Repeats
+	Observer Observer
+}
+
+// Relay handles callers' requests.
+type Relay struct {
+	set     Settings
+	live    *atomic.Pointer[routeconf.Table]
+	targets *Targets
+	pool    *upstream.Pool
+	dialect Dialect
+	engines Engines
+	repeats *Repeats
+	obs     Observer
+}
+
+// New makes a relay.
+func New(set Settings, p Ports) *Relay {
+	return &Relay{
+		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
+		engines: p.Engines, repeats: p.Repeats, obs: p.Observer,
+	}
+}
+
+// Request is one request of a caller on its way.
+type Request struct {
+	Ask      Ask
+	Route    *routeconf.Route
+	Service  api.ServiceID
+	Customer *routeconf.Customer
+	// Version is that of the configuration by which it was decided.
+	Version  uint64
+	Arrived  time.Time
+	Deadline time.Time
+
+	caller *http.Request
+	out    http.ResponseWriter
+	uri    string
+	body   []byte
+	tokens int
+	// asked are the targets that the request was meant for; sends counts those
+	// that may have read it.
+	asked []*Target
+	sends int
+	// failure is a target's own failure that another target may do better than.
+	failure *failure
+	// mayHaveRun is set once a target may have begun to work on it.
+	mayHaveRun bool
+}
+
+// Retry-After values of refusals, where nothing better is known.
+const (
+	// retryNoConfig: an entry that has just started hears its configuration within
+	// a second.
+	retryNoConfig = time.Second
+	// retryNoTarget: targets announce themselves every second or so.
+	retryNoTarget = 700 * time.Millisecond
+	// retryBusy: a full target has a free place after a fraction of a second.
+	retryBusy = 300 * time.Millisecond
+)
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	req := &Request{caller: hr, out: w, Arrived: time.Now()}
+	if !r.admit(req) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(hr.Context(), req.Deadline)
+	defer cancel()
+	control := http.NewResponseController(w)
+	// A caller that does not read would hold this goroutine past the deadline.
+	_ = control.SetWriteDeadline(req.Deadline.Add(writeGrace))
+	if req.Route.Kind == routeconf.KindStream {
+		r.stream(ctx, req)
+	} else {
+		r.plain(ctx, req)
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+}
+
+// writeGrace lets the answer to a timeout out after the deadline itself.
+const writeGrace = 300 * time.Millisecond
+
+// admit finds route, service and customer, and reads the body. On false the
+// request has been answered.
+func (r *Relay) admit(req *Request) bool {
+	hr := req.caller
+	ask, err := r.dialect.Ask(hr.Header)
+	if err != nil {
+		return r.refuse(req, http.StatusBadRequest, api.ReasonBadRequest, 0)
+	}
+	req.Ask = ask
+	table := r.live.Load()
+	if table == nil {
+		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonNoConfig, retryNoConfig)
+	}
+	req.Version = table.Config.Version
+	req.uri = requestURI(hr)
+	path, _, _ := strings.Cut(req.uri, "?")
+	req.Route = table.Route(hr.Host, path)
+	if req.Route == nil {
+		return r.refuse(req, http.StatusNotFound, api.ReasonUnknownService, 0)
+	}
+	if table.Config.HasCustomers && !req.Route.Public {
+		req.Customer = table.Customer(ask.Key)
+		if req.Customer == nil {
+			return r.refuse(req, http.StatusUnauthorized, api.ReasonUnauthenticated, 0)
+		}
+	}
+	req.Deadline = deadline(req)
+	req.Service = req.Route.Pick(rand.Float64())
+	req.tokens = expectedTokens(&req.Ask)
+	return r.readBody(req, table.Config.Limits)
+}
+
+// requestURI gives path and query as the caller sent them.
+func requestURI(hr *http.Request) string {
+	if strings.HasPrefix(hr.RequestURI, "/") {
+		return hr.RequestURI
+	}
+	return hr.URL.RequestURI() // a request line in absolute form
+}
+
+// deadline is when the caller gives up, or the route's timeout if that is sooner.
+func deadline(req *Request) time.Time {
+	limit := req.Route.Timeout
+	if p := req.Ask.Patience; p > 0 && p < limit {
+		limit = p
+	}
+	return req.Arrived.Add(limit)
+}
+
+// expectedTokens is the memory that a generation is expected to take at its end.
+// The caller's guess is right in the middle and often far off, so it is taken with
+// half of what the request may make at most.
+func expectedTokens(a *Ask) int {
+	out := a.MaxTokens
+	if a.LikelyTokens > 0 && a.LikelyTokens < out {
+		out = (a.LikelyTokens + out) / 2
+	}
+	return a.PromptTokens + out
+}
+
+func (r *Relay) readBody(req *Request, limits routeconf.Limits) bool {
+	hr := req.caller
+	body := io.Reader(hr.Body)
+	if limits.BodyBytes > 0 {
+		body = http.MaxBytesReader(req.out, hr.Body, int64(limits.BodyBytes))
+	}
+	control := http.NewResponseController(req.out)
+	_ = control.SetReadDeadline(req.Deadline)
+	b, err := io.ReadAll(body)
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		req.body = b
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
+	}
+	req.out.Header().Set("Connection", "close")
+	return r.refuse(req, http.StatusRequestTimeout, api.ReasonTimeout, 0)
+}
+
+// refuse answers a request that has not run, and gives false.
+func (r *Relay) refuse(req *Request, status int, reason api.Reason, retry time.Duration) bool {
+	r.obs.Refused(req, status, reason)
+	r.fail(req, status, reason, retry)
+	return false
+}
+
+// fail writes an answer of the system's own.
+func (r *Relay) fail(req *Request, status int, reason api.Reason, retry time.Duration) {
+	h := req.out.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
+	}
+	text := string(reason) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	req.out.WriteHeader(status)
+	_, _ = io.WriteString(req.out, text) // a caller that has left needs no answer
+	r.obs.Ended(req, status, string(reason))
+}
+
+// callerGone tells whether the caller has closed its connection.
+func (req *Request) callerGone() bool { return req.caller.Context().Err() != nil }
+
+// gone notes the end of a request whose caller has left.
+func (r *Relay) gone(req *Request) { r.obs.Ended(req, 0, string(api.ReasonCancelled)) }
+
+// upstreamHeader gives the headers for a target: the caller's own but for those
+// of one connection, and the system's directive.
+func (r *Relay) upstreamHeader(req *Request, d Directive) http.Header {
+	h := make(http.Header, len(req.caller.Header)+4)
+	for name, values := range req.caller.Header {
+		h[name] = values
+	}
+	dropHopHeaders(h)
+	r.dialect.Direct(h, d)
+	return h
+}
+
+// hopHeaders concern one connection only (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+func dropHopHeaders(h http.Header) {
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// copyAnswerHead gives the caller the headers of a target's answer.
+func copyAnswerHead(to http.Header, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	dropHopHeaders(to)
+}
--- /dev/null
+++ b/node/relay/send.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"almondseam.dev/node/upstream"
+)
+
+// What one send of a request came to, as observers are told.
+const (
+	// Answered is told to observers of a whole answer too.
+	Answered       = "answered"
+	outcomeNotSent = "not_sent"  // the target has read nothing of it
+	outcomeNotRun  = "not_run"   // the target states that it did not run it
+	outcomeElse    = "elsewhere" // another target has the address
+	outcomeLost    = "lost"      // it may have run
+	outcomeFailed  = "failed"    // the target answered with a failure of its own
+)
+
+// send sends the request once and classifies what came back. Only with
+// Answered there is an exchange, which the caller closes.
+func (r *Relay) send(ctx context.Context, req *Request, t *Target, d Directive, why string) (*upstream.Exchange, string) {
+	d.Target = t.Target
+	if req.Customer != nil {
+		d.Customer = req.Customer.Name
+	}
+	d.Remaining = time.Until(req.Deadline)
+	d.Urgency = urgency(req)
+	r.obs.Sent(req, t, why)
+	x, err := r.pool.Do(ctx, t.Address, &upstream.Request{
+		Method: req.caller.Method,
+		URI:    req.uri,
+		Host:   req.caller.Host,
+		Header: r.upstreamHeader(req, d),
+		Body:   req.body,
+		Mine:   func(h http.Header) bool { return r.mine(req, h) },
+	})
+	outcome := r.judge(ctx, req, t, x, err)
+	if outcome != outcomeNotSent && outcome != outcomeElse {
+		req.sends++
+	}
+	r.obs.Attempted(req, t, outcome, err)
+	if outcome != Answered && x != nil {
+		x.Close()
+		x = nil
+	}
+	return x, outcome
+}
+
+// mine tells whether an answer belongs to the request: targets echo its ID.
+func (r *Relay) mine(req *Request, h http.Header) bool {
+	got := r.dialect.Reply(http.StatusOK, h).Request
+	return got == "" || got == req.Ask.Request
+}
+
+func (r *Relay) judge(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, err error) string {
+	if err != nil {
+		if ctx.Err() == nil {
+			t.failed(time.Now())
+		}
+		if errors.Is(err, upstream.ErrNotSent) {
+			return outcomeNotSent
+		}
+		req.mayHaveRun = true
+		return outcomeLost
+	}
+	reply := r.dialect.Reply(x.Status, x.Header)
+	switch {
+	case reply.WrongTarget:
+		// The address belongs to another target now; the one that was meant is gone.
+		t.depart(true)
+		return outcomeElse
+	case reply.NotRun:
+		return outcomeNotRun
+	}
+	req.mayHaveRun = true
+	t.served()
+	return Answered
+}
+
+// urgencyOfRankZero leaves places before it for runs that go on elsewhere.
+const urgencyOfRankZero = 3
+
+// urgencyLast is the lowest urgency of an engine.
+const urgencyLast = 9
+
+// urgency gives the engine's order of a request: by its customer's rank where it
+// has one, else by the route's.
+func urgency(req *Request) int {
+	if !req.Route.Generates {
+		return -1
+	}
+	return min(urgencyOfRankZero+rank(req), urgencyLast)
+}
+
+func rank(req *Request) int {
+	if req.Customer != nil && req.Customer.HasRank {
+		return req.Customer.Rank
+	}
+	return req.Route.Rank
+}
+
+// mayGoOn tells whether the request may be sent to one more target after an
+// outcome: never when it may have run and must not run twice.
+func (r *Relay) mayGoOn(req *Request, outcome string) bool {
+	if outcome == outcomeNotSent || outcome == outcomeElse {
+		return len(req.asked) < maxLooks
+	}
+	if req.sends >= req.Route.MaxTargets {
+		return false
+	}
+	return !req.mayHaveRun || req.Route.Repeatable()
+}
+
+// maxLooks bounds how many targets are tried that turn out not to be there.
+const maxLooks = 6
+
+// repeat takes one repeat from the budget.
+func (r *Relay) repeat(req *Request) bool { return r.repeats.Take(req.Service, time.Now()) }
+
+// firstSend counts a request towards the budget.
+func (r *Relay) firstSend(req *Request) { r.repeats.First(req.Service, time.Now()) }
