--- /dev/null
+++ b/core/fleetload/fleetload.go
@@ -0,0 +1,84 @@
+// Package fleetload adds up what the entries have under way at each target. Each
+// entry knows its own requests at once and those of the others a fraction of a
+// second late; without the others' it would send a burst to the target that all of
+// them take for the emptiest. Not safe for concurrent use; time comes in.
+package fleetload
+
+import (
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Load is what requests under way ask of a target.
+type Load struct {
+	// Running counts requests, Tokens the memory that they are expected to take.
+	Running int `cbor:"1,keyasint,omitempty"`
+	Tokens  int `cbor:"2,keyasint,omitempty"`
+	// Unread is the part of prompts, in tokens, of requests that have not begun to
+	// answer.
+	Unread int `cbor:"3,keyasint,omitempty"`
+	// Moving is the memory, in tokens, of streams that no other engine has a copy
+	// of: what would have to be moved if the target left now.
+	Moving int `cbor:"4,keyasint,omitempty"`
+}
+
+// Add gives the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Unread: l.Unread + o.Unread, Moving: l.Moving + o.Moving}
+}
+
+// TargetLoad is one entry's load on one target.
+type TargetLoad struct {
+	Target api.TargetID `cbor:"1,keyasint"`
+	Load   Load         `cbor:"2,keyasint"`
+}
+
+// Report is all that one entry has under way.
+type Report struct {
+	Entry api.InstanceID `cbor:"1,keyasint"`
+	List  []TargetLoad   `cbor:"2,keyasint,omitempty"`
+}
+
+// Stale is after how long without a report an entry's load no longer counts: it
+// reports every second, and one that was killed has nothing under way.
+const Stale = 2500 * time.Millisecond
+
+// Table holds the newest report of each entry.
+type Table struct {
+	reports map[api.InstanceID]report
+}
+
+type report struct {
+	Report
+	heard time.Time
+}
+
+// NewTable gives an empty table.
+func NewTable() *Table { return &Table{reports: make(map[api.InstanceID]report)} }
+
+// Put takes a report.
+func (t *Table) Put(r Report, now time.Time) {
+	t.reports[r.Entry] = report{Report: r, heard: now}
+}
+
+// Sums gives the load of each target by all entries but one, and how many entries
+// have reported of late, that one not counted.
+func (t *Table) Sums(but api.InstanceID, now time.Time) (map[api.TargetID]Load, int) {
+	sums := make(map[api.TargetID]Load)
+	entries := 0
+	for id, r := range t.reports {
+		if now.Sub(r.heard) > Stale {
+			delete(t.reports, id)
+			continue
+		}
+		if id == but {
+			continue
+		}
+		entries++
+		for _, l := range r.List {
+			sums[l.Target] = sums[l.Target].Add(l.Load)
+		}
+	}
+	return sums, entries
+}
--- /dev/null
+++ b/core/fleetload/fleetload_test.go
@@ -0,0 +1,28 @@
+package fleetload
+
+import (
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	qt "github.com/frankban/quicktest"
+)
+
+// An entry that was killed has nothing under way any more. Were its last report
+// kept, the others would pass over targets that are empty.
+func TestLoadOfASilentEntryStopsCounting(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	start := time.Unix(0, 0)
+	table.Put(Report{Entry: "a", List: []TargetLoad{{Target: "t", Load: Load{Running: 2, Tokens: 10, Unread: 4}}}}, start)
+	table.Put(Report{Entry: "b", List: []TargetLoad{{Target: "t", Load: Load{Running: 1, Tokens: 5}}}}, start.Add(time.Second))
+	table.Put(Report{Entry: "self", List: []TargetLoad{{Target: "t", Load: Load{Running: 9}}}}, start)
+
+	sums, entries := table.Sums("self", start.Add(time.Second))
+	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 3, Tokens: 15, Unread: 4}})
+	c.Assert(entries, qt.Equals, 2)
+
+	sums, entries = table.Sums("self", start.Add(Stale+time.Millisecond))
+	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 1, Tokens: 5}})
+	c.Assert(entries, qt.Equals, 1)
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,6 +5,8 @@
 package placement
 
 import (
+	"cmp"
+
 	"almondseam.dev/core/api"
 )
 
@@ -19,6 +21,9 @@
 	// zero for a plain service.
 	Tokens   int
 	Capacity int
+	// Unread is the part of the prompts there, in tokens, that is still to be read
+	// before their answers begin.
+	Unread int
 	// Cold targets are still slow after their start.
 	Cold bool
 	// Avoid is set for a while after a failure.
@@ -31,6 +36,11 @@
 type Need struct {
 	Zone   api.Zone
 	Tokens int
+	// ZoneWeight is what a target in another zone counts more, in parts of its
+	// load; zero takes the usual one.
+	ZoneWeight float64
+	// Even takes all targets that have room for equally loaded.
+	Even bool
 }
 
 const (
@@ -40,6 +50,10 @@
 	otherZone = 0.02
 	// coldLoad is what a target counts more while it is slow after its start.
 	coldLoad = 0.5
+	// unreadFull is how many unread tokens weigh as much as a target that is full:
+	// engines read some 14 tokens a millisecond, so that this is three quarters of
+	// a second, half of what a first event may take.
+	unreadFull = 10_000
 	// avoidLoad puts a target that has just failed behind all that have not.
 	avoidLoad = 100
 )
@@ -51,11 +65,15 @@
 	if len(eligible) == 0 {
 		return -1
 	}
+	breadth := noise
+	if need.Even {
+		breadth = 1
+	}
 	best, bestScore := -1, 0.0
 	for _, i := range eligible {
 		// A little noise keeps entries that see the same loads from all taking the
 		// same target.
-		s := score(&list[i], need) + draw()*noise
+		s := score(&list[i], need) + draw()*breadth
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
 		}
@@ -63,6 +81,10 @@
 	return best
 }
 
+// evenRoom is up to which part of its memory a target has room for a run that is
+// moved there.
+const evenRoom = 0.85
+
 // noise is the breadth of the random part of a score, in parts of a target's load.
 const noise = 0.03
 
@@ -81,15 +103,9 @@
 
 // score gives the load of a target with the request on it, lower is better.
 func score(c *Candidate, need Need) float64 {
-	s := 0.0
-	if c.Slots > 0 {
-		s = float64(c.Running+1) / float64(c.Slots)
-	}
-	if c.Capacity > 0 {
-		s = max(s, float64(c.Tokens+need.Tokens)/float64(c.Capacity))
-	}
+	s := load(c, need)
 	if c.Zone != need.Zone {
-		s += otherZone
+		s += cmp.Or(need.ZoneWeight, otherZone)
 	}
 	if c.Cold {
 		s += coldLoad
@@ -99,3 +115,18 @@
 	}
 	return s
 }
+
+// load gives the part of a target that is taken with the request on it.
+func load(c *Candidate, need Need) float64 {
+	if need.Even && c.Tokens+need.Tokens <= int(evenRoom*float64(c.Capacity)) {
+		return 0
+	}
+	s := 0.0
+	if c.Slots > 0 {
+		s = float64(c.Running+1) / float64(c.Slots)
+	}
+	if c.Capacity > 0 {
+		s = max(s, float64(c.Tokens+need.Tokens)/float64(c.Capacity))
+	}
+	return s + float64(c.Unread)/unreadFull
+}
--- a/core/routeconf/routeconf.go
+++ b/core/routeconf/routeconf.go
@@ -101,6 +101,16 @@
 	CopyLife time.Duration
 }
 
+// MoveRate is how many tokens of memory are moved between two engines in a second;
+// zero if it isn't known.
+func (e *Engine) MoveRate() float64 {
+	if e.BytesPerToken <= 0 {
+		return 0
+	}
+	const bitsPerByte, megabit = 8, 1e6
+	return e.LinkMbps * megabit / bitsPerByte / float64(e.BytesPerToken)
+}
+
 // Customer is who holds keys, and in which rank its requests go before a route's.
 type Customer struct {
 	Name api.CustomerID
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -84,6 +84,10 @@
 		s.report(m)
 	case *registry.Subscribe:
 		s.server.subscribe(s.conn)
+	case *registry.Loads:
+		if s.server.registry != nil {
+			s.server.registry.Load(m.List)
+		}
 	}
 }
 
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -36,7 +36,7 @@
 	LinkDown         = Event{201, zerolog.WarnLevel, "link down", "Read the why field: silence means a stalled network, backlog a peer that does not read, malformed a version or a fault."}
 	LinkDialFailed   = Event{202, zerolog.WarnLevel, "link could not be opened", "Check the address and that the peer is up; it is tried again with growing waits."}
 	LinkRefused      = Event{203, zerolog.WarnLevel, "link refused in the handshake", "Check that both ends were given the same fleet key."}
-	RequestEnded     = Event{300, zerolog.DebugLevel, "request ended", "None."}
+	RequestEnded     = Event{300, zerolog.InfoLevel, "request ended", "None."}
 	RequestFailed    = Event{301, zerolog.InfoLevel, "request ended without its whole answer", "Look the reason up in OPERATIONS.md."}
 	RequestRefused   = Event{303, zerolog.InfoLevel, "request refused, it has not run", "Look the reason up in OPERATIONS.md."}
 	RequestSent      = Event{304, zerolog.InfoLevel, "request sent to a target", "None."}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -7,6 +7,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/relay"
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,8 @@
 	dials    *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	pause    *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	gap      *prometheus.HistogramVec
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -44,6 +47,8 @@
 		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
 		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_move_pause_seconds", Help: "Pause of a stream that went on elsewhere.", Buckets: latencyBuckets}, []string{"how"}),
+		first:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_first_event_seconds", Help: "Time from a request's arrival to the first event of its stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		gap:      f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_longest_gap_seconds", Help: "Longest pause between two events of a stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
 	}
 	return r
 }
@@ -57,7 +62,15 @@
 }
 
 func target(e *zerolog.Event, key string, t *relay.Target) *zerolog.Event {
-	return e.Str(key, string(t.Target)).Str(key+"_address", t.Address).Int64(key+"_running", t.Running()).Int64(key+"_tokens", t.Tokens())
+	return e.Str(key, string(t.Target)).Str(key+"_address", t.Address).Object(key+"_load", load(t.Load()))
+}
+
+// load writes the load of a target, by all entries as this one knows it.
+type load fleetload.Load
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l load) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("running", l.Running).Int("tokens", l.Tokens).Int("unread", l.Unread)
 }
 
 func routeName(r *relay.Request) string {
@@ -104,7 +117,13 @@
 	if outcome != relay.Answered {
 		e = events.RequestFailed
 	}
-	request(e.Log(m.log), r).Int("status", status).Str("outcome", outcome).Send()
+	line := request(e.Log(m.log), r).Int("status", status).Str("outcome", outcome)
+	if st := r.Stream; st.Events > 0 {
+		m.first.WithLabelValues(routeName(r)).Observe(st.First.Seconds())
+		m.gap.WithLabelValues(routeName(r)).Observe(st.LongestGap.Seconds())
+		line = line.Dur("first", st.First).Dur("longest_gap", st.LongestGap).Int("events", st.Events).Int("goes", st.Goes)
+	}
+	line.Send()
 }
 
 // Dialled implements upstream.Observer.
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -62,7 +62,7 @@
 	c.registry = registry.New(metrics.Directory{Log: log}, nil)
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleControl}, m)
 	opt.Silence = routedSilence
-	c.follower = registry.NewFollower(c.ctx, c.registry, opt, set.Links)
+	c.follower = registry.NewFollower(c.ctx, c.registry, opt, set.Links, nil)
 	return c
 }
 
@@ -87,6 +87,7 @@
 func (c *RoutedControl) Start() {
 	c.follower.Follow(c.set.Seeds)
 	c.work.Go(func() { c.registry.Run(c.ctx, missedAnnouncements*c.set.AnnounceEvery) })
+	c.work.Go(func() { c.registry.RunLoads(c.ctx) })
 	c.work.Go(c.keepRunning)
 	c.work.Go(c.followMembers)
 	events.ControlStarted.Log(c.log).Str("links", c.set.Links).Bool("founding", c.set.Founding).Send()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/fleetload"
 	"almondseam.dev/core/repeats"
 	"almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
@@ -85,18 +87,23 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
+	repeats *relay.Repeats
+
 	mu   sync.Mutex
 	gate rollout.Gate
+
+	loadsMu sync.Mutex
+	loads   *fleetload.Table
 }
 
 // NewRoutedEntry makes the role; Start runs it.
 func NewRoutedEntry(set RoutedEntrySettings, p RoutedEntryPorts) *RoutedEntry {
-	e := &RoutedEntry{set: set, ports: p, targets: relay.NewTargets()}
+	e := &RoutedEntry{set: set, ports: p, targets: relay.NewTargets(), loads: fleetload.NewTable()}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}, p.Metrics)
 	opt.Silence = routedSilence
 	e.registry = registry.New(metrics.Directory{Log: p.Log}, e.targets.Update)
-	e.follower = registry.NewFollower(e.ctx, e.registry, opt, "")
+	e.follower = registry.NewFollower(e.ctx, e.registry, opt, "", e.onLoads)
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:     set.Seeds,
 		Link:      opt,
@@ -104,9 +111,10 @@
 		OnMembers: e.follower.Follow,
 		Observer:  p.Metrics,
 	})
+	e.repeats = relay.NewRepeats(set.Repeats)
 	handler := relay.New(relay.Settings{Zone: set.Zone}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Repeats: relay.NewRepeats(set.Repeats), Observer: p.Observer,
+		Repeats: e.repeats, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
@@ -120,6 +128,7 @@
 	e.follower.Follow(e.set.Seeds)
 	e.work.Go(func() { e.client.Run(e.ctx) })
 	e.work.Go(e.confirm)
+	e.work.Go(e.shareLoads)
 	e.work.Go(func() {
 		if err := e.server.Serve(e.set.Callers); !errors.Is(err, http.ErrServerClosed) {
 			events.ProcessFailed.Log(e.ports.Log).Err(err).Send()
@@ -149,6 +158,45 @@
 	}
 }
 
+// loadsAtLeast is the longest time between two reports of this entry's load: the
+// others take an entry that is silent for fleetload.Stale for gone.
+const loadsAtLeast = time.Second
+
+// shareLoads tells the other entries what this one has under way, whenever it has
+// changed.
+func (e *RoutedEntry) shareLoads() {
+	t := time.NewTicker(registry.LoadsEvery)
+	defer t.Stop()
+	var told []fleetload.TargetLoad
+	var at time.Time
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case now := <-t.C:
+			list := e.targets.Loads()
+			if slices.Equal(list, told) && now.Sub(at) < loadsAtLeast {
+				continue
+			}
+			told, at = list, now
+			e.follower.Report(fleetload.Report{Entry: e.set.Instance, List: list})
+		}
+	}
+}
+
+// onLoads takes other entries' loads.
+func (e *RoutedEntry) onLoads(list []fleetload.Report) {
+	e.loadsMu.Lock()
+	defer e.loadsMu.Unlock()
+	now := time.Now()
+	for _, r := range list {
+		e.loads.Put(r, now)
+	}
+	sums, entries := e.loads.Sums(e.set.Instance, now)
+	e.targets.SetOthers(sums)
+	e.repeats.SetEntries(entries + 1)
+}
+
 func (e *RoutedEntry) onConfig(rev api.Revision, document []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
@@ -31,11 +32,21 @@
 	ctx    context.Context
 	work   conc.WaitGroup
 	active map[string]context.CancelFunc
+	conns  map[string]*link.Conn
+	// onLoads is told other entries' loads.
+	onLoads func([]fleetload.Report)
 }
 
-// NewFollower makes a follower that ends with ctx. It never dials self.
-func NewFollower(ctx context.Context, reg *Registry, opt link.Options, self string) *Follower {
-	return &Follower{reg: reg, opt: opt, self: self, ctx: ctx, active: make(map[string]context.CancelFunc)}
+// NewFollower makes a follower that ends with ctx. It never dials self. onLoads
+// may be nil; it is called from several goroutines.
+func NewFollower(ctx context.Context, reg *Registry, opt link.Options, self string, onLoads func([]fleetload.Report)) *Follower {
+	if onLoads == nil {
+		onLoads = func([]fleetload.Report) {}
+	}
+	return &Follower{
+		reg: reg, opt: opt, self: self, ctx: ctx, onLoads: onLoads,
+		active: make(map[string]context.CancelFunc), conns: make(map[string]*link.Conn),
+	}
 }
 
 // Follow sets the addresses.
@@ -87,13 +98,47 @@
 		return false
 	}
 	_ = conn.Send(&Subscribe{})
+	f.set(addr, conn)
 	conn.Run(ctx, func(m wire.Message) {
-		if records, ok := m.(*Records); ok {
-			f.reg.Merge(records.List)
+		switch m := m.(type) {
+		case *Records:
+			f.reg.Merge(m.List)
+		case *Loads:
+			f.onLoads(m.List)
 		}
 	})
+	f.unset(addr, conn)
 	return true
 }
 
+func (f *Follower) set(addr string, conn *link.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[addr] = conn
+}
+
+func (f *Follower) unset(addr string, conn *link.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conns[addr] == conn {
+		delete(f.conns, addr)
+	}
+}
+
+// Report sends this entry's load to one member, which tells all others.
+func (f *Follower) Report(r fleetload.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := ""
+	for addr := range f.conns {
+		if first == "" || addr < first {
+			first = addr
+		}
+	}
+	if first != "" {
+		_ = f.conns[first].Send(&Loads{List: []fleetload.Report{r}})
+	}
+}
+
 // Wait returns once all links have ended; the follower's context must be done.
 func (f *Follower) Wait() { f.work.Wait() }
--- a/node/registry/messages.go
+++ b/node/registry/messages.go
@@ -7,6 +7,7 @@
 
 import (
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/wire"
 )
 
@@ -14,6 +15,7 @@
 const (
 	kindSubscribe wire.Kind = iota + 96
 	kindRecords
+	kindLoads
 )
 
 // Subscribe asks for all records, and for those that change from then on.
@@ -24,6 +26,15 @@
 	List []directory.Record `cbor:"1,keyasint"`
 }
 
+// Loads are what entries have under way: an entry's own on its way to a member,
+// and those that have changed from there to all entries.
+type Loads struct {
+	List []fleetload.Report `cbor:"1,keyasint"`
+}
+
+// Kind implements wire.Message.
+func (*Loads) Kind() wire.Kind { return kindLoads }
+
 // Kind implements wire.Message.
 func (*Subscribe) Kind() wire.Kind { return kindSubscribe }
 
@@ -32,5 +43,5 @@
 
 // Protos lists the messages.
 func Protos() []wire.Proto {
-	return []wire.Proto{wire.ProtoOf[Subscribe](), wire.ProtoOf[Records]()}
+	return []wire.Proto{wire.ProtoOf[Subscribe](), wire.ProtoOf[Records](), wire.ProtoOf[Loads]()}
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/wire"
 )
 
@@ -37,6 +40,8 @@
 	mu          sync.Mutex
 	dir         *directory.Directory
 	subscribers map[Sender]struct{}
+	// loads are reports that subscribers have yet to be told, by entry.
+	loads map[api.InstanceID]fleetload.Report
 	// onChange is called with the changed records, in order.
 	onChange func([]directory.Record)
 }
@@ -47,7 +52,7 @@
 	if onChange == nil {
 		onChange = func([]directory.Record) {}
 	}
-	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), onChange: onChange}
+	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), loads: make(map[api.InstanceID]fleetload.Report), onChange: onChange}
 }
 
 // Announce takes what a target says of itself. When it returns, the news has been
@@ -114,6 +119,46 @@
 	delete(r.subscribers, s)
 }
 
+// Load takes an entry's report, to be told at the next round.
+func (r *Registry) Load(list []fleetload.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, report := range list {
+		r.loads[report.Entry] = report
+	}
+}
+
+// LoadsEvery is the pace at which loads are told: a prompt takes a fifth of a
+// second to read, so that an entry is late by less than half a request.
+const LoadsEvery = 100 * time.Millisecond
+
+// RunLoads passes entries' reports on to all subscribers, until ctx is done.
+func (r *Registry) RunLoads(ctx context.Context) {
+	t := time.NewTicker(LoadsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.tellLoads()
+		}
+	}
+}
+
+func (r *Registry) tellLoads() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.loads) == 0 {
+		return
+	}
+	m := &Loads{List: slices.Collect(maps.Values(r.loads))}
+	clear(r.loads)
+	for s := range r.subscribers {
+		_ = s.Send(m) // an ended link's peer hears the next round on its next one
+	}
+}
+
 // Records gives all records.
 func (r *Registry) Records() []directory.Record {
 	r.mu.Lock()
--- a/node/relay/backup.go
+++ b/node/relay/backup.go
@@ -4,19 +4,15 @@
 	"math/rand/v2"
 	"time"
 
+	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/placement"
 	"almondseam.dev/core/routeconf"
 )
 
-// longStream is from how many tokens on a stream's memory is copied to a second
+// longStream is from how many tokens on a stream's memory may be copied to a second
 // engine as it grows. A shorter one is over before its engine's notice runs out.
 const longStream = 100
 
-// backupRoom is how full an engine may be, in parts of its memory, that is given
-// copies of other engines' runs. Copies take the place of requests that would
-// start there.
-const backupRoom = 0.7
-
 func (s *streamRun) engine() *routeconf.Engine {
 	table := s.relay.live.Load()
 	if table == nil {
@@ -41,11 +37,16 @@
 	if e == nil || !e.Backups || s.req.Ask.MaxTokens < longStream {
 		return nil
 	}
+	fill := handoff.BackupFill(handoff.Exposure{
+		Tokens: t.Load().Moving + s.req.tokens,
+		Rate:   e.MoveRate(),
+		Moves:  e.Moves,
+	})
 	list := s.relay.targets.Of(s.req.Service)
 	candidates := s.relay.candidates(list, []*Target{t}, time.Now())
 	for i := range candidates {
 		c := &candidates[i]
-		full := float64(c.Tokens+s.req.tokens) > backupRoom*float64(c.Capacity)
+		full := float64(c.Tokens+s.req.tokens) > fill*float64(c.Capacity)
 		c.Excluded = c.Excluded || c.Avoid || full
 	}
 	choice := placement.Pick(candidates, placement.Need{Zone: t.Zone, Tokens: s.req.tokens}, rand.Float64)
--- /dev/null
+++ b/node/relay/depart.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/handoff"
+	"almondseam.dev/core/placement"
+)
+
+// departure finds where a stream goes on whose engine leaves, while the engine
+// still works on it. done is closed at its end; the fields are read after that.
+type departure struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	// next is the leg that goes on already; nil if none does.
+	next *leg
+	// copy is the stopped run's memory, to be taken up at one of at, in order.
+	copy Copy
+	at   []*Target
+	how  string
+}
+
+// moveZoneWeight is what an engine in another zone counts more as the taker of a
+// run, in parts of its load: a move there takes twice the time.
+const moveZoneWeight = 0.3
+
+// settled is how quick a copy of the last few tokens is on a free link: two
+// exchanges with the engine and a few milliseconds of copying.
+const settled = 30 * time.Millisecond
+
+// maxMoveTries bounds how many engines are asked to take one run: the notice is
+// short.
+const maxMoveTries = 3
+
+// leave starts a departure if the stream is to leave its engine.
+func (s *streamRun) leave(l *leg) {
+	action := handoff.Next(s.situation(l, handoff.CauseLeaving))
+	if action == handoff.ActionStay {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	l.departure = &departure{cancel: cancel, done: make(chan struct{})}
+	s.goes++
+	s.req.Stream.Goes = s.goes
+	go s.depart(ctx, l, action)
+}
+
+func (s *streamRun) depart(ctx context.Context, l *leg, action handoff.Action) {
+	d := l.departure
+	defer close(d.done)
+	if action == handoff.ActionFromCopy && s.departByCopy(ctx, l) {
+		return
+	}
+	if s.canMove() {
+		s.departByMove(ctx, l)
+	}
+}
+
+// departByCopy goes on at the engine that was sent the run's memory as it grew.
+//
+// The run ends only once the next engine has taken it up: a copy may be missing,
+// for want of room, and a run that was ended for it could not go on anywhere. For
+// the few milliseconds between, both make the same events; numbers tell which the
+// caller has.
+func (s *streamRun) departByCopy(ctx context.Context, l *leg) bool {
+	if !s.relay.repeat(s.req) {
+		return false
+	}
+	next, _ := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), "copy")
+	if next.x == nil {
+		return false
+	}
+	if ctx.Err() != nil {
+		next.end() // the stream has ended meanwhile
+		return false
+	}
+	l.departure.next, l.departure.how = next, "copy"
+	l.cancel()
+	return true
+}
+
+// departByMove copies the run to another engine while it goes on, and then once
+// more with a stop, so that the pause covers only what was made in between.
+func (s *streamRun) departByMove(ctx context.Context, l *leg) {
+	tried := []*Target{l.target}
+	for range maxMoveTries {
+		to := s.taker(tried)
+		if to == nil || ctx.Err() != nil {
+			return
+		}
+		tried = append(tried, to)
+		if s.moveTo(ctx, l, to) {
+			return
+		}
+	}
+}
+
+func (s *streamRun) moveTo(ctx context.Context, l *leg, to *Target) bool {
+	run := s.req.Ask.Request
+	to.keep(l.tokens)
+	defer to.keep(-l.tokens)
+	if err := s.settle(ctx, l, to); err != nil {
+		s.relay.obs.Attempted(s.req, to, outcomeNoMove, err)
+		return false
+	}
+	moved, err := s.relay.engines.Move(ctx, l.target.Address, run, to.Address, true)
+	if err != nil {
+		s.relay.obs.Attempted(s.req, to, outcomeNoMove, err)
+	}
+	if moved.Copy.ID == "" {
+		return false
+	}
+	// Without room at the other engine the run has stopped all the same, and the
+	// one that leaves still holds its memory.
+	l.departure.copy, l.departure.how = moved.Copy, "move"
+	l.departure.at = []*Target{to, l.target}
+	if err != nil {
+		l.departure.at = []*Target{l.target}
+	}
+	return true
+}
+
+// settle repeats the copy of what is new until that is quick, or the notice is
+// nearly over.
+//
+// Failure: several runs leave one engine at once, and each is stopped as soon as
+// its own copy is done. Symptom: the last short copy of a stopped run waits behind
+// the long ones of the others, and its caller sees a pause of up to a second. A
+// copy of a few tokens that comes back at once shows that the link is free.
+func (s *streamRun) settle(ctx context.Context, l *leg, to *Target) error {
+	until := time.Unix(0, l.target.leftAt.Load()).Add(handoff.Notice)
+	for {
+		began := time.Now()
+		if _, err := s.relay.engines.Move(ctx, l.target.Address, s.req.Ask.Request, to.Address, false); err != nil {
+			return err
+		}
+		now := time.Now()
+		if now.Sub(began) < settled || now.After(until) {
+			return nil
+		}
+	}
+}
+
+// taker chooses the engine that a run is moved to, among all that have room.
+// Several entries move the runs of an engine in the same instant; sent to the one
+// that is emptiest, they would wait for each other on its link until the notice is
+// over.
+func (s *streamRun) taker(not []*Target) *Target {
+	list := s.relay.targets.Of(s.req.Service)
+	candidates := s.relay.candidates(list, not, time.Now())
+	choice := placement.Pick(candidates, placement.Need{Zone: not[0].Zone, Tokens: s.req.tokens, ZoneWeight: moveZoneWeight, Even: true}, rand.Float64)
+	if choice < 0 {
+		return nil
+	}
+	return list[choice]
+}
+
+// resumeFrom gives the directive for a request that goes on from a copy.
+func (s *streamRun) resumeFrom(c Copy) Directive {
+	return Directive{CopyFrom: c, LastEvent: s.last()}
+}
+
+// departed waits for the leg's departure and begins the next leg; nil if there is
+// none.
+func (s *streamRun) departed(l *leg) *leg {
+	d := l.departure
+	if d == nil {
+		return nil
+	}
+	select {
+	case <-d.done:
+	case <-s.ctx.Done():
+		s.forget(l)
+		return nil
+	}
+	if d.next != nil {
+		s.relay.obs.Moved(s.req, l.target, d.next.target, d.how, time.Since(s.pausedAt))
+		return d.next
+	}
+	for _, t := range d.at {
+		if !s.relay.repeat(s.req) {
+			return nil
+		}
+		next, _ := s.begin(s.ctx, t, s.resumeFrom(d.copy), d.how)
+		if next.x != nil {
+			s.relay.obs.Moved(s.req, l.target, t, d.how, time.Since(s.pausedAt))
+			return next
+		}
+	}
+	return nil
+}
+
+// forget ends a departure that is not needed any more.
+func (s *streamRun) forget(l *leg) {
+	d := l.departure
+	if d == nil {
+		return
+	}
+	d.cancel()
+	<-d.done
+	if d.next != nil {
+		d.next.end()
+	}
+}
--- /dev/null
+++ b/node/relay/leg.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"almondseam.dev/node/upstream"
+)
+
+// leg is the part of a stream that one engine makes.
+type leg struct {
+	target *Target
+	// backup is sent a copy of the run's memory as it grows; nil for none.
+	backup *Target
+	tokens int
+	x      *upstream.Exchange
+	ctx    context.Context
+	cancel context.CancelFunc
+	// departure is the way to the next engine; nil until this one leaves.
+	departure *departure
+
+	mu     sync.Mutex
+	unread int // counted at the target as not yet read
+	ended  bool
+}
+
+// begin sends the request to an engine. On anything but Answered the leg has
+// ended; it still tells where a copy of the run may be.
+func (s *streamRun) begin(ctx context.Context, t *Target, d Directive, why string) (*leg, string) {
+	l := &leg{target: t, backup: s.backupFor(t), tokens: s.req.tokens, unread: s.unread(d)}
+	if l.backup != nil {
+		d.CopyTo = l.backup.Address
+		l.backup.keep(l.tokens)
+	} else {
+		t.expose(l.tokens)
+	}
+	t.hold(l.tokens, l.unread)
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	x, outcome := s.relay.send(l.ctx, s.req, t, d, why)
+	l.x = x
+	if x == nil {
+		l.end()
+	}
+	return l, outcome
+}
+
+// unread is the part of the prompt that an engine has to read: none of it where a
+// copy of the run is.
+func (s *streamRun) unread(d Directive) int {
+	if d.CopyFrom.ID != "" {
+		return 0
+	}
+	return s.req.Ask.PromptTokens
+}
+
+// begun notes that the engine has read the prompt.
+func (l *leg) begun() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target.read(l.unread)
+	l.unread = 0
+}
+
+// grow counts what the stream has grown by, at its engine and at its backup.
+func (l *leg) grow(tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	by := tokens - l.tokens
+	l.tokens = tokens
+	l.target.keep(by)
+	if l.backup != nil {
+		l.backup.keep(by)
+	} else {
+		l.target.expose(by)
+	}
+}
+
+// end gives up the exchange, so that the engine drops what is left of the work,
+// and takes back what the leg counted. It may be called more than once.
+func (l *leg) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.cancel()
+	if l.x != nil {
+		l.x.Close()
+	}
+	l.target.read(l.unread)
+	l.target.release(l.tokens)
+	if l.backup != nil {
+		l.backup.keep(-l.tokens)
+	} else {
+		l.target.expose(-l.tokens)
+	}
+}
+
+// isStream tells whether the engine answered with events.
+func (l *leg) isStream() bool { return l.x.Status == http.StatusOK }
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -27,11 +27,13 @@
 func (r *Relay) candidates(list []*Target, not []*Target, now time.Time) []placement.Candidate {
 	out := make([]placement.Candidate, len(list))
 	for i, t := range list {
+		load := t.Load()
 		out[i] = placement.Candidate{
 			Zone:     t.Zone,
 			Slots:    t.Slots,
-			Running:  int(t.running.Load()),
-			Tokens:   int(t.tokens.Load()),
+			Running:  load.Running,
+			Tokens:   load.Tokens,
+			Unread:   load.Unread,
 			Capacity: r.capacity(t),
 			Cold:     now.Before(t.coldTill),
 			Avoid:    t.avoided(now),
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -50,7 +50,7 @@
 // tryPlain sends the request to one target; done tells that the caller has been
 // answered.
 func (r *Relay) tryPlain(ctx context.Context, req *Request, t *Target, why string) (outcome string, done bool) {
-	t.hold(0)
+	t.hold(0, 0)
 	defer t.release(0)
 	x, outcome := r.send(ctx, req, t, Directive{}, why)
 	if x == nil {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -64,6 +64,8 @@
 	Arrived  time.Time
 	Deadline time.Time
 
+	Stream StreamStats
+
 	caller *http.Request
 	out    http.ResponseWriter
 	uri    string
@@ -79,6 +81,16 @@
 	mayHaveRun bool
 }
 
+// StreamStats tell how a stream went, for metrics and logs.
+type StreamStats struct {
+	// First is the time from the request's arrival to its first event.
+	First      time.Duration
+	LongestGap time.Duration
+	Events     int
+	// Goes is how often the stream went on elsewhere.
+	Goes int
+}
+
 // Retry-After values of refusals, where nothing better is known.
 const (
 	// retryNoConfig: an entry that has just started hears its configuration within
@@ -140,7 +152,7 @@
 	}
 	req.Deadline = deadline(req)
 	req.Service = req.Route.Pick(rand.Float64())
-	req.tokens = expectedTokens(&req.Ask)
+	req.tokens = expectedTokens(&req.Ask, 0)
 	return r.readBody(req, table.Config.Limits)
 }
 
@@ -161,15 +173,16 @@
 	return req.Arrived.Add(limit)
 }
 
-// expectedTokens is the memory that a generation is expected to take at its end.
-// The caller's guess is right in the middle and often far off, so it is taken with
-// half of what the request may make at most.
-func expectedTokens(a *Ask) int {
-	out := a.MaxTokens
-	if a.LikelyTokens > 0 && a.LikelyTokens < out {
-		out = (a.LikelyTokens + out) / 2
-	}
-	return a.PromptTokens + out
+// growthAhead is how far ahead a stream's growth is counted, in tokens: what an
+// engine makes for one stream in about two seconds. Most streams end long before
+// the most that they may make, and the caller's guess is often far off; counted to
+// their end, streams would fill engines that are half empty.
+const growthAhead = 256
+
+// expectedTokens is the memory that a generation takes within the next seconds
+// once it has made so many tokens.
+func expectedTokens(a *Ask, made int) int {
+	return a.PromptTokens + made + min(growthAhead, max(a.MaxTokens-made, 0))
 }
 
 func (r *Relay) readBody(req *Request, limits routeconf.Limits) bool {
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -17,6 +17,7 @@
 	outcomeNotRun  = "not_run"   // the target states that it did not run it
 	outcomeElse    = "elsewhere" // another target has the address
 	outcomeLost    = "lost"      // it may have run
+	outcomeNoMove  = "no_move"   // the run could not be moved there
 	outcomeFailed  = "failed"    // the target answered with a failure of its own
 )
 
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -6,43 +6,39 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/handoff"
-	"almondseam.dev/node/upstream"
 )
 
-// streamRun is one stream on its way from engine to engine to its caller.
+// streamRun is one stream on its way from engine to engine to its caller. One
+// goroutine reads and gives events; while an engine leaves, a second one prepares
+// the next leg.
 type streamRun struct {
 	relay *Relay
 	req   *Request
 	ctx   context.Context
+	flush func() error
 
 	events int
-	lastID string
 	goes   int
 	// began tells that the caller has the answer's head.
 	began bool
+	// passed tells that an answer that is no stream was passed on.
+	passed bool
 	// pausedAt is when the last event went out.
 	pausedAt time.Time
-	flush    func() error
-}
 
-// leg is the part of a stream that one engine makes.
-type leg struct {
-	target *Target
-	// backup holds a copy of the run's memory as it grows; nil for none.
-	backup *Target
-	x      *upstream.Exchange
-	ctx    context.Context
-	cancel context.CancelFunc
+	mu     sync.Mutex
+	lastID string
 }
 
 // stream serves a request whose answer is a series of events.
 func (r *Relay) stream(ctx context.Context, req *Request) {
 	r.firstSend(req)
-	s := &streamRun{relay: r, req: req, ctx: ctx, lastID: req.Ask.LastEvent}
+	s := &streamRun{relay: r, req: req, ctx: ctx, lastID: req.Ask.LastEvent, pausedAt: req.Arrived}
 	s.flush = http.NewResponseController(req.out).Flush
 	s.run()
 }
@@ -51,21 +47,14 @@
 	l, outcome := s.first()
 	for l != nil {
 		end := s.follow(l)
+		l.end()
 		if end == nil {
+			s.forget(l)
 			s.finish()
 			return
 		}
-		if s.req.callerGone() {
-			l.close()
-			s.relay.gone(s.req)
-			return
-		}
-		if s.ctx.Err() != nil {
-			l.close()
-			s.broken(api.ReasonTimeout)
-			return
-		}
-		l, outcome = s.goOn(l, end)
+		l = s.next(l, end)
+		outcome = outcomeLost
 	}
 	s.noMore(outcome)
 }
@@ -81,79 +70,64 @@
 		}
 		s.req.asked = append(s.req.asked, t)
 		var l *leg
-		l, outcome = s.begin(t, Directive{LastEvent: s.lastID}, why)
-		if l != nil {
+		l, outcome = s.begin(s.ctx, t, Directive{LastEvent: s.last()}, why)
+		if outcome == Answered {
 			return l, outcome
 		}
-		if s.ctx.Err() != nil || !s.relay.mayGoOn(s.req, outcome) || !s.relay.repeat(s.req) {
+		if s.ctx.Err() != nil {
+			return nil, outcome
+		}
+		if outcome == outcomeLost && l.backup != nil {
+			return s.next(l, errNoHead), outcome
+		}
+		if !s.relay.mayGoOn(s.req, outcome) || !s.relay.repeat(s.req) {
 			return nil, outcome
 		}
 		why = outcome
 	}
 }
 
-// begin sends the request to an engine.
-func (s *streamRun) begin(t *Target, d Directive, why string) (*leg, string) {
-	l := &leg{target: t, backup: s.backupFor(t)}
-	if l.backup != nil {
-		d.CopyTo = l.backup.Address
-		l.backup.hold(s.req.tokens)
-	}
-	l.ctx, l.cancel = context.WithCancel(s.ctx)
-	t.hold(s.req.tokens)
-	x, outcome := s.relay.send(l.ctx, s.req, t, d, why)
-	l.x = x
-	if x == nil {
-		l.release(s.req.tokens)
-		return nil, outcome
-	}
-	return l, outcome
-}
-
-// close ends the leg's exchange; its engine drops the work.
-func (l *leg) close() {
-	l.cancel()
-	l.x.Close()
-}
-
-func (l *leg) release(tokens int) {
-	l.cancel()
-	l.target.release(tokens)
-	if l.backup != nil {
-		l.backup.release(tokens)
-	}
-}
+// errNoHead is an answer that was lost before its head.
+var errNoHead = errors.New("the answer was lost before its head")
 
 // follow passes events on until the stream ends, nil if it ended whole.
 func (s *streamRun) follow(l *leg) error {
-	defer l.release(s.req.tokens)
-	if l.x.Status != http.StatusOK {
+	if !l.isStream() {
 		return s.passOn(l)
 	}
 	events := newEventReader(l.x.Body)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			l.close()
 			return nil
 		}
 		if err != nil {
-			l.close()
 			return err
 		}
+		l.begun()
 		if err := s.give(l, ev); err != nil {
-			l.close()
 			return err
 		}
-		if l.target.departs.Load() && s.shouldLeave(l) {
-			l.close()
-			return errLeft
+		if s.events%growEvery == 0 {
+			s.grow(l)
+		}
+		if l.departure == nil && l.target.departs.Load() {
+			s.leave(l)
 		}
 	}
 }
 
-// errLeft ends a leg whose engine leaves.
-var errLeft = errors.New("the engine leaves")
+// growEvery is after how many events a stream's memory is counted anew.
+const growEvery = 32
+
+func (s *streamRun) grow(l *leg) {
+	e := s.engine()
+	if e == nil {
+		return
+	}
+	s.req.tokens = expectedTokens(&s.req.Ask, s.events*e.TokensPerEvent)
+	l.grow(s.req.tokens)
+}
 
 func (s *streamRun) situation(l *leg, cause handoff.Cause) handoff.Situation {
 	return handoff.Situation{
@@ -161,19 +135,23 @@
 		Events:    s.events,
 		Ran:       s.req.mayHaveRun,
 		Resumable: s.req.Route.Resumable,
-		HasCopy:   l.backup != nil && !l.backup.departs.Load(),
+		HasCopy:   l.backup != nil && (cause == handoff.CauseLost || !l.backup.departs.Load()),
 		CanMove:   s.canMove(),
 		Goes:      s.goes,
 	}
 }
 
-// shouldLeave tells whether the stream leaves an engine that leaves.
-func (s *streamRun) shouldLeave(l *leg) bool {
-	return handoff.Next(s.situation(l, handoff.CauseLeaving)) == handoff.ActionFromCopy
-}
-
-// give passes one event on.
+// give passes one event on, unless the caller has it.
+//
+// Failure: an engine leaves just after it has made a stream's last event, and the
+// stream goes on elsewhere. Symptom: the next engine, with nothing left to make,
+// gives the last event again. Events are numbered without gaps, so whatever is not
+// above the last one given is a repetition.
 func (s *streamRun) give(l *leg, ev event) error {
+	if s.goes > 0 && !after(ev.id, s.lastID) {
+		return nil
+	}
+	s.observe()
 	if !s.began {
 		copyAnswerHead(s.req.out.Header(), l.x.Header)
 		s.req.out.WriteHeader(l.x.Status)
@@ -183,16 +161,51 @@
 		return err
 	}
 	if len(ev.id) > 0 {
-		s.lastID = string(ev.id)
+		s.setLast(string(ev.id))
 	}
-	s.events++
-	s.pausedAt = time.Now()
 	return s.flush()
 }
 
+func (s *streamRun) setLast(id string) {
+	s.mu.Lock()
+	s.lastID = id
+	s.mu.Unlock()
+}
+
+// last gives the last event that the caller has.
+func (s *streamRun) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastID
+}
+
+// observe notes the time of an event, for the log.
+func (s *streamRun) observe() {
+	now := time.Now()
+	st := &s.req.Stream
+	if s.events == 0 {
+		st.First = now.Sub(s.req.Arrived)
+	} else {
+		st.LongestGap = max(st.LongestGap, now.Sub(s.pausedAt))
+	}
+	s.events++
+	st.Events = s.events
+	s.pausedAt = now
+}
+
+// after tells whether an event's number is above the last one's. Events without
+// numbers can't be told apart and are passed on.
+func after(id []byte, last string) bool {
+	n, err := strconv.ParseUint(string(id), 10, 64)
+	if err != nil {
+		return true
+	}
+	given, err := strconv.ParseUint(last, 10, 64)
+	return err != nil || n > given
+}
+
 // passOn gives the caller an engine's answer that is no stream.
 func (s *streamRun) passOn(l *leg) error {
-	defer l.close()
 	if s.began {
 		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a stream that goes on")
 	}
@@ -201,71 +214,74 @@
 		return err
 	}
 	s.relay.answer(s.req, l.x, body, whole)
-	s.began, s.events = true, -1
+	s.passed = true
 	return nil
 }
 
-// goOn finds where the stream goes on.
-func (s *streamRun) goOn(l *leg, end error) (*leg, string) {
-	cause := handoff.CauseLost
-	if errors.Is(end, errLeft) {
-		cause = handoff.CauseLeaving
-	} else {
-		l.target.failed(time.Now())
+// next finds the leg in which the stream goes on after one has ended early.
+func (s *streamRun) next(l *leg, end error) *leg {
+	if s.ctx.Err() != nil {
+		s.forget(l)
+		return nil
+	}
+	if next := s.departed(l); next != nil || s.ctx.Err() != nil {
+		return next
 	}
+	l.target.failed(time.Now())
 	s.relay.obs.Attempted(s.req, l.target, outcomeLost, end)
+	cause := handoff.CauseLost
 	for {
 		s.goes++
+		s.req.Stream.Goes = s.goes
 		switch handoff.Next(s.situation(l, cause)) {
 		case handoff.ActionFromCopy:
-			next, outcome := s.fromCopy(l)
-			if next != nil || s.ctx.Err() != nil {
-				return next, outcome
+			if next := s.fromCopy(l); next != nil || s.ctx.Err() != nil {
+				return next
 			}
-			l.backup = nil
 			cause = handoff.CauseNoCopy
 		case handoff.ActionAgain:
 			return s.again(l)
 		default:
-			return nil, outcomeLost
+			return nil
 		}
 	}
 }
 
 // fromCopy goes on at the engine that has the run's memory.
-func (s *streamRun) fromCopy(l *leg) (*leg, string) {
+func (s *streamRun) fromCopy(l *leg) *leg {
 	if !s.relay.repeat(s.req) {
-		return nil, outcomeLost
+		return nil
 	}
-	d := Directive{CopyFrom: Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}, LastEvent: s.lastID}
-	next, outcome := s.begin(l.backup, d, "copy")
-	if next != nil {
-		s.relay.obs.Moved(s.req, l.target, l.backup, "copy", time.Since(s.pausedAt))
+	next, outcome := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), "copy")
+	if outcome != Answered {
+		return nil
 	}
-	return next, outcome
+	s.relay.obs.Moved(s.req, l.target, l.backup, "copy", time.Since(s.pausedAt))
+	return next
 }
 
 // again runs the request anew after the last event.
-func (s *streamRun) again(l *leg) (*leg, string) {
+func (s *streamRun) again(l *leg) *leg {
 	s.req.asked = append(s.req.asked, l.target)
 	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.relay.repeat(s.req) {
-		return nil, outcomeLost
+		return nil
 	}
 	t := s.relay.place(s.req, s.req.Service, s.req.asked)
 	if t == nil {
-		return nil, outcomeLost
+		return nil
 	}
-	next, outcome := s.begin(t, Directive{LastEvent: s.lastID}, "again")
-	if next != nil {
-		s.relay.obs.Moved(s.req, l.target, t, "again", time.Since(s.pausedAt))
+	next, outcome := s.begin(s.ctx, t, Directive{LastEvent: s.last()}, "again")
+	if outcome != Answered {
+		return nil
 	}
-	return next, outcome
+	s.relay.obs.Moved(s.req, l.target, t, "again", time.Since(s.pausedAt))
+	return next
 }
 
 // finish ends a stream that was given whole.
 func (s *streamRun) finish() {
-	if s.events < 0 {
-		return // answered by passOn
+	if s.passed {
+		return
 	}
 	if !s.began {
 		s.req.out.WriteHeader(http.StatusOK)
@@ -280,12 +296,10 @@
 		s.relay.gone(s.req)
 	case s.ctx.Err() != nil:
 		s.broken(api.ReasonTimeout)
-	case s.began:
+	case s.began || s.req.mayHaveRun && outcome == outcomeLost:
 		s.broken(api.ReasonEngineDied)
-	case len(s.req.asked) == 0 || !s.req.mayHaveRun:
-		s.relay.exhausted(s.req, outcome)
 	default:
-		s.broken(api.ReasonEngineDied)
+		s.relay.exhausted(s.req, outcome)
 	}
 }
 
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -1,26 +1,32 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/fleetload"
 )
 
 // Target is one run of a target as this entry knows it.
 type Target struct {
 	directory.Record
-	// leaving is closed once the target is known to be leaving, missing or gone.
-	leaving  chan struct{}
-	gone     atomic.Bool
-	departs  atomic.Bool
+	gone    atomic.Bool
+	departs atomic.Bool
+	// leftAt is when the target was first known to be leaving, Unix nanoseconds.
+	leftAt   atomic.Int64
 	coldTill time.Time
-	// running and tokens are the requests of this entry that are under way there,
-	// and the memory that they are expected to take.
+	// running, tokens, unread and moving are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
+	unread  atomic.Int64
+	moving  atomic.Int64
+	// others is the load by other entries, as last told.
+	others atomic.Pointer[fleetload.Load]
 	// avoidTill is until when the target is passed over, Unix nanoseconds.
 	avoidTill atomic.Int64
 	// failures in a row.
@@ -74,7 +80,7 @@
 		if known != nil {
 			known.depart(true)
 		}
-		known = &Target{Record: r, leaving: make(chan struct{}), coldTill: time.Now().Add(r.Cold)}
+		known = &Target{Record: r, coldTill: time.Now().Add(r.Cold)}
 	}
 	switch r.State {
 	case directory.StateLeaving:
@@ -90,9 +96,8 @@
 	if gone {
 		t.gone.Store(true)
 	}
-	if !t.departs.Swap(true) {
-		close(t.leaving)
-	}
+	t.leftAt.CompareAndSwap(0, time.Now().UnixNano())
+	t.departs.Store(true)
 }
 
 // Of gives the targets of a service.
@@ -126,19 +131,59 @@
 	}
 }
 
-// Running counts this entry's requests at the target.
-func (t *Target) Running() int64 { return t.running.Load() }
-
-// Tokens is the memory that those are expected to take.
-func (t *Target) Tokens() int64 { return t.tokens.Load() }
-
-// hold counts a request against the target until release.
-func (t *Target) hold(tokens int) {
+// hold counts a request against the target until release; unread is the part of
+// its prompt that the engine has to read.
+func (t *Target) hold(tokens, unread int) {
 	t.running.Add(1)
 	t.tokens.Add(int64(tokens))
+	t.unread.Add(int64(unread))
 }
 
 func (t *Target) release(tokens int) {
 	t.running.Add(-1)
 	t.tokens.Add(-int64(tokens))
 }
+
+// read takes back what hold counted as unread.
+func (t *Target) read(unread int) { t.unread.Add(-int64(unread)) }
+
+// keep counts memory against the target: a copy of another engine's run, or what
+// a run has grown by.
+func (t *Target) keep(tokens int) { t.tokens.Add(int64(tokens)) }
+
+// expose counts memory that no other engine has a copy of.
+func (t *Target) expose(tokens int) { t.moving.Add(int64(tokens)) }
+
+// Load gives the load by all entries, as this one knows it.
+func (t *Target) Load() fleetload.Load {
+	l := t.own()
+	if o := t.others.Load(); o != nil {
+		l = l.Add(*o)
+	}
+	return l
+}
+
+func (t *Target) own() fleetload.Load {
+	return fleetload.Load{Running: int(t.running.Load()), Tokens: int(t.tokens.Load()), Unread: int(t.unread.Load()), Moving: int(t.moving.Load())}
+}
+
+// Loads gives this entry's load on each target that has any, in the order of
+// their names.
+func (t *Targets) Loads() []fleetload.TargetLoad {
+	var out []fleetload.TargetLoad
+	for id, target := range t.view.Load().byID {
+		if l := target.own(); l != (fleetload.Load{}) {
+			out = append(out, fleetload.TargetLoad{Target: id, Load: l})
+		}
+	}
+	slices.SortFunc(out, func(a, b fleetload.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// SetOthers takes the other entries' loads.
+func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load) {
+	for id, target := range t.view.Load().byID {
+		l := sums[id]
+		target.others.Store(&l)
+	}
+}
