--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Load is what requests under way ask of a target.
@@ -62,6 +63,38 @@
 	t.reports[r.Entry] = report{Report: r, heard: now}
 }
 
+// Ahead gives the memory that entries before one have to move when a target
+// leaves. Entries move the runs of a target one after the other, in an order that
+// follows from the target's and the entries' names, so that all come to the same
+// without a word.
+func (t *Table) Ahead(one api.InstanceID) map[api.TargetID]int {
+	ahead := make(map[api.TargetID]int)
+	for id, r := range t.reports {
+		if id == one {
+			continue
+		}
+		for _, l := range r.List {
+			if l.Load.Moving > 0 && before(l.Target, id, one) {
+				ahead[l.Target] += l.Load.Moving
+			}
+		}
+	}
+	return ahead
+}
+
+// before tells whether entry a comes before entry b at a target.
+func before(t api.TargetID, a, b api.InstanceID) bool {
+	x, y := place(t, a), place(t, b)
+	if x != y {
+		return x < y
+	}
+	return a < b
+}
+
+func place(t api.TargetID, e api.InstanceID) uint64 {
+	return xxhash.Sum64String(string(t) + "/" + string(e))
+}
+
 // Sums gives the load of each target by all entries but one, and how many entries
 // have reported of late, that one not counted.
 func (t *Table) Sums(but api.InstanceID, now time.Time) (map[api.TargetID]Load, int) {
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -26,3 +26,21 @@
 	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 1, Tokens: 5}})
 	c.Assert(entries, qt.Equals, 1)
 }
+
+// Every entry must come to the same order of moves: two that both took themselves
+// for the first would copy at once and wait for each other on the engine's link,
+// with their callers' streams stopped.
+func TestEntriesAgreeOnWhoMovesFirst(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	now := time.Unix(0, 0)
+	entries := []api.InstanceID{"a", "b", "c", "d"}
+	for _, id := range entries {
+		table.Put(Report{Entry: id, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
+	}
+	seen := map[int]bool{}
+	for _, id := range entries {
+		seen[table.Ahead(id)["t"]] = true
+	}
+	c.Assert(seen, qt.DeepEquals, map[int]bool{0: true, 10: true, 20: true, 30: true})
+}
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -43,6 +43,7 @@
 	RequestAttempted = Event{305, zerolog.InfoLevel, "a target did not answer the request", "Look at the target's own lines by its name."}
 	RequestMoved     = Event{306, zerolog.InfoLevel, "stream goes on at another engine", "None, unless the pause is long: see how full the engines' links are."}
 	RequestRetried   = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
+	RequestCopied    = Event{308, zerolog.InfoLevel, "a run was copied to another engine", "None, unless it takes long: see how full the engines' links are."}
 	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
@@ -72,7 +73,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -29,6 +29,7 @@
 	pause    *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	gap      *prometheus.HistogramVec
+	copies   *prometheus.HistogramVec
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -47,6 +48,7 @@
 		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
 		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_move_pause_seconds", Help: "Pause of a stream that went on elsewhere.", Buckets: latencyBuckets}, []string{"how"}),
+		copies:   f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_copy_seconds", Help: "Time of a copy of a run between two engines, by whether the run was stopped and whether it worked.", Buckets: latencyBuckets}, []string{"stop", "ok"}),
 		first:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_first_event_seconds", Help: "Time from a request's arrival to the first event of its stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
 		gap:      f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_longest_gap_seconds", Help: "Longest pause between two events of a stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
 	}
@@ -101,6 +103,13 @@
 	target(request(events.RequestAttempted.Log(m.log), r).Str("outcome", outcome).AnErr("error", err), "target", t).Send()
 }
 
+// Copied implements relay.Observer.
+func (m *Relay) Copied(r *relay.Request, from, to *relay.Target, stop bool, took time.Duration, err error) {
+	m.copies.WithLabelValues(strconv.FormatBool(stop), strconv.FormatBool(err == nil)).Observe(took.Seconds())
+	e := request(events.RequestCopied.Log(m.log), r).Bool("stop", stop).Dur("took", took).AnErr("error", err)
+	target(target(e, "from", from), "to", to).Send()
+}
+
 // Moved implements relay.Observer.
 func (m *Relay) Moved(r *relay.Request, from, to *relay.Target, how string, pause time.Duration) {
 	m.moves.WithLabelValues(how).Inc()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -193,7 +193,7 @@
 		e.loads.Put(r, now)
 	}
 	sums, entries := e.loads.Sums(e.set.Instance, now)
-	e.targets.SetOthers(sums)
+	e.targets.SetOthers(sums, e.loads.Ahead(e.set.Instance))
 	e.repeats.SetEntries(entries + 1)
 }
 
--- a/node/relay/backup.go
+++ b/node/relay/backup.go
@@ -37,11 +37,7 @@
 	if e == nil || !e.Backups || s.req.Ask.MaxTokens < longStream {
 		return nil
 	}
-	fill := handoff.BackupFill(handoff.Exposure{
-		Tokens: t.Load().Moving + s.req.tokens,
-		Rate:   e.MoveRate(),
-		Moves:  e.Moves,
-	})
+	fill := handoff.BackupFill(e.Moves)
 	list := s.relay.targets.Of(s.req.Service)
 	candidates := s.relay.candidates(list, []*Target{t}, time.Now())
 	for i := range candidates {
--- a/node/relay/depart.go
+++ b/node/relay/depart.go
@@ -24,11 +24,7 @@
 
 // moveZoneWeight is what an engine in another zone counts more as the taker of a
 // run, in parts of its load: a move there takes twice the time.
-const moveZoneWeight = 0.3
-
-// settled is how quick a copy of the last few tokens is on a free link: two
-// exchanges with the engine and a few milliseconds of copying.
-const settled = 30 * time.Millisecond
+const moveZoneWeight = 1.2
 
 // maxMoveTries bounds how many engines are asked to take one run: the notice is
 // short.
@@ -84,6 +80,10 @@
 // departByMove copies the run to another engine while it goes on, and then once
 // more with a stop, so that the pause covers only what was made in between.
 func (s *streamRun) departByMove(ctx context.Context, l *leg) {
+	if !s.waitForTurn(ctx, l) {
+		return
+	}
+	defer func() { <-l.target.turn }()
 	tried := []*Target{l.target}
 	for range maxMoveTries {
 		to := s.taker(tried)
@@ -98,17 +98,12 @@
 }
 
 func (s *streamRun) moveTo(ctx context.Context, l *leg, to *Target) bool {
-	run := s.req.Ask.Request
 	to.keep(l.tokens)
 	defer to.keep(-l.tokens)
-	if err := s.settle(ctx, l, to); err != nil {
-		s.relay.obs.Attempted(s.req, to, outcomeNoMove, err)
+	if err := s.copyUntilQuick(ctx, l, to); err != nil {
 		return false
 	}
-	moved, err := s.relay.engines.Move(ctx, l.target.Address, run, to.Address, true)
-	if err != nil {
-		s.relay.obs.Attempted(s.req, to, outcomeNoMove, err)
-	}
+	moved, err := s.copy(ctx, l, to, true)
 	if moved.Copy.ID == "" {
 		return false
 	}
@@ -122,27 +117,67 @@
 	return true
 }
 
-// settle repeats the copy of what is new until that is quick, or the notice is
-// nearly over.
-//
-// Failure: several runs leave one engine at once, and each is stopped as soon as
-// its own copy is done. Symptom: the last short copy of a stopped run waits behind
-// the long ones of the others, and its caller sees a pause of up to a second. A
-// copy of a few tokens that comes back at once shows that the link is free.
-func (s *streamRun) settle(ctx context.Context, l *leg, to *Target) error {
+func (s *streamRun) copy(ctx context.Context, l *leg, to *Target, stop bool) (Moved, error) {
+	began := time.Now()
+	moved, err := s.relay.engines.Move(ctx, l.target.Address, s.req.Ask.Request, to.Address, stop)
+	s.relay.obs.Copied(s.req, l.target, to, stop, time.Since(began), err)
+	return moved, err
+}
+
+// quickCopy is how quick a copy of a few tokens is on a free link: two exchanges
+// with the engine and some milliseconds of copying.
+const quickCopy = 40 * time.Millisecond
+
+// copyUntilQuick copies the run while it goes on, and again what is new, until
+// that is quick or the notice is nearly over. A slow copy of a few tokens tells
+// that runs of other entries are on the link; a run stopped now would wait for
+// them, and its caller with it.
+func (s *streamRun) copyUntilQuick(ctx context.Context, l *leg, to *Target) error {
 	until := time.Unix(0, l.target.leftAt.Load()).Add(handoff.Notice)
 	for {
 		began := time.Now()
-		if _, err := s.relay.engines.Move(ctx, l.target.Address, s.req.Ask.Request, to.Address, false); err != nil {
+		if _, err := s.copy(ctx, l, to, false); err != nil {
 			return err
 		}
 		now := time.Now()
-		if now.Sub(began) < settled || now.After(until) {
+		if now.Sub(began) < quickCopy || now.After(until) {
 			return nil
 		}
 	}
 }
 
+// waitForTurn waits until the runs before this one have been moved from the
+// engine; false when ctx ends first.
+//
+// Failure: several runs leave one engine at once. Symptom: their copies share its
+// link, each run that was stopped waits for the long copies of the others, and all
+// callers see a pause of up to a second, or the engine is gone first. One after
+// the other they take the same time in all, and each caller sees the pause of its
+// own last tokens only. Among entries the order follows from what each of them
+// last told of its load.
+func (s *streamRun) waitForTurn(ctx context.Context, l *leg) bool {
+	select {
+	case l.target.turn <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	e := s.engine()
+	if e == nil {
+		return true
+	}
+	left := time.Unix(0, l.target.leftAt.Load())
+	ahead := handoff.MoveTime(int(l.target.ahead.Load()), e.MoveRate())
+	t := time.NewTimer(time.Until(left.Add(min(ahead, handoff.Notice))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		<-l.target.turn
+		return false
+	}
+}
+
 // taker chooses the engine that a run is moved to, among all that have room.
 // Several entries move the runs of an engine in the same instant; sent to the one
 // that is emptiest, they would wait for each other on its link until the notice is
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -105,6 +105,8 @@
 	Sent(r *Request, t *Target, why string)
 	// Attempted tells what one send came to.
 	Attempted(r *Request, t *Target, outcome string, err error)
+	// Copied tells of one copy of a run between two engines.
+	Copied(r *Request, from, to *Target, stop bool, took time.Duration, err error)
 	// Moved tells that a stream goes on elsewhere after a pause.
 	Moved(r *Request, from, to *Target, how string, pause time.Duration)
 	// Ended tells how a request ended towards its caller.
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -27,6 +27,11 @@
 	moving  atomic.Int64
 	// others is the load by other entries, as last told.
 	others atomic.Pointer[fleetload.Load]
+	// ahead is the memory that entries before this one move first when the target
+	// leaves, as known when it did.
+	ahead atomic.Int64
+	// turn is held by the run that is being moved from the target.
+	turn chan struct{}
 	// avoidTill is until when the target is passed over, Unix nanoseconds.
 	avoidTill atomic.Int64
 	// failures in a row.
@@ -80,7 +85,7 @@
 		if known != nil {
 			known.depart(true)
 		}
-		known = &Target{Record: r, coldTill: time.Now().Add(r.Cold)}
+		known = &Target{Record: r, turn: make(chan struct{}, 1), coldTill: time.Now().Add(r.Cold)}
 	}
 	switch r.State {
 	case directory.StateLeaving:
@@ -180,10 +185,14 @@
 	return out
 }
 
-// SetOthers takes the other entries' loads.
-func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load) {
+// SetOthers takes the other entries' loads, and what those before this one would
+// have to move.
+func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load, ahead map[api.TargetID]int) {
 	for id, target := range t.view.Load().byID {
 		l := sums[id]
 		target.others.Store(&l)
+		if !target.departs.Load() {
+			target.ahead.Store(int64(ahead[id]))
+		}
 	}
 }
