Hold requests while an entry starts; look for a leader more often

Change: held for up to 1.2 s, a third of the caller's patience at most; clients of control try again after at most 250 ms.

--- a/node/control/client.go
+++ b/node/control/client.go
@@ -21,7 +21,7 @@
 const (
 	defaultReportEvery = 2 * time.Second
 	retryMin           = 20 * time.Millisecond
-	retryMax           = 500 * time.Millisecond
+	retryMax           = 250 * time.Millisecond
 	// tryFor bounds one attempt. A stopped member keeps its connections open,
 	// so that without the bound a call would wait for the link's silence.
 	tryFor = 2 * time.Second
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -113,6 +113,7 @@
 	control := http.NewResponseController(w)
 	// A caller that does not read would hold this goroutine past the deadline.
 	_ = control.SetWriteDeadline(req.Deadline.Add(writeGrace))
+	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
 		r.stream(ctx, req)
 	} else {
@@ -133,7 +134,7 @@
 		return r.refuse(req, http.StatusBadRequest, api.ReasonBadRequest, 0)
 	}
 	req.Ask = ask
-	table := r.live.Load()
+	table := r.awaitConfig(req)
 	if table == nil {
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonNoConfig, retryNoConfig)
 	}
@@ -156,6 +157,63 @@
 	return r.readBody(req, table.Config.Limits)
 }
 
+const (
+	// startWait is how long a request is held while this entry has no configuration
+	// or knows no target of its service, which after a start is over within a
+	// second: refused, the caller would come back later than it is served now.
+	startWait = 1200 * time.Millisecond
+	// startLook is the pace at which it is looked whether that is over.
+	startLook = 25 * time.Millisecond
+)
+
+// awaitConfig gives the configuration in force; after a start it waits for the
+// first one, but no longer than a third of the caller's patience.
+func (r *Relay) awaitConfig(req *Request) *routeconf.Table {
+	table := r.live.Load()
+	if table != nil {
+		return table
+	}
+	wait := startWait
+	if p := req.Ask.Patience / 3; p > 0 {
+		wait = min(wait, p)
+	}
+	hold(req.caller.Context(), wait, func() bool {
+		table = r.live.Load()
+		return table != nil
+	})
+	return table
+}
+
+// awaitTargets waits for the first target of a service to be known.
+func (r *Relay) awaitTargets(ctx context.Context, req *Request) {
+	known := func() bool { return len(r.targets.Of(req.Service)) > 0 }
+	if known() {
+		return
+	}
+	wait := time.Until(req.Arrived.Add(startWait))
+	if p := req.Ask.Patience / 3; p > 0 {
+		wait = min(wait, time.Until(req.Arrived.Add(p)))
+	}
+	hold(ctx, wait, known)
+}
+
+// hold waits until done, for some time at most.
+func hold(ctx context.Context, wait time.Duration, done func() bool) {
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	look := time.NewTicker(startLook)
+	defer look.Stop()
+	for !done() {
+		select {
+		case <-look.C:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // requestURI gives path and query as the caller sent them.
 func requestURI(hr *http.Request) string {
 	if strings.HasPrefix(hr.RequestURI, "/") {
