--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -28,7 +28,7 @@
 
 const routedHelp = `Run a process on the users' platform.
 
-Its settings come from the platform's file, which ALMONDSEAM_CONFIG names.`
+Its settings come from the platform's file, which ` + platform.SettingsVariable + ` names.`
 
 // routedCommand is `almondseam routed ROLE`.
 type routedCommand struct {
--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,95 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	qt "github.com/frankban/quicktest"
+)
+
+func rec(id string, born int64, seq uint64, s State) Record {
+	return Record{Target: api.TargetID(id), Service: "s", Address: "10.0.0.1:80", Born: born, Sequence: seq, State: s}
+}
+
+// Announcements come late, twice, in the wrong order, and from runs that have
+// ended. Whatever order two of them come in, the later news holds: callers would
+// otherwise be sent to a target that has left, or a new run would get nothing.
+func TestLaterNewsHolds(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		one   Record
+		other Record
+		want  State
+	}{
+		{"a higher sequence", rec("t", 1, 4, StateLeaving), rec("t", 1, 3, StateReady), StateLeaving},
+		{"leaving and ready in one announcement's number", rec("t", 1, 4, StateLeaving), rec("t", 1, 4, StateReady), StateLeaving},
+		{"missing is taken back by a later word", rec("t", 1, 4, StateMissing), rec("t", 1, 5, StateReady), StateReady},
+		{"gone stays gone for its run", rec("t", 1, 4, StateGone), rec("t", 1, 9, StateReady), StateGone},
+		{"a later run is not gone with the one before", rec("t", 1, 9, StateGone), rec("t", 2, 1, StateReady), StateReady},
+		{"a late word of an earlier run", rec("t", 2, 1, StateReady), rec("t", 1, 99, StateLeaving), StateReady},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, order := range [][]Record{{tt.one, tt.other}, {tt.other, tt.one}} {
+				c := qt.New(t)
+				d := New()
+				for _, r := range order {
+					d.Merge(r, time.Unix(0, 0))
+				}
+				got, ok := d.Get("t")
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(got.State, qt.Equals, tt.want)
+			}
+		})
+	}
+}
+
+// An address is used again by another target. The one that was there is gone,
+// though it never said so.
+func TestAddressBelongsToItsLatestRun(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	d := New()
+	d.Announce(rec("old", 1, 5, StateReady), now)
+	next := rec("new", 2, 1, StateReady)
+	next.Service = "other"
+	d.Announce(next, now)
+	old, _ := d.Get("old")
+	c.Assert(old.State, qt.Equals, StateGone)
+	d.Announce(rec("old", 1, 6, StateReady), now)
+	got, _ := d.Get("new")
+	c.Assert(got.State, qt.Equals, StateReady)
+}
+
+// Only the process that a target reports to may conclude from silence that it is
+// missing, and a target that comes over is news to the process it came from.
+func TestSilenceIsNoticedWhereTheTargetReports(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(0, 0)
+	a, b := New(), New()
+	r, _ := a.Announce(rec("t", 1, 1, StateReady), start)
+	b.Merge(r, start)
+	c.Assert(b.Expire(start.Add(time.Hour), time.Second), qt.HasLen, 0)
+
+	moved, news := b.Announce(rec("t", 1, 2, StateReady), start)
+	c.Assert(news, qt.IsTrue)
+	a.Merge(moved, start)
+	c.Assert(a.Expire(start.Add(2*time.Second), time.Second), qt.HasLen, 0)
+	gone := b.Expire(start.Add(2*time.Second), time.Second)
+	c.Assert(gone, qt.HasLen, 1)
+	c.Assert(gone[0].State, qt.Equals, StateMissing)
+}
+
+// A target that leaves without a word of draining is still told to everyone, also
+// by a process that never heard of it.
+func TestLeaveOfAnUnknownTargetIsKept(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	d := New()
+	left, news := d.Leave("t", 0, now)
+	c.Assert(news, qt.IsTrue)
+	c.Assert(left.State, qt.Equals, StateGone)
+	c.Assert(d.Merge(rec("t", 1, 1, StateReady), now), qt.IsFalse)
+	d.Expire(now.Add(2*tombstoneLife), time.Second)
+	c.Assert(d.Records(), qt.HasLen, 0)
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -47,7 +47,7 @@
 	// otherZone is what a target in another zone counts more, in parts of its
 	// load: a crossing costs a millisecond and bytes that are paid for, which is
 	// less than waiting behind one more request.
-	otherZone = 0.02
+	otherZone = 0.03
 	// coldLoad is what a target counts more while it is slow after its start.
 	coldLoad = 0.5
 	// unreadFull is how many unread tokens weigh as much as a target that is full:
@@ -86,7 +86,7 @@
 const evenRoom = 0.85
 
 // noise is the breadth of the random part of a score, in parts of a target's load.
-const noise = 0.03
+const noise = 0.02
 
 // filter gives the indexes of candidates that may be asked.
 func filter(list []Candidate, need Need) []int {
--- /dev/null
+++ b/core/rollout/gate_test.go
@@ -0,0 +1,30 @@
+package rollout
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// An entry starts beside a member that was cut off and holds an old revision. What
+// that member sends must not come in force before a majority has said what may be
+// served, and nothing older may come in force afterwards.
+func TestGateServesNothingOld(t *testing.T) {
+	c := qt.New(t)
+	var g Gate
+	_, ok := g.Take(4, []byte("old"))
+	c.Assert(ok, qt.IsFalse)
+	_, ok = g.Confirm(6)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = g.Take(5, []byte("still old"))
+	c.Assert(ok, qt.IsFalse)
+	doc, ok := g.Take(6, []byte("six"))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(string(doc), qt.Equals, "six")
+	_, ok = g.Take(5, []byte("late"))
+	c.Assert(ok, qt.IsFalse)
+	_, ok = g.Confirm(9)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = g.Take(7, []byte("seven"))
+	c.Assert(ok, qt.IsTrue)
+}
--- /dev/null
+++ b/node/process/routed_test.go
@@ -0,0 +1,206 @@
+package process
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/directory"
+	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/relay"
+	"almondseam.dev/node/upstream"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// routedGroup is a control group on loopback that founds itself.
+type routedGroup struct {
+	c       *qt.C
+	links   []string
+	dirs    []string
+	members []*RoutedControl
+}
+
+func freeAddress(c *qt.C) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func foundRoutedGroup(t *testing.T, n int) *routedGroup {
+	g := &routedGroup{c: qt.New(t), members: make([]*RoutedControl, n)}
+	for range n {
+		g.links = append(g.links, freeAddress(g.c))
+		g.dirs = append(g.dirs, filepath.Join(t.TempDir(), "data"))
+	}
+	for i := range n {
+		g.start(i, true)
+	}
+	t.Cleanup(func() {
+		for i := range g.members {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *routedGroup) start(i int, founding bool) {
+	log := zerolog.Nop()
+	g.members[i] = NewRoutedControl(RoutedControlSettings{
+		Instance: api.InstanceID(fmt.Sprint("core-", i)), Zone: "z", Key: []byte("a key of the tests"),
+		Dir: g.dirs[i], Links: g.links[i], Seeds: g.links, Founding: founding, AnnounceEvery: time.Second,
+		Validate: func([]byte) error { return nil },
+	}, metrics.New(&log), &log)
+	g.members[i].Start()
+}
+
+func (g *routedGroup) stop(i int) {
+	if g.members[i] != nil {
+		g.c.Check(g.members[i].Stop(context.Background()), qt.IsNil)
+		g.members[i] = nil
+	}
+}
+
+// until waits for something that the processes come to by themselves; a test that
+// waits in vain ends by the package's time limit.
+func until(done func() bool) {
+	for !done() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (g *routedGroup) put(i int, version uint64) {
+	until(func() bool {
+		return g.members[i].Put(context.Background(), version, document(version)) == api.OutcomeCompleted
+	})
+}
+
+func document(version uint64) []byte { return binary.BigEndian.AppendUint64(nil, version) }
+
+func (g *routedGroup) holds(i int, version uint64) {
+	until(func() bool {
+		d, ok := g.members[i].Get(context.Background())
+		return ok && string(d) == string(document(version))
+	})
+}
+
+// Operators see a group that founds itself, and that gets over a member whose disk
+// is lost: it comes back empty at its old address, joins as another member, and the
+// identity that was lost no longer counts. Were it counted, the next loss would
+// stop all changes.
+func TestRoutedGroupFoundsAndMendsItself(t *testing.T) {
+	g := foundRoutedGroup(t, 3)
+	g.put(0, 5)
+	for i := range 3 {
+		g.holds(i, 5)
+	}
+	g.stop(1)
+	g.c.Assert(os.RemoveAll(g.dirs[1]), qt.IsNil)
+	g.start(1, false)
+	until(func() bool {
+		role := g.members[1].role.Load()
+		if role == nil {
+			return false
+		}
+		st := role.Member().Status()
+		return st.Membership.IsVoter(st.ID) && len(st.Membership.Voters) == 3
+	})
+	// The group bears another loss now.
+	g.stop(2)
+	g.put(1, 9)
+	g.holds(0, 9)
+	g.holds(1, 9)
+}
+
+// All members lose their processes at once. What was accepted is still there, and
+// an older document that is sent again changes nothing.
+func TestRoutedGroupKeepsWhatItAccepted(t *testing.T) {
+	g := foundRoutedGroup(t, 3)
+	g.put(2, 7)
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i, false)
+	}
+	g.put(1, 3)
+	for i := range 3 {
+		g.holds(i, 7)
+	}
+}
+
+// headerDialect reads nothing but a request's ID.
+type headerDialect struct{}
+
+func (headerDialect) Ask(h http.Header) (relay.Ask, error) {
+	return relay.Ask{Request: api.RequestID(h.Get("Id"))}, nil
+}
+func (headerDialect) Direct(http.Header, relay.Directive) {}
+func (headerDialect) Reply(int, http.Header) relay.Reply  { return relay.Reply{} }
+
+type noEngines struct{}
+
+func (noEngines) Move(context.Context, string, api.RequestID, string, bool) (relay.Moved, error) {
+	return relay.Moved{}, errors.New("no engines")
+}
+
+// A caller's request goes by the configuration that the operator sent to one member
+// to a target that announced itself at another; once the target leaves, no more.
+func TestRoutedPathFromAnnouncementToAnswer(t *testing.T) {
+	g := foundRoutedGroup(t, 3)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole answer") }))
+	t.Cleanup(target.Close)
+	log := zerolog.Nop()
+	set := metrics.New(&log)
+	observer := metrics.NewRelay(set)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.c.Assert(err, qt.IsNil)
+	entry := NewRoutedEntry(RoutedEntrySettings{
+		Instance: "front-0", Zone: "z", Key: []byte("a key of the tests"), Callers: ln, Seeds: g.links,
+		Repeats: repeats.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
+	}, RoutedEntryPorts{
+		Dialect: headerDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observer, Metrics: set, Log: &log,
+		Decode: func(d []byte) (*routeconf.Table, error) {
+			return routeconf.Compile(routeconf.Config{
+				Version:  binary.BigEndian.Uint64(d),
+				Services: []routeconf.Service{{Name: "s"}},
+				Routes: []routeconf.Route{{
+					Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: routeconf.KindIdempotent, Timeout: 10 * time.Second, MaxTargets: 1,
+					Split: []routeconf.Share{{Service: "s", Weight: 1}},
+				}},
+			})
+		},
+	})
+	entry.Start()
+	t.Cleanup(func() { g.c.Check(entry.Stop(context.Background()), qt.IsNil) })
+
+	g.put(0, 1)
+	record := directory.Record{Target: "t", Service: "s", Address: target.Listener.Addr().String(), Zone: "z", Slots: 1, Sequence: 1, State: directory.StateReady}
+	g.members[2].Announce(record)
+	until(entry.Ready)
+	resp, err := http.Get("http://" + ln.Addr().String() + "/x")
+	g.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	g.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+
+	record.Sequence, record.State = 2, directory.StateLeaving
+	g.members[2].Announce(record)
+	until(func() bool {
+		resp, err := http.Get("http://" + ln.Addr().String() + "/x")
+		g.c.Assert(err, qt.IsNil)
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+}
--- /dev/null
+++ b/node/relay/relay_test.go
@@ -0,0 +1,415 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/directory"
+	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/upstream"
+	qt "github.com/frankban/quicktest"
+)
+
+// plainDialect is a dialect with plain names, as no platform speaks it.
+type plainDialect struct{}
+
+func (plainDialect) Ask(h http.Header) (Ask, error) {
+	if h.Get("Bad") != "" {
+		return Ask{}, errors.New("bad")
+	}
+	most, _ := strconv.Atoi(h.Get("Most"))
+	return Ask{Request: api.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last"), MaxTokens: most, Patience: 20 * time.Second}, nil
+}
+
+func (plainDialect) Direct(h http.Header, d Directive) {
+	h.Del("Key")
+	h.Set("Target", string(d.Target))
+	h.Set("Customer", string(d.Customer))
+	h.Set("Copy-To", d.CopyTo)
+	h.Set("Copy-From", d.CopyFrom.ID)
+	h.Set("Last", d.LastEvent)
+}
+
+func (plainDialect) Reply(status int, h http.Header) Reply {
+	return Reply{Request: api.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", WrongTarget: status == http.StatusMisdirectedRequest}
+}
+
+// quiet is an Observer that hears nothing.
+type quiet struct{}
+
+func (quiet) Refused(*Request, int, api.Reason)                             {}
+func (quiet) Sent(*Request, *Target, string)                                {}
+func (quiet) Attempted(*Request, *Target, string, error)                    {}
+func (quiet) Copied(*Request, *Target, *Target, bool, time.Duration, error) {}
+func (quiet) Moved(*Request, *Target, *Target, string, time.Duration)       {}
+func (quiet) Ended(*Request, int, string)                                   {}
+func (quiet) Dialled(string, error)                                         {}
+
+// mover is the engines' moves, as a test wants them.
+type mover func(at string, to string, stop bool) (Moved, error)
+
+func (m mover) Move(_ context.Context, at string, _ api.RequestID, to string, stop bool) (Moved, error) {
+	return m(at, to, stop)
+}
+
+var errNoMove = errors.New("no move")
+
+func noMoves(string, string, bool) (Moved, error) { return Moved{}, errNoMove }
+
+// stage is a relay before some targets.
+type stage struct {
+	c       *qt.C
+	targets *Targets
+	live    atomic.Pointer[routeconf.Table]
+	url     string
+}
+
+const service = api.ServiceID("s")
+
+func newStage(t *testing.T, route routeconf.Route, moves mover) *stage {
+	s := &stage{c: qt.New(t), targets: NewTargets()}
+	route.Name, route.Host, route.Prefix, route.Timeout = "r", "127.0.0.1", "/a/", 20*time.Second
+	route.Split = []routeconf.Share{{Service: service, Weight: 1}}
+	engine := &routeconf.Engine{Batch: 8, CacheTokens: 1 << 20, BytesPerToken: 1, LinkMbps: 1e6, Moves: true, Backups: true, TokensPerEvent: 1}
+	table, err := routeconf.Compile(routeconf.Config{
+		Version: 1, Routes: []routeconf.Route{route},
+		Services:     []routeconf.Service{{Name: service, Engine: engine}},
+		Customers:    []routeconf.Customer{{Name: "cathedral", Keys: []string{"k"}}},
+		HasCustomers: true,
+	})
+	s.c.Assert(err, qt.IsNil)
+	s.live.Store(table)
+	r := New(Settings{Zone: "z"}, Ports{
+		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: moves,
+		Repeats: NewRepeats(repeats.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}), Observer: quiet{},
+	})
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	s.url = server.URL
+	return s
+}
+
+// target starts a target that answers with h, in zone z for the first choice.
+func (s *stage) target(name string, zone api.Zone, h http.HandlerFunc) directory.Record {
+	server := httptest.NewServer(h)
+	s.c.TB.(*testing.T).Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	r := directory.Record{Target: api.TargetID(name), Service: service, Address: server.Listener.Addr().String(), Zone: zone, Slots: 8, Sequence: 1, State: directory.StateReady}
+	s.targets.Update([]directory.Record{r})
+	return r
+}
+
+func (s *stage) leaves(r directory.Record) {
+	r.State = directory.StateLeaving
+	s.targets.Update([]directory.Record{r})
+}
+
+func (s *stage) ask(path string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, s.url+path, strings.NewReader("a prompt"))
+	s.c.Assert(err, qt.IsNil)
+	req.Header.Set("Id", "1")
+	req.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// events writes numbered events, and lets the caller have each at once.
+func events(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func wanted(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func last(r *http.Request) int {
+	n, _ := strconv.Atoi(r.Header.Get("Last"))
+	return n
+}
+
+// A caller reads a long stream whose engine says that it leaves. The stream goes on
+// where its memory was copied: each event comes once, in order, and the first
+// engine is let go.
+func TestStreamGoesOnWhereItsCopyIs(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	released := make(chan struct{})
+	var first directory.Record
+	s.target("b", "far", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Copy-From") != "1" {
+			t.Errorf("the second engine was asked without the copy")
+		}
+		events(w, last(r)+1, 6)
+	})
+	first = s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Copy-To") == "" {
+			t.Errorf("no copy was ordered")
+		}
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-r.Context().Done()
+		close(released)
+	})
+	resp, body, err := s.ask("/a/x", "Most", "500")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	s.c.Assert(body, qt.Equals, wanted(1, 6))
+	<-released
+}
+
+// An engine leaves, and the one that should have a copy of the run has none. The
+// caller must not lose the stream for that: the run was still under way when the
+// copy was asked for, and goes on to its end.
+func TestRunIsNotEndedForACopyThatIsMissing(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	refused := make(chan struct{})
+	var once sync.Once
+	var first directory.Record
+	s.target("b", "far", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		once.Do(func() { close(refused) })
+	})
+	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-refused
+		events(w, 5, 8)
+	})
+	_, body, err := s.ask("/a/x", "Most", "500")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 8))
+}
+
+// An engine leaves just as it has made a stream's last event. The next one has
+// nothing left to make and gives the last event again; the caller must get it once.
+func TestLastEventIsNotGivenTwice(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	var first directory.Record
+	s.target("b", "far", func(w http.ResponseWriter, _ *http.Request) { events(w, 4, 4) })
+	first = s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-r.Context().Done()
+	})
+	_, body, err := s.ask("/a/x", "Most", "500")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 4))
+}
+
+// A run has no copy and its engine leaves. It is copied while it goes on, stopped,
+// and taken up by the other engine; what was made before the stop comes from the
+// first.
+func TestRunIsMovedFromAnEngineThatLeaves(t *testing.T) {
+	stopped := make(chan struct{})
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, func(_, _ string, stop bool) (Moved, error) {
+		if stop {
+			close(stopped)
+		}
+		return Moved{Copy: Copy{Address: "x", ID: "handle"}, Made: 5}, nil
+	})
+	var first directory.Record
+	s.target("b", "far", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Copy-From") != "handle" {
+			t.Errorf("the second engine was asked without the handle")
+		}
+		events(w, last(r)+1, 7)
+	})
+	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-stopped
+		events(w, 5, 5)
+		panic(http.ErrAbortHandler) // a stopped run ends without its end
+	})
+	_, body, err := s.ask("/a/x", "Most", "50")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 7))
+}
+
+// An engine breaks off in the middle of an event. Passed on as it came, the caller
+// would get half an event and then the whole; it gets the whole alone.
+func TestHalfAnEventIsNeverPassedOn(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 2, Resumable: true}, noMoves)
+	var asked atomic.Int32
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) > 1 {
+			events(w, last(r)+1, 4)
+			return
+		}
+		events(w, 1, 2)
+		fmt.Fprint(w, "id: 3\ndata: pie")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	s.target("a", "z", h)
+	s.target("b", "z", h)
+	_, body, err := s.ask("/a/x")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 4))
+}
+
+// A stream that must not run twice breaks off and no copy is there. Its end must
+// not look whole: the caller's connection ends without the last chunk.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	})
+	_, body, err := s.ask("/a/x")
+	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	s.c.Assert(body, qt.Equals, wanted(1, 2))
+}
+
+// What becomes of a plain request by its kind and by what its target does. lose
+// breaks the connection after the request was read, shed states that it did not
+// run, fail answers with the target's own failure.
+func TestPlainRequests(t *testing.T) {
+	type behaviour string
+	const serve, lose, shed, fail behaviour = "serve", "lose", "shed", "fail"
+	for _, tt := range []struct {
+		name     string
+		kind     routeconf.Kind
+		most     int
+		first    behaviour
+		second   behaviour
+		status   int
+		arrivals int32
+	}{
+		{"served", routeconf.KindOnce, 1, serve, serve, 200, 1},
+		{"a booking whose answer is lost is not sent again", routeconf.KindOnce, 2, lose, serve, 502, 1},
+		{"a lookup whose answer is lost is", routeconf.KindIdempotent, 2, lose, serve, 200, 2},
+		{"a lookup is sent to no more targets than the route allows", routeconf.KindIdempotent, 1, lose, serve, 502, 1},
+		{"a booking that was not run goes to another target", routeconf.KindOnce, 2, shed, serve, 200, 2},
+		{"a booking that may go to one target only is refused as not run", routeconf.KindOnce, 1, shed, serve, 503, 1},
+		{"a booking's failure is the target's answer", routeconf.KindOnce, 2, fail, serve, 500, 1},
+		{"a lookup's failure is made good by another target", routeconf.KindIdempotent, 2, fail, serve, 200, 2},
+		{"a failure is passed on when the other target has no answer", routeconf.KindIdempotent, 2, fail, lose, 500, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStage(t, routeconf.Route{Kind: tt.kind, MaxTargets: tt.most}, noMoves)
+			var arrivals atomic.Int32
+			h := func(w http.ResponseWriter, r *http.Request) {
+				do := tt.first
+				if arrivals.Add(1) > 1 {
+					do = tt.second
+				}
+				_, _ = io.ReadAll(r.Body)
+				switch do {
+				case lose:
+					panic(http.ErrAbortHandler)
+				case shed:
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				case fail:
+					http.Error(w, "seats are out", http.StatusInternalServerError)
+				default:
+					fmt.Fprint(w, "booked")
+				}
+			}
+			s.target("a", "z", h)
+			s.target("b", "z", h)
+			resp, _, err := s.ask("/a/x")
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(resp.StatusCode, qt.Equals, tt.status)
+			s.c.Assert(arrivals.Load(), qt.Equals, tt.arrivals)
+			if tt.status == http.StatusServiceUnavailable {
+				s.c.Assert(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
+
+// Requests that no target may see.
+func TestRefusals(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		path   string
+		header []string
+		status int
+	}{
+		{"unknown key", "/a/x", []string{"Key", "other"}, http.StatusUnauthorized},
+		{"no route", "/b/x", nil, http.StatusNotFound},
+		{"unreadable headers", "/a/x", []string{"Bad", "1"}, http.StatusBadRequest},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+			s.target("a", "z", func(http.ResponseWriter, *http.Request) { t.Error("a target saw the request") })
+			resp, _, err := s.ask(tt.path, tt.header...)
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(resp.StatusCode, qt.Equals, tt.status)
+		})
+	}
+}
+
+// A target gets the request as the caller sent it, its customer's name, and not the
+// key.
+func TestTargetGetsTheRequestAsItIs(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, r.Method, " ", r.RequestURI, " ", string(body), " ", r.Header.Get("Customer"), " ", r.Header.Get("Key"), " ", r.Header.Get("Target"), " ", r.Header.Get("Other"))
+	})
+	_, body, err := s.ask("/a/%7Ex//y?z=%20&w", "Other", "o", "Connection", "Hop", "Hop", "h")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, "POST /a/%7Ex//y?z=%20&w a prompt cathedral  a o")
+}
+
+// The caller closes its connection while an engine works. The engine must be let go
+// at once, or it works for nobody.
+func TestEngineIsLetGoWhenTheCallerLeaves(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	released := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		events(w, 1, 1)
+		cancel()
+		<-r.Context().Done()
+		close(released)
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+"/a/x", strings.NewReader("p"))
+	s.c.Assert(err, qt.IsNil)
+	req.Header.Set("Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_, _ = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	<-released
+}
