Entries draw a few targets; clients of control leave out members that failed of late

Change: each choice draws a few targets, fewer the more entries there are for each. Change: dials end after 0.6 s, failed addresses are left out for 3 s, links are given up after 1.8 s of silence.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -39,6 +39,9 @@
 	// ZoneWeight is what a target in another zone counts more, in parts of its
 	// load; zero takes the usual one.
 	ZoneWeight float64
+	// Draws is how many targets are drawn, the best of which is taken; zero takes
+	// all. See DrawsFor.
+	Draws int
 	// Even takes all targets that have room for equally loaded.
 	Even bool
 }
@@ -61,7 +64,7 @@
 // Pick gives the index of the chosen candidate, -1 if none may be asked. draw is
 // uniform in [0,1).
 func Pick(list []Candidate, need Need, draw func() float64) int {
-	eligible := filter(list, need)
+	eligible := drawn(filter(list, need), need.Draws, draw)
 	if len(eligible) == 0 {
 		return -1
 	}
@@ -81,6 +84,33 @@
 	return best
 }
 
+// drawsPerShare is how many targets are drawn for each target that there is for an
+// entry.
+const drawsPerShare = 5
+
+// DrawsFor gives how many of the targets each choice should draw.
+//
+// Load pattern: thirty entries send sixty prompts a second to forty engines, and
+// each knows the others' choices a fifth of a second late. Taking the emptiest of
+// all, a dozen prompts go to one engine before anybody knows, and the last of them
+// waits two seconds. The more entries there are for each target, the fewer targets
+// are drawn; an entry alone takes the best of all.
+func DrawsFor(targets, entries int) int {
+	return max(2, drawsPerShare*targets/max(entries, 1))
+}
+
+// drawn gives some of the eligible, all of them if there are no more or draws is 0.
+func drawn(eligible []int, draws int, draw func() float64) []int {
+	if draws == 0 || draws >= len(eligible) {
+		return eligible
+	}
+	for i := range draws {
+		j := i + int(draw()*float64(len(eligible)-i))
+		eligible[i], eligible[j] = eligible[j], eligible[i]
+	}
+	return eligible[:draws]
+}
+
 // evenRoom is up to which part of its memory a target has room for a run that is
 // moved there.
 const evenRoom = 0.85
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -25,6 +25,11 @@
 	// tryFor bounds one attempt. A stopped member keeps its connections open,
 	// so that without the bound a call would wait for the link's silence.
 	tryFor = 2 * time.Second
+	// clientDialWithin bounds one dial. Members are milliseconds away; one that
+	// takes longer is cut off or without power, and another one may have news.
+	clientDialWithin = 600 * time.Millisecond
+	// avoidFailed is how long an address is passed over after it failed.
+	avoidFailed = 3 * time.Second
 	// leaderlessFor is how long a client stays with a member that knows of no
 	// leader: a little over one election.
 	leaderlessFor = 1500 * time.Millisecond
@@ -83,6 +88,8 @@
 	next    string        // address to dial next, empty for any known
 	last    string        // address dialled last
 	members []string      // learnt addresses of the group
+	// failedAt is when each address last failed.
+	failedAt map[string]time.Time
 	// leaderless closes a link to a member that knows of no leader.
 	leaderless *time.Timer
 	seq        uint64
@@ -121,7 +128,7 @@
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
-	return &Client{opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply)}
+	return &Client{opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply), failedAt: make(map[string]time.Time)}
 }
 
 // Run keeps the link up until ctx is done.
@@ -147,11 +154,12 @@
 
 // once dials one member and stays until the link ends.
 func (c *Client) once(ctx context.Context) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
+	dialCtx, cancel := context.WithTimeout(ctx, clientDialWithin)
 	addr := c.address()
 	conn, err := link.Dial(dialCtx, addr, c.opt.Link)
 	cancel()
 	if err != nil {
+		c.fail(addr)
 		c.dialFailed(ctx, addr, err)
 		return false
 	}
@@ -161,6 +169,9 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { c.reportLoop(ctx, conn) })
 	conn.Run(ctx, func(m wire.Message) { c.handle(conn, m) })
+	if conn.Why() == link.CloseSilence {
+		c.fail(addr)
+	}
 	c.detach(conn)
 	wg.Wait()
 	return true
@@ -185,13 +196,36 @@
 		c.last = addr
 		return addr
 	}
+	c.last = c.choose(time.Now())
+	return c.last
+}
+
+// choose gives any known address, one that has not failed of late if there is one.
+//
+// Failure: two members of five are cut off, the leader among them. Symptom with a
+// choice among all: an entry that has noticed waits for a dial to the second, then
+// to the first again, and a configuration that the others accepted comes in force
+// there seconds late. With the failed ones left out two dials are enough.
+func (c *Client) choose(now time.Time) string {
 	known := slices.Concat(c.opt.Seeds, c.members)
-	known = slices.DeleteFunc(known, func(a string) bool { return a == c.last || a == c.opt.Not })
-	if len(known) == 0 {
-		known = c.opt.Seeds
+	known = slices.DeleteFunc(known, func(a string) bool { return a == c.opt.Not })
+	sound := slices.DeleteFunc(slices.Clone(known), func(a string) bool {
+		return a == c.last || now.Sub(c.failedAt[a]) < avoidFailed
+	})
+	switch {
+	case len(sound) > 0:
+		return sound[rand.IntN(len(sound))]
+	case len(known) > 0:
+		return known[rand.IntN(len(known))]
 	}
-	c.last = known[rand.IntN(len(known))]
-	return c.last
+	return c.opt.Seeds[rand.IntN(len(c.opt.Seeds))]
+}
+
+// fail notes that an address did not answer, or fell silent.
+func (c *Client) fail(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt[addr] = time.Now()
 }
 
 func (c *Client) attach(conn *link.Conn) {
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -56,7 +56,7 @@
 	// routedSilence ends a link without a sign of life. A configuration has to be
 	// in force within two seconds of its confirmation and three of calm, so that a
 	// stalled link must be noticed within that.
-	routedSilence = 2400 * time.Millisecond
+	routedSilence = 1800 * time.Millisecond
 	// leaveBalancerFor is how long a stopping entry goes on taking connections: the
 	// balancer asks every second and goes by two misses.
 	leaveBalancerFor = 2300 * time.Millisecond
@@ -193,7 +193,7 @@
 		e.loads.Put(r, now)
 	}
 	sums, entries := e.loads.Sums(e.set.Instance, now)
-	e.targets.SetOthers(sums, e.loads.Ahead(e.set.Instance))
+	e.targets.SetOthers(sums, e.loads.Ahead(e.set.Instance), entries)
 	e.repeats.SetEntries(entries + 1)
 }
 
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -16,6 +16,7 @@
 	choice := placement.Pick(r.candidates(list, not, now), placement.Need{
 		Zone:   r.set.Zone,
 		Tokens: req.tokens,
+		Draws:  placement.DrawsFor(len(list), r.targets.Entries()),
 	}, rand.Float64)
 	if choice < 0 {
 		return nil
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -48,6 +48,8 @@
 type Targets struct {
 	mu   sync.Mutex
 	view atomic.Pointer[view]
+	// others is how many other entries have told their load.
+	others atomic.Int64
 }
 
 // NewTargets makes an empty table.
@@ -185,9 +187,13 @@
 	return out
 }
 
-// SetOthers takes the other entries' loads, and what those before this one would
-// have to move.
-func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load, ahead map[api.TargetID]int) {
+// Entries is how many entries there are, as far as they have told their load.
+func (t *Targets) Entries() int { return int(t.others.Load()) + 1 }
+
+// SetOthers takes the other entries' loads, what those before this one would have
+// to move, and how many others there are.
+func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load, ahead map[api.TargetID]int, entries int) {
+	t.others.Store(int64(entries))
 	for id, target := range t.view.Load().byID {
 		l := sums[id]
 		target.others.Store(&l)
