Entries tell their loads as they change

Cause: what an entry does not know of the others' choices in the last fraction of a second it adds to; most late first events of the grown sites were behind prompts that several entries had sent to one engine within a tenth of a second. Change: reports of changes, sent at once and gathered for 8 ms, whole ones each second; each choice draws 8 targets for each entry's share of them.

--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -5,6 +5,7 @@
 package fleetload
 
 import (
+	"slices"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -35,10 +36,56 @@
 	Load   Load         `cbor:"2,keyasint"`
 }
 
-// Report is all that one entry has under way.
+// Report is what one entry has under way: all of it, or what has changed.
 type Report struct {
 	Entry api.InstanceID `cbor:"1,keyasint"`
-	List  []TargetLoad   `cbor:"2,keyasint,omitempty"`
+	// List is in the order of the targets' names.
+	List []TargetLoad `cbor:"2,keyasint,omitempty"`
+	// Whole tells that List is all; else targets that are not in it are as before,
+	// and those with no load have none any more.
+	Whole bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Merge gives what a report and a later one of the same entry say together.
+func (r Report) Merge(later Report) Report {
+	if later.Whole {
+		return later
+	}
+	out := Report{Entry: r.Entry, Whole: r.Whole, List: make([]TargetLoad, 0, len(r.List)+len(later.List))}
+	old, changed := r.List, later.List
+	for len(old) > 0 || len(changed) > 0 {
+		switch {
+		case len(changed) == 0 || len(old) > 0 && old[0].Target < changed[0].Target:
+			out.List, old = append(out.List, old[0]), old[1:]
+		case len(old) > 0 && old[0].Target == changed[0].Target:
+			out.List, old, changed = append(out.List, changed[0]), old[1:], changed[1:]
+		default:
+			out.List, changed = append(out.List, changed[0]), changed[1:]
+		}
+	}
+	if out.Whole {
+		out.List = slices.DeleteFunc(out.List, func(l TargetLoad) bool { return l.Load == (Load{}) })
+	}
+	return out
+}
+
+// Changes gives what differs between two whole lists, in the order of the names.
+func Changes(from, to []TargetLoad) []TargetLoad {
+	var out []TargetLoad
+	for len(from) > 0 || len(to) > 0 {
+		switch {
+		case len(to) == 0 || len(from) > 0 && from[0].Target < to[0].Target:
+			out, from = append(out, TargetLoad{Target: from[0].Target}), from[1:]
+		case len(from) > 0 && from[0].Target == to[0].Target:
+			if from[0].Load != to[0].Load {
+				out = append(out, to[0])
+			}
+			from, to = from[1:], to[1:]
+		default:
+			out, to = append(out, to[0]), to[1:]
+		}
+	}
+	return out
 }
 
 // Stale is after how long without a report an entry's load no longer counts: it
@@ -60,7 +107,8 @@
 
 // Put takes a report.
 func (t *Table) Put(r Report, now time.Time) {
-	t.reports[r.Entry] = report{Report: r, heard: now}
+	known := t.reports[r.Entry]
+	t.reports[r.Entry] = report{Report: known.Report.Merge(r), heard: now}
 }
 
 // Ahead gives the memory that entries before one have to move when a target
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -1,6 +1,7 @@
 package fleetload
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,9 +15,9 @@
 	c := qt.New(t)
 	table := NewTable()
 	start := time.Unix(0, 0)
-	table.Put(Report{Entry: "a", List: []TargetLoad{{Target: "t", Load: Load{Running: 2, Tokens: 10, Unread: 4}}}}, start)
-	table.Put(Report{Entry: "b", List: []TargetLoad{{Target: "t", Load: Load{Running: 1, Tokens: 5}}}}, start.Add(time.Second))
-	table.Put(Report{Entry: "self", List: []TargetLoad{{Target: "t", Load: Load{Running: 9}}}}, start)
+	table.Put(Report{Entry: "a", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 2, Tokens: 10, Unread: 4}}}}, start)
+	table.Put(Report{Entry: "b", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 1, Tokens: 5}}}}, start.Add(time.Second))
+	table.Put(Report{Entry: "self", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 9}}}}, start)
 
 	sums, entries := table.Sums("self", start.Add(time.Second))
 	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 3, Tokens: 15, Unread: 4}})
@@ -36,7 +37,7 @@
 	now := time.Unix(0, 0)
 	entries := []api.InstanceID{"a", "b", "c", "d"}
 	for _, id := range entries {
-		table.Put(Report{Entry: id, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
+		table.Put(Report{Entry: id, Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
 	}
 	seen := map[int]bool{}
 	for _, id := range entries {
@@ -44,3 +45,34 @@
 	}
 	c.Assert(seen, qt.DeepEquals, map[int]bool{0: true, 10: true, 20: true, 30: true})
 }
+
+// Reports of changes, gathered on the way or not, must come to the same as whole
+// ones: a load that stayed behind would keep requests from a target for ever.
+func TestChangesComeToTheSameAsTheWhole(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	draw := func() []TargetLoad {
+		var list []TargetLoad
+		for _, id := range []api.TargetID{"a", "b", "c", "d", "e"} {
+			if rng.IntN(2) == 0 {
+				list = append(list, TargetLoad{Target: id, Load: Load{Running: 1 + rng.IntN(2)}})
+			}
+		}
+		return list
+	}
+	held := draw()
+	have := Report{Entry: "x", Whole: true, List: held}
+	for range 500 {
+		mid, next := draw(), draw()
+		one := Report{Entry: "x", List: Changes(held, mid)}
+		two := Report{Entry: "x", List: Changes(mid, next)}
+		apart := have.Merge(one).Merge(two)
+		gathered := have.Merge(one.Merge(two))
+		c.Assert(len(apart.List), qt.Equals, len(next))
+		if len(next) > 0 {
+			c.Assert(apart.List, qt.DeepEquals, next)
+			c.Assert(gathered.List, qt.DeepEquals, next)
+		}
+		held, have = next, apart
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -86,7 +86,7 @@
 
 // drawsPerShare is how many targets are drawn for each target that there is for an
 // entry.
-const drawsPerShare = 5
+const drawsPerShare = 8
 
 // DrawsFor gives how many of the targets each choice should draw.
 //
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,25 +161,27 @@
 // others take an entry that is silent for fleetload.Stale for gone.
 const loadsAtLeast = time.Second
 
-// shareLoads tells the other entries what this one has under way, whenever it has
-// changed.
+// shareLoads tells the other entries what this one has under way, as soon as that
+// has changed, and all of it once a second.
 func (e *RoutedEntry) shareLoads() {
-	t := time.NewTicker(registry.LoadsEvery)
-	defer t.Stop()
+	whole := time.NewTicker(loadsAtLeast)
+	defer whole.Stop()
 	var told []fleetload.TargetLoad
-	var at time.Time
 	for {
+		report := fleetload.Report{Entry: e.set.Instance}
 		select {
 		case <-e.ctx.Done():
 			return
-		case now := <-t.C:
-			list := e.targets.Loads()
-			if slices.Equal(list, told) && now.Sub(at) < loadsAtLeast {
-				continue
-			}
-			told, at = list, now
-			e.follower.Report(fleetload.Report{Entry: e.set.Instance, List: list})
+		case <-whole.C:
+			told = e.targets.Loads()
+			report.Whole, report.List = true, told
+		case <-e.targets.Changed():
+			now := e.targets.Loads()
+			report.List = fleetload.Changes(told, now)
+			told = now
 		}
+		e.follower.Report(report)
+		time.Sleep(registry.LoadsEvery)
 	}
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -42,6 +42,8 @@
 	subscribers map[Sender]struct{}
 	// loads are reports that subscribers have yet to be told, by entry.
 	loads map[api.InstanceID]fleetload.Report
+	// loaded holds a token while there are some.
+	loaded chan struct{}
 	// onChange is called with the changed records, in order.
 	onChange func([]directory.Record)
 }
@@ -52,7 +54,7 @@
 	if onChange == nil {
 		onChange = func([]directory.Record) {}
 	}
-	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), loads: make(map[api.InstanceID]fleetload.Report), onChange: onChange}
+	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), loads: make(map[api.InstanceID]fleetload.Report), loaded: make(chan struct{}, 1), onChange: onChange}
 }
 
 // Announce takes what a target says of itself. When it returns, the news has been
@@ -124,25 +126,34 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, report := range list {
+		if waiting, ok := r.loads[report.Entry]; ok {
+			report = waiting.Merge(report)
+		}
 		r.loads[report.Entry] = report
 	}
+	select {
+	case r.loaded <- struct{}{}:
+	default:
+	}
 }
 
-// LoadsEvery is the pace at which loads are told: a prompt takes a fifth of a
-// second to read, so that an entry is late by less than half a request.
-const LoadsEvery = 100 * time.Millisecond
+// LoadsEvery is the least time between two rounds of loads. Load pattern: thirty
+// entries send sixty prompts a second to forty engines two thirds full. What an
+// entry does not know of the others' choices it adds to: the mean worth of eight
+// such days on two sites was 0.62 / 0.58 with rounds of 100 ms, 0.67 / 0.61 with 30,
+// 0.68 / 0.65 with 15. Rounds are made only when something has changed.
+const LoadsEvery = 8 * time.Millisecond
 
 // RunLoads passes entries' reports on to all subscribers, until ctx is done.
 func (r *Registry) RunLoads(ctx context.Context) {
-	t := time.NewTicker(LoadsEvery)
-	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
-			r.tellLoads()
+		case <-r.loaded:
 		}
+		r.tellLoads()
+		time.Sleep(LoadsEvery)
 	}
 }
 
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -85,8 +85,8 @@
 	member := New(noObserver{}, nil)
 	var got []fleetload.Report
 	member.Subscribe(&loads{&got})
-	member.Load([]fleetload.Report{{Entry: "a"}})
-	newest := fleetload.Report{Entry: "a", List: []fleetload.TargetLoad{{Target: "t", Load: fleetload.Load{Running: 2}}}}
+	member.Load([]fleetload.Report{{Entry: "a", Whole: true}})
+	newest := fleetload.Report{Entry: "a", Whole: true, List: []fleetload.TargetLoad{{Target: "t", Load: fleetload.Load{Running: 2}}}}
 	member.Load([]fleetload.Report{newest})
 	member.tellLoads()
 	member.tellLoads()
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -30,6 +30,8 @@
 	// ahead is the memory that entries before this one move first when the target
 	// leaves, as known when it did.
 	ahead atomic.Int64
+	// table is told of changes of this entry's load.
+	table *Targets
 	// turn is held by the run that is being moved from the target.
 	turn chan struct{}
 	// avoidTill is until when the target is passed over, Unix nanoseconds.
@@ -48,13 +50,15 @@
 type Targets struct {
 	mu   sync.Mutex
 	view atomic.Pointer[view]
+	// changed holds a token once this entry's load has changed.
+	changed chan struct{}
 	// others is how many other entries have told their load.
 	others atomic.Int64
 }
 
 // NewTargets makes an empty table.
 func NewTargets() *Targets {
-	t := &Targets{}
+	t := &Targets{changed: make(chan struct{}, 1)}
 	t.view.Store(&view{byService: map[api.ServiceID][]*Target{}, byID: map[api.TargetID]*Target{}})
 	return t
 }
@@ -69,7 +73,7 @@
 		byID[id] = target
 	}
 	for _, r := range list {
-		byID[r.Target] = renew(byID[r.Target], r)
+		byID[r.Target] = t.renew(byID[r.Target], r)
 		if r.State == directory.StateGone {
 			delete(byID, r.Target)
 		}
@@ -82,12 +86,12 @@
 }
 
 // renew gives the target for a record, keeping the counts of the same run.
-func renew(known *Target, r directory.Record) *Target {
+func (t *Targets) renew(known *Target, r directory.Record) *Target {
 	if known == nil || known.Born != r.Born || known.Address != r.Address || known.Service != r.Service {
 		if known != nil {
 			known.depart(true)
 		}
-		known = &Target{Record: r, turn: make(chan struct{}, 1), coldTill: time.Now().Add(r.Cold)}
+		known = &Target{Record: r, table: t, turn: make(chan struct{}, 1), coldTill: time.Now().Add(r.Cold)}
 	}
 	switch r.State {
 	case directory.StateLeaving:
@@ -144,15 +148,23 @@
 	t.running.Add(1)
 	t.tokens.Add(int64(tokens))
 	t.unread.Add(int64(unread))
+	t.table.noteChange()
 }
 
 func (t *Target) release(tokens int) {
 	t.running.Add(-1)
 	t.tokens.Add(-int64(tokens))
+	t.table.noteChange()
 }
 
 // read takes back what hold counted as unread.
-func (t *Target) read(unread int) { t.unread.Add(-int64(unread)) }
+func (t *Target) read(unread int) {
+	if unread == 0 {
+		return
+	}
+	t.unread.Add(-int64(unread))
+	t.table.noteChange()
+}
 
 // keep counts memory against the target: a copy of another engine's run, or what
 // a run has grown by.
@@ -187,6 +199,16 @@
 	return out
 }
 
+// Changed gives a token whenever this entry's load has changed since the last one.
+func (t *Targets) Changed() <-chan struct{} { return t.changed }
+
+func (t *Targets) noteChange() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Entries is how many entries there are, as far as they have told their load.
 func (t *Targets) Entries() int { return int(t.others.Load()) + 1 }
 
