--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -53,8 +53,8 @@
 	// Sequence rises with each announcement of one run.
 	Sequence uint64 `cbor:"7,keyasint,omitempty"`
 	State    State  `cbor:"8,keyasint"`
-	// ColdUntil is how long the target stays slow after its start, counted from
-	// when the record arrived here.
+	// Cold is how long the target stays slow after its start, counted from when the
+	// record arrived here.
 	Cold time.Duration `cbor:"9,keyasint,omitempty"`
 	// Model and Version are those of the weights that an engine has loaded.
 	Model   api.ModelID `cbor:"10,keyasint,omitempty"`
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -140,6 +140,9 @@
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonNoConfig, retryNoConfig)
 	}
 	req.Version = table.Config.Version
+	if limit := table.Config.Limits.HeaderBytes; limit > 0 && headerBytes(hr.Header) > limit {
+		return r.refuse(req, http.StatusRequestHeaderFieldsTooLarge, api.ReasonTooLarge, 0)
+	}
 	req.uri = requestURI(hr)
 	path, _, _ := strings.Cut(req.uri, "?")
 	req.Route = table.Route(hr.Host, path)
@@ -215,6 +218,18 @@
 	}
 }
 
+// headerBytes is the size of a request's headers as they came, but for spaces.
+func headerBytes(h http.Header) int {
+	const separators = len(": \r\n")
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // requestURI gives path and query as the caller sent them.
 func requestURI(hr *http.Request) string {
 	if strings.HasPrefix(hr.RequestURI, "/") {
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -88,6 +88,7 @@
 		Version: 1, Routes: []routeconf.Route{route},
 		Services:     []routeconf.Service{{Name: service, Engine: engine}},
 		Customers:    []routeconf.Customer{{Name: "cathedral", Keys: []string{"k"}}},
+		Limits:       routeconf.Limits{HeaderBytes: 4 << 10, BodyBytes: 1 << 10},
 		HasCustomers: true,
 	})
 	s.c.Assert(err, qt.IsNil)
@@ -367,6 +368,7 @@
 		{"unknown key", "/a/x", []string{"Key", "other"}, http.StatusUnauthorized},
 		{"no route", "/b/x", nil, http.StatusNotFound},
 		{"unreadable headers", "/a/x", []string{"Bad", "1"}, http.StatusBadRequest},
+		{"headers too large", "/a/x", []string{"Other", strings.Repeat("x", 5<<10)}, http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
@@ -414,3 +416,63 @@
 	}
 	<-released
 }
+
+// A process has just started: its configuration and the first target come a moment
+// after the first request. The request is held and served; refused, its caller
+// would come back later than that, or not at all.
+func TestRequestIsHeldWhileTheEntryStarts(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	table := s.live.Swap(nil)
+	done := make(chan int, 1)
+	go func() {
+		resp, _, err := s.ask("/a/x")
+		if err != nil {
+			t.Error(err)
+			done <- 0
+			return
+		}
+		done <- resp.StatusCode
+	}()
+	s.live.Store(table)
+	s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	s.c.Assert(<-done, qt.Equals, http.StatusOK)
+}
+
+// All engines are full. A generation waits at the entry until one has room, rather
+// than push out a stream that runs there.
+func TestGenerationWaitsForMemory(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1, Generates: true}, noMoves)
+	arrived := make(chan struct{}, 1)
+	s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		events(w, 1, 1)
+	})
+	full := s.targets.Of(service)[0]
+	full.hold(2<<20, 0)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := s.ask("/a/x")
+		done <- err
+	}()
+	select {
+	case <-arrived:
+		t.Fatal("the request went to a full engine at once")
+	case <-time.After(3 * roomLook):
+	}
+	full.release(2 << 20)
+	<-arrived
+	s.c.Assert(<-done, qt.IsNil)
+}
+
+// A body above the configuration's bound is refused before any target sees it.
+func TestBodyAboveItsBoundIsRefused(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	s.target("a", "z", func(http.ResponseWriter, *http.Request) { t.Error("a target saw the request") })
+	req, err := http.NewRequest(http.MethodPost, s.url+"/a/x", strings.NewReader(strings.Repeat("x", 2<<10)))
+	s.c.Assert(err, qt.IsNil)
+	req.Header.Set("Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	s.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+}
