A client of control does not come back to a member without a leader

Change: a member left for that counts as failed for three seconds; left after 1.2 s instead of 1.5. Test red before: TestClientDoesNotComeBackToAMemberWithoutALeader.

--- a/node/control/choose_test.go
+++ b/node/control/choose_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -32,3 +34,40 @@
 	}
 	c.Assert(seen, qt.HasLen, 5)
 }
+
+type closed struct{ n atomic.Int32 }
+
+func (c *closed) Close() { c.n.Add(1) }
+
+// Two members are cut off from the majority, and entries still reach both. Neither
+// knows a leader. An entry that goes from one to the other and back hears of no
+// configuration for as long as the partition lasts; it must not come back.
+func TestClientDoesNotComeBackToAMemberWithoutALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := NewClient(ClientOptions{Seeds: []string{"cut1", "cut2", "good"}})
+		for _, addr := range []string{"cut1", "cut2"} {
+			cl.last = addr
+			conn := &closed{}
+			cl.leader(conn, &Leader{})
+			time.Sleep(leaderlessFor + time.Millisecond)
+			c.Assert(conn.n.Load(), qt.Equals, int32(1))
+		}
+		for range 100 {
+			c.Assert(cl.choose(time.Now()), qt.Equals, "good")
+		}
+	})
+}
+
+// An election is over before the client gives up: it stays.
+func TestClientStaysThroughAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := NewClient(ClientOptions{Seeds: []string{"a"}})
+		conn := &closed{}
+		cl.leader(conn, &Leader{})
+		time.Sleep(leaderlessFor / 2)
+		cl.leader(conn, &Leader{Self: true})
+		time.Sleep(2 * leaderlessFor)
+		qt.New(t).Assert(conn.n.Load(), qt.Equals, int32(0))
+	})
+}
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -32,7 +32,7 @@
 	avoidFailed = 3 * time.Second
 	// leaderlessFor is how long a client stays with a member that knows of no
 	// leader: a little over one election.
-	leaderlessFor = 1500 * time.Millisecond
+	leaderlessFor = 1200 * time.Millisecond
 )
 
 // ClientOptions of a Client.
@@ -267,11 +267,15 @@
 	}
 }
 
+// closer ends a link.
+type closer interface{ Close() }
+
 // leader follows what a member says of the leader. A member that knows of none is
-// given a while, for an election is mostly over soon, and then left for another:
-// it may be cut off from the majority for as long as a partition lasts, and what
-// the majority accepts meanwhile would not arrive here.
-func (c *Client) leader(conn *link.Conn, m *Leader) {
+// given a while, for an election is mostly over soon, and then left for another
+// and passed over: it may be cut off from the majority for as long as a partition
+// lasts, together with others, and what the majority accepts meanwhile would not
+// arrive here while this client goes to and fro between them.
+func (c *Client) leader(conn closer, m *Leader) {
 	if len(m.Members) > 0 {
 		c.learn(m.Members)
 	}
@@ -288,7 +292,11 @@
 		// Closing ends the link's own goroutines; it takes no lock of this type.
 		conn.Close()
 	default:
-		c.leaderless = time.AfterFunc(leaderlessFor, conn.Close)
+		addr := c.last
+		c.leaderless = time.AfterFunc(leaderlessFor, func() {
+			c.fail(addr)
+			conn.Close()
+		})
 	}
 }
 
