--- a/node/control/server.go
+++ b/node/control/server.go
@@ -21,6 +21,9 @@
 	links  *Links
 	ctx    context.Context
 	active sync.WaitGroup
+	// gate guards stopped, after which no session may begin.
+	gate    sync.Mutex
+	stopped bool
 	// registry is told to subscribers; nil where targets have agents.
 	registry *registry.Registry
 	// last is the newest update made; most clients need the same one.
@@ -35,7 +38,10 @@
 
 // Serve runs one accepted link until it ends. It is what link.NewAcceptor calls.
 func (s *Server) Serve(conn *link.Conn) {
-	s.active.Add(1)
+	if !s.enter() {
+		conn.Close()
+		return
+	}
 	defer s.active.Done()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
@@ -57,8 +63,30 @@
 	}
 }
 
-// Wait returns once all links have ended. No new ones may be accepted any more.
-func (s *Server) Wait() { s.active.Wait() }
+// enter counts a session in, unless the server has stopped.
+//
+// Failure: a link's handshake ends just as the role stops. The HTTP server has
+// handed the connection over and does not wait for it, so that its session began
+// while the stop waited for the last one, or after it: it would have served a
+// member that no longer runs. Counted under the same lock as the stop, a session is
+// either waited for or never begins.
+func (s *Server) enter() bool {
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.active.Add(1)
+	return true
+}
+
+// Wait lets no more sessions begin and returns once all have ended.
+func (s *Server) Wait() {
+	s.gate.Lock()
+	s.stopped = true
+	s.gate.Unlock()
+	s.active.Wait()
+}
 
 // session is one accepted link.
 type session struct {
