Ask engines for room; long and late generations leave room to others

Change: an engine is chosen only if it has memory and few prompts to read, and sets the room aside before the request goes there. What finds none waits at the entry and leaves some engines with room to others: by rank, likely length, lateness.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -28,6 +28,8 @@
 	Cold bool
 	// Avoid is set for a while after a failure.
 	Avoid bool
+	// Full targets have lately said that they have no room.
+	Full bool
 	// Excluded targets must not be asked.
 	Excluded bool
 }
@@ -45,6 +47,8 @@
 	// Draws is how many targets are drawn, the best of which is taken; zero takes
 	// all. See DrawsFor.
 	Draws int
+	// Room leaves out targets without room for the request; nil leaves out none.
+	Room *Room
 	// Even takes all targets that have room for equally loaded.
 	Even bool
 }
@@ -67,7 +71,11 @@
 // Pick gives the index of the chosen candidate, -1 if none may be asked. draw is
 // uniform in [0,1).
 func Pick(list []Candidate, need Need, draw func() float64) int {
-	eligible := drawn(filter(list, need), need.Draws, draw)
+	eligible := filter(list, need)
+	if need.Room != nil && !need.Room.spares(list) {
+		return -1
+	}
+	eligible = drawn(eligible, need.Draws, draw)
 	if len(eligible) == 0 {
 		return -1
 	}
@@ -134,6 +142,9 @@
 		if need.Fill > 0 && (c.Avoid || !c.fits(need.Tokens, need.Fill)) {
 			continue
 		}
+		if need.Room != nil && !need.Room.in(c, need.Tokens) {
+			continue
+		}
 		out = append(out, i)
 	}
 	return out
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -61,30 +61,6 @@
 	c.Assert(count[3] < 300, qt.IsTrue, qt.Commentf("%v", count))
 }
 
-// Engines fill up. Requests of the first rank find room last of all to be refused
-// it, so that they go before the others without taking anything from a stream that
-// runs.
-func TestHigherRanksFindRoomFirst(t *testing.T) {
-	engine := func(tokens int) Candidate { return Candidate{Slots: 24, Capacity: 10_000, Tokens: tokens} }
-	for _, tt := range []struct {
-		name   string
-		list   []Candidate
-		rank   int
-		expect bool
-	}{
-		{"nearly full, first rank", []Candidate{engine(8_900)}, 0, true},
-		{"nearly full, third rank", []Candidate{engine(8_900)}, 2, false},
-		{"any engine will do", []Candidate{engine(9_900), engine(2_000)}, 2, true},
-		{"but not one that leaves", []Candidate{engine(9_900), {Capacity: 10_000, Excluded: true}}, 0, false},
-		{"the last rank gets most of the memory", []Candidate{engine(7_400)}, 99, true},
-		{"a plain service has no memory to fill", []Candidate{{Slots: 6, Running: 60}}, 2, true},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
-			qt.New(t).Assert(HasRoom(tt.list, 1000, tt.rank), qt.Equals, tt.expect)
-		})
-	}
-}
-
 // A copy of another engine's run must not go to an engine that is too full for it,
 // nor to one that has just failed, even when there is no other.
 func TestFillLeavesOutWhatIsTooFull(t *testing.T) {
--- a/core/routeconf/routeconf.go
+++ b/core/routeconf/routeconf.go
@@ -43,6 +43,9 @@
 	// Timeout is the longest time that a caller is kept waiting for the end of
 	// its answer, from when its request was read.
 	Timeout time.Duration
+	// Objective is how soon an answer should begin, from when its request was read;
+	// zero if the operator does not say.
+	Objective time.Duration
 	// MaxTargets is the number of targets that one attempt of a caller may be
 	// sent to.
 	MaxTargets int
@@ -73,6 +76,9 @@
 
 // Engine tells what the engines of a service can do.
 type Engine struct {
+	// Reserves is for how long an engine sets room aside at most; zero where it does
+	// not.
+	Reserves time.Duration
 	// CacheTokens is the memory of one engine in tokens.
 	CacheTokens int
 	// BytesPerToken is what one token takes when it is moved between engines.
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -46,6 +46,7 @@
 	RequestCopied    = Event{308, zerolog.InfoLevel, "a run was copied to another engine", "None, unless it takes long: see how full the engines' links are."}
 	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
 	RequestHeld      = Event{309, zerolog.InfoLevel, "request waited for an engine with room", "None, unless it recurs: the engines are full, add some or lower the customers' limits."}
+	RequestNoRoom    = Event{310, zerolog.InfoLevel, "an engine did not set room aside for a request", "None, unless it recurs with an error: see whether the engine runs."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
@@ -74,7 +75,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"errors"
 	stdlog "log"
 	"strconv"
 	"time"
@@ -31,6 +32,7 @@
 	gap      *prometheus.HistogramVec
 	copies   *prometheus.HistogramVec
 	held     *prometheus.HistogramVec
+	noRoom   *prometheus.CounterVec
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -46,6 +48,7 @@
 		attempts: f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
 		moves:    f.NewCounterVec(counter("relay_moves_total", "Streams that went on at another engine, by how."), []string{"how"}),
 		ended:    f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
+		noRoom:   f.NewCounterVec(counter("relay_no_room_total", "Reservations that engines did not give, by whether they said that they are full."), []string{"full"}),
 		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
 		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_move_pause_seconds", Help: "Pause of a stream that went on elsewhere.", Buckets: latencyBuckets}, []string{"how"}),
@@ -96,6 +99,12 @@
 	request(events.RequestHeld.Log(m.log), r).Dur("waited", waited).Send()
 }
 
+// NoRoom implements relay.Observer.
+func (m *Relay) NoRoom(r *relay.Request, t *relay.Target, err error) {
+	m.noRoom.WithLabelValues(strconv.FormatBool(errors.Is(err, relay.ErrNoRoom))).Inc()
+	target(request(events.RequestNoRoom.Log(m.log), r).AnErr("error", err), "target", t).Send()
+}
+
 // Sent implements relay.Observer.
 func (m *Relay) Sent(r *relay.Request, t *relay.Target, why string) {
 	m.sends.WithLabelValues(why).Inc()
@@ -138,6 +147,7 @@
 	if st := r.Stream; st.Events > 0 {
 		m.first.WithLabelValues(routeName(r)).Observe(st.First.Seconds())
 		m.gap.WithLabelValues(routeName(r)).Observe(st.LongestGap.Seconds())
+		line = line.Int("prompt", r.Ask.PromptTokens).Int("most", r.Ask.MaxTokens).Int("likely", r.Ask.LikelyTokens).Dur("patience", r.Ask.Patience)
 		line = line.Dur("first", st.First).Dur("longest_gap", st.LongestGap).Int("events", st.Events).Int("goes", st.Goes)
 	}
 	line.Send()
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -156,6 +156,10 @@
 	return relay.Copy{}, errors.New("no engines")
 }
 
+func (noEngines) Reserve(context.Context, string, int, time.Duration) (string, error) {
+	return "", errors.New("no engines")
+}
+
 // A caller's request goes by the configuration that the operator sent to one member
 // to a target that announced itself at another; once the target leaves, no more.
 func TestRoutedPathFromAnnouncementToAnswer(t *testing.T) {
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -39,6 +38,7 @@
 			Capacity: r.capacity(t),
 			Cold:     now.Before(t.coldTill),
 			Avoid:    t.avoided(now),
+			Full:     t.full(now),
 			Excluded: t.departs.Load() || contains(not, t),
 		}
 	}
@@ -65,29 +65,3 @@
 	}
 	return false
 }
-
-const (
-	// roomWait is how long a generation waits at the entry while all engines are
-	// full: sent on, it would wait there too, or push out a running stream. It is
-	// over in time for its first event to come within the objective.
-	roomWait = 900 * time.Millisecond
-	// roomLook is the pace at which it is looked for room.
-	roomLook = 20 * time.Millisecond
-)
-
-// awaitRoom waits until an engine has memory for the request, or roomWait has
-// passed.
-func (r *Relay) awaitRoom(ctx context.Context, req *Request) {
-	if !req.Route.Generates || r.hasRoom(req) {
-		return
-	}
-	began := time.Now()
-	hold(ctx, roomWait, roomLook, func() bool { return r.hasRoom(req) })
-	r.obs.Held(req, time.Since(began))
-}
-
-// hasRoom tells whether any engine of the request's service has memory for it.
-func (r *Relay) hasRoom(req *Request) bool {
-	candidates := r.candidates(r.targets.Of(req.Service), nil, time.Now())
-	return placement.HasRoom(candidates, req.tokens, rank(req))
-}
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -155,7 +155,7 @@
 		return
 	}
 	if !req.mayHaveRun {
-		r.refuse(req, http.StatusServiceUnavailable, api.ReasonQueueFull, retryBusy)
+		r.refuse(req, http.StatusServiceUnavailable, api.ReasonQueueFull, retryAfter(req))
 		return
 	}
 	reason := api.ReasonEngineDied
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -25,6 +25,9 @@
 	// that may be generated.
 	PromptTokens int
 	MaxTokens    int
+	// LikelyTokens is the caller's guess of how many will be generated: right at the
+	// median, often far off; zero if it does not say.
+	LikelyTokens int
 	// LastEvent is the last event of a broken stream that the caller has.
 	LastEvent string
 }
@@ -37,6 +40,9 @@
 	Remaining time.Duration
 	// Urgency orders requests at an engine, 0 first; below zero is not said.
 	Urgency int
+	// Reservation names the slot and memory that the engine has set aside for the
+	// request.
+	Reservation string
 	// CopyTo is the address of the engine to which the run's memory is copied as
 	// it grows.
 	CopyTo string
@@ -78,6 +84,9 @@
 	// gives the name under which the memory can be taken up. A stopped run has one
 	// also with an error: the engine that it ran at keeps its memory.
 	Move(ctx context.Context, at string, run api.RequestID, to string, stop bool) (Copy, error)
+	// Reserve sets a slot and memory aside for one request, for a while. ErrNoRoom
+	// says that the engine has none; with any other error nothing is known.
+	Reserve(ctx context.Context, at string, tokens int, ttl time.Duration) (string, error)
 }
 
 // Observer hears of requests, for metrics and events. Its methods are called from
@@ -87,6 +96,8 @@
 	Refused(r *Request, status int, reason api.Reason)
 	// Held tells that a request waited at the entry for an engine with room.
 	Held(r *Request, waited time.Duration)
+	// NoRoom tells that an engine set no room aside for a request.
+	NoRoom(r *Request, t *Target, err error)
 	// Sent tells of each time that a request goes to a target.
 	Sent(r *Request, t *Target, why string)
 	// Attempted tells what one send came to.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -43,13 +43,14 @@
 	engines Engines
 	repeats *Repeats
 	obs     Observer
+	lengths *lengths
 }
 
 // New makes a relay.
 func New(set Settings, p Ports) *Relay {
 	return &Relay{
 		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
-		engines: p.Engines, repeats: p.Repeats, obs: p.Observer,
+		engines: p.Engines, repeats: p.Repeats, obs: p.Observer, lengths: newLengths(),
 	}
 }
 
@@ -71,6 +72,8 @@
 	uri    string
 	body   []byte
 	tokens int
+	// length is the rank of its likely length among those of late, 0 to 1.
+	length float64
 	// asked are the targets that the request was meant for; sends counts those
 	// that may have read it.
 	asked []*Target
@@ -100,8 +103,20 @@
 	retryNoTarget = 700 * time.Millisecond
 	// retryBusy: a full target has a free place after a fraction of a second.
 	retryBusy = 300 * time.Millisecond
+	// retryRoom to twice that: memory of engines is scarce for as long as the
+	// streams last that hold it, some seconds. Spread, callers that were refused
+	// together do not come back together.
+	retryRoom = 2 * time.Second
 )
 
+// retryAfter tells a caller when there is likely to be room.
+func retryAfter(req *Request) time.Duration {
+	if !req.Route.Generates {
+		return retryBusy
+	}
+	return retryRoom + time.Duration(rand.Float64()*float64(retryRoom))
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	req := &Request{caller: hr, out: w, Arrived: time.Now()}
@@ -114,7 +129,6 @@
 	// A caller that does not read would hold this goroutine past the deadline.
 	_ = control.SetWriteDeadline(req.Deadline.Add(writeGrace))
 	r.awaitTargets(ctx, req)
-	r.awaitRoom(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
 		r.stream(ctx, req)
 	} else {
@@ -158,6 +172,7 @@
 	req.Deadline = deadline(req)
 	req.Service = req.Route.Pick(rand.Float64())
 	req.tokens = expectedTokens(&req.Ask, 0)
+	req.length = r.lengths.rank(req.Service, cost(&req.Ask, req.tokens))
 	return r.readBody(req, table.Config.Limits)
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -38,6 +38,7 @@
 	h.Set("Target", string(d.Target))
 	h.Set("Customer", string(d.Customer))
 	h.Set("Copy-To", d.CopyTo)
+	h.Set("Reservation", d.Reservation)
 	h.Set("Copy-From", d.CopyFrom.ID)
 	h.Set("Last", d.LastEvent)
 }
@@ -51,6 +52,7 @@
 
 func (quiet) Refused(*Request, int, api.Reason)                             {}
 func (quiet) Held(*Request, time.Duration)                                  {}
+func (quiet) NoRoom(*Request, *Target, error)                               {}
 func (quiet) Sent(*Request, *Target, string)                                {}
 func (quiet) Attempted(*Request, *Target, string, error)                    {}
 func (quiet) Copied(*Request, *Target, *Target, bool, time.Duration, error) {}
@@ -61,13 +63,17 @@
 // mover is the engines' moves, as a test wants them.
 type mover func(at string, to string, stop bool) (Copy, error)
 
+// Move implements Engines.
 func (m mover) Move(_ context.Context, at string, _ api.RequestID, to string, stop bool) (Copy, error) {
 	return m(at, to, stop)
 }
 
+// Reserve implements Engines: all room is given.
+func (mover) Reserve(context.Context, string, int, time.Duration) (string, error) { return "all", nil }
+
 var errNoMove = errors.New("no move")
 
-func noMoves(string, string, bool) (Copy, error) { return Copy{}, errNoMove }
+var noMoves = mover(func(string, string, bool) (Copy, error) { return Copy{}, errNoMove })
 
 // stage is a relay before some targets.
 type stage struct {
@@ -79,7 +85,7 @@
 
 const service = api.ServiceID("s")
 
-func newStage(t *testing.T, route routeconf.Route, moves mover) *stage {
+func newStage(t *testing.T, route routeconf.Route, engines Engines) *stage {
 	s := &stage{c: qt.New(t), targets: NewTargets()}
 	route.Name, route.Host, route.Prefix, route.Timeout = "r", "127.0.0.1", "/a/", 20*time.Second
 	route.Split = []routeconf.Share{{Service: service, Weight: 1}}
@@ -94,7 +100,7 @@
 	s.c.Assert(err, qt.IsNil)
 	s.live.Store(table)
 	r := New(Settings{Zone: "z"}, Ports{
-		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: moves,
+		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
 		Repeats: NewRepeats(repeats.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}), Observer: quiet{},
 	})
 	server := httptest.NewServer(r)
@@ -237,14 +243,14 @@
 // first.
 func TestRunIsMovedFromAnEngineThatLeaves(t *testing.T) {
 	copying, stopped := make(chan struct{}), make(chan struct{})
-	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, func(_, _ string, stop bool) (Copy, error) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, mover(func(_, _ string, stop bool) (Copy, error) {
 		if stop {
 			close(stopped)
 		} else {
 			close(copying)
 		}
 		return Copy{Address: "x", ID: "handle"}, nil
-	})
+	}))
 	var first directory.Record
 	s.target("b", "far", func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Copy-From") != "handle" {
--- /dev/null
+++ b/node/relay/room.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"almondseam.dev/core/placement"
+)
+
+// seat is an engine that has room for a request.
+type seat struct {
+	target *Target
+	// reservation names the room that the engine has set aside; empty for none.
+	reservation string
+}
+
+// ErrNoRoom is an engine's word that it has no room to set aside.
+var ErrNoRoom = errors.New("the engine has no room")
+
+const (
+	// roomLook is the mean pace at which a waiting request looks for room, spread
+	// over half to one and a half times that: an engine that has just come is seen by
+	// all that wait, and the load of the first that take it is known elsewhere after
+	// some ten milliseconds.
+	roomLook = 60 * time.Millisecond
+	// roomObjectives is how many times its objective a request waits for room. Past
+	// that it can't begin in time any more, and its caller does better to come back
+	// when there is room.
+	roomObjectives = 3.4
+	// beginShare is the part of the objective up to which a request must be sent to
+	// begin in time: its prompt takes some 0.4 s to read beside running streams.
+	beginShare = 0.7
+	// roomLeast is the wait where the operator gives no objective or a short one;
+	// callers wait two seconds in any case.
+	roomLeast = 1700 * time.Millisecond
+	// roomMargin is what is kept of a caller's patience for the answer itself.
+	roomMargin = 600 * time.Millisecond
+	// fullFor is how long an engine is taken for full after it has refused to set
+	// room aside: a stream ends there every second or so.
+	fullFor = 80 * time.Millisecond
+	// reserveWithin bounds the call that sets room aside: an exchange of some
+	// milliseconds, after which a stalled engine has cost its caller little.
+	reserveWithin = 300 * time.Millisecond
+)
+
+// seatOf finds the engine for a stream, nil if there is none. Streams that do not
+// tell what they generate are placed by load alone.
+func (r *Relay) seatOf(ctx context.Context, req *Request) *seat {
+	if req.Route.Generates {
+		return r.seatFor(ctx, req)
+	}
+	if t := r.place(req, req.Service, req.asked); t != nil {
+		return &seat{target: t}
+	}
+	return nil
+}
+
+// seatFor finds an engine with room for a generation, and waits for one; nil if
+// there is none in time.
+//
+// Load pattern: thirty entries, each of which hears of the others' choices some
+// milliseconds late, send prompts to engines that are nearly full. Several
+// take the room that one stream has left; all but one of them wait at the engine
+// for seconds, while others have room again. Asked first, the engine gives its room
+// to one of them, and the others look on.
+func (r *Relay) seatFor(ctx context.Context, req *Request) *seat {
+	began := time.Now()
+	s := r.trySeat(ctx, req)
+	if s != nil {
+		return s
+	}
+	limit := req.roomLimit()
+	for s == nil && ctx.Err() == nil && time.Now().Before(limit) {
+		if r.place(req, req.Service, req.asked) == nil {
+			return nil // none could take it at all
+		}
+		pause(ctx, time.Duration((0.5+rand.Float64())*float64(roomLook)))
+		s = r.trySeat(ctx, req)
+	}
+	r.obs.Held(req, time.Since(began))
+	return s
+}
+
+// roomLimit is until when the request waits for room.
+func (req *Request) roomLimit() time.Time {
+	wait := max(roomLeast, time.Duration(roomObjectives*float64(req.Route.Objective)))
+	limit := req.Arrived.Add(wait)
+	if last := req.Deadline.Add(-roomMargin); last.Before(limit) {
+		return last
+	}
+	return limit
+}
+
+func (req *Request) waiting() placement.Waiting {
+	inTime := time.Duration(beginShare * float64(req.Route.Objective))
+	late := inTime > 0 && time.Since(req.Arrived) > inTime
+	return placement.Waiting{Rank: rank(req), Length: req.length, Late: late}
+}
+
+// trySeat asks engines that seem to have room, one after the other, until one
+// gives it.
+func (r *Relay) trySeat(ctx context.Context, req *Request) *seat {
+	for range maxLooks {
+		t := r.roomy(req)
+		if t == nil {
+			return nil
+		}
+		if s := r.ask(ctx, req, t); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// ask asks one engine to set room aside; nil if it doesn't.
+func (r *Relay) ask(ctx context.Context, req *Request, t *Target) *seat {
+	ttl := r.reserves(req)
+	if ttl == 0 {
+		return &seat{target: t}
+	}
+	t.hold(req.tokens, req.Ask.PromptTokens)
+	defer func() {
+		t.read(req.Ask.PromptTokens)
+		t.release(req.tokens)
+	}()
+	within, cancel := context.WithTimeout(ctx, reserveWithin)
+	defer cancel()
+	id, err := r.engines.Reserve(within, t.Address, req.tokens, ttl)
+	if err == nil {
+		return &seat{target: t, reservation: id}
+	}
+	r.obs.NoRoom(req, t, err)
+	switch {
+	case errors.Is(err, ErrNoRoom):
+		t.fullTill.Store(time.Now().Add(fullFor).UnixNano())
+	case ctx.Err() == nil:
+		t.failed(time.Now())
+	}
+	return nil
+}
+
+// reserves is for how long engines of the request's service set room aside.
+func (r *Relay) reserves(req *Request) time.Duration {
+	table := r.live.Load()
+	if table == nil {
+		return 0
+	}
+	s := table.Service(req.Service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.Reserves
+}
+
+// roomy chooses an engine that seems to have room, nil if none has.
+func (r *Relay) roomy(req *Request) *Target {
+	list := r.targets.Of(req.Service)
+	choice := placement.Pick(r.candidates(list, req.asked, time.Now()), placement.Need{
+		Zone:   r.set.Zone,
+		Tokens: req.tokens,
+		Draws:  placement.DrawsFor(len(list), r.targets.Entries()),
+		Room:   placement.RoomFor(req.waiting()),
+	}, rand.Float64)
+	if choice < 0 {
+		return nil
+	}
+	return list[choice]
+}
+
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -66,13 +66,13 @@
 	why := "first"
 	outcome := outcomeNotRun
 	for {
-		t := s.relay.place(s.req, s.req.Service, s.req.asked)
-		if t == nil {
+		at := s.relay.seatOf(s.ctx, s.req)
+		if at == nil {
 			return nil, outcome
 		}
-		s.req.asked = append(s.req.asked, t)
+		s.req.asked = append(s.req.asked, at.target)
 		var l *leg
-		l, outcome = s.begin(s.ctx, t, Directive{LastEvent: s.last()}, why)
+		l, outcome = s.begin(s.ctx, at.target, Directive{LastEvent: s.last(), Reservation: at.reservation}, why)
 		if outcome == Answered {
 			return l, outcome
 		}
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -35,6 +35,8 @@
 	turn chan struct{}
 	// avoidTill is until when the target is passed over, Unix nanoseconds.
 	avoidTill atomic.Int64
+	// fullTill is until when the target is taken for full, Unix nanoseconds.
+	fullTill atomic.Int64
 	// failures in a row.
 	failures atomic.Int32
 }
@@ -118,6 +120,9 @@
 // Len counts the targets.
 func (t *Targets) Len() int { return len(t.view.Load().byID) }
 
+// full tells whether the target has lately refused to set room aside.
+func (t *Target) full(now time.Time) bool { return now.UnixNano() < t.fullTill.Load() }
+
 // avoided tells whether the target is passed over at present.
 func (t *Target) avoided(now time.Time) bool { return now.UnixNano() < t.avoidTill.Load() }
 
