Hold requests for half of their callers' patience at most

Cause: short requests waited 5.1 of the 6 s that their callers had, and those that came back had less than half a second left and were refused at once.

Change: a request waits for half of its caller's patience at most, and is told a time to come back that the caller can keep to.

--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -114,7 +114,9 @@
 	if !req.Route.Generates {
 		return retryBusy
 	}
-	return retryRoom + time.Duration(rand.Float64()*float64(retryRoom))
+	spread := retryRoom + time.Duration(rand.Float64()*float64(retryRoom))
+	// Callers come back within a part of their patience only.
+	return min(spread, time.Until(req.Deadline)/patienceShare)
 }
 
 // ServeHTTP implements http.Handler.
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -35,8 +35,9 @@
 	// roomLeast is the wait where the operator gives no objective or a short one;
 	// callers wait two seconds in any case.
 	roomLeast = 1700 * time.Millisecond
-	// roomMargin is what is kept of a caller's patience for the answer itself.
-	roomMargin = 600 * time.Millisecond
+	// roomPatience is the part of a caller's patience that it may be held for: what is
+	// left is enough to come back and be served.
+	roomPatience = 0.5
 	// fullFor is how long an engine is taken for full after it has refused to set
 	// room aside: a stream ends there every second or so.
 	fullFor = 80 * time.Millisecond
@@ -87,7 +88,8 @@
 func (req *Request) roomLimit() time.Time {
 	wait := max(roomLeast, time.Duration(roomObjectives*float64(req.Route.Objective)))
 	limit := req.Arrived.Add(wait)
-	if last := req.Deadline.Add(-roomMargin); last.Before(limit) {
+	last := req.Arrived.Add(time.Duration(roomPatience * float64(req.Deadline.Sub(req.Arrived))))
+	if last.Before(limit) {
 		return last
 	}
 	return limit
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -29,7 +29,7 @@
 		d.Customer = req.Customer.Name
 	}
 	d.Remaining = time.Until(req.Deadline)
-	d.Urgency = urgency(req, d)
+	d.Urgency = urgency(req)
 	r.obs.Sent(req, t, why)
 	x, err := r.pool.Do(ctx, t.Address, &upstream.Request{
 		Method: req.caller.Method,
@@ -93,21 +93,10 @@
 // taken away: in which order requests find room from the entry.
 const usualUrgency = 5
 
-// goingOnUrgency is the urgency of a run that goes on at another engine.
-//
-// Failure: an engine runs out of memory and preempts the newest of its least urgent
-// runs. Symptom: a run that has just been moved there is taken for the newest,
-// and its caller, who has half the answer, waits for seconds while all of it is read
-// again. Ahead of the others, it is a run with less to lose that yields.
-const goingOnUrgency = usualUrgency - 1
-
 // urgency gives the engine's order of a request; below zero says none.
-func urgency(req *Request, d Directive) int {
-	switch {
-	case !req.Route.Generates:
+func urgency(req *Request) int {
+	if !req.Route.Generates {
 		return -1
-	case d.CopyFrom.ID != "":
-		return goingOnUrgency
 	}
 	return usualUrgency
 }
