A request that may have run is never refused as not run

Cause: a lookup's answer was lost and no other target was there to ask; the caller got 503, which promises that it has not run. Only requests that must not run twice were looked at.

Change: without a target left, any request that may have run ends with 502.

Result: TestLookupThatMayHaveRunIsNotRefused, red before (503), green after.

Conclusion: 503 is told only to requests of which nothing can have run.

--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"net"
@@ -31,6 +32,8 @@
 	// Links is the address of this member's links, Seeds those of other members.
 	Links string
 	Seeds []string
+	// Listen is where the member listens for links; empty for Links.
+	Listen string
 	// Founding is set when the whole system starts for the first time: the seeds
 	// are then the founders.
 	Founding bool
@@ -118,7 +121,7 @@
 			events.ControlFailed.Log(c.log).Err(cerr).Send()
 		}
 	}()
-	ln, err := net.Listen("tcp", c.set.Links)
+	ln, err := net.Listen("tcp", cmp.Or(c.set.Listen, c.set.Links))
 	if err != nil {
 		return err
 	}
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -130,7 +130,7 @@
 	if r.answerFailure(req) {
 		return
 	}
-	if req.mayHaveRun && !req.Route.Repeatable() {
+	if req.mayHaveRun {
 		r.fail(req, http.StatusBadGateway, api.ReasonEngineDied, 0)
 		return
 	}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -491,3 +491,14 @@
 	resp.Body.Close()
 	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
 }
+
+// A lookup's only target reads it and its answer is lost; no other target is there
+// to ask again. The caller must not be told that it has not run: it gets 502, which
+// promises nothing.
+func TestLookupThatMayHaveRunIsNotRefused(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindIdempotent, MaxTargets: 2}, noMoves)
+	s.target("a", "z", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	resp, _, err := s.ask("/a/x")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway)
+}
