A soak of the real programs under faults from outside

Change: bench/soak starts control members and entries as processes on loopback addresses of their own behind forwarders that delay, silence, cut one way and reset; it stops, freezes, kills and restarts them, loses disks, replaces targets, and holds what callers, targets and operators see against the promises. platform/standin speaks the wire from the other side. Control members may listen at another host than they are known by (--links-listen), as behind any forwarder.

Each check is shown to fail in TestBrokenPromisesAreSeen.

--- /dev/null
+++ b/bench/soak/check_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/platform/standin"
+	qt "github.com/frankban/quicktest"
+)
+
+const longAgo = time.Hour
+
+// calmChecker has been calm for long, with version 5 in force for as long and the
+// changing route at app-b since.
+func calmChecker() *checker {
+	k := newChecker()
+	k.calmFrom = time.Now().Add(-longAgo)
+	k.Proposed(4, serviceA)
+	k.Proposed(5, serviceB)
+	k.acked = []ack{{4, time.Now().Add(-longAgo)}, {5, time.Now().Add(-longAgo)}}
+	return k
+}
+
+func run(id string, t api.TargetID, s api.ServiceID) standin.Run {
+	return standin.Run{Request: api.RequestID(id), Target: t, Service: s}
+}
+
+// Each promise, once kept and once broken: a check that can't fail proves nothing.
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	once, look, change := traffic{once: true}, traffic{}, traffic{changing: true}
+	stream, resumable := traffic{once: true, events: 2}, traffic{events: 2}
+	events := func(whole bool, list ...standin.Event) standin.Answer {
+		return standin.Answer{Status: 200, Whole: whole, Events: list}
+	}
+	one, two := standin.Event{Number: 1, Request: "r", Target: "x"}, standin.Event{Number: 2, Request: "r", Target: "x"}
+	other := standin.Event{Number: 2, Request: "r", Target: "y"}
+	for _, tt := range []struct {
+		name   string
+		what   traffic
+		steps  func(k *checker)
+		broken bool
+	}{
+		{"runs once", once, func(k *checker) { k.Ran(run("r", "x", serviceA)) }, false},
+		{"runs twice", once, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Ran(run("r", "y", serviceA)) }, true},
+		{"may run twice", look, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Ran(run("r", "y", serviceA)) }, false},
+		{"was never sent", look, func(k *checker) { k.Ran(run("s", "x", serviceA)) }, true},
+		{"refused, then runs", once, func(k *checker) { k.Answered("r", standin.Answer{Status: 503}); k.Ran(run("r", "x", serviceA)) }, true},
+		{"runs, then refused", look, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", standin.Answer{Status: 503}) }, true},
+		{"another's answer", look, func(k *checker) {
+			k.Ran(run("r", "x", serviceA))
+			k.Answered("r", standin.Answer{Status: 200, Whole: true, Sealed: true, Request: "s", Target: "x"})
+		}, true},
+		{"its own answer", look, func(k *checker) {
+			k.Ran(run("r", "x", serviceA))
+			k.Answered("r", standin.Answer{Status: 200, Whole: true, Sealed: true, Request: "r", Target: "x"})
+		}, false},
+		{"whole stream", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(true, one, two)) }, false},
+		{"broken stream that says so", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(false, one)) }, false},
+		{"broken stream that looks whole", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(true, one)) }, true},
+		{"an event twice", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(false, one, one)) }, true},
+		{"an event missing", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(false, two)) }, true},
+		{"two runs joined", stream, func(k *checker) {
+			k.Ran(run("r", "x", serviceA))
+			k.calls["r"].runs = append(k.calls["r"].runs, run("r", "y", serviceA))
+			k.Answered("r", events(true, one, other))
+		}, true},
+		{"two runs of a stream that may go on elsewhere", resumable, func(k *checker) {
+			k.Ran(run("r", "x", serviceA))
+			k.Ran(run("r", "y", serviceA))
+			k.Answered("r", events(true, one, other))
+		}, false},
+		{"run by what the newest version names", change, func(k *checker) { k.Ran(run("r", "x", serviceB)) }, false},
+		{"run by what only an older version names", change, func(k *checker) { k.Ran(run("r", "x", serviceA)) }, true},
+		{"the newest version is read", look, func(k *checker) { k.Read("m", 5, time.Now()) }, false},
+		{"an older version is read", look, func(k *checker) { k.Read("m", 4, time.Now()) }, true},
+		{"sent to one that has left", look, func(k *checker) { k.Drained("x", time.Now().Add(-longAgo)); k.Ran(run("r", "x", serviceA)) }, true},
+		{"a process ends by itself", look, func(k *checker) { k.Unwell("it ended") }, true},
+		{"a calm fleet serves nobody", look, func(k *checker) { k.Answered("r", standin.Answer{Status: 502}) }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k := calmChecker()
+			k.Sent("r", tt.what)
+			tt.steps(k)
+			if tt.what.events > 0 {
+				k.calm, k.served = 0, 0 // only the stream's own promises here
+			}
+			_, broken := k.verdict()
+			qt.New(t).Assert(len(broken) > 0, qt.Equals, tt.broken, qt.Commentf("%v", broken))
+		})
+	}
+}
--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -37,6 +38,8 @@
 	keyFile string
 	level   string
 	opsPort int
+	// linksListen is the host at which a control member listens for links.
+	linksListen string
 }
 
 func newRoutedCommand(app *kingpin.Application) *routedCommand {
@@ -46,6 +49,7 @@
 	c.cmd.Flag("fleet-key-file", "File that holds the fleet key.").StringVar(&c.keyFile)
 	c.cmd.Flag("log-level", "Least level that is logged.").Default("info").EnumVar(&c.level, "debug", "info", "warn", "error")
 	c.cmd.Flag("ops-port", "Port for metrics, /healthz and /readyz.").Default("9464").IntVar(&c.opsPort)
+	c.cmd.Flag("links-listen", "Host at which a control member listens for links, where a forwarder has the address that others are told.").StringVar(&c.linksListen)
 	return c
 }
 
@@ -176,6 +180,7 @@
 		Key:           []byte(r.command.key),
 		Dir:           r.set.DataDir,
 		Links:         r.set.LinkAddress(r.set.Host),
+		Listen:        r.set.LinkAddress(cmp.Or(r.command.linksListen, r.set.Host)),
 		Seeds:         r.set.SeedLinks(),
 		Founding:      r.set.Founding,
 		AnnounceEvery: r.set.AnnounceEvery,
