Read the change as a newcomer: what is ranked, what bounds the wait

Change: names and comments, one test moved to room_test.go, a plain append.

Conclusion: no change of behaviour.

--- a/node/relay/lengths.go
+++ b/node/relay/lengths.go
@@ -1,18 +1,17 @@
 package relay
 
 import (
-	"slices"
 	"sync"
 
 	"almondseam.dev/core/api"
 )
 
-// lengthsKept is how many guesses a ranking holds: enough for a rank to a few parts
-// in a hundred.
+// lengthsKept is how many costs a ranking holds: enough for a rank to a few parts in
+// a hundred.
 const lengthsKept = 64
 
-// lengths ranks the guesses that callers give of their generations' lengths among
-// those of late, by service. It is safe for concurrent use.
+// lengths ranks what generations are likely to cost, by their callers' guesses of
+// their lengths, among those of late on each service. It is safe for concurrent use.
 type lengths struct {
 	mu   sync.Mutex
 	late map[api.ServiceID]*ring
@@ -35,10 +34,10 @@
 	return tokens * (a.LikelyTokens + a.PromptTokens/readWeight)
 }
 
-// rank takes a guess and gives its rank, 0 for the shortest to 1; without a guess,
-// or others to compare it with, the middle.
-func (l *lengths) rank(s api.ServiceID, likely int) float64 {
-	if likely <= 0 {
+// rank takes a cost and gives its rank, 0 for the lowest to 1; without one, or others
+// to compare it with, the middle.
+func (l *lengths) rank(s api.ServiceID, cost int) float64 {
+	if cost <= 0 {
 		return 0.5
 	}
 	l.mu.Lock()
@@ -50,18 +49,18 @@
 	}
 	below := 0
 	for _, v := range r.values {
-		if v < likely {
+		if v < cost {
 			below++
 		}
 	}
 	n := len(r.values)
-	r.put(likely)
+	r.put(cost)
 	return (float64(below) + 0.5) / float64(n+1)
 }
 
 func (r *ring) put(v int) {
 	if len(r.values) < lengthsKept {
-		r.values = append(slices.Clip(r.values), v)
+		r.values = append(r.values, v)
 		return
 	}
 	r.values[r.next] = v
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -25,9 +25,8 @@
 	// all that wait, and the load of the first that take it is known elsewhere after
 	// some ten milliseconds.
 	roomLook = 60 * time.Millisecond
-	// roomObjectives is how many times its objective a request waits for room. Past
-	// that it can't begin in time any more, and its caller does better to come back
-	// when there is room.
+	// roomObjectives is how many times its objective a request waits for room at
+	// most. Callers give a stream up that has not begun after four times that.
 	roomObjectives = 3.4
 	// beginShare is the part of the objective up to which a request must be sent to
 	// begin in time: its prompt takes some 0.4 s to read beside running streams.
@@ -95,6 +94,7 @@
 	return limit
 }
 
+// waiting describes the request to the placement.
 func (req *Request) waiting() placement.Waiting {
 	inTime := time.Duration(beginShare * float64(req.Route.Objective))
 	late := inTime > 0 && time.Since(req.Arrived) > inTime
--- a/node/relay/room_test.go
+++ b/node/relay/room_test.go
@@ -97,3 +97,29 @@
 	c.Assert(l.rank(service, 1000) > 0.95, qt.IsTrue)
 	c.Assert(l.rank("other", 1), qt.Equals, 0.5)
 }
+
+// All engines are full. A generation waits at the entry until one has room, rather
+// than push out a stream that runs there.
+func TestGenerationWaitsForMemory(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1, Generates: true}, noMoves)
+	arrived := make(chan struct{}, 1)
+	s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		events(w, 1, 1)
+	})
+	full := s.targets.Of(service)[0]
+	full.hold(2<<20, 0)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := s.ask("/a/x")
+		done <- err
+	}()
+	select {
+	case <-arrived:
+		t.Fatal("the request went to a full engine at once")
+	case <-time.After(3 * roomLook):
+	}
+	full.release(2 << 20)
+	<-arrived
+	s.c.Assert(<-done, qt.IsNil)
+}
