A reader of logs that tells why requests were not served in time

Change: bench/losses reads the logs of entries and counts, for each route, what was served in time and the cause of each loss, and the ceiling: the part that would be in time if all were but those open when their entry stopped.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The two commands of the README need none of this; these are the measurements
 # and the conveniences of developers.
-.PHONY: test ci measure-path measure-policy measure-slopes docs
+.PHONY: test ci losses measure-path measure-policy measure-slopes docs
 
 test:
 	go test -race work
@@ -11,6 +11,9 @@
 measure-path:
 	bash bench/path/measure.sh
 
+losses:
+	go run ./bench/losses $(LOG)
+
 measure-slopes:
 	bash bench/slopes/measure.sh
 
