--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -15,7 +15,7 @@
 			for i := range list {
 				list[i] = Candidate{Slots: 24, Capacity: 21_800, Tokens: rng.IntN(21_800), Unread: rng.IntN(6000)}
 			}
-			need := Need{Tokens: 3200, Draws: DrawsFor(n, max(2, n/23)), Room: RoomFor(Waiting{Rank: 1, Length: 0.5})}
+			need := Need{Tokens: 3200, Draws: DrawsFor(n, max(2, n/23)), Room: RoomFor(Waiting{Rank: 1, Length: 0.5}, 7000)}
 			b.ReportAllocs()
 			for b.Loop() {
 				Pick(list, need, rng.Float64)
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -119,7 +119,11 @@
 	c := qt.New(t)
 	anyone := replay(func(*replayed, float64, bool) *Room { return &Room{Fill: admitFill, Unread: unreadRoom} })
 	ours := replay(func(_ *replayed, length float64, late bool) *Room {
-		return RoomFor(Waiting{Rank: 1, Length: length, Late: late})
+		left := inTime
+		if late {
+			left = 0
+		}
+		return RoomFor(Waiting{Rank: 1, Length: length, HasObjective: true, Left: left}, 7000)
 	})
 	before, after := servedInTime(anyone), servedInTime(ours)
 	slices.SortFunc(ours, func(a, b *replayed) int { return a.prompt - b.prompt })
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -1,6 +1,9 @@
 package placement
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Room says what an engine must have free for a request to be sent there. What
 // finds none waits: sent on, it would wait at the engine, or push out a stream that
@@ -18,10 +21,9 @@
 const (
 	// admitFill is up to which part of their memory engines are filled.
 	admitFill = 1.0
-	// unreadRoom is how many tokens of other prompts an engine may have to read
-	// before one of the first rank, half as many before others: engines read some
-	// seven tokens a millisecond beside running streams, so that a first event comes
-	// within a second and a half.
+	// unreadRoom is how many tokens of other prompts an engine may have to read before
+	// a request of the first rank that has no objective or can't keep it any more, half
+	// as many before others.
 	unreadRoom = 8000
 	// spareRank is the part of the engines whose room is left to requests of the first
 	// rank by all others.
@@ -31,7 +33,7 @@
 	spareLong = 0.06
 	// spareLate is the part that requests leave to others that can't begin in time
 	// any more.
-	spareLate = 0.25
+	spareLate = 0.5
 	// typicalShare is the part of an engine's memory for which an engine must have
 	// room to count as spare.
 	typicalShare = 0.15
@@ -44,27 +46,58 @@
 	// Length is the rank of the generation's likely length among those of late, from
 	// 0, the shortest, to 1.
 	Length float64
-	// Late tells that the request can't begin in time any more.
-	Late bool
+	// Prompt is the length of its prompt in tokens.
+	Prompt int
+	// Left is how long it may take until it begins to answer, zero or less if that
+	// time is over. HasObjective tells that there is such a time at all.
+	Left         time.Duration
+	HasObjective bool
+}
+
+// startMargin is the part of the time left that reading may take as far as it can be
+// foreseen: other entries send prompts there in the same instant.
+const startMargin = 0.8
+
+// late tells whether the request can't begin in time anywhere, at so many tokens read
+// a second.
+func (w *Waiting) late(speed float64) bool { return w.HasObjective && w.inTime(speed) < 0 }
+
+// inTime gives how many tokens of other prompts an engine may have to read first so
+// that the request begins in time.
+func (w *Waiting) inTime(speed float64) int {
+	return int(startMargin*w.Left.Seconds()*speed) - w.Prompt
 }
 
-// RoomFor gives what a request needs among so many engines.
+// unread gives how many tokens of other prompts an engine may have to read first.
+func (w *Waiting) unread(speed float64) int {
+	switch {
+	case w.HasObjective && !w.late(speed):
+		return w.inTime(speed)
+	case w.Rank > 0:
+		return unreadRoom / 2
+	}
+	return unreadRoom
+}
+
+// RoomFor gives what a request needs among so many engines, which read prompts at so
+// many tokens a second.
 //
 // Load pattern: for some ten seconds more is asked of the engines than their memory
 // holds, so that some callers can't be served in time whatever is done. An
 // engine that goes to the shortest generations serves twice the callers. The others
-// go on once there is room for all. In a replay of 46 requests a second for 40 s to 40
-// engines, the part that began in time was 0.53 with room for whoever looked first
-// and 0.86 so, 0.78 among the largest tenth of the prompts.
-func RoomFor(w Waiting) *Room {
-	if w.Rank == 0 {
-		return &Room{Fill: admitFill, Unread: unreadRoom}
-	}
-	spare := spareRank + spareLong*w.Length
-	if w.Late {
-		spare = spareLate
+// go on once there is room for all. A prompt that is sent to an engine which can't read
+// it in time makes its caller wait and takes room from one that could be in time, so
+// that in the end nearly all are late; it goes only where there is time to read it,
+// and whoever is late already leaves room to others, of whatever rank.
+func RoomFor(w Waiting, speed float64) *Room {
+	room := &Room{Fill: admitFill, Unread: w.unread(speed)}
+	switch {
+	case w.late(speed):
+		room.Spare = spareLate
+	case w.Rank > 0:
+		room.Spare = spareRank + spareLong*w.Length
 	}
-	return &Room{Fill: admitFill, Unread: unreadRoom / 2, Spare: spare}
+	return room
 }
 
 // in tells whether a target has the room. One without memory of its own, as a
@@ -92,5 +125,6 @@
 			withRoom++
 		}
 	}
-	return withRoom > int(math.Round(r.Spare*float64(engines)))
+	left := int(math.Round(r.Spare * float64(engines)))
+	return withRoom > min(left, engines-1)
 }
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"almondseam.dev/node/upstream"
 )
@@ -19,6 +20,11 @@
 	// departure is the way to the next engine; nil until this one leaves.
 	departure *departure
 
+	// sentAt and queued tell when the request was sent and how many tokens the engine
+	// then had to read, its own prompt among them.
+	sentAt time.Time
+	queued int
+
 	mu     sync.Mutex
 	tokens int // counted at the target, and at the backup
 	unread int // counted at the target as not yet read
@@ -36,6 +42,7 @@
 		t.expose(l.tokens)
 	}
 	t.hold(l.tokens, l.unread)
+	l.sentAt, l.queued = time.Now(), t.Load().Unread
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	x, outcome := s.relay.send(l.ctx, s.req, t, d, why)
 	l.x = x
@@ -54,12 +61,17 @@
 	return s.req.Ask.PromptTokens
 }
 
-// begun notes that the engine has read the prompt.
-func (l *leg) begun() {
+// begun notes that the engine has read the prompt. It gives how many tokens it had to
+// read for that and how long it took; no tokens if there is nothing to learn from it.
+func (l *leg) begun() (tokens int, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.unread > 0 {
+		tokens, took = l.queued, time.Since(l.sentAt)
+	}
 	l.target.read(l.unread)
 	l.unread = 0
+	return tokens, took
 }
 
 // held is the memory that the leg counts at its engine.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -44,13 +44,14 @@
 	repeats *Repeats
 	obs     Observer
 	lengths *lengths
+	reading *readingSpeeds
 }
 
 // New makes a relay.
 func New(set Settings, p Ports) *Relay {
 	return &Relay{
 		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
-		engines: p.Engines, repeats: p.Repeats, obs: p.Observer, lengths: newLengths(),
+		engines: p.Engines, repeats: p.Repeats, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
 	}
 }
 
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -28,9 +28,6 @@
 	// roomObjectives is how many times its objective a request waits for room at
 	// most. Callers give a stream up that has not begun after four times that.
 	roomObjectives = 3.4
-	// beginShare is the part of the objective up to which a request must be sent to
-	// begin in time: its prompt takes some 0.4 s to read beside running streams.
-	beginShare = 0.7
 	// roomLeast is the wait where the operator gives no objective or a short one;
 	// callers wait two seconds in any case.
 	roomLeast = 1700 * time.Millisecond
@@ -95,10 +92,12 @@
 }
 
 // waiting describes the request to the placement.
-func (req *Request) waiting() placement.Waiting {
-	inTime := time.Duration(beginShare * float64(req.Route.Objective))
-	late := inTime > 0 && time.Since(req.Arrived) > inTime
-	return placement.Waiting{Rank: rank(req), Length: req.length, Late: late}
+func (req *Request) waiting(now time.Time) placement.Waiting {
+	return placement.Waiting{
+		Rank: rank(req), Length: req.length, Prompt: req.Ask.PromptTokens,
+		Left:         req.Arrived.Add(req.Route.Objective).Sub(now),
+		HasObjective: req.Route.Objective > 0,
+	}
 }
 
 // trySeat asks engines that seem to have room, one after the other, until one
@@ -146,11 +145,12 @@
 // roomy chooses an engine that seems to have room, nil if none has.
 func (r *Relay) roomy(req *Request) *Target {
 	list := r.targets.Of(req.Service)
-	choice := placement.Pick(r.candidates(list, req.asked, time.Now()), placement.Need{
+	now := time.Now()
+	choice := placement.Pick(r.candidates(list, req.asked, now), placement.Need{
 		Zone:   r.set.Zone,
 		Tokens: req.tokens,
 		Draws:  placement.DrawsFor(len(list), r.targets.Entries()),
-		Room:   placement.RoomFor(req.waiting()),
+		Room:   placement.RoomFor(req.waiting(now), r.reading.of(req.Service)),
 	}, rand.Float64)
 	if choice < 0 {
 		return nil
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return err
 		}
-		l.begun()
+		s.relay.reading.learn(s.req.Service, l.begun)
 		if err := s.give(l, ev); err != nil {
 			return err
 		}
