After a stop of all machines entries serve sooner: short first dials, a first election sooner

An entry that is up before a member waits 0.6 to 1 s for a dial that nothing answers, members up to 2 s for each other, and the group stands for election half a second after its start at the earliest.

Change: link.Patience gives a first dial 200 ms and doubles that up to the bounds of before; a member that has known no leader since its start draws half of the election timeout.

--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -13,7 +13,8 @@
 	ID MemberID
 	// ElectionTicks is the shortest silence after which a follower stands for
 	// election, and the time after which a leader without a majority steps
-	// down. The real timeout is drawn from [ElectionTicks, 2*ElectionTicks).
+	// down. The real timeout is drawn from [ElectionTicks, 2*ElectionTicks), and from
+	// half of that until a leader was known since the start.
 	ElectionTicks int
 	// HeartbeatTicks is the pause between heartbeats; at most a third of
 	// ElectionTicks, so that one lost heartbeat starts no election.
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -71,6 +71,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader = RoleLeader, n.id
+	n.knewLeader = true
 	n.votes = nil
 	n.electionElapsed = 0
 	n.lead = leaderState{peers: map[MemberID]*peer{}, termStart: n.log.last() + 1}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -21,7 +21,9 @@
 	now             uint64 // ticks since New
 	electionElapsed int
 	electionTimeout int // drawn anew at each reset
-	votes           map[MemberID]bool
+	// knewLeader tells that a leader was known since the start.
+	knewLeader bool
+	votes      map[MemberID]bool
 
 	lead leaderState // meaningful on the leader only
 
@@ -144,11 +146,26 @@
 	}
 }
 
+// resetElection draws the silence after which this member stands.
+//
+// Failure: all members stop at once and come back. Symptom with the usual timeout:
+// the group is without a leader for an election timeout longer than it need be, and
+// entries that wait for its word serve nobody. A member that has known no leader since
+// its start has none to take for silent, so that it stands sooner; if there is one
+// all the same, the others refuse it their pre-votes and nothing is disturbed.
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
-	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+	least := n.cfg.ElectionTicks
+	if !n.knewLeader {
+		least = max(least/firstElectionShare, 1)
+	}
+	n.electionTimeout = least + n.cfg.Rand.IntN(least)
 }
 
+// firstElectionShare makes the first election timeouts after a start shorter, one part
+// in so many.
+const firstElectionShare = 2
+
 // becomeFollower ends any other role. Leader is zero when it isn't known.
 func (n *Node) becomeFollower(term uint64, leader MemberID) {
 	if term > n.term {
@@ -158,6 +175,7 @@
 	n.lead = leaderState{}
 	n.votes = nil
 	n.role, n.leader = RoleFollower, leader
+	n.knewLeader = n.knewLeader || leader != 0
 	n.resetElection()
 }
 
--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// clientDialWithin bounds one dial. Members are milliseconds away; one that
+	// clientDialMost bounds one dial. Members are milliseconds away; one that
 	// takes longer is cut off or without power, and another one may have news.
-	clientDialWithin = 600 * time.Millisecond
+	clientDialMost = 600 * time.Millisecond
 	// avoidFailed is how long an address is passed over after it failed.
 	avoidFailed = 3 * time.Second
 	// leaderlessFor is how long a client stays with a member that knows of no
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -94,7 +94,8 @@
 	whole    bool
 	drained  uint64
 	// failing tells that the last dial failed; Run's goroutine only.
-	failing bool
+	failing  bool
+	patience *link.Patience
 }
 
 // NewClient makes a client.
@@ -120,7 +121,10 @@
 	if opt.ReportEvery == 0 {
 		opt.ReportEvery = defaultReportEvery
 	}
-	return &Client{opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply), failedAt: make(map[string]time.Time)}
+	return &Client{
+		opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply), failedAt: make(map[string]time.Time),
+		patience: link.NewPatience(dialLeast, clientDialMost),
+	}
 }
 
 // Run keeps the link up until ctx is done.
@@ -139,10 +143,8 @@
 
 // once dials one member and stays until the link ends.
 func (c *Client) once(ctx context.Context) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, clientDialWithin)
 	addr := c.address()
-	conn, err := link.Dial(dialCtx, addr, c.opt.Link)
-	cancel()
+	conn, err := c.patience.Dial(ctx, addr, c.opt.Link)
 	if err != nil {
 		c.fail(addr)
 		c.dialFailed(ctx, addr, err)
--- a/node/control/transport.go
+++ b/node/control/transport.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	redialMin  = 50 * time.Millisecond
-	redialMax  = time.Second
-	dialWithin = 2 * time.Second
+	redialMin = 50 * time.Millisecond
+	redialMax = time.Second
+	// dialLeast and dialMost bound one attempt, see link.Patience.
+	dialLeast = 200 * time.Millisecond
+	dialMost  = 2 * time.Second
 )
 
 // Links is the Transport over links: one outgoing link to each other member. It
@@ -115,14 +117,13 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	p := &peer{addr: addr, cancel: cancel}
 	l.peers[id] = p
-	l.wg.Go(func() { link.Keep(ctx, redialMin, redialMax, func() bool { return l.serve(ctx, p) }) })
+	patience := link.NewPatience(dialLeast, dialMost)
+	l.wg.Go(func() { link.Keep(ctx, redialMin, redialMax, func() bool { return l.serve(ctx, p, patience) }) })
 }
 
 // serve dials the peer once and stays until the link ends.
-func (l *Links) serve(ctx context.Context, p *peer) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
-	conn, err := link.Dial(dialCtx, p.addr, l.opt)
-	cancel()
+func (l *Links) serve(ctx context.Context, p *peer, patience *link.Patience) bool {
+	conn, err := patience.Dial(ctx, p.addr, l.opt)
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/node/link/patience.go
@@ -0,0 +1,40 @@
+package link
+
+import (
+	"context"
+	"time"
+)
+
+// Patience dials one peer, or one group of peers, and gives each attempt more time
+// than the one before, from a least to a most. It is not safe for concurrent use.
+//
+// Failure: all machines lose power and are back within half a second of each other.
+// Symptom: one that is up first dials one that is not, which answers nothing; with time
+// for a slow peer it still waits when the other has long been up. A first attempt is
+// given up soon; a peer that is only slow is reached by a later one.
+type Patience struct {
+	least, most time.Duration
+	next        time.Duration
+}
+
+// NewPatience gives attempts from least to most, doubled at each failure in a row.
+func NewPatience(least, most time.Duration) *Patience {
+	return &Patience{least: least, most: most, next: least}
+}
+
+// Dial opens a link within the time of this attempt.
+func (p *Patience) Dial(ctx context.Context, addr string, opt Options) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.next)
+	defer cancel()
+	conn, err := Dial(ctx, addr, opt)
+	p.note(err)
+	return conn, err
+}
+
+func (p *Patience) note(err error) {
+	if err == nil {
+		p.next = p.least
+		return
+	}
+	p.next = min(2*p.next, p.most)
+}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -16,8 +16,9 @@
 	// reached; the most keeps a restarted member from waiting long for entries.
 	followPauseMin = 50 * time.Millisecond
 	followPauseMax = time.Second
-	// dialWithin bounds one attempt: a machine without power answers nothing.
-	dialWithin = time.Second
+	// dialLeast and dialMost bound one attempt, see link.Patience.
+	dialLeast = 200 * time.Millisecond
+	dialMost  = time.Second
 )
 
 // Follower keeps a link to each of a changing set of addresses and merges what
@@ -72,13 +73,14 @@
 func (f *Follower) start(addr string) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	f.active[addr] = cancel
-	f.work.Go(func() { link.Keep(ctx, followPauseMin, followPauseMax, func() bool { return f.once(ctx, addr) }) })
+	patience := link.NewPatience(dialLeast, dialMost)
+	f.work.Go(func() {
+		link.Keep(ctx, followPauseMin, followPauseMax, func() bool { return f.once(ctx, addr, patience) })
+	})
 }
 
-func (f *Follower) once(ctx context.Context, addr string) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, dialWithin)
-	conn, err := link.Dial(dialCtx, addr, f.opt)
-	cancel()
+func (f *Follower) once(ctx context.Context, addr string, patience *link.Patience) bool {
+	conn, err := patience.Dial(ctx, addr, f.opt)
 	if err != nil {
 		return false
 	}
