--- a/core/handoff/backup.go
+++ b/core/handoff/backup.go
@@ -20,11 +20,8 @@
 //
 // Load pattern: engines two thirds full, a sixth of them reclaimed every few
 // seconds. Copies of streams double what they hold; newcomers wait for memory, and
-// the copies' traffic holds up the moves of the runs that must go. On two
-// fleets of some thirteen engines, twelve simulated runs of 34 s each, the share of
-// requests served in time, weighed by their value, was 0.62 and 0.67 with copies up
-// to 85 parts in 100, 0.65 and 0.69 without any or up to 30 parts; the latter save
-// the streams of engines that crash at quiet hours.
+// the copies' traffic holds up the moves of the runs that must go. Kept on nearly empty
+// engines only, copies save the streams of engines that crash at quiet hours.
 func BackupFill(moves bool) float64 {
 	if moves {
 		return fillMoves
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -60,9 +60,8 @@
 	otherZone = 0.03
 	// coldLoad is what a target counts more while it is slow after its start.
 	coldLoad = 0.5
-	// unreadFull is how many unread tokens weigh as much as a target that is full:
-	// engines read some 14 tokens a millisecond, so that this is three quarters of
-	// a second, half of what a first event may take.
+	// unreadFull is how many unread tokens weigh as much as a target that is full: a
+	// second or so of reading, about half of what a first event may take.
 	unreadFull = 10_000
 	// avoidLoad puts a target that has just failed behind all that have not.
 	avoidLoad = 100
@@ -103,11 +102,8 @@
 //
 // Load pattern: thirty entries send sixty prompts a second to forty engines, and
 // each knows the others' choices a little late. Taking the emptiest of all, several
-// prompts go to one engine before anybody knows. On two fleets
-// of that size, four simulated runs of 34 s each, the share of requests served in
-// time, weighed by their value, was 0.69 and 0.63 with 8 draws for each share, 0.71
-// and 0.67 with 20, 0.69 and 0.66 with all. An entry with few others takes the best
-// of all.
+// prompts go to one engine before anybody knows; of a few drawn at random each entry
+// takes another one. An entry with few others takes the best of all.
 func DrawsFor(targets, entries int) int {
 	return max(2, drawsPerShare*targets/max(entries, 1))
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -139,10 +139,8 @@
 
 // LoadsEvery is the least time between two rounds of loads. Load pattern: thirty
 // entries send sixty prompts a second to forty engines two thirds full, and what an
-// entry does not know of the others' choices it adds to. On two fleets of that size,
-// four simulated runs of 34 s each, the share of requests served in time, weighed by
-// their value, was 0.62 and 0.58 with rounds of 100 ms, 0.67 and 0.61 with 30, 0.68
-// and 0.65 with 15. Rounds are made only when something has changed.
+// entry does not know of the others' choices it adds to. Rounds are made only when
+// something has changed.
 const LoadsEvery = 8 * time.Millisecond
 
 // RunLoads passes entries' reports on to all subscribers, until ctx is done.
