relay: a request in what came, what was decided and what became of it; stream tests apart

Cause: Request held all three in one list of fields, and relay.go and its test had grown long.

Change: request.go with three embedded parts; the seven tests of streams in stream_test.go, unchanged.

--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -55,46 +55,6 @@
 	}
 }
 
-// Request is one request of a caller on its way.
-type Request struct {
-	Ask      Ask
-	Route    *routeconf.Route
-	Service  api.ServiceID
-	Customer *routeconf.Customer
-	// Version is that of the configuration by which it was decided.
-	Version  uint64
-	Arrived  time.Time
-	Deadline time.Time
-
-	Stream StreamStats
-
-	caller *http.Request
-	out    http.ResponseWriter
-	uri    string
-	body   []byte
-	tokens int
-	// length is the rank of its likely length among those of late, 0 to 1.
-	length float64
-	// asked are the targets that the request was meant for; sends counts those
-	// that may have read it.
-	asked []*Target
-	sends int
-	// failure is a target's own failure that another target may do better than.
-	failure *failure
-	// mayHaveRun is set once a target may have begun to work on it.
-	mayHaveRun bool
-}
-
-// StreamStats tell how a stream went, for metrics and logs.
-type StreamStats struct {
-	// First is the time from the request's arrival to its first event.
-	First      time.Duration
-	LongestGap time.Duration
-	Events     int
-	// Goes is how often the stream went on elsewhere.
-	Goes int
-}
-
 // Retry-After values of refusals, where nothing better is known.
 const (
 	// retryNoConfig: an entry that has just started hears its configuration within
@@ -122,7 +82,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	req := &Request{caller: hr, out: w, Arrived: time.Now()}
+	req := &Request{Arrived: time.Now(), received: received{caller: hr, out: w}}
 	if !r.admit(req) {
 		return
 	}
@@ -239,47 +199,6 @@
 	}
 }
 
-// headerBytes is the size of a request's headers as they came, but for spaces.
-func headerBytes(h http.Header) int {
-	const separators = len(": \r\n")
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v) + separators
-		}
-	}
-	return n
-}
-
-// requestURI gives path and query as the caller sent them.
-func requestURI(hr *http.Request) string {
-	if strings.HasPrefix(hr.RequestURI, "/") {
-		return hr.RequestURI
-	}
-	return hr.URL.RequestURI() // a request line in absolute form
-}
-
-// deadline is when the caller gives up, or the route's timeout if that is sooner.
-func deadline(req *Request) time.Time {
-	limit := req.Route.Timeout
-	if p := req.Ask.Patience; p > 0 && p < limit {
-		limit = p
-	}
-	return req.Arrived.Add(limit)
-}
-
-// growthAhead is how far ahead a stream's growth is counted, in tokens: what an
-// engine makes for one stream in about two seconds. Most streams end long before
-// the most that they may make, and the caller's guess is often far off; counted to
-// their end, streams would fill engines that are half empty.
-const growthAhead = 256
-
-// expectedTokens is the memory that a generation takes within the next seconds
-// once it has made so many tokens.
-func expectedTokens(a *Ask, made int) int {
-	return a.PromptTokens + made + min(growthAhead, max(a.MaxTokens-made, 0))
-}
-
 func (r *Relay) readBody(req *Request, limits routeconf.Limits) bool {
 	hr := req.caller
 	body := io.Reader(hr.Body)
@@ -323,9 +242,6 @@
 	r.obs.Ended(req, status, string(reason))
 }
 
-// callerGone tells whether the caller has closed its connection.
-func (req *Request) callerGone() bool { return req.caller.Context().Err() != nil }
-
 // gone notes the end of a request whose caller has left.
 func (r *Relay) gone(req *Request) { r.obs.Ended(req, 0, string(api.ReasonCancelled)) }
 
