--- a/bench/losses/read.go
+++ b/bench/losses/read.go
@@ -46,7 +46,6 @@
 type story struct {
 	route    string
 	instance string
-	sent     bool
 	// last is the target that the request was last at; leaving tells that it was
 	// known to leave.
 	last    string
