Copies are kept beforehand only while the fleet has memory to spare

An engine that has just come is nearly empty, and so was given copies of streams elsewhere while requests waited for its room.

Change: no copies while more than 55 parts in 100 of the memory of all engines that move runs is taken.

--- a/core/handoff/backup.go
+++ b/core/handoff/backup.go
@@ -13,20 +13,29 @@
 	fillMoves = 0.3
 	// fillCopies: where they don't, a copy is a stream's only way to go on.
 	fillCopies = 0.85
+	// fleetFill is up to which part of the memory of all engines those that move runs on
+	// demand are given copies.
+	fleetFill = 0.55
 )
 
 // BackupFill gives up to which part of its memory an engine is given the copy of
-// one more stream that starts elsewhere.
+// one more stream that starts elsewhere, zero for none; fleet is the part of the memory
+// of all engines that is taken.
 //
 // Load pattern: engines two thirds full, a sixth of them reclaimed every few
 // seconds. Copies of streams double what they hold; newcomers wait for memory, and
-// the copies' traffic holds up the moves of the runs that must go. Kept on nearly empty
-// engines only, copies save the streams of engines that crash at quiet hours.
-func BackupFill(moves bool) float64 {
-	if moves {
-		return fillMoves
+// the copies' traffic holds up the moves of the runs that must go. An engine that has
+// just come is empty, but what waits elsewhere needs its room. Kept on nearly empty
+// engines of a fleet that has memory to spare, copies save the streams of engines that
+// crash at quiet hours.
+func BackupFill(moves bool, fleet float64) float64 {
+	switch {
+	case !moves:
+		return fillCopies
+	case fleet > fleetFill:
+		return 0
 	}
-	return fillCopies
+	return fillMoves
 }
 
 // MoveTime is how long it takes to move so many tokens at a rate in tokens a
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -146,6 +146,22 @@
 	return out
 }
 
+// Taken is the part of the memory of all targets together that is taken, as far as they
+// may be asked.
+func Taken(list []Candidate) float64 {
+	tokens, capacity := 0, 0
+	for i := range list {
+		if !list[i].Excluded {
+			tokens += list[i].Tokens
+			capacity += list[i].Capacity
+		}
+	}
+	if capacity <= 0 {
+		return 0
+	}
+	return float64(tokens) / float64(capacity)
+}
+
 // fits tells whether a request leaves the target within a part of its memory.
 func (c *Candidate) fits(tokens int, fill float64) bool {
 	return c.Tokens+tokens <= int(fill*float64(c.Capacity))
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -69,3 +69,12 @@
 	c.Assert(Pick(list, Need{Tokens: 1000, Fill: 0.3}, draws()), qt.Equals, -1)
 	c.Assert(Pick(list, Need{Tokens: 1000, Fill: 0.4}, draws()), qt.Equals, 0)
 }
+
+// How full the engines are together; one that leaves does not count, nor do plain
+// services, which have no memory of their own.
+func TestTaken(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(Taken(nil), qt.Equals, 0.0)
+	c.Assert(Taken([]Candidate{{Slots: 6, Running: 6}}), qt.Equals, 0.0)
+	c.Assert(Taken([]Candidate{{Capacity: 100, Tokens: 80}, {Capacity: 300}, {Capacity: 100, Tokens: 100, Excluded: true}}), qt.Equals, 0.2)
+}
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -121,7 +121,7 @@
 	ours := replay(func(_ *replayed, length float64, late bool) *Room {
 		left := inTime
 		if late {
-			left = 0
+			left = -time.Second
 		}
 		return RoomFor(Waiting{Rank: 1, Length: length, HasObjective: true, Left: left}, 7000)
 	})
--- a/node/relay/backup.go
+++ b/node/relay/backup.go
@@ -28,11 +28,12 @@
 		return nil
 	}
 	list := s.relay.targets.Of(s.req.Service)
-	choice := placement.Pick(s.relay.candidates(list, []*Target{t}, time.Now()), placement.Need{
-		Zone:   t.Zone,
-		Tokens: s.tokens(),
-		Fill:   handoff.BackupFill(e.Moves),
-	}, rand.Float64)
+	candidates := s.relay.candidates(list, []*Target{t}, time.Now())
+	fill := handoff.BackupFill(e.Moves, placement.Taken(candidates))
+	if fill == 0 {
+		return nil
+	}
+	choice := placement.Pick(candidates, placement.Need{Zone: t.Zone, Tokens: s.tokens(), Fill: fill}, rand.Float64)
 	if choice < 0 {
 		return nil
 	}
