The largest prompts' share is checked again, and known red

Cause: TestPromptsBeginInTimeWhileEnginesComeAndGo was written with a check that the largest tenth of the prompts is in time half as often as all. It failed (0.25 of 0.77), and the check was taken out before the test was committed. That was wrong: it is a fault of the code, not of the check.

--- a/core/placement/reading_replay_test.go
+++ b/core/placement/reading_replay_test.go
@@ -129,6 +129,11 @@
 	return float64(n) / float64(len(list))
 }
 
+// roomInTime is what a request of the replay needs by RoomFor.
+func roomInTime(p *prompt, now time.Duration) *Room {
+	return RoomFor(Waiting{Prompt: p.tokens, Left: p.arrived + objective - now, HasObjective: true}, readSpeed)
+}
+
 // largestTenth gives the requests with the longest prompts.
 func largestTenth(list []*prompt) []*prompt {
 	sorted := slices.SortedFunc(slices.Values(list), func(a, b *prompt) int { return a.tokens - b.tokens })
@@ -143,11 +148,19 @@
 func TestPromptsBeginInTimeWhileEnginesComeAndGo(t *testing.T) {
 	c := qt.New(t)
 	anyone := readReplay(func(*prompt, time.Duration) *Room { return &Room{Fill: admitFill, Unread: unreadRoom} })
-	ours := readReplay(func(p *prompt, now time.Duration) *Room {
-		return RoomFor(Waiting{Prompt: p.tokens, Left: p.arrived + objective - now, HasObjective: true}, readSpeed)
-	})
+	ours := readReplay(roomInTime)
 	before, after := begunInTime(anyone), begunInTime(ours)
 	t.Logf("in time: whoever looks first %.2f, read in time %.2f; largest tenth of the prompts %.2f, %.2f",
 		before, after, begunInTime(largestTenth(anyone)), begunInTime(largestTenth(ours)))
 	c.Assert(after > before, qt.IsTrue)
 }
+
+// In the same load the largest prompts need the largest holes, and smaller ones that come
+// meanwhile take them. Their callers must not fare worse than half as well as all
+// others: what is asked of the largest tenth of a kind of request.
+func TestLargestPromptsBeginInTimeWhileEnginesComeAndGo(t *testing.T) {
+	c := qt.New(t)
+	all := readReplay(roomInTime)
+	share, largest := begunInTime(all), begunInTime(largestTenth(all))
+	c.Assert(largest > share/2, qt.IsTrue, qt.Commentf("in time: all %.2f, largest tenth %.2f", share, largest))
+}
