Retries are granted out of one budget of the fleet, not a fixed part for each entry

Cause: 68 entries each held a 68th of the slack.

Change: core/repeats becomes core/retrybudget. The control group grants retries out of the slack as entries of its replicated log (Pool), by the replicated clock; an entry's own part follows from its requests (Own), at half the ratio, for which the sum holds whatever the load does. A quarter of the slack is for streams that have begun. An entry asks the leader, within 0.3 s; a retry that was not sent goes back. Events 311 and 313, counters by reason and by what paid.

Tests: 204 histories of fleets of 1 to 320 entries, 41,000 retries, no window above the rule; the tests fail without the time of the lease, with the whole ratio as own part, without the bucket beyond the window, without the memory of asks. A group that is killed or loses its leader counts on. The test of a budget divided among entries went with that division; the histories and TestOwnPartStaysUnderTheRatioInAnyWindow hold the same rule, for all entries together.

--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/logsink"
 	"almondseam.dev/node/metrics"
@@ -150,15 +150,14 @@
 	}
 	observer := metrics.NewRelay(r.metrics)
 	pool := upstream.NewPool(observer)
-	b := r.set.Bounds
 	entry := process.NewRoutedEntry(process.RoutedEntrySettings{
 		Instance: r.set.Instance,
 		Zone:     r.set.Zone,
 		Key:      []byte(r.command.key),
 		Callers:  ln,
 		Seeds:    r.set.SeedLinks(),
-		Repeats:  repeats.Limits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Window: b.RepeatWindow},
-		Grace:    b.Grace,
+		Retries:  retryLimits(r.set.Bounds),
+		Grace:    r.set.Bounds.Grace,
 	}, process.RoutedEntryPorts{
 		Dialect:  platform.Dialect{},
 		Pool:     pool,
@@ -173,6 +172,10 @@
 	return r.serve("ready", r.set.Ready, platform.ReadyApp(entry.Ready))
 }
 
+func retryLimits(b platform.Bounds) retrybudget.Limits {
+	return retrybudget.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+}
+
 func (r *routed) startControl() error {
 	c := process.NewRoutedControl(process.RoutedControlSettings{
 		Instance:      r.set.Instance,
@@ -184,6 +187,7 @@
 		Seeds:         r.set.SeedLinks(),
 		Founding:      r.set.Founding,
 		AnnounceEvery: r.set.AnnounceEvery,
+		Retries:       retryLimits(r.set.Bounds),
 		Validate: func(document []byte) error {
 			_, err := platform.DecodeConfiguration(document)
 			return err
--- a/core/api/error.go
+++ b/core/api/error.go
@@ -30,6 +30,7 @@
 	StepRecover   Step = "recover"
 	StepMember    Step = "member"
 	StepOrder     Step = "order"
+	StepRetry     Step = "retry"
 )
 
 // Error is the project's error: where it arose (Step, Peer), what the caller is
--- /dev/null
+++ b/core/retrybudget/pool.go
@@ -0,0 +1,196 @@
+package retrybudget
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+const (
+	// maxServices bounds how many services the pool has accounts of.
+	maxServices = 1024
+	// maxName bounds the bytes of an ask's ID and of its service.
+	maxName = 128
+	// maxSlack bounds the retries that are remembered of one service.
+	maxSlack = 100_000
+)
+
+// Grant is one retry that was granted.
+type Grant struct {
+	ID string `cbor:"1,keyasint"`
+	// Until is the replicated time, in milliseconds, up to which it counts.
+	Until int64 `cbor:"2,keyasint"`
+	// Returned grants are remembered, so that a late copy of the ask gets no other one.
+	Returned bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Account holds the grants of one service.
+type Account struct {
+	Service api.ServiceID `cbor:"1,keyasint"`
+	// Grants are in the order of Until.
+	Grants []Grant `cbor:"2,keyasint"`
+}
+
+// Pool is the part of the budget that all entries share. It is a replicated state
+// machine: equal asks in equal order give equal answers, and time is the replicated
+// clock, which is never ahead of what has really passed.
+//
+// Failure: two grantors, one of them cut off or just restarted, hand out the same
+// retries. Symptom: while targets fail, they are sent more retries than the fleet's
+// bound. A grant is an entry of the replicated log, so that there is one order of all
+// of them, whoever leads and whatever is restarted.
+type Pool struct {
+	accounts map[api.ServiceID]*Account
+}
+
+// NewPool gives a pool of which nothing is granted.
+func NewPool() *Pool { return &Pool{accounts: make(map[api.ServiceID]*Account)} }
+
+// Step decides an ask at a replicated time in milliseconds.
+func (p *Pool) Step(now int64, a Ask) Answer {
+	p.expire(now)
+	if !a.valid() {
+		return Answer{Reason: api.ReasonBadRequest}
+	}
+	account := p.accounts[a.Service]
+	if account == nil {
+		if a.Return {
+			return Answer{}
+		}
+		if len(p.accounts) >= maxServices {
+			return Answer{Reason: api.ReasonRetryBudget}
+		}
+		account = &Account{Service: a.Service}
+	}
+	if known := account.find(a.ID); known != nil {
+		return account.again(known, a)
+	}
+	if a.Return {
+		return Answer{}
+	}
+	return p.grant(account, now, a)
+}
+
+func (a *Ask) valid() bool {
+	return a.ID != "" && len(a.ID) <= maxName && a.Service != "" && len(a.Service) <= maxName &&
+		(a.Purpose == PurposeResume || a.Purpose == PurposeRetry) &&
+		a.Limits.Window > 0 && a.Limits.Slack >= 0 && a.Limits.Slack <= maxSlack
+}
+
+// allowed is how many retries may be granted at a time for the purpose.
+func (a *Ask) allowed() float64 {
+	if a.Purpose == PurposeResume {
+		return a.Limits.Slack
+	}
+	return a.Limits.Slack * (1 - resumeShare)
+}
+
+// Free tells whether the pool would grant an ask now.
+func (p *Pool) Free(now int64, a Ask) Answer {
+	account := p.accounts[a.Service]
+	used := 0
+	if account != nil {
+		used = account.used(now)
+	}
+	answer := Answer{Used: used, Allowed: a.allowed()}
+	answer.Granted = float64(used+1) <= answer.Allowed
+	if !answer.Granted {
+		answer.Reason = api.ReasonRetryBudget
+		answer.RetryAfter = account.nextFree(now)
+	}
+	return answer
+}
+
+func (p *Pool) grant(account *Account, now int64, a Ask) Answer {
+	answer := p.Free(now, a)
+	if !answer.Granted {
+		return answer
+	}
+	p.accounts[a.Service] = account
+	account.put(Grant{ID: a.ID, Until: now + a.Limits.hold().Milliseconds() + 1})
+	return answer
+}
+
+// put keeps the order also where the window of an earlier ask was longer.
+func (c *Account) put(g Grant) {
+	at := len(c.Grants)
+	for at > 0 && c.Grants[at-1].Until > g.Until {
+		at--
+	}
+	c.Grants = slices.Insert(c.Grants, at, g)
+}
+
+func (c *Account) find(id string) *Grant {
+	for i := range c.Grants {
+		if c.Grants[i].ID == id {
+			return &c.Grants[i]
+		}
+	}
+	return nil
+}
+
+// again answers an ask that was decided before.
+func (c *Account) again(known *Grant, a Ask) Answer {
+	if a.Return {
+		known.Returned = true
+	}
+	if known.Returned {
+		return Answer{Reason: api.ReasonRetryBudget}
+	}
+	return Answer{Granted: true, Allowed: a.allowed()}
+}
+
+// used counts what is granted at a time.
+func (c *Account) used(now int64) int {
+	n := 0
+	for i := range c.Grants {
+		if c.Grants[i].Until > now && !c.Grants[i].Returned {
+			n++
+		}
+	}
+	return n
+}
+
+// nextFree tells when the first grant ends.
+func (c *Account) nextFree(now int64) time.Duration {
+	if c == nil {
+		return 0
+	}
+	for i := range c.Grants {
+		if left := c.Grants[i].Until - now; left > 0 && !c.Grants[i].Returned {
+			return time.Duration(left) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// expire forgets what counts no more.
+func (p *Pool) expire(now int64) {
+	for id, c := range p.accounts {
+		c.Grants = slices.DeleteFunc(c.Grants, func(g Grant) bool { return g.Until <= now })
+		if len(c.Grants) == 0 {
+			delete(p.accounts, id)
+		}
+	}
+}
+
+// Snapshot gives a copy of all accounts in the order of their services.
+func (p *Pool) Snapshot() []Account {
+	out := make([]Account, 0, len(p.accounts))
+	for _, id := range slices.Sorted(maps.Keys(p.accounts)) {
+		c := p.accounts[id]
+		out = append(out, Account{Service: c.Service, Grants: slices.Clone(c.Grants)})
+	}
+	return out
+}
+
+// RestorePool gives the pool that Snapshot was taken of.
+func RestorePool(list []Account) *Pool {
+	p := NewPool()
+	for _, c := range list {
+		p.accounts[c.Service] = &Account{Service: c.Service, Grants: slices.Clone(c.Grants)}
+	}
+	return p
+}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -8,6 +8,7 @@
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/codec"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/retrybudget"
 )
 
 // format is raised when a snapshot can no longer be read by older versions.
@@ -31,6 +32,8 @@
 	Orders  order.Image    `cbor:"7,keyasint"`
 	Members []MemberInfo   `cbor:"8,keyasint"`
 	Drains  []Drain        `cbor:"9,keyasint"`
+	// Retries is missing in snapshots of versions without a shared budget.
+	Retries []retrybudget.Account `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode gives the bytes of a command.
@@ -61,6 +64,7 @@
 		Claims:  s.claims.Records(),
 		Orders:  s.orders.Snapshot(),
 		Drains:  s.Drains(),
+		Retries: s.retries.Snapshot(),
 	}
 	for _, m := range s.members {
 		img.Members = append(img.Members, m)
@@ -99,5 +103,6 @@
 	for _, d := range img.Drains {
 		s.drains[d.Target] = d
 	}
+	s.retries = retrybudget.RestorePool(img.Retries)
 	return s, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -14,6 +14,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/retrybudget"
 )
 
 // Limits bound the state. Every member must use the same ones, for they decide
@@ -45,7 +46,7 @@
 //
 // Every command may be proposed twice, when the answer to the first was lost:
 // a configuration is known by its change ID, a claim by its claimant, an order
-// by its ID, and the rest say the same thing when said again.
+// and a retry by its ID, and the rest say the same thing when said again.
 type Command struct {
 	// Now is the replicated clock in milliseconds, stamped by the leader.
 	Now int64 `cbor:"1,keyasint"`
@@ -58,6 +59,8 @@
 	Order  *order.Command `cbor:"6,keyasint,omitempty"`
 	Member *MemberInfo    `cbor:"7,keyasint,omitempty"`
 	Drain  *Drain         `cbor:"8,keyasint,omitempty"`
+	// Retry asks for one retry out of the fleet's budget.
+	Retry *retrybudget.Ask `cbor:"9,keyasint,omitempty"`
 }
 
 // Result is what one command came to. Reason is empty when it took effect, or
@@ -69,7 +72,8 @@
 	Claim   *claim.Decision `cbor:"4,keyasint,omitempty"`
 	Order   *order.Order    `cbor:"5,keyasint,omitempty"`
 	// RetryAfter tells when asking again makes sense, zero when unknown.
-	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
+	RetryAfter time.Duration       `cbor:"6,keyasint,omitempty"`
+	Retry      *retrybudget.Answer `cbor:"7,keyasint,omitempty"`
 }
 
 // ErrFormat reports a snapshot that this version can't read.
@@ -86,6 +90,7 @@
 	members map[uint64]MemberInfo
 	drains  map[api.TargetID]Drain
 	drained uint64
+	retries *retrybudget.Pool
 }
 
 // New gives the state before the first command.
@@ -97,6 +102,7 @@
 		orders:  order.NewTable(l.Order),
 		members: make(map[uint64]MemberInfo),
 		drains:  make(map[api.TargetID]Drain),
+		retries: retrybudget.NewPool(),
 	}
 }
 
@@ -115,6 +121,9 @@
 // Members gives what each control member told of itself.
 func (s *State) Members() map[uint64]MemberInfo { return s.members }
 
+// Retries gives the pool of retries, to be read between two calls of Apply.
+func (s *State) Retries() *retrybudget.Pool { return s.retries }
+
 // Apply carries out the command at a log index. A command that can't be decoded
 // is refused in the same way on every member. An index at or below the last one
 // is refused too: applying it again could grant a claim twice.
@@ -152,6 +161,9 @@
 		s.members[c.Member.ID] = *c.Member
 	case c.Drain != nil:
 		return s.drain(index, *c.Drain)
+	case c.Retry != nil:
+		answer := s.retries.Step(s.now, *c.Retry)
+		return Result{Reason: answer.Reason, Retry: &answer}
 	}
 	return Result{}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/retrybudget"
 )
 
 // log applies commands with rising indexes.
@@ -273,3 +275,20 @@
 		t.Fatal("the pace is not four loads")
 	}
 }
+
+// TestRetriesSurviveASnapshot guards against retries that are granted a second time by a
+// member that was restored.
+func TestRetriesSurviveASnapshot(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(t)
+	ask := func(id string) bool {
+		a := retrybudget.Ask{ID: id, Service: "s", Purpose: retrybudget.PurposeResume, Limits: retrybudget.Limits{Slack: 2, Window: time.Second}}
+		return l.apply(Command{Now: 1000, Retry: &a}).Retry.Granted
+	}
+	c.Assert(ask("1"), qt.IsTrue)
+	l.reload()
+	c.Assert(ask("1"), qt.IsTrue)
+	c.Assert(ask("2"), qt.IsTrue)
+	l.reload()
+	c.Assert(ask("3"), qt.IsFalse)
+}
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -113,7 +113,14 @@
 
 // refuseEarly checks what needs no agreement.
 func (m *Member) refuseEarly(req *Request) *Reply {
-	if req.Command == nil || req.Command.Config == nil {
+	if req.Command == nil {
+		return nil
+	}
+	if req.Command.Retry != nil {
+		m.stampRetry(req)
+		return nil
+	}
+	if req.Command.Config == nil {
 		return nil
 	}
 	if err := m.opt.Validate(req.Command.Config.Document); err != nil {
@@ -140,7 +147,9 @@
 	for c, n := first, 0; c != nil && n < maxBatch; c, n = m.waiting(), n+1 {
 		switch {
 		case c.req.Command != nil:
-			commands = append(commands, c)
+			if !m.refuseRetry(c) {
+				commands = append(commands, c)
+			}
 		case c.req.Read:
 			reads = append(reads, c)
 		case c.req.Change != nil:
--- a/node/control/group_test.go
+++ b/node/control/group_test.go
@@ -13,6 +13,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/state"
 )
 
@@ -86,6 +87,8 @@
 	limits state.Limits
 	every  uint64
 	sync   time.Duration
+	// retries bounds the retries that the group grants.
+	retries retrybudget.Limits
 }
 
 type running struct {
@@ -136,6 +139,7 @@
 		Storage:         f,
 		Transport:       wireTo{g},
 		SnapshotEntries: g.every,
+		Retries:         g.retries,
 	})
 	if err != nil {
 		g.t.Fatal(err)
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -12,6 +12,7 @@
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/order"
 	"almondseam.dev/core/regroup"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/state"
 	"github.com/sourcegraph/conc"
 )
@@ -52,6 +53,8 @@
 	// Mend lets the group give votes to new members and remove lost ones by
 	// itself (core/regroup); without it an operator does so.
 	Mend bool
+	// Retries bounds the retries that the group grants; the zero value grants none.
+	Retries retrybudget.Limits
 }
 
 // Member is one member of the control group. Run drives it; all other methods
--- /dev/null
+++ b/node/control/retries_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/retrybudget"
+	"almondseam.dev/core/state"
+	qt "github.com/frankban/quicktest"
+)
+
+var tenRetries = retrybudget.Limits{Slack: 10, Window: 10 * time.Second}
+
+func askRetry(id int) Request {
+	return Request{Command: &state.Command{Retry: &retrybudget.Ask{ID: fmt.Sprint(id), Service: "s", Purpose: retrybudget.PurposeResume}}}
+}
+
+// grants asks until it is refused and gives how many were granted.
+func (g *group) grants(from int) int {
+	g.t.Helper()
+	for n := 0; ; n++ {
+		if !g.must(askRetry(from + n)).Result.Retry.Granted {
+			return n
+		}
+	}
+}
+
+// TestRetriesAreCountedWhoeverLeads guards against retries that are granted twice: by a
+// leader that was cut off and the one after it, or before and after all were killed.
+func TestRetriesAreCountedWhoeverLeads(t *testing.T) {
+	for name, fault := range map[string]func(g *group){
+		"none":                func(*group) {},
+		"the leader is cut":   func(g *group) { g.isolate(g.leader(), true) },
+		"the leader is lost":  func(g *group) { g.kill(g.leader()) },
+		"all are killed":      (*group).killAndStartAll,
+		"a snapshot is taken": func(g *group) { g.every = 1; g.killAndStartAll() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, g *group) {
+				c := qt.New(t)
+				g.retries = tenRetries
+				g.form(3)
+				for i := range 6 {
+					c.Assert(g.must(askRetry(i)).Result.Retry.Granted, qt.IsTrue)
+				}
+				fault(g)
+				c.Assert(g.grants(100), qt.Equals, 4)
+				time.Sleep(2 * tenRetries.Window)
+				c.Assert(g.grants(200), qt.Equals, 10)
+			})
+		})
+	}
+}
+
+func (g *group) killAndStartAll() {
+	ids := g.ids()
+	g.stopAll()
+	for _, id := range ids {
+		g.start(id)
+	}
+}
+
+// TestRetriesGoByTheMembersLimits guards against an entry whose settings differ, or that
+// was taken over, and names its own limits.
+func TestRetriesGoByTheMembersLimits(t *testing.T) {
+	inBubble(t, func(t *testing.T, g *group) {
+		g.retries = retrybudget.Limits{Slack: 1, Window: 10 * time.Second}
+		g.form(1)
+		req := askRetry(1)
+		req.Command.Retry.Limits = retrybudget.Limits{Slack: 1000, Window: time.Nanosecond}
+		c := qt.New(t)
+		c.Assert(g.must(req).Result.Retry.Granted, qt.IsTrue)
+		c.Assert(g.grants(2), qt.Equals, 0)
+	})
+}
+
+// TestRefusedRetriesAreNotInTheLog guards against a log that grows with every request
+// that fails while the budget is spent.
+func TestRefusedRetriesAreNotInTheLog(t *testing.T) {
+	inBubble(t, func(t *testing.T, g *group) {
+		c := qt.New(t)
+		g.retries = retrybudget.Limits{Slack: 1, Window: 10 * time.Second}
+		g.form(1)
+		c.Assert(g.grants(0), qt.Equals, 1)
+		before := g.member(consensus.MemberID(1)).Status().Last
+		for i := range 50 {
+			r := g.must(askRetry(10 + i))
+			c.Assert(r.Result.Reason, qt.Equals, api.ReasonRetryBudget)
+			c.Assert(r.Result.Retry.RetryAfter > 0, qt.IsTrue)
+		}
+		c.Assert(g.member(consensus.MemberID(1)).Status().Last, qt.Equals, before)
+	})
+}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/registry"
@@ -40,6 +41,8 @@
 	Observer     Observer
 	LinkObserver link.Observer
 	Limits       state.Limits
+	// Retries is Options.Retries.
+	Retries retrybudget.Limits
 	// SnapshotEntries is Options.SnapshotEntries.
 	SnapshotEntries uint64
 	// Join makes this member find its group by itself; nil leaves that to an
@@ -97,6 +100,7 @@
 		Restored:        s.Restored,
 		Consensus:       consensus.Config{MaxBatchBytes: batchBytes, EarlySend: true, Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(s.ID)))},
 		Limits:          s.Limits,
+		Retries:         s.Retries,
 		Storage:         s.Storage,
 		Transport:       deferred{r},
 		Validate:        s.Validate,
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -47,8 +47,9 @@
 	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
 	RequestHeld      = Event{309, zerolog.InfoLevel, "request waited for an engine with room", "None, unless it recurs: the engines are full, add some or lower the customers' limits."}
 	RequestNoRoom    = Event{310, zerolog.InfoLevel, "an engine did not set room aside for a request", "None, unless it recurs with an error: see whether the engine runs."}
-	RepeatDenied     = Event{311, zerolog.InfoLevel, "the budget for repeats did not allow one more send", "None, unless it recurs: so much fails that repeats are cut back; look for the cause in the 305 lines. Do not raise the budget."}
+	RetryDenied      = Event{311, zerolog.InfoLevel, "the retry budget did not allow one more send", "None, unless it recurs. reason=control_unavailable: see whether the control group has a leader. Else so much fails that retries are cut back: look for the cause in the 305 lines. Do not raise the budget."}
 	RequestNotMoved  = Event{312, zerolog.InfoLevel, "stream stays at an engine that leaves", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
+	RetryGranted     = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
@@ -77,7 +78,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RepeatDenied, RequestNotMoved,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -9,7 +9,6 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
-	"almondseam.dev/core/repeats"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/relay"
 	"github.com/prometheus/client_golang/prometheus"
@@ -34,6 +33,7 @@
 	copies   *prometheus.HistogramVec
 	held     *prometheus.HistogramVec
 	noRoom   *prometheus.CounterVec
+	granted  *prometheus.CounterVec
 	denied   *prometheus.CounterVec
 	notMoved *prometheus.CounterVec
 }
@@ -52,7 +52,8 @@
 		moves:    f.NewCounterVec(counter("relay_moves_total", "Streams that went on at another engine, by how."), []string{"how"}),
 		ended:    f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
 		noRoom:   f.NewCounterVec(counter("relay_no_room_total", "Reservations that engines did not give, by whether they said that they are full."), []string{"full"}),
-		denied:   f.NewCounterVec(counter("relay_repeats_denied_total", "Repeats that the budget did not allow, by what they were for."), []string{"why"}),
+		granted:  f.NewCounterVec(counter("relay_retries_granted_total", "Retries that the budget allowed, by what they were for and where they were paid from."), []string{"why", "paid"}),
+		denied:   f.NewCounterVec(counter("relay_retries_denied_total", "Retries that the budget did not allow, by what they were for and the reason."), []string{"why", "reason"}),
 		notMoved: f.NewCounterVec(counter("relay_not_moved_total", "Streams that stayed at an engine that leaves, by why."), []string{"why"}),
 		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
@@ -132,10 +133,21 @@
 	target(target(e, "from", from), "to", to).Send()
 }
 
-// NotRepeated implements relay.Observer.
-func (m *Relay) NotRepeated(r *relay.Request, why string, v repeats.Verdict, entries int) {
-	m.denied.WithLabelValues(why).Inc()
-	request(events.RepeatDenied.Log(m.log), r).Str("why", why).Int("used", v.Used).Float64("allowed", v.Allowed).Int("entries", entries).Send()
+// RetryGranted implements relay.Observer.
+func (m *Relay) RetryGranted(r *relay.Request, why string, v relay.RetryVerdict) {
+	m.granted.WithLabelValues(why, v.Paid).Inc()
+	retryFigures(request(events.RetryGranted.Log(m.log), r).Str("why", why).Str("paid", v.Paid), v).Send()
+}
+
+// RetryDenied implements relay.Observer.
+func (m *Relay) RetryDenied(r *relay.Request, why string, v relay.RetryVerdict) {
+	m.denied.WithLabelValues(why, string(v.Reason)).Inc()
+	retryFigures(request(events.RetryDenied.Log(m.log), r).Str("why", why).Str("reason", string(v.Reason)), v).Send()
+}
+
+func retryFigures(e *zerolog.Event, v relay.RetryVerdict) *zerolog.Event {
+	return e.Int("own_used", v.Own.Used).Float64("own_allowed", v.Own.Allowed).
+		Int("used", v.Used).Float64("allowed", v.Allowed).Dur("took", v.Took)
 }
 
 // NotMoved implements relay.Observer.
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/durable"
@@ -40,6 +41,8 @@
 	// AnnounceEvery is how often a target announces itself.
 	AnnounceEvery time.Duration
 	Validate      control.Validator
+	// Retries bounds the retries of all entries together.
+	Retries retrybudget.Limits
 }
 
 // RoutedControl is a running control member. It outlives failures of its disk: the
@@ -138,6 +141,7 @@
 		Observer:     c.observer,
 		LinkObserver: c.links,
 		Limits:       routedLimits(),
+		Retries:      c.set.Retries,
 		Join:         &control.Join{Seeds: c.set.Seeds, Self: c.set.Links},
 		Registry:     c.registry,
 		Silence:      routedSilence,
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -11,7 +11,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetload"
-	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/control"
@@ -33,8 +33,9 @@
 	Key      []byte
 	Callers  net.Listener
 	// Seeds are link addresses of control members.
-	Seeds   []string
-	Repeats repeats.Limits
+	Seeds []string
+	// Retries bounds the retries of all entries together.
+	Retries retrybudget.Limits
 	// Grace is how long a stop may take in all.
 	Grace time.Duration
 }
@@ -79,6 +80,7 @@
 	ports    RoutedEntryPorts
 	live     atomic.Pointer[routeconf.Table]
 	client   *control.Client
+	retries  *relay.Retries
 	targets  *relay.Targets
 	registry *registry.Registry
 	follower *registry.Follower
@@ -114,9 +116,10 @@
 		OnMembers: e.follower.Follow,
 		Observer:  p.Metrics,
 	})
+	e.retries = relay.NewRetries(set.Retries, e.client)
 	handler := relay.New(relay.Settings{Zone: set.Zone}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Repeats: relay.NewRepeats(set.Repeats), Observer: p.Observer,
+		Retries: e.retries, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
@@ -277,6 +280,7 @@
 		events.ProcessHardStop.Log(e.ports.Log).Err(err).Send()
 		err = e.server.Close()
 	}
+	e.retries.Wait()
 	e.cancel()
 	e.work.Wait()
 	e.follower.Wait()
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -15,7 +15,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
-	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/relay"
@@ -173,7 +173,7 @@
 	g.c.Assert(err, qt.IsNil)
 	entry := NewRoutedEntry(RoutedEntrySettings{
 		Instance: "front-0", Zone: "z", Key: []byte("a key of the tests"), Callers: ln, Seeds: g.links,
-		Repeats: repeats.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
+		Retries: retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
 	}, RoutedEntryPorts{
 		Dialect: headerDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observer, Metrics: set, Log: &log,
 		Decode: func(d []byte) (*routeconf.Table, error) {
--- a/node/relay/depart.go
+++ b/node/relay/depart.go
@@ -7,6 +7,7 @@
 
 	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/placement"
+	"almondseam.dev/core/retrybudget"
 )
 
 // departure finds where a stream goes on whose engine leaves, while the engine
@@ -20,8 +21,8 @@
 	copy Copy
 	at   []*Target
 	how  string
-	// paid tells that the repeat for the first of at has been taken.
-	paid bool
+	// paid is the retry for the first of at; nil once it is used.
+	paid *Retry
 }
 
 // How streams go on elsewhere, as observers are told.
@@ -34,7 +35,7 @@
 // Why streams stay at an engine that leaves, as observers are told.
 const (
 	stayNoRoom = "no_room" // no engine took the run
-	stayBudget = "budget"  // the budget for repeats was spent until the notice was over
+	stayBudget = "budget"  // the retry budget was spent until the notice was over
 	stayNoStop = "no_stop" // the run could not be stopped, or had ended
 )
 
@@ -76,7 +77,7 @@
 // the few milliseconds between, both make the same events; numbers tell which the
 // caller has.
 func (s *streamRun) departByCopy(ctx context.Context, l *leg) bool {
-	if !s.relay.repeat(s.req, howCopy) {
+	if !s.mayResume(ctx, howCopy) {
 		return false
 	}
 	next, _ := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), howCopy)
@@ -130,18 +131,18 @@
 	if err := s.copyUntilQuick(ctx, l, to); err != nil {
 		return stayNoRoom
 	}
-	taken, ok := s.payMove(ctx, l)
+	paid, ok := s.payMove(ctx, l)
 	if !ok {
 		return stayBudget
 	}
 	moved, err := s.copy(ctx, l, to, true)
 	if moved.ID == "" {
-		s.relay.repeats.GiveBack(s.req.Service, taken)
+		s.relay.retries.GiveBack(paid)
 		return stayNoStop
 	}
 	// Without room at the other engine the run has stopped all the same, and the
 	// one that leaves still holds its memory.
-	l.departure.copy, l.departure.how, l.departure.paid = moved, howMove, true
+	l.departure.copy, l.departure.how, l.departure.paid = moved, howMove, &paid
 	l.departure.at = []*Target{to, l.target}
 	if err != nil {
 		l.departure.at = []*Target{l.target}
@@ -149,21 +150,21 @@
 	return ""
 }
 
-// payMove takes the repeat for a move before the run is stopped, and waits for one
+// payMove takes the retry for a move before the run is stopped, and waits for one
 // while its engine still works.
 //
 // Failure: the budget is spent just then. Symptom if it is asked once the run has
 // stopped: the run can go on nowhere, though its memory is whole at another engine.
 // Until it is stopped it goes on, and may be over before the notice is.
-func (s *streamRun) payMove(ctx context.Context, l *leg) (taken time.Time, ok bool) {
+func (s *streamRun) payMove(ctx context.Context, l *leg) (paid Retry, ok bool) {
 	for {
-		taken = time.Now()
-		if s.relay.repeat(s.req, howMove) {
-			return taken, true
+		paid, ok = s.relay.retry(ctx, s.req, retrybudget.PurposeResume, howMove)
+		if ok {
+			return paid, true
 		}
 		pause(ctx, payEvery)
 		if ctx.Err() != nil || time.Now().After(l.target.noticeEnds()) {
-			return taken, false
+			return paid, false
 		}
 	}
 }
@@ -275,10 +276,9 @@
 		return d.next
 	}
 	for _, t := range d.at {
-		if !d.paid && !s.relay.repeat(s.req, d.how) {
+		if !s.pay(d) {
 			return nil
 		}
-		d.paid = false
 		next, _ := s.begin(s.ctx, t, s.resumeFrom(d.copy), d.how)
 		if next.x != nil {
 			s.relay.obs.Moved(s.req, l.target, t, d.how, time.Since(s.pausedAt))
@@ -288,6 +288,16 @@
 	return nil
 }
 
+// pay uses the retry that was taken for a departure, or takes one.
+func (s *streamRun) pay(d *departure) bool {
+	paid := d.paid
+	d.paid = nil
+	if paid != nil && paid.valid(time.Now()) {
+		return true
+	}
+	return s.mayResume(s.ctx, d.how)
+}
+
 // forget ends a departure that is not needed any more.
 func (s *streamRun) forget(l *leg) {
 	d := l.departure
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -39,7 +39,7 @@
 			r.timedOut(req)
 			return
 		}
-		if !r.mayGoOn(req, outcome) || !r.repeat(req, outcome) {
+		if !r.mayGoOn(req, outcome) || !r.mayRetry(ctx, req, outcome) {
 			r.exhausted(req, outcome)
 			return
 		}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"almondseam.dev/core/api"
-	"almondseam.dev/core/repeats"
 )
 
 // Ask is what a caller's request says of itself.
@@ -103,9 +102,11 @@
 	Sent(r *Request, t *Target, why string)
 	// Attempted tells what one send came to.
 	Attempted(r *Request, t *Target, outcome string, err error)
-	// NotRepeated tells that the budget for repeats did not allow one more send; why
-	// is what it was for, entries among how many the budget is shared.
-	NotRepeated(r *Request, why string, v repeats.Verdict, entries int)
+	// RetryGranted tells that the retry budget allowed one more send; why is what it is
+	// for.
+	RetryGranted(r *Request, why string, v RetryVerdict)
+	// RetryDenied tells that it did not.
+	RetryDenied(r *Request, why string, v RetryVerdict)
 	// NotMoved tells that a stream stays at its engine, which leaves, and why.
 	NotMoved(r *Request, from *Target, why string)
 	// Copied tells of one copy of a run between two engines.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -29,7 +29,7 @@
 	Pool     *upstream.Pool
 	Dialect  Dialect
 	Engines  Engines
-	Repeats  *Repeats
+	Retries  *Retries
 	Observer Observer
 }
 
@@ -41,7 +41,7 @@
 	pool    *upstream.Pool
 	dialect Dialect
 	engines Engines
-	repeats *Repeats
+	retries *Retries
 	obs     Observer
 	lengths *lengths
 	reading *readingSpeeds
@@ -51,7 +51,7 @@
 func New(set Settings, p Ports) *Relay {
 	return &Relay{
 		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
-		engines: p.Engines, repeats: p.Repeats, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
+		engines: p.Engines, retries: p.Retries, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
 	}
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -9,13 +9,14 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
-	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/upstream"
 	qt "github.com/frankban/quicktest"
@@ -55,7 +56,8 @@
 func (quiet) Sent(*Request, *Target, string)                                {}
 func (quiet) Attempted(*Request, *Target, string, error)                    {}
 func (quiet) Copied(*Request, *Target, *Target, bool, time.Duration, error) {}
-func (quiet) NotRepeated(*Request, string, repeats.Verdict, int)            {}
+func (quiet) RetryGranted(*Request, string, RetryVerdict)                   {}
+func (quiet) RetryDenied(*Request, string, RetryVerdict)                    {}
 func (quiet) NotMoved(*Request, *Target, string)                            {}
 func (quiet) Moved(*Request, *Target, *Target, string, time.Duration)       {}
 func (quiet) Ended(*Request, int, string)                                   {}
@@ -86,14 +88,14 @@
 
 const service = api.ServiceID("s")
 
-// enoughRepeats is a budget that no test uses up.
-var enoughRepeats = repeats.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}
+// enoughRetries is a budget that no test uses up.
+var enoughRetries = retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}
 
 func newStage(t *testing.T, route routeconf.Route, engines Engines) *stage {
-	return newStageWith(t, route, engines, enoughRepeats)
+	return newStageWith(t, route, engines, enoughRetries)
 }
 
-func newStageWith(t *testing.T, route routeconf.Route, engines Engines, limits repeats.Limits) *stage {
+func newStageWith(t *testing.T, route routeconf.Route, engines Engines, limits retrybudget.Limits) *stage {
 	s := &stage{c: qt.New(t), targets: NewTargets()}
 	route.Name, route.Host, route.Prefix, route.Timeout = "r", "127.0.0.1", "/a/", 20*time.Second
 	route.Split = []routeconf.Share{{Service: service, Weight: 1}}
@@ -109,7 +111,7 @@
 	s.live.Store(table)
 	r := New(Settings{Zone: "z"}, Ports{
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
-		Repeats: NewRepeats(limits), Observer: quiet{},
+		Retries: NewRetries(limits, &localPool{limits: limits, pool: retrybudget.NewPool()}), Observer: quiet{},
 	})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
@@ -337,3 +339,17 @@
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway)
 }
+
+// localPool grants retries as a control group of one member would.
+type localPool struct {
+	limits retrybudget.Limits
+	mu     sync.Mutex
+	pool   *retrybudget.Pool
+}
+
+func (p *localPool) Retry(_ context.Context, ask retrybudget.Ask) (retrybudget.Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ask.Limits = p.limits
+	return p.pool.Step(time.Now().UnixMilli(), ask), nil
+}
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/node/upstream"
 )
 
@@ -121,15 +122,22 @@
 // maxLooks bounds how many targets are tried that turn out not to be there.
 const maxLooks = 6
 
-// repeat takes one repeat from the budget; why is what it is for.
-func (r *Relay) repeat(req *Request, why string) bool {
-	entries := r.targets.Entries()
-	v := r.repeats.Take(req.Service, time.Now(), entries)
-	if !v.OK {
-		r.obs.NotRepeated(req, why, v, entries)
+// retry takes one retry from the budget; why is what it is for.
+func (r *Relay) retry(ctx context.Context, req *Request, p retrybudget.Purpose, why string) (Retry, bool) {
+	taken, v := r.retries.Take(ctx, req.Service, p)
+	if v.OK {
+		r.obs.RetryGranted(req, why, v)
+	} else {
+		r.obs.RetryDenied(req, why, v)
 	}
-	return v.OK
+	return taken, v.OK
+}
+
+// mayRetry takes one retry for a request of which its caller has nothing yet.
+func (r *Relay) mayRetry(ctx context.Context, req *Request, why string) bool {
+	_, ok := r.retry(ctx, req, retrybudget.PurposeRetry, why)
+	return ok
 }
 
 // firstSend counts a request towards the budget.
-func (r *Relay) firstSend(req *Request) { r.repeats.First(req.Service, time.Now()) }
+func (r *Relay) firstSend(req *Request) { r.retries.First(req.Service, time.Now()) }
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/handoff"
+	"almondseam.dev/core/retrybudget"
 )
 
 // streamRun is one stream on its way from engine to engine to its caller. One
@@ -82,7 +83,7 @@
 		if outcome == outcomeLost && l.backup != nil {
 			return s.next(l, errNoHead), outcome
 		}
-		if !s.relay.mayGoOn(s.req, outcome) || !s.relay.repeat(s.req, outcome) {
+		if !s.relay.mayGoOn(s.req, outcome) || !s.relay.mayRetry(s.ctx, s.req, outcome) {
 			return nil, outcome
 		}
 		why = outcome
@@ -253,7 +254,7 @@
 
 // fromCopy goes on at the engine that has the run's memory.
 func (s *streamRun) fromCopy(l *leg) *leg {
-	if !s.relay.repeat(s.req, howCopy) {
+	if !s.mayResume(s.ctx, howCopy) {
 		return nil
 	}
 	next, outcome := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), howCopy)
@@ -264,10 +265,16 @@
 	return next
 }
 
+// mayResume takes the retry for a stream that goes on elsewhere.
+func (s *streamRun) mayResume(ctx context.Context, how string) bool {
+	_, ok := s.relay.retry(ctx, s.req, retrybudget.PurposeResume, how)
+	return ok
+}
+
 // again runs the request anew after the last event.
 func (s *streamRun) again(l *leg) *leg {
 	s.req.asked = append(s.req.asked, l.target)
-	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.relay.repeat(s.req, howAgain) {
+	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.mayResume(s.ctx, howAgain) {
 		return nil
 	}
 	t := s.relay.place(s.req, s.req.Service, s.req.asked)
--- a/node/relay/stream_test.go
+++ b/node/relay/stream_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"almondseam.dev/core/directory"
-	"almondseam.dev/core/repeats"
+	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	qt "github.com/frankban/quicktest"
 )
@@ -140,7 +140,7 @@
 		copied <- struct{}{}
 		return Copy{Address: "x", ID: "handle"}, nil
 	})
-	s := newStageWith(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, engines, repeats.Limits{Window: 10 * time.Second})
+	s := newStageWith(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, engines, retrybudget.Limits{Window: 10 * time.Second})
 	s.target("b", "far", func(http.ResponseWriter, *http.Request) { t.Error("the second engine got the request") })
 	var first directory.Record
 	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
