losses: requests of one kind and objective are one column

Cause: a table with a column for each route was wider than a screen, and split one kind over several routes. Change: lines of a request's end carry kind and objective; the reader groups by them, and lines that are no events are named as other programs'.

--- a/bench/losses/losses_test.go
+++ b/bench/losses/losses_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// Routes of one kind and objective are one column; a request that its entry's stop left
+// without an end counts with the others of its route.
+func TestRoutesOfOneKindAreOneClass(t *testing.T) {
+	c := qt.New(t)
+	log, skipped, err := read(strings.NewReader(strings.Join([]string{
+		"a line of another program",
+		`{"instance":"e","event":300,"request":"1","route":"r","kind":"stream","objective":1800,"outcome":"answered","status":200,"events":9,"first":300}`,
+		`{"instance":"e","event":300,"request":"2","route":"q","kind":"stream","objective":1800,"outcome":"answered","status":200,"events":9,"first":300}`,
+		`{"instance":"e","event":304,"request":"3","route":"q"}`,
+		`{"instance":"e","event":100}`,
+		`{broken`,
+	}, "\n")))
+	c.Assert(err, qt.IsNil)
+	c.Assert(skipped, qt.Equals, 2)
+	got := log.tally(usualAims)
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got["stream 1.8s"].by, qt.DeepEquals, map[cause]int{inTime: 2, openAtStop: 1})
+}
+
 // A request whose end the log does not reach is not counted as lost.
 func TestOpenRequestsAreNotJudged(t *testing.T) {
 	c := qt.New(t)
--- a/bench/losses/main.go
+++ b/bench/losses/main.go
@@ -1,4 +1,4 @@
-// Command losses reads the logs of entries and tells, for each route, what became of
+// Command losses reads the logs of entries and tells, for each kind of request, what became of
 // its requests: how many were answered in time, and for what reason the others were
 // not. Lines of several entries may be mixed if they are in the order of time.
 package main
@@ -15,7 +15,7 @@
 	logs := app.Arg("log", "Log of the entries; standard input if none is given.").ExistingFile()
 	objective := app.Flag("objective", "Objective of routes whose log lines don't give one.").Default("1.5s").Duration()
 	pause := app.Flag("pause", "Longest pause between two events of a stream that is in time.").Default("180ms").Duration()
-	least := app.Flag("least", "Leave out routes with fewer requests.").Default("20").Int()
+	least := app.Flag("least", "Leave out kinds with fewer requests.").Default("20").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(*logs, aims{objective: *objective, pause: *pause}, *least); err != nil {
 		fmt.Fprintln(os.Stderr, "losses:", err)
@@ -38,7 +38,7 @@
 		return err
 	}
 	if skipped > 0 {
-		fmt.Fprintln(os.Stderr, "losses: lines that are no events:", skipped)
+		fmt.Fprintln(os.Stderr, "losses: lines of other programs, left out:", skipped)
 	}
 	return print(os.Stdout, log.tally(a), least)
 }
--- a/bench/losses/read.go
+++ b/bench/losses/read.go
@@ -28,6 +28,7 @@
 	Event      int          `json:"event"`
 	Request    string       `json:"request"`
 	Route      string       `json:"route"`
+	Kind       string       `json:"kind"`
 	Target     string       `json:"target"`
 	To         string       `json:"to"`
 	State      string       `json:"state"`
@@ -44,7 +45,9 @@
 
 // story is what the logs tell of one request.
 type story struct {
-	route    string
+	route string
+	// class names requests of one kind and objective, which several routes may carry.
+	class    string
 	instance string
 	// last is the target that the request was last at; leaving tells that it was
 	// known to leave.
@@ -62,12 +65,14 @@
 	stories map[string]*story
 	open    map[string]map[string]*story // by instance, then request
 	leaving map[string]bool
+	// classes are those of the routes.
+	classes map[string]string
 }
 
 // read takes the log of one or more entries, in the order of time. What stands
 // before the first brace of a line is left out; lines that are no JSON are counted.
 func read(from io.Reader) (*fleetLog, int, error) {
-	l := &fleetLog{stories: map[string]*story{}, open: map[string]map[string]*story{}, leaving: map[string]bool{}}
+	l := &fleetLog{stories: map[string]*story{}, open: map[string]map[string]*story{}, leaving: map[string]bool{}, classes: map[string]string{}}
 	skipped := 0
 	lines := bufio.NewScanner(from)
 	lines.Buffer(nil, maxLine)
@@ -109,6 +114,10 @@
 		s := l.story(one)
 		s.end = one
 		s.leaving = l.leaving[s.last]
+		if one.Kind != "" {
+			s.class = fmt.Sprintf("%s %v", one.Kind, one.Objective.duration())
+			l.classes[s.route] = s.class
+		}
 		delete(l.open[one.Instance], one.Request)
 	}
 }
--- a/bench/losses/table.go
+++ b/bench/losses/table.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -8,29 +9,31 @@
 	"text/tabwriter"
 )
 
-// counts are the requests of one route by cause.
+// counts are the requests of one class by cause.
 type counts struct {
 	by    map[cause]int
 	total int
 }
 
-// tally counts the requests of each route.
+// tally counts the requests of each class. Those that have no end in the log count with
+// the others of their route; classes whose lines give no kind are classes of their own.
 func (l *fleetLog) tally(a aims) map[string]*counts {
-	routes := map[string]*counts{}
+	classes := map[string]*counts{}
 	for _, s := range l.stories {
 		c, ok := a.judge(s)
 		if !ok {
 			continue
 		}
-		of := routes[s.route]
+		class := cmp.Or(s.class, l.classes[s.route], s.route)
+		of := classes[class]
 		if of == nil {
 			of = &counts{by: map[cause]int{}}
-			routes[s.route] = of
+			classes[class] = of
 		}
 		of.by[c]++
 		of.total++
 	}
-	return routes
+	return classes
 }
 
 // ceiling is the part of the requests that would be in time if all were but those
@@ -39,27 +42,27 @@
 	return float64(c.total-c.by[openAtStop]) / float64(c.total)
 }
 
-// print writes a line for each cause that took a request, a column for each route
+// print writes a line for each cause that took a request, a column for each class
 // of at least so many requests.
-func print(out io.Writer, routes map[string]*counts, least int) error {
-	names := slices.Sorted(maps.Keys(routes))
-	names = slices.DeleteFunc(names, func(n string) bool { return routes[n].total < least })
+func print(out io.Writer, classes map[string]*counts, least int) error {
+	names := slices.Sorted(maps.Keys(classes))
+	names = slices.DeleteFunc(names, func(n string) bool { return classes[n].total < least })
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	row := func(head string, cell func(c *counts) string) {
 		fmt.Fprint(w, head)
 		for _, n := range names {
-			fmt.Fprint(w, "\t", cell(routes[n]))
+			fmt.Fprint(w, "\t", cell(classes[n]))
 		}
 		fmt.Fprintln(w, "\t")
 	}
-	fmt.Fprint(w, "route")
+	fmt.Fprint(w, "kind, objective")
 	for _, n := range names {
 		fmt.Fprint(w, "\t", n)
 	}
 	fmt.Fprintln(w, "\t")
 	row("requests", func(c *counts) string { return fmt.Sprint(c.total) })
 	for _, one := range causes {
-		if !slices.ContainsFunc(names, func(n string) bool { return routes[n].by[one] > 0 }) {
+		if !slices.ContainsFunc(names, func(n string) bool { return classes[n].by[one] > 0 }) {
 			continue
 		}
 		row(string(one), func(c *counts) string { return share(c.by[one], c.total) })
--- a/core/routeconf/routeconf.go
+++ b/core/routeconf/routeconf.go
@@ -22,6 +22,19 @@
 	KindStream
 )
 
+// String names the kind in logs.
+func (k Kind) String() string {
+	switch k {
+	case KindIdempotent:
+		return "idempotent"
+	case KindOnce:
+		return "once"
+	case KindStream:
+		return "stream"
+	}
+	return "unknown"
+}
+
 // Config is one whole version of the configuration, as the operator sent it.
 type Config struct {
 	Version   uint64
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -173,10 +173,13 @@
 		e = events.RequestFailed
 	}
 	line := request(e.Log(m.log), r).Int("status", status).Str("outcome", outcome)
+	if r.Route != nil {
+		line = line.Stringer("kind", r.Route.Kind).Dur("objective", r.Route.Objective)
+	}
 	if st := r.Stream; st.Events > 0 {
 		m.first.WithLabelValues(routeName(r)).Observe(st.First.Seconds())
 		m.gap.WithLabelValues(routeName(r)).Observe(st.LongestGap.Seconds())
-		line = line.Int("prompt", r.Ask.PromptTokens).Int("most", r.Ask.MaxTokens).Int("likely", r.Ask.LikelyTokens).Dur("patience", r.Ask.Patience).Dur("objective", r.Route.Objective)
+		line = line.Int("prompt", r.Ask.PromptTokens).Int("most", r.Ask.MaxTokens).Int("likely", r.Ask.LikelyTokens).Dur("patience", r.Ask.Patience)
 		line = line.Dur("first", st.First).Dur("longest_gap", st.LongestGap).Int("events", st.Events).Int("goes", st.Goes)
 	}
 	line.Send()
