Load reports cost an entry what they change, and a member one encoding

Cause: each round of load reports (8 ms apart at the least) made an entry add up all reports of all entries, hash twice for each pair of entry and engine, and store a load for each engine; a member encoded the same message once for each entry. Both grow with the square of the fleet. Change: fleetload.Table keeps sums up with each change and gives the changed ones; wire.Memo keeps the encoding of a message that goes to many links. The tests of the old sums are kept in the new form; TestSumsAreThoseOfAllReports holds the sums against reports added up from scratch, 5,000 steps.

--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -92,42 +92,98 @@
 // reports every second, and one that was killed has nothing under way.
 const Stale = 2500 * time.Millisecond
 
-// Table holds the newest report of each entry.
+// Sum is what the entries but one have under way at a target.
+type Sum struct {
+	Target api.TargetID
+	Load   Load
+	// Ahead is the memory that entries before the one have to move when the target
+	// drains. Entries move the runs of a target one after the other, in an order that
+	// follows from the target's and the entries' names, so that all come to the same
+	// order without coordination.
+	Ahead int
+}
+
+// Table adds up what other entries report, for one entry. A report costs as much as it
+// holds changes, however many entries and targets there are.
 type Table struct {
-	reports map[api.InstanceID]report
+	self    api.InstanceID
+	reports map[api.InstanceID]*report
+	sums    map[api.TargetID]*Sum
+	// changed are the targets whose sums have changed since they were last taken.
+	changed map[api.TargetID]struct{}
 }
 
+// report is the load of one entry.
 type report struct {
-	Report
+	loads map[api.TargetID]Load
 	heard time.Time
 }
 
-// NewTable gives an empty table.
-func NewTable() *Table { return &Table{reports: make(map[api.InstanceID]report)} }
+// NewTable gives the empty table of an entry.
+func NewTable(self api.InstanceID) *Table {
+	return &Table{
+		self: self, reports: make(map[api.InstanceID]*report),
+		sums: make(map[api.TargetID]*Sum), changed: make(map[api.TargetID]struct{}),
+	}
+}
 
-// Put takes a report.
+// Put takes a report. The entry's own changes nothing.
 func (t *Table) Put(r Report, now time.Time) {
+	if r.Entry == t.self {
+		return
+	}
 	known := t.reports[r.Entry]
-	t.reports[r.Entry] = report{Report: known.Report.Merge(r), heard: now}
+	if known == nil {
+		known = &report{loads: make(map[api.TargetID]Load)}
+		t.reports[r.Entry] = known
+	}
+	known.heard = now
+	if r.Whole {
+		t.dropUnlisted(r, known)
+	}
+	for _, l := range r.List {
+		t.set(r.Entry, known, l.Target, l.Load)
+	}
 }
 
-// Ahead gives the memory that entries before one have to move when a target
-// leaves. Entries move the runs of a target one after the other, in an order that
-// follows from the target's and the entries' names, so that all come to the same
-// without a word.
-func (t *Table) Ahead(one api.InstanceID) map[api.TargetID]int {
-	ahead := make(map[api.TargetID]int)
-	for id, r := range t.reports {
-		if id == one {
-			continue
-		}
-		for _, l := range r.List {
-			if l.Load.Moving > 0 && before(l.Target, id, one) {
-				ahead[l.Target] += l.Load.Moving
-			}
+// dropUnlisted takes back the loads that a whole report does not list.
+func (t *Table) dropUnlisted(r Report, known *report) {
+	listed := make(map[api.TargetID]struct{}, len(r.List))
+	for _, l := range r.List {
+		listed[l.Target] = struct{}{}
+	}
+	for id := range known.loads {
+		if _, ok := listed[id]; !ok {
+			t.set(r.Entry, known, id, Load{})
 		}
 	}
-	return ahead
+}
+
+// set replaces the load of an entry on a target.
+func (t *Table) set(entry api.InstanceID, known *report, id api.TargetID, l Load) {
+	old := known.loads[id]
+	if old == l {
+		return
+	}
+	if l == (Load{}) {
+		delete(known.loads, id)
+	} else {
+		known.loads[id] = l
+	}
+	sum := t.sums[id]
+	if sum == nil {
+		sum = &Sum{Target: id}
+		t.sums[id] = sum
+	}
+	sum.Load = sum.Load.Add(l).sub(old)
+	if old.Moving != l.Moving && before(id, entry, t.self) {
+		sum.Ahead += l.Moving - old.Moving
+	}
+	t.changed[id] = struct{}{}
+}
+
+func (l Load) sub(o Load) Load {
+	return l.Add(Load{Running: -o.Running, Tokens: -o.Tokens, Unread: -o.Unread, Moving: -o.Moving})
 }
 
 // before tells whether entry a comes before entry b at a target.
@@ -143,23 +199,23 @@
 	return xxhash.Sum64String(string(t) + "/" + string(e))
 }
 
-// Sums gives the load of each target by all entries but one, and how many entries
-// have reported of late, that one not counted.
-func (t *Table) Sums(but api.InstanceID, now time.Time) (map[api.TargetID]Load, int) {
-	sums := make(map[api.TargetID]Load)
-	entries := 0
+// Take gives the sums that have changed since the last call, in no order, and how many
+// other entries have reported of late.
+func (t *Table) Take(now time.Time) ([]Sum, int) {
 	for id, r := range t.reports {
 		if now.Sub(r.heard) > Stale {
+			t.dropUnlisted(Report{Entry: id}, r)
 			delete(t.reports, id)
-			continue
 		}
-		if id == but {
-			continue
-		}
-		entries++
-		for _, l := range r.List {
-			sums[l.Target] = sums[l.Target].Add(l.Load)
+	}
+	out := make([]Sum, 0, len(t.changed))
+	for id := range t.changed {
+		sum := t.sums[id]
+		out = append(out, *sum)
+		if sum.Load == (Load{}) && sum.Ahead == 0 {
+			delete(t.sums, id)
 		}
 	}
-	return sums, entries
+	clear(t.changed)
+	return out, len(t.reports)
 }
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -1,6 +1,7 @@
 package fleetload
 
 import (
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,23 +10,35 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// view is what a reader of a table's changes knows.
+type view map[api.TargetID]Sum
+
+func (v view) take(t *Table, now time.Time) int {
+	changed, entries := t.Take(now)
+	for _, sum := range changed {
+		v[sum.Target] = sum
+		if sum.Load == (Load{}) && sum.Ahead == 0 {
+			delete(v, sum.Target)
+		}
+	}
+	return entries
+}
+
 // An entry that was killed has nothing under way any more. Were its last report
 // kept, the others would pass over targets that are empty.
 func TestLoadOfASilentEntryStopsCounting(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable()
+	table, got := NewTable("self"), view{}
 	start := time.Unix(0, 0)
 	table.Put(Report{Entry: "a", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 2, Tokens: 10, Unread: 4}}}}, start)
 	table.Put(Report{Entry: "b", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 1, Tokens: 5}}}}, start.Add(time.Second))
 	table.Put(Report{Entry: "self", Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Running: 9}}}}, start)
 
-	sums, entries := table.Sums("self", start.Add(time.Second))
-	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 3, Tokens: 15, Unread: 4}})
-	c.Assert(entries, qt.Equals, 2)
+	c.Assert(got.take(table, start.Add(time.Second)), qt.Equals, 2)
+	c.Assert(got, qt.DeepEquals, view{"t": {Target: "t", Load: Load{Running: 3, Tokens: 15, Unread: 4}}})
 
-	sums, entries = table.Sums("self", start.Add(Stale+time.Millisecond))
-	c.Assert(sums, qt.DeepEquals, map[api.TargetID]Load{"t": {Running: 1, Tokens: 5}})
-	c.Assert(entries, qt.Equals, 1)
+	c.Assert(got.take(table, start.Add(Stale+time.Millisecond)), qt.Equals, 1)
+	c.Assert(got, qt.DeepEquals, view{"t": {Target: "t", Load: Load{Running: 1, Tokens: 5}}})
 }
 
 // Every entry must come to the same order of moves: two that both took themselves
@@ -33,19 +46,72 @@
 // with their callers' streams stopped.
 func TestEntriesAgreeOnWhoMovesFirst(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable()
 	now := time.Unix(0, 0)
 	entries := []api.InstanceID{"a", "b", "c", "d"}
-	for _, id := range entries {
-		table.Put(Report{Entry: id, Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
-	}
 	seen := map[int]bool{}
-	for _, id := range entries {
-		seen[table.Ahead(id)["t"]] = true
+	for _, self := range entries {
+		table, got := NewTable(self), view{}
+		for _, id := range entries {
+			table.Put(Report{Entry: id, Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
+		}
+		got.take(table, now)
+		seen[got["t"].Ahead] = true
 	}
 	c.Assert(seen, qt.DeepEquals, map[int]bool{0: true, 10: true, 20: true, 30: true})
 }
 
+// TestSumsAreThoseOfAllReports guards against sums that drift from the reports that they
+// are kept up from: an engine would look full, or empty, for ever.
+func TestSumsAreThoseOfAllReports(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	entries := []api.InstanceID{"a", "b", "c", "self", "d"}
+	targets := []api.TargetID{"s", "t", "u", "v"}
+	table, got := NewTable("self"), view{}
+	// loads and heard are the reports as they were made.
+	loads := map[api.InstanceID]map[api.TargetID]Load{}
+	heard := map[api.InstanceID]time.Time{}
+	now := time.Unix(0, 0)
+	for range 5000 {
+		now = now.Add(time.Duration(rng.IntN(700)) * time.Millisecond)
+		r := Report{Entry: entries[rng.IntN(len(entries))], Whole: rng.IntN(3) == 0}
+		if r.Whole || loads[r.Entry] == nil {
+			loads[r.Entry] = map[api.TargetID]Load{}
+		}
+		for _, id := range targets {
+			if rng.IntN(2) == 0 {
+				l := Load{Running: rng.IntN(3), Tokens: rng.IntN(3), Unread: rng.IntN(2), Moving: rng.IntN(3)}
+				r.List = append(r.List, TargetLoad{Target: id, Load: l})
+				loads[r.Entry][id] = l
+			}
+		}
+		heard[r.Entry] = now
+		table.Put(r, now)
+		count := got.take(table, now)
+
+		want, others := view{}, 0
+		for id, at := range heard {
+			if now.Sub(at) > Stale {
+				delete(loads, id)
+				delete(heard, id)
+			} else if id != "self" {
+				others++
+				for target, l := range loads[id] {
+					sum := want[target]
+					sum.Target, sum.Load = target, sum.Load.Add(l)
+					if before(target, id, "self") {
+						sum.Ahead += l.Moving
+					}
+					want[target] = sum
+				}
+			}
+		}
+		maps.DeleteFunc(want, func(_ api.TargetID, s Sum) bool { return s.Load == (Load{}) })
+		c.Assert(got, qt.DeepEquals, want)
+		c.Assert(count, qt.Equals, others)
+	}
+}
+
 // Reports of changes, gathered on the way or not, must come to the same as whole
 // ones: a load that stayed behind would keep requests from a target for ever.
 func TestChangesComeToTheSameAsTheWhole(t *testing.T) {
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -103,7 +103,7 @@
 
 // NewRoutedEntry makes the role; Start runs it.
 func NewRoutedEntry(set RoutedEntrySettings, p RoutedEntryPorts) *RoutedEntry {
-	e := &RoutedEntry{set: set, ports: p, targets: relay.NewTargets(), loads: fleetload.NewTable(), taken: make(chan struct{}, 1)}
+	e := &RoutedEntry{set: set, ports: p, targets: relay.NewTargets(), loads: fleetload.NewTable(set.Instance), taken: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}, p.Metrics)
 	opt.Silence = routedSilence
@@ -200,8 +200,7 @@
 	for _, r := range list {
 		e.loads.Put(r, now)
 	}
-	sums, entries := e.loads.Sums(e.set.Instance, now)
-	e.targets.SetOthers(sums, e.loads.Ahead(e.set.Instance), entries)
+	e.targets.SetOthers(e.loads.Take(now))
 }
 
 func (e *RoutedEntry) onConfig(rev api.Revision, document []byte) {
--- a/node/registry/messages.go
+++ b/node/registry/messages.go
@@ -23,12 +23,16 @@
 
 // Records are news of targets. The first one on a link holds all.
 type Records struct {
+	wire.Memo `cbor:"-"`
+
 	List []directory.Record `cbor:"1,keyasint"`
 }
 
 // Loads are what entries have under way: an entry's own on its way to a member,
 // and those that have changed from there to all entries.
 type Loads struct {
+	wire.Memo `cbor:"-"`
+
 	List []fleetload.Report `cbor:"1,keyasint"`
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -99,10 +99,11 @@
 		r.obs.Changed(rec, source)
 	}
 	r.onChange(news)
+	m := &Records{List: news}
 	for s := range r.subscribers {
 		// A link that has ended is taken out by Unsubscribe, and the peer gets the
 		// whole list on its next one.
-		_ = s.Send(&Records{List: news})
+		_ = s.Send(m)
 	}
 }
 
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -52,6 +52,8 @@
 type Targets struct {
 	mu   sync.Mutex
 	view atomic.Pointer[view]
+	// others are the loads by other entries, by target.
+	others map[api.TargetID]fleetload.Sum
 	// changed holds a token once this entry's load has changed.
 	changed chan struct{}
 	// entries is how many entries there are, as far as they have told their load.
@@ -65,7 +67,7 @@
 
 // NewTargets makes an empty table.
 func NewTargets() *Targets {
-	t := &Targets{changed: make(chan struct{}, 1)}
+	t := &Targets{changed: make(chan struct{}, 1), others: make(map[api.TargetID]fleetload.Sum)}
 	t.entries.Store(usualEntries)
 	t.view.Store(&view{byService: map[api.ServiceID][]*Target{}, byID: map[api.TargetID]*Target{}})
 	return t
@@ -100,6 +102,9 @@
 			known.depart()
 		}
 		known = &Target{Record: r, table: t, turn: make(chan struct{}, 1), coldTill: time.Now().Add(r.Cold)}
+		if sum, ok := t.others[r.Target]; ok {
+			known.setOthers(sum)
+		}
 	}
 	switch r.State {
 	case directory.StateLeaving, directory.StateGone:
@@ -224,15 +229,33 @@
 // Entries is how many entries there are.
 func (t *Targets) Entries() int { return int(t.entries.Load()) }
 
-// SetOthers takes the other entries' loads, what those before this one would have
-// to move, and how many others there are.
-func (t *Targets) SetOthers(sums map[api.TargetID]fleetload.Load, ahead map[api.TargetID]int, entries int) {
+// SetOthers takes changed sums of the other entries' loads, and how many others there
+// are.
+func (t *Targets) SetOthers(changed []fleetload.Sum, entries int) {
 	t.entries.Store(int64(entries) + 1)
-	for id, target := range t.view.Load().byID {
-		l := sums[id]
-		target.others.Store(&l)
-		if !target.departs.Load() {
-			target.ahead.Store(int64(ahead[id]))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byID := t.view.Load().byID
+	for _, sum := range changed {
+		t.keepSum(sum)
+		if target := byID[sum.Target]; target != nil {
+			target.setOthers(sum)
 		}
 	}
 }
+
+// keepSum remembers a sum for a target that is announced after its load.
+func (t *Targets) keepSum(sum fleetload.Sum) {
+	if sum.Load == (fleetload.Load{}) {
+		delete(t.others, sum.Target)
+		return
+	}
+	t.others[sum.Target] = sum
+}
+
+func (t *Target) setOthers(sum fleetload.Sum) {
+	t.others.Store(&sum.Load)
+	if !t.departs.Load() {
+		t.ahead.Store(int64(sum.Ahead))
+	}
+}
--- a/node/wire/codec.go
+++ b/node/wire/codec.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 
 	"almondseam.dev/core/codec"
 	"github.com/fxamacker/cbor/v2"
@@ -77,16 +78,43 @@
 	return c
 }
 
+// Memo keeps the encoding of a message that goes to many links, so that it is made once.
+// A message type embeds it with the tag `cbor:"-"`; its messages must not change after
+// they were first sent.
+type Memo struct {
+	once sync.Once
+	body []byte
+	err  error
+}
+
+func (m *Memo) encoded(make func() ([]byte, error)) ([]byte, error) {
+	m.once.Do(func() { m.body, m.err = make() })
+	return m.body, m.err
+}
+
+// memoized is a message with a Memo.
+type memoized interface {
+	encoded(make func() ([]byte, error)) ([]byte, error)
+}
+
 // Append encodes m onto dst.
 func (c *Codec) Append(dst []byte, m Message) ([]byte, error) {
 	dst = appendUint(dst, uint64(m.Kind()))
-	body, err := c.enc.Marshal(m)
+	body, err := c.body(m)
 	if err != nil {
 		return dst, fmt.Errorf("encode kind %d: %w", m.Kind(), err)
 	}
 	return append(dst, body...), nil
 }
 
+func (c *Codec) body(m Message) ([]byte, error) {
+	marshal := func() ([]byte, error) { return c.enc.Marshal(m) }
+	if memo, ok := m.(memoized); ok {
+		return memo.encoded(marshal)
+	}
+	return marshal()
+}
+
 // Decode splits the first message off data.
 func (c *Codec) Decode(data []byte) (Message, []byte, error) {
 	var kind uint64
