A client leaves a member that belongs to no group at once

Change: such a member says so (Leader.Groupless); the client passes over it. Test: TestClientLeavesAMemberWithoutAGroup.

--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -67,7 +67,8 @@
 // given a while, for an election is mostly over soon, and then left for another
 // and passed over: it may be cut off from the majority for as long as a partition
 // lasts, together with others, and what the majority accepts meanwhile would not
-// arrive here while this client goes to and fro between them.
+// arrive here while this client goes to and fro between them. A member that belongs to
+// no group is left at once.
 func (c *Client) leader(conn closer, m *Leader) {
 	if len(m.Members) > 0 {
 		c.learn(m.Members)
@@ -84,6 +85,9 @@
 		c.next = m.Addr
 		// Closing ends the link's own goroutines; it takes no lock of this type.
 		conn.Close()
+	case m.Groupless:
+		c.failedAt[c.last] = time.Now()
+		conn.Close()
 	default:
 		addr := c.last
 		c.leaderless = time.AfterFunc(leaderlessFor, func() {
--- a/node/control/choose_test.go
+++ b/node/control/choose_test.go
@@ -71,3 +71,17 @@
 		qt.New(t).Assert(conn.n.Load(), qt.Equals, int32(0))
 	})
 }
+
+// TestClientLeavesAMemberWithoutAGroup guards against an entry that has just started and
+// waits, without a configuration, for a member that lost its disk to be added again.
+func TestClientLeavesAMemberWithoutAGroup(t *testing.T) {
+	c := qt.New(t)
+	cl := NewClient(ClientOptions{Seeds: []string{"empty", "good"}})
+	cl.last = "empty"
+	conn := &closed{}
+	cl.leader(conn, &Leader{Groupless: true})
+	c.Assert(conn.n.Load(), qt.Equals, int32(1))
+	for range 100 {
+		c.Assert(cl.choose(time.Now()), qt.Equals, "good")
+	}
+}
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -119,10 +119,13 @@
 	// Members are the link addresses of the whole group, so that a client that
 	// was given few seeds, or seeds that are gone, can still find the others.
 	Members []string `cbor:"3,keyasint,omitempty"`
+	// Groupless tells that the member that says so belongs to no group yet, as after the
+	// loss of its disk: it learns of an election only once it has been added again.
+	Groupless bool `cbor:"4,keyasint,omitempty"`
 }
 
 func (l Leader) equal(o Leader) bool {
-	return l.Self == o.Self && l.Addr == o.Addr && slices.Equal(l.Members, o.Members)
+	return l.Self == o.Self && l.Addr == o.Addr && l.Groupless == o.Groupless && slices.Equal(l.Members, o.Members)
 }
 
 // Drains lists all targets that operators drain at the log index Index. A list
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -259,7 +259,7 @@
 	st := m.Status()
 	v := watchView{
 		config:  m.state.Current(),
-		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader), Members: addresses(st.Membership)},
+		leader:  Leader{Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader), Members: addresses(st.Membership), Groupless: len(st.Membership.Voters) == 0},
 		drained: m.state.Drained(),
 		drains:  m.state.Drains(),
 		ready:   m.state.Orders().Ready(),
