Load reports go by one member for each entry, its own zone's first

Change: an entry reports to its home and hears all loads from there alone; members exchange what entries report to them. Home is in the own zone, unless it hears under half of the members that another hears (a member that is cut off from the others would leave its entries blind). Tests: TestReportsReachEachEntryOnce, TestHome.

--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -68,7 +68,9 @@
 	c.registry = registry.New(metrics.Directory{Log: log}, nil)
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleControl}, m)
 	opt.Silence = routedSilence
-	c.follower = registry.NewFollower(c.ctx, c.registry, opt, set.Links, nil)
+	c.follower = registry.NewFollower(c.ctx, registry.FollowerOptions{
+		Registry: c.registry, Link: opt, Self: set.Links, OnLoads: c.registry.LoadOfPeer, Member: true,
+	})
 	return c
 }
 
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -108,7 +108,7 @@
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}, p.Metrics)
 	opt.Silence = routedSilence
 	e.registry = registry.New(metrics.Directory{Log: p.Log}, e.targets.Update)
-	e.follower = registry.NewFollower(e.ctx, e.registry, opt, "", e.onLoads)
+	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{Registry: e.registry, Link: opt, OnLoads: e.onLoads})
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:     set.Seeds,
 		Link:      opt,
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -1,13 +1,17 @@
 package registry
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/wire"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 )
 
@@ -21,32 +25,55 @@
 	dialMost  = time.Second
 )
 
-// Follower keeps a link to each of a changing set of addresses and merges what
-// they tell into a registry.
+// FollowerOptions of a Follower.
+type FollowerOptions struct {
+	Registry *Registry
+	Link     link.Options
+	// Self is an address that is never dialled; empty for none.
+	Self string
+	// OnLoads is told entries' loads, from several goroutines; nil for none.
+	OnLoads func([]fleetload.Report)
+	// Member makes this process hear from each member what entries report there. An
+	// entry hears all loads from one member, its home.
+	Member bool
+}
+
+// Follower keeps a link to each of a changing set of members and merges what they tell
+// into a registry.
+//
+// Load reports between an entry and the fleet go by way of its home: a member in its own
+// availability zone where there is one, which exchanges them with the other members. So
+// a report crosses between zones once for each member, however many entries there are.
 type Follower struct {
-	reg  *Registry
-	opt  link.Options
-	self string
+	opt FollowerOptions
 
 	mu     sync.Mutex
 	ctx    context.Context
 	work   conc.WaitGroup
 	active map[string]context.CancelFunc
-	conns  map[string]*link.Conn
-	// onLoads is told other entries' loads.
-	onLoads func([]fleetload.Report)
+	conns  map[string]*member
+	home   string
 }
 
-// NewFollower makes a follower that ends with ctx. It never dials self. onLoads
-// may be nil; it is called from several goroutines.
-func NewFollower(ctx context.Context, reg *Registry, opt link.Options, self string, onLoads func([]fleetload.Report)) *Follower {
-	if onLoads == nil {
-		onLoads = func([]fleetload.Report) {}
-	}
-	return &Follower{
-		reg: reg, opt: opt, self: self, ctx: ctx, onLoads: onLoads,
-		active: make(map[string]context.CancelFunc), conns: make(map[string]*link.Conn),
+// member is a control member with a link.
+type member struct {
+	conn Conn
+	// reach is how many other members it hears loads from.
+	reach int
+}
+
+// Conn is the link to a member.
+type Conn interface {
+	Sender
+	Peer() link.Peer
+}
+
+// NewFollower makes a follower that ends with ctx.
+func NewFollower(ctx context.Context, opt FollowerOptions) *Follower {
+	if opt.OnLoads == nil {
+		opt.OnLoads = func([]fleetload.Report) {}
 	}
+	return &Follower{opt: opt, ctx: ctx, active: make(map[string]context.CancelFunc), conns: make(map[string]*member)}
 }
 
 // Follow sets the addresses.
@@ -55,7 +82,7 @@
 	defer f.mu.Unlock()
 	want := make(map[string]bool, len(addrs))
 	for _, a := range addrs {
-		want[a] = a != f.self
+		want[a] = a != f.opt.Self
 	}
 	for a, cancel := range f.active {
 		if !want[a] {
@@ -80,50 +107,129 @@
 }
 
 func (f *Follower) once(ctx context.Context, addr string, patience *link.Patience) bool {
-	conn, err := patience.Dial(ctx, addr, f.opt)
+	conn, err := patience.Dial(ctx, addr, f.opt.Link)
 	if err != nil {
 		return false
 	}
-	_ = conn.Send(&Subscribe{})
 	f.set(addr, conn)
-	conn.Run(ctx, func(m wire.Message) {
-		switch m := m.(type) {
-		case *Records:
-			f.reg.Merge(m.List)
-		case *Loads:
-			f.onLoads(m.List)
-		}
-	})
+	conn.Run(ctx, func(m wire.Message) { f.handle(addr, m) })
 	f.unset(addr, conn)
 	return true
 }
 
-func (f *Follower) set(addr string, conn *link.Conn) {
+func (f *Follower) handle(addr string, m wire.Message) {
+	switch m := m.(type) {
+	case *Records:
+		f.opt.Registry.Merge(m.List)
+	case *Loads:
+		f.opt.OnLoads(m.List)
+	case *Reach:
+		f.reach(addr, m.Members)
+	}
+}
+
+func (f *Follower) set(addr string, conn Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conns[addr] = conn
+	f.conns[addr] = &member{conn: conn}
+	scope := LoadsNone
+	if f.opt.Member {
+		scope = LoadsOfEntries
+		f.opt.Registry.SetReach(len(f.conns))
+	}
+	// A link that has ended is set anew by the next dial.
+	_ = conn.Send(&Subscribe{Loads: scope})
+	f.chooseHome()
 }
 
-func (f *Follower) unset(addr string, conn *link.Conn) {
+func (f *Follower) unset(addr string, conn Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.conns[addr] == conn {
-		delete(f.conns, addr)
+	if known := f.conns[addr]; known == nil || known.conn != conn {
+		return
+	}
+	delete(f.conns, addr)
+	if f.opt.Member {
+		f.opt.Registry.SetReach(len(f.conns))
 	}
+	f.chooseHome()
 }
 
-// Report sends this entry's load to one member, which tells all others.
-func (f *Follower) Report(r fleetload.Report) {
+func (f *Follower) reach(addr string, members int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	first := ""
-	for addr := range f.conns {
-		if first == "" || addr < first {
-			first = addr
-		}
+	if known := f.conns[addr]; known != nil {
+		known.reach = members
+		f.chooseHome()
+	}
+}
+
+// chooseHome moves an entry's home to the best member. The lock is held.
+//
+// Failure: a member is cut off from the others, and entries still reach it. Symptom if
+// it stays their home: they and the rest of the fleet do not hear of each other's load
+// for as long as the partition lasts. So members that hear the others go first.
+func (f *Follower) chooseHome() {
+	if f.opt.Member {
+		return
+	}
+	best := f.bestHome()
+	if best == f.home && best != "" {
+		return
+	}
+	if old := f.conns[f.home]; old != nil {
+		_ = old.conn.Send(&Subscribe{Loads: LoadsNone})
 	}
-	if first != "" {
-		_ = f.conns[first].Send(&Loads{List: []fleetload.Report{r}})
+	f.home = best
+	if now := f.conns[best]; now != nil {
+		_ = now.conn.Send(&Subscribe{Loads: LoadsAll})
+	}
+}
+
+// bestHome gives the address of the member to be home, empty without links.
+func (f *Follower) bestHome() string {
+	addrs := slices.Sorted(maps.Keys(f.conns))
+	if len(addrs) == 0 {
+		return ""
+	}
+	most := 0
+	for _, m := range f.conns {
+		most = max(most, m.reach)
+	}
+	return slices.MaxFunc(addrs, func(a, b string) int {
+		return cmp.Or(cmp.Compare(f.suits(a, most), f.suits(b, most)), cmp.Compare(f.rank(a), f.rank(b)))
+	})
+}
+
+const (
+	homeInZone = 1
+	// homeConnected goes before the zone.
+	homeConnected = 2
+)
+
+// suits weighs a member as home: one that hears at least half as many others as any, then
+// one in the own zone. Equal ones are told apart by a hash that spreads entries.
+func (f *Follower) suits(addr string, most int) int {
+	m, weight := f.conns[addr], 0
+	if 2*m.reach >= most {
+		weight += homeConnected
+	}
+	if zone := m.conn.Peer().Zone; zone != "" && zone == f.opt.Link.Self.Zone {
+		weight += homeInZone
+	}
+	return weight
+}
+
+func (f *Follower) rank(addr string) uint64 {
+	return xxhash.Sum64String(string(f.opt.Link.Self.Instance) + "/" + addr)
+}
+
+// Report sends this entry's load to its home, which tells the others.
+func (f *Follower) Report(r fleetload.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if home := f.conns[f.home]; home != nil {
+		_ = home.conn.Send(&Loads{List: []fleetload.Report{r}})
 	}
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -39,9 +39,13 @@
 
 	mu          sync.Mutex
 	dir         *directory.Directory
-	subscribers map[Sender]struct{}
-	// loads are reports that subscribers have yet to be told, by entry.
-	loads map[api.InstanceID]fleetload.Report
+	subscribers map[Sender]LoadScope
+	// loads are reports that subscribers have yet to be told, by entry; reported are
+	// those of them that came from the entries themselves.
+	loads    loadQueue
+	reported loadQueue
+	// reach is how many other members this one hears loads from.
+	reach int
 	// loaded holds a token while there are some.
 	loaded chan struct{}
 	// onChange is called with the changed records, in order.
@@ -54,7 +58,7 @@
 	if onChange == nil {
 		onChange = func([]directory.Record) {}
 	}
-	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]struct{}), loads: make(map[api.InstanceID]fleetload.Report), loaded: make(chan struct{}, 1), onChange: onChange}
+	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]LoadScope), loads: make(loadQueue), reported: make(loadQueue), loaded: make(chan struct{}, 1), onChange: onChange}
 }
 
 // Announce takes what a target says of itself. When it returns, the news has been
@@ -107,12 +111,32 @@
 	}
 }
 
-// Subscribe sends a link all records, and from then on every change.
-func (r *Registry) Subscribe(s Sender) {
+// Subscribe sends a link all records, and from then on every change and the loads of a
+// scope. For a link that has subscribed it changes the scope.
+func (r *Registry) Subscribe(s Sender, loads LoadScope) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.subscribers[s] = struct{}{}
+	_, known := r.subscribers[s]
+	r.subscribers[s] = loads
+	if known {
+		return
+	}
 	_ = s.Send(&Records{List: r.dir.Records()})
+	_ = s.Send(&Reach{Members: r.reach})
+}
+
+// SetReach sets how many other members this one hears loads from.
+func (r *Registry) SetReach(members int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reach == members {
+		return
+	}
+	r.reach = members
+	m := &Reach{Members: members}
+	for s := range r.subscribers {
+		_ = s.Send(m)
+	}
 }
 
 // Unsubscribe ends that.
@@ -122,16 +146,47 @@
 	delete(r.subscribers, s)
 }
 
-// Load takes an entry's report, to be told at the next round.
-func (r *Registry) Load(list []fleetload.Report) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// loadQueue holds reports that wait for a round, the newest of each entry.
+type loadQueue map[api.InstanceID]fleetload.Report
+
+func (q loadQueue) put(list []fleetload.Report) {
 	for _, report := range list {
-		if waiting, ok := r.loads[report.Entry]; ok {
+		if waiting, ok := q[report.Entry]; ok {
 			report = waiting.Merge(report)
 		}
-		r.loads[report.Entry] = report
+		q[report.Entry] = report
+	}
+}
+
+// take gives the message of a round, nil if nothing waits.
+func (q loadQueue) take() *Loads {
+	if len(q) == 0 {
+		return nil
 	}
+	m := &Loads{List: slices.Collect(maps.Values(q))}
+	clear(q)
+	return m
+}
+
+// Load takes an entry's report, to be told at the next round.
+func (r *Registry) Load(list []fleetload.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reported.put(list)
+	r.queue(list)
+}
+
+// LoadOfPeer takes reports that entries made to another member. They are told to this
+// one's entries, and to no member: each of those hears them from the other itself.
+func (r *Registry) LoadOfPeer(list []fleetload.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue(list)
+}
+
+// queue is called with the lock held.
+func (r *Registry) queue(list []fleetload.Report) {
+	r.loads.put(list)
 	select {
 	case r.loaded <- struct{}{}:
 	default:
@@ -144,7 +199,7 @@
 // something has changed.
 const LoadsEvery = 8 * time.Millisecond
 
-// RunLoads passes entries' reports on to all subscribers, until ctx is done.
+// RunLoads passes entries' reports on to subscribers, until ctx is done.
 func (r *Registry) RunLoads(ctx context.Context) {
 	for {
 		select {
@@ -160,13 +215,15 @@
 func (r *Registry) tellLoads() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.loads) == 0 {
-		return
-	}
-	m := &Loads{List: slices.Collect(maps.Values(r.loads))}
-	clear(r.loads)
-	for s := range r.subscribers {
-		_ = s.Send(m) // an ended link's peer hears the next round on its next one
+	all, reported := r.loads.take(), r.reported.take()
+	for s, scope := range r.subscribers {
+		m := all
+		if scope == LoadsOfEntries {
+			m = reported
+		}
+		if m != nil && scope != LoadsNone {
+			_ = s.Send(m) // an ended link's peer hears the next round on its next one
+		}
 	}
 }
 
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -1,10 +1,13 @@
 package registry
 
 import (
+	"context"
 	"testing"
 
+	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
+	"almondseam.dev/node/link"
 	"almondseam.dev/node/wire"
 	qt "github.com/frankban/quicktest"
 )
@@ -37,11 +40,11 @@
 	c := qt.New(t)
 	member := New(noObserver{}, nil)
 	early, late := New(noObserver{}, nil), New(noObserver{}, nil)
-	member.Subscribe(&peer{early})
+	member.Subscribe(&peer{early}, LoadsNone)
 	member.Announce(record(1, directory.StateReady))
 	member.Announce(record(2, directory.StateLeaving))
 	c.Assert(early.Records()[0].State, qt.Equals, directory.StateLeaving)
-	member.Subscribe(&peer{late})
+	member.Subscribe(&peer{late}, LoadsNone)
 	c.Assert(late.Records()[0].State, qt.Equals, directory.StateLeaving)
 }
 
@@ -51,8 +54,8 @@
 	a, b := New(noObserver{}, nil), New(noObserver{}, nil)
 	// Registry holds its lock while it tells, so the way back is taken by hand.
 	var fromB []directory.Record
-	b.Subscribe(&recorder{&fromB})
-	a.Subscribe(&peer{b})
+	b.Subscribe(&recorder{&fromB}, LoadsNone)
+	a.Subscribe(&peer{b}, LoadsNone)
 	a.Announce(record(1, directory.StateReady))
 	c.Assert(fromB, qt.HasLen, 1)
 	fromB = nil
@@ -84,7 +87,7 @@
 	c := qt.New(t)
 	member := New(noObserver{}, nil)
 	var got []fleetload.Report
-	member.Subscribe(&loads{&got})
+	member.Subscribe(&loads{&got}, LoadsAll)
 	member.Load([]fleetload.Report{{Entry: "a", Whole: true}})
 	newest := fleetload.Report{Entry: "a", Whole: true, List: []fleetload.TargetLoad{{Target: "t", Load: fleetload.Load{Running: 2}}}}
 	member.Load([]fleetload.Report{newest})
@@ -92,3 +95,94 @@
 	member.tellLoads()
 	c.Assert(got, qt.DeepEquals, []fleetload.Report{newest})
 }
+
+// fakeLink is an entry's link to a member, as the member's registry sees it.
+type fakeLink struct {
+	peer link.Peer
+	to   *Registry
+	back Sender
+	sent int
+}
+
+func (l *fakeLink) Peer() link.Peer { return l.peer }
+
+func (l *fakeLink) Send(m wire.Message) error {
+	l.sent++
+	switch m := m.(type) {
+	case *Subscribe:
+		l.to.Subscribe(l.back, m.Loads)
+	case *Loads:
+		l.to.Load(m.List)
+	}
+	return nil
+}
+
+// told counts the load reports that a process is told, by entry.
+type told struct{ by map[api.InstanceID]int }
+
+func newTold() *told { return &told{by: map[api.InstanceID]int{}} }
+
+func (t *told) Send(m wire.Message) error {
+	if m, ok := m.(*Loads); ok {
+		for _, r := range m.List {
+			t.by[r.Entry]++
+		}
+	}
+	return nil
+}
+
+// TestReportsReachEachEntryOnce guards against load reports that go round between
+// members, or that an entry is told by several of them.
+func TestReportsReachEachEntryOnce(t *testing.T) {
+	c := qt.New(t)
+	home, other := New(noObserver{}, nil), New(noObserver{}, nil)
+	entry, peerOfHome, peerOfOther := newTold(), newTold(), newTold()
+	home.Subscribe(entry, LoadsAll)
+	other.Subscribe(entry, LoadsNone)
+	home.Subscribe(peerOfHome, LoadsOfEntries)
+	other.Subscribe(peerOfOther, LoadsOfEntries)
+	home.Load([]fleetload.Report{{Entry: "a", Whole: true}})
+	other.Load([]fleetload.Report{{Entry: "b", Whole: true}})
+	home.LoadOfPeer([]fleetload.Report{{Entry: "b", Whole: true}})
+	home.tellLoads()
+	other.tellLoads()
+	c.Assert(entry.by, qt.DeepEquals, map[api.InstanceID]int{"a": 1, "b": 1})
+	c.Assert(peerOfHome.by, qt.DeepEquals, map[api.InstanceID]int{"a": 1})
+	c.Assert(peerOfOther.by, qt.DeepEquals, map[api.InstanceID]int{"b": 1})
+}
+
+// Which member an entry hears loads from, and reports to.
+func TestHome(t *testing.T) {
+	c := qt.New(t)
+	f := NewFollower(context.Background(), FollowerOptions{Registry: New(noObserver{}, nil), Link: link.Options{Self: link.Peer{Instance: "e", Zone: "a"}}})
+	links := map[string]*fakeLink{}
+	up := func(addr string, zone api.Zone) {
+		links[addr] = &fakeLink{peer: link.Peer{Zone: zone}, to: New(noObserver{}, nil), back: newTold()}
+		f.set(addr, links[addr])
+	}
+	reports := func() string {
+		before := map[string]int{}
+		for addr, l := range links {
+			before[addr] = l.sent
+		}
+		f.Report(fleetload.Report{Entry: "e"})
+		for addr, l := range links {
+			if l.sent > before[addr] {
+				return addr
+			}
+		}
+		return ""
+	}
+	c.Assert(reports(), qt.Equals, "")
+	up("1", "b")
+	c.Assert(reports(), qt.Equals, "1")
+	up("2", "a")
+	c.Assert(reports(), qt.Equals, "2", qt.Commentf("a member in the own zone goes first"))
+	f.reach("1", 2)
+	c.Assert(reports(), qt.Equals, "1", qt.Commentf("but not one that hears no other"))
+	f.reach("2", 2)
+	c.Assert(reports(), qt.Equals, "2")
+	f.unset("2", links["2"])
+	delete(links, "2")
+	c.Assert(reports(), qt.Equals, "1")
+}
