--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -23,11 +23,13 @@
 	// Moving is the memory, in tokens, of streams that no other engine has a copy
 	// of: what would have to be moved if the target left now.
 	Moving int `cbor:"4,keyasint,omitempty"`
+	// MovingRuns is how many streams those are.
+	MovingRuns int `cbor:"5,keyasint,omitempty"`
 }
 
 // Add gives the sum of two loads.
 func (l Load) Add(o Load) Load {
-	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Unread: l.Unread + o.Unread, Moving: l.Moving + o.Moving}
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Unread: l.Unread + o.Unread, Moving: l.Moving + o.Moving, MovingRuns: l.MovingRuns + o.MovingRuns}
 }
 
 // TargetLoad is one entry's load on one target.
@@ -96,11 +98,17 @@
 type Sum struct {
 	Target api.TargetID
 	Load   Load
-	// Ahead is the memory that entries before the one have to move when the target
-	// drains. Entries move the runs of a target one after the other, in an order that
+	// Ahead is what entries before the one have to move when the target drains. Entries move the runs of a target one after the other, in an order that
 	// follows from the target's and the entries' names, so that all come to the same
 	// order without coordination.
-	Ahead int
+	Ahead Backlog
+}
+
+// Backlog is what has to be moved from a target.
+type Backlog struct {
+	// Tokens is the memory of the runs.
+	Tokens int
+	Runs   int
 }
 
 // Table adds up what other entries report, for one entry. A report costs as much as it
@@ -176,14 +184,16 @@
 		t.sums[id] = sum
 	}
 	sum.Load = sum.Load.Add(l).sub(old)
-	if old.Moving != l.Moving && before(id, entry, t.self) {
-		sum.Ahead += l.Moving - old.Moving
+	moves := old.Moving != l.Moving || old.MovingRuns != l.MovingRuns
+	if moves && before(id, entry, t.self) {
+		sum.Ahead.Tokens += l.Moving - old.Moving
+		sum.Ahead.Runs += l.MovingRuns - old.MovingRuns
 	}
 	t.changed[id] = struct{}{}
 }
 
 func (l Load) sub(o Load) Load {
-	return l.Add(Load{Running: -o.Running, Tokens: -o.Tokens, Unread: -o.Unread, Moving: -o.Moving})
+	return l.Add(Load{Running: -o.Running, Tokens: -o.Tokens, Unread: -o.Unread, Moving: -o.Moving, MovingRuns: -o.MovingRuns})
 }
 
 // before tells whether entry a comes before entry b at a target.
@@ -212,7 +222,7 @@
 	for id := range t.changed {
 		sum := t.sums[id]
 		out = append(out, *sum)
-		if sum.Load == (Load{}) && sum.Ahead == 0 {
+		if sum.Load == (Load{}) && sum.Ahead == (Backlog{}) {
 			delete(t.sums, id)
 		}
 	}
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -17,7 +17,7 @@
 	changed, entries := t.Take(now)
 	for _, sum := range changed {
 		v[sum.Target] = sum
-		if sum.Load == (Load{}) && sum.Ahead == 0 {
+		if sum.Load == (Load{}) && sum.Ahead == (Backlog{}) {
 			delete(v, sum.Target)
 		}
 	}
@@ -48,16 +48,16 @@
 	c := qt.New(t)
 	now := time.Unix(0, 0)
 	entries := []api.InstanceID{"a", "b", "c", "d"}
-	seen := map[int]bool{}
+	seen := map[Backlog]bool{}
 	for _, self := range entries {
 		table, got := NewTable(self), view{}
 		for _, id := range entries {
-			table.Put(Report{Entry: id, Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10}}}}, now)
+			table.Put(Report{Entry: id, Whole: true, List: []TargetLoad{{Target: "t", Load: Load{Moving: 10, MovingRuns: 1}}}}, now)
 		}
 		got.take(table, now)
 		seen[got["t"].Ahead] = true
 	}
-	c.Assert(seen, qt.DeepEquals, map[int]bool{0: true, 10: true, 20: true, 30: true})
+	c.Assert(seen, qt.DeepEquals, map[Backlog]bool{{}: true, {10, 1}: true, {20, 2}: true, {30, 3}: true})
 }
 
 // TestSumsAreThoseOfAllReports guards against sums that drift from the reports that they
@@ -80,7 +80,7 @@
 		}
 		for _, id := range targets {
 			if rng.IntN(2) == 0 {
-				l := Load{Running: rng.IntN(3), Tokens: rng.IntN(3), Unread: rng.IntN(2), Moving: rng.IntN(3)}
+				l := Load{Running: rng.IntN(3), Tokens: rng.IntN(3), Unread: rng.IntN(2), Moving: rng.IntN(3), MovingRuns: rng.IntN(2)}
 				r.List = append(r.List, TargetLoad{Target: id, Load: l})
 				loads[r.Entry][id] = l
 			}
@@ -100,7 +100,8 @@
 					sum := want[target]
 					sum.Target, sum.Load = target, sum.Load.Add(l)
 					if before(target, id, "self") {
-						sum.Ahead += l.Moving
+						sum.Ahead.Tokens += l.Moving
+						sum.Ahead.Runs += l.MovingRuns
 					}
 					want[target] = sum
 				}
--- a/core/handoff/backup.go
+++ b/core/handoff/backup.go
@@ -38,11 +38,20 @@
 	return fillMoves
 }
 
-// MoveTime is how long it takes to move so many tokens at a rate in tokens a
-// second; zero where the rate isn't known.
-func MoveTime(tokens int, rate float64) time.Duration {
+// moveOverhead is what a move takes besides the first copy of its run: the copy of what
+// is new since, the retry's grant, and the last copy after the stop.
+const moveOverhead = 50 * time.Millisecond
+
+// MoveTime is how long it takes to move runs of so many tokens together at a rate in
+// tokens a second; zero where the rate isn't known.
+//
+// Load pattern: an engine drains, and several entries move its runs one after the other,
+// by their estimate of how long those before them take. The next one's first copy, begun
+// too early, is ahead of the last copy of a run that has stopped, and that caller sees a
+// pause of its whole length.
+func MoveTime(tokens, runs int, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / rate * float64(time.Second))
+	return time.Duration(float64(tokens)/rate*float64(time.Second)) + time.Duration(runs)*moveOverhead
 }
--- a/core/handoff/backup_test.go
+++ b/core/handoff/backup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -25,3 +26,13 @@
 		t.Run(tt.name, func(t *testing.T) { qt.New(t).Assert(BackupFill(tt.moves, tt.fleet), qt.Equals, tt.want) })
 	}
 }
+
+// TestMovesBeforeAreGivenTheirWholeTime guards against a first copy that begins before the
+// last copy of the run before it, whose caller then waits for all of it.
+func TestMovesBeforeAreGivenTheirWholeTime(t *testing.T) {
+	c := qt.New(t)
+	const rate = 18_000 // tokens a second
+	c.Assert(MoveTime(0, 0, rate), qt.Equals, time.Duration(0))
+	c.Assert(MoveTime(9_000, 3, rate), qt.Equals, 500*time.Millisecond+3*moveOverhead)
+	c.Assert(MoveTime(9_000, 3, 0), qt.Equals, time.Duration(0))
+}
--- a/node/relay/depart.go
+++ b/node/relay/depart.go
@@ -227,7 +227,8 @@
 		return true
 	}
 	left := time.Unix(0, l.target.leftAt.Load())
-	ahead := handoff.MoveTime(int(l.target.ahead.Load()), e.MoveRate())
+	backlog := l.target.backlog()
+	ahead := handoff.MoveTime(backlog.Tokens, backlog.Runs, e.MoveRate())
 	t := time.NewTimer(time.Until(left.Add(min(ahead, handoff.Notice))))
 	defer t.Stop()
 	select {
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -39,7 +39,7 @@
 		d.CopyTo = l.backup.Address
 		l.backup.keep(l.tokens)
 	} else {
-		t.expose(l.tokens)
+		t.expose(1, l.tokens)
 	}
 	t.hold(l.tokens, l.unread)
 	l.sentAt, l.queued = time.Now(), t.Load().Unread
@@ -94,7 +94,7 @@
 	if l.backup != nil {
 		l.backup.keep(by)
 	} else {
-		l.target.expose(by)
+		l.target.expose(0, by)
 	}
 }
 
@@ -116,7 +116,7 @@
 	if l.backup != nil {
 		l.backup.keep(-l.tokens)
 	} else {
-		l.target.expose(-l.tokens)
+		l.target.expose(-1, -l.tokens)
 	}
 }
 
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -20,16 +20,18 @@
 	// leftAt is when the target was first known to be leaving, Unix nanoseconds.
 	leftAt   atomic.Int64
 	coldTill time.Time
-	// running, tokens, unread and moving are this entry's own load on the target.
+	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
 	unread  atomic.Int64
 	moving  atomic.Int64
+	// movingRuns counts the runs in moving.
+	movingRuns atomic.Int64
 	// others is the load by other entries, as last told.
 	others atomic.Pointer[fleetload.Load]
-	// ahead is the memory that entries before this one move first when the target
-	// leaves, as known when it did.
-	ahead atomic.Int64
+	// ahead is what entries before this one move first when the target drains, as known
+	// when it began to; nil for nothing.
+	ahead atomic.Pointer[fleetload.Backlog]
 	// table is told of changes of this entry's load.
 	table *Targets
 	// turn is held by the run that is being moved from the target.
@@ -187,8 +189,19 @@
 // a run has grown by.
 func (t *Target) keep(tokens int) { t.tokens.Add(int64(tokens)) }
 
-// expose counts memory that no other engine has a copy of.
-func (t *Target) expose(tokens int) { t.moving.Add(int64(tokens)) }
+// expose counts runs, and memory of runs, that no other engine has a copy of.
+func (t *Target) expose(runs, tokens int) {
+	t.movingRuns.Add(int64(runs))
+	t.moving.Add(int64(tokens))
+}
+
+// backlog is what entries before this one move first.
+func (t *Target) backlog() fleetload.Backlog {
+	if b := t.ahead.Load(); b != nil {
+		return *b
+	}
+	return fleetload.Backlog{}
+}
 
 // Load gives the load by all entries, as this one knows it.
 func (t *Target) Load() fleetload.Load {
@@ -200,7 +213,7 @@
 }
 
 func (t *Target) own() fleetload.Load {
-	return fleetload.Load{Running: int(t.running.Load()), Tokens: int(t.tokens.Load()), Unread: int(t.unread.Load()), Moving: int(t.moving.Load())}
+	return fleetload.Load{Running: int(t.running.Load()), Tokens: int(t.tokens.Load()), Unread: int(t.unread.Load()), Moving: int(t.moving.Load()), MovingRuns: int(t.movingRuns.Load())}
 }
 
 // Loads gives this entry's load on each target that has any, in the order of
@@ -256,6 +269,6 @@
 func (t *Target) setOthers(sum fleetload.Sum) {
 	t.others.Store(&sum.Load)
 	if !t.departs.Load() {
-		t.ahead.Store(int64(sum.Ahead))
+		t.ahead.Store(&sum.Ahead)
 	}
 }
