Standard terms for migrations, standby copies, reservations and draining targets

Change: seat, taker, roomy, departure, goes become reserved, destination, pickWithRoom, migration, migrations; a copy kept beforehand is a standby copy; a target that leaves drains. Package docs of placement and fleetload. Result: no behaviour changes; tests as before. Conclusion: the pass over platform/ and node/registry is not whole yet.

--- a/bench/losses/causes.go
+++ b/bench/losses/causes.go
@@ -91,7 +91,7 @@
 		return beganLate
 	case end.LongestGap.duration() <= a.pause:
 		return inTime
-	case end.Goes > 0:
+	case end.Migrations > 0:
 		return pausedMove
 	}
 	return paused
--- a/bench/losses/losses_test.go
+++ b/bench/losses/losses_test.go
@@ -47,7 +47,7 @@
 		want cause
 	}{
 		{"a whole stream", sent + end(`"first":300,"longest_gap":60,"events":9`), inTime},
-		{"its engine left, and it went on", sent + leaves + end(`"first":300,"longest_gap":60,"events":9,"goes":1`), inTime},
+		{"its engine left, and it went on", sent + leaves + end(`"first":300,"longest_gap":60,"events":9,"migrations":1`), inTime},
 		{"the route's own objective goes first", sent + end(`"first":300,"objective":200,"longest_gap":60,"events":9`), beganLate},
 		{"a pause where it was", sent + end(`"first":300,"longest_gap":900,"events":9`), paused},
 		{"a plain answer, late", sent + end(`"after":1900`), late},
--- a/bench/losses/read.go
+++ b/bench/losses/read.go
@@ -40,7 +40,7 @@
 	LongestGap milliseconds `json:"longest_gap"`
 	Objective  milliseconds `json:"objective"`
 	Events     int          `json:"events"`
-	Goes       int          `json:"goes"`
+	Migrations int          `json:"migrations"`
 }
 
 // story is what the logs tell of one request.
--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -1,7 +1,7 @@
-// Package fleetload adds up what the entries have under way at each target. Each
-// entry knows its own requests at once and those of the others a fraction of a
-// second late; without the others' it would send a burst to the target that all of
-// them take for the emptiest. Not safe for concurrent use; time comes in.
+// Package fleetload adds up the load reports of the entries by target. An entry knows its
+// own requests at once and those of the others some milliseconds late. Without the others'
+// reports all entries would choose the same least loaded target in a burst. Not safe for
+// concurrent use; time is passed in.
 package fleetload
 
 import (
--- a/core/handoff/handoff.go
+++ b/core/handoff/handoff.go
@@ -1,19 +1,19 @@
-// Package handoff decides how a stream goes on when its engine leaves or is lost
+// Package handoff decides how a stream is continued when its engine drains or is lost
 // while a caller is reading. It is pure; node/relay carries the decisions out.
 package handoff
 
-// Cause is why a stream can't stay where it is.
+// Cause is why a stream has to be continued elsewhere.
 type Cause uint8
 
 // The causes.
 const (
-	// CauseLeaving: the engine has said that it leaves, and still works.
-	CauseLeaving Cause = iota + 1
+	// CauseDraining: the engine has said that it drains, and still works.
+	CauseDraining Cause = iota + 1
 	// CauseLost: the connection ended or the answer broke off.
 	CauseLost
-	// CauseNoCopy: an engine said that it does not hold the copy it was asked to
+	// CauseNoStandby: an engine said that it does not hold the copy it was asked to
 	// go on from.
-	CauseNoCopy
+	CauseNoStandby
 )
 
 // Situation is what is known of a stream when it must go on elsewhere.
@@ -25,13 +25,13 @@
 	Ran bool
 	// Resumable streams may be run anew from the event after the last.
 	Resumable bool
-	// HasCopy tells that the run's memory was sent to another engine as it grew,
+	// HasStandby tells that the run's memory was sent to another engine as it grew,
 	// and that this engine is there.
-	HasCopy bool
+	HasStandby bool
 	// CanMove tells that the engine can copy a run on demand.
 	CanMove bool
-	// Goes is how many times the stream has gone on elsewhere.
-	Goes int
+	// Migrations is how many times the stream has gone on elsewhere.
+	Migrations int
 }
 
 // Action is what to do.
@@ -41,57 +41,57 @@
 const (
 	// ActionStay: read on.
 	ActionStay Action = iota + 1
-	// ActionFromCopy: end the run, and go on at the engine that has its memory.
-	ActionFromCopy
-	// ActionMove: copy the run while it goes on, stop it, and go on at the engine
+	// ActionFromStandby: end the run, and go on at the engine that has its memory.
+	ActionFromStandby
+	// ActionMigrate: copy the run while it continues, stop it, and continue at the engine
 	// that has the copy.
-	ActionMove
-	// ActionAgain: run anew after the last event.
-	ActionAgain
+	ActionMigrate
+	// ActionRestart: run anew after the last event.
+	ActionRestart
 	// ActionGiveUp: nothing may be done that would be the same run.
 	ActionGiveUp
 )
 
-// maxGoes bounds how often one stream goes on elsewhere: an engine is reclaimed
+// maxMigrations bounds how often one stream is continued elsewhere: an engine is reclaimed
 // every few seconds at worst, and the longest streams last some twenty.
-const maxGoes = 8
+const maxMigrations = 8
 
 // Next decides. A run that has not been seen to start is left where it is when its
-// engine leaves: nothing proves that it has not run, and engines work on for as
+// engine drains: nothing proves that it has not run, and engines work on for as
 // long as most requests take to start.
 func Next(s Situation) Action {
-	if s.Goes >= maxGoes {
-		return giveUpUnlessLeaving(s)
+	if s.Migrations >= maxMigrations {
+		return giveUpUnlessDraining(s)
 	}
 	switch s.Cause {
-	case CauseLeaving:
-		return whenLeaving(s)
+	case CauseDraining:
+		return whenDraining(s)
 	case CauseLost:
-		if s.HasCopy {
-			return ActionFromCopy
+		if s.HasStandby {
+			return ActionFromStandby
 		}
 	}
 	if s.Resumable || !s.Ran {
-		return ActionAgain
+		return ActionRestart
 	}
 	return ActionGiveUp
 }
 
-func giveUpUnlessLeaving(s Situation) Action {
-	if s.Cause == CauseLeaving {
+func giveUpUnlessDraining(s Situation) Action {
+	if s.Cause == CauseDraining {
 		return ActionStay
 	}
 	return ActionGiveUp
 }
 
-func whenLeaving(s Situation) Action {
+func whenDraining(s Situation) Action {
 	switch {
 	case s.Events == 0:
 		return ActionStay
-	case s.HasCopy:
-		return ActionFromCopy
+	case s.HasStandby:
+		return ActionFromStandby
 	case s.CanMove:
-		return ActionMove
+		return ActionMigrate
 	}
 	return ActionStay
 }
--- a/core/handoff/backup.go
+++ b/core/handoff/standby.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Notice is how long an engine works on, at the least, after it has said that it
-// leaves, as far as moves may rely on it: engines are reclaimed 1.5 s after their
+// drains, as far as migrations may rely on it: engines are reclaimed 1.5 s after their
 // notice at the earliest, and the last stop needs some of that.
 const Notice = 1300 * time.Millisecond
 
@@ -18,7 +18,7 @@
 	fleetFill = 0.55
 )
 
-// BackupFill gives up to which part of its memory an engine is given the copy of
+// StandbyFill gives up to which part of its memory an engine is given the copy of
 // one more stream that starts elsewhere, zero for none; fleet is the part of the memory
 // of all engines that is taken.
 //
@@ -28,7 +28,7 @@
 // just come is empty, but what waits elsewhere needs its room. Kept on nearly empty
 // engines of a fleet that has memory to spare, copies save the streams of engines that
 // crash at quiet hours.
-func BackupFill(moves bool, fleet float64) float64 {
+func StandbyFill(moves bool, fleet float64) float64 {
 	switch {
 	case !moves:
 		return fillCopies
--- a/core/handoff/backup_test.go
+++ b/core/handoff/standby_test.go
@@ -23,7 +23,7 @@
 		{"no moves, a quiet fleet", false, 0.3, fillCopies},
 		{"no moves, a crowded fleet", false, 0.8, fillCopies},
 	} {
-		t.Run(tt.name, func(t *testing.T) { qt.New(t).Assert(BackupFill(tt.moves, tt.fleet), qt.Equals, tt.want) })
+		t.Run(tt.name, func(t *testing.T) { qt.New(t).Assert(StandbyFill(tt.moves, tt.fleet), qt.Equals, tt.want) })
 	}
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -28,7 +28,7 @@
 	Cold bool
 	// Avoid is set for a while after a failure.
 	Avoid bool
-	// Full targets have lately said that they have no room.
+	// Full targets have refused a reservation of late.
 	Full bool
 	// Excluded targets must not be asked.
 	Excluded bool
@@ -49,7 +49,7 @@
 	Draws int
 	// Room leaves out targets without room for the request; nil leaves out none.
 	Room *Room
-	// Even takes all targets that have room for equally loaded.
+	// Even treats all targets that have room as equally loaded.
 	Even bool
 }
 
@@ -84,8 +84,7 @@
 	}
 	best, bestScore := -1, 0.0
 	for _, i := range eligible {
-		// A little noise keeps entries that see the same loads from all taking the
-		// same target.
+		// Noise keeps entries that see the same loads from choosing the same target.
 		s := score(&list[i], need) + draw()*breadth
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
@@ -100,10 +99,10 @@
 
 // DrawsFor gives how many of the targets each choice should draw.
 //
-// Load pattern: thirty entries send sixty prompts a second to forty engines, and
-// each knows the others' choices a little late. Taking the emptiest of all, several
-// prompts go to one engine before anybody knows; of a few drawn at random each entry
-// takes another one. An entry with few others takes the best of all.
+// Load pattern: thirty entries send sixty prompts a second to forty engines, and each
+// learns of the others' choices some milliseconds late. If all choose the least loaded
+// engine, several prompts arrive there before any load report does; from a random sample
+// the entries choose different ones. With few entries the sample is the whole list.
 func DrawsFor(targets, entries int) int {
 	return max(2, drawsPerShare*targets/max(entries, 1))
 }
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// Room says what an engine must have free for a request to be sent there. What
-// finds none waits: sent on, it would wait at the engine, or push out a stream that
-// runs there.
+// Room says what an engine must have free for a request to be sent there. Requests
+// without room are queued at the entry, because a queue at the engine cannot be cancelled
+// and a running stream might be preempted.
 type Room struct {
 	// Fill is up to which part of its memory an engine may be taken with the
 	// request.
 	Fill float64
 	// Unread is how many tokens of other prompts may wait there to be read.
 	Unread int
-	// Spare is the part of the engines that must have room to take one more besides.
+	// Spare is the part of the engines that must have room for one more request besides.
 	Spare float64
 }
 
@@ -25,14 +25,12 @@
 	// a request of the first rank that has no objective or can't keep it any more, half
 	// as many before others.
 	unreadRoom = 8000
-	// spareRank is the part of the engines whose room is left to requests of the first
-	// rank by all others.
+	// spareRank is the part of the engines with room that other ranks leave to the first.
 	spareRank = 0.03
-	// spareLong is the part that the longest generations leave to shorter ones
-	// besides.
+	// spareLong is the part that the longest generations leave to shorter ones besides.
 	spareLong = 0.06
-	// spareLate is the part that requests leave to others that can't begin in time
-	// any more.
+	// spareLate is the part that requests which can't begin in time any more leave to
+	// the others.
 	spareLate = 0.5
 	// typicalShare is the part of an engine's memory for which an engine must have
 	// room to count as spare.
@@ -82,13 +80,12 @@
 // RoomFor gives what a request needs among so many engines, which read prompts at so
 // many tokens a second.
 //
-// Load pattern: for some ten seconds more is asked of the engines than their memory
-// holds, so that some callers can't be served in time whatever is done. An
-// engine that goes to the shortest generations serves twice the callers. The others
-// go on once there is room for all. A prompt that is sent to an engine which can't read
-// it in time makes its caller wait and takes room from one that could be in time, so
-// that in the end nearly all are late; it goes only where there is time to read it,
-// and whoever is late already leaves room to others, of whatever rank.
+// Load pattern: for some ten seconds the demand for memory exceeds what the engines have,
+// so that some callers can't be served in time whatever is done. Memory given to the
+// shortest generations first serves twice the callers. A prompt that is sent to an engine
+// which can't read it in time is late and takes memory from one that could be in time, so
+// that nearly all are late in the end. So a prompt is sent only where there is time to
+// read it, and a request that is late already leaves room to others, of any rank.
 func RoomFor(w Waiting, speed float64) *Room {
 	room := &Room{Fill: admitFill, Unread: w.unread(speed)}
 	switch {
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -41,20 +41,20 @@
 	RequestRefused   = Event{303, zerolog.InfoLevel, "request refused, it has not run", "Look the reason up in OPERATIONS.md."}
 	RequestSent      = Event{304, zerolog.InfoLevel, "request sent to a target", "None."}
 	RequestAttempted = Event{305, zerolog.InfoLevel, "a target did not answer the request", "Look at the target's own lines by its name."}
-	RequestMoved     = Event{306, zerolog.InfoLevel, "stream goes on at another engine", "None, unless the pause is long: see how full the engines' links are."}
+	RequestMoved     = Event{306, zerolog.InfoLevel, "stream is continued at another engine", "None, unless the pause is long: see how full the engines' links are."}
 	RequestRetried   = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
 	RequestCopied    = Event{308, zerolog.InfoLevel, "a run was copied to another engine", "None, unless it takes long: see how full the engines' links are."}
 	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
 	RequestHeld      = Event{309, zerolog.InfoLevel, "request waited for an engine with room", "None, unless it recurs: the engines are full, add some or lower the customers' limits."}
 	RequestNoRoom    = Event{310, zerolog.InfoLevel, "an engine did not set room aside for a request", "None, unless it recurs with an error: see whether the engine runs."}
 	RetryDenied      = Event{311, zerolog.InfoLevel, "the retry budget did not allow one more send", "None, unless it recurs. reason=control_unavailable: see whether the control group has a leader. Else so much fails that retries are cut back: look for the cause in the 305 lines. Do not raise the budget."}
-	RequestNotMoved  = Event{312, zerolog.InfoLevel, "stream stays at an engine that leaves", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
+	RequestNotMoved  = Event{312, zerolog.InfoLevel, "migration skipped", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
 	RetryGranted     = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
 	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
-	TargetChanged    = Event{404, zerolog.InfoLevel, "what is believed of a target has changed", "None."}
+	TargetChanged    = Event{404, zerolog.InfoLevel, "target state changed", "None."}
 	TargetDialFailed = Event{406, zerolog.InfoLevel, "a connection to a target could not be opened", "None, unless one address recurs: see whether its machine is up, and whether it is out of connections."}
 	TargetUnusable   = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out who writes announcements of another form; the other targets hold."}
 	ControlStarted   = Event{500, zerolog.InfoLevel, "control member started", "None."}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -35,7 +35,7 @@
 	noRoom   *prometheus.CounterVec
 	granted  *prometheus.CounterVec
 	denied   *prometheus.CounterVec
-	notMoved *prometheus.CounterVec
+	skipped  *prometheus.CounterVec
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -49,15 +49,15 @@
 		refusals: s.refusals,
 		sends:    f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
 		attempts: f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
-		moves:    f.NewCounterVec(counter("relay_moves_total", "Streams that went on at another engine, by how."), []string{"how"}),
+		moves:    f.NewCounterVec(counter("relay_migrations_total", "Streams that were continued at another engine, by how."), []string{"how"}),
 		ended:    f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
 		noRoom:   f.NewCounterVec(counter("relay_no_room_total", "Reservations that engines did not give, by whether they said that they are full."), []string{"full"}),
 		granted:  f.NewCounterVec(counter("relay_retries_granted_total", "Retries that the budget allowed, by what they were for and where they were paid from."), []string{"why", "paid"}),
 		denied:   f.NewCounterVec(counter("relay_retries_denied_total", "Retries that the budget did not allow, by what they were for and the reason."), []string{"why", "reason"}),
-		notMoved: f.NewCounterVec(counter("relay_not_moved_total", "Streams that stayed at an engine that leaves, by why."), []string{"why"}),
+		skipped:  f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
 		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
-		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_move_pause_seconds", Help: "Pause of a stream that went on elsewhere.", Buckets: latencyBuckets}, []string{"how"}),
+		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_migration_pause_seconds", Help: "Pause of a stream that was continued at another engine.", Buckets: latencyBuckets}, []string{"how"}),
 		held:     f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_held_seconds", Help: "Time that requests waited at the entry for an engine with room, by route.", Buckets: latencyBuckets}, []string{"route"}),
 		copies:   f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_copy_seconds", Help: "Time of a copy of a run between two engines, by whether the run was stopped and whether it worked.", Buckets: latencyBuckets}, []string{"stop", "ok"}),
 		first:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_first_event_seconds", Help: "Time from a request's arrival to the first event of its stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
@@ -150,14 +150,14 @@
 		Int("used", v.Used).Float64("allowed", v.Allowed).Dur("took", v.Took)
 }
 
-// NotMoved implements relay.Observer.
-func (m *Relay) NotMoved(r *relay.Request, from *relay.Target, why string) {
-	m.notMoved.WithLabelValues(why).Inc()
+// MigrationSkipped implements relay.Observer.
+func (m *Relay) MigrationSkipped(r *relay.Request, from *relay.Target, why string) {
+	m.skipped.WithLabelValues(why).Inc()
 	target(request(events.RequestNotMoved.Log(m.log), r).Str("why", why), "from", from).Send()
 }
 
-// Moved implements relay.Observer.
-func (m *Relay) Moved(r *relay.Request, from, to *relay.Target, how string, pause time.Duration) {
+// Migrated implements relay.Observer.
+func (m *Relay) Migrated(r *relay.Request, from, to *relay.Target, how string, pause time.Duration) {
 	m.moves.WithLabelValues(how).Inc()
 	m.pause.WithLabelValues(how).Observe(pause.Seconds())
 	e := request(events.RequestMoved.Log(m.log), r).Str("how", how).Dur("pause", pause)
@@ -180,7 +180,7 @@
 		m.first.WithLabelValues(routeName(r)).Observe(st.First.Seconds())
 		m.gap.WithLabelValues(routeName(r)).Observe(st.LongestGap.Seconds())
 		line = line.Int("prompt", r.Ask.PromptTokens).Int("most", r.Ask.MaxTokens).Int("likely", r.Ask.LikelyTokens).Dur("patience", r.Ask.Patience)
-		line = line.Dur("first", st.First).Dur("longest_gap", st.LongestGap).Int("events", st.Events).Int("goes", st.Goes)
+		line = line.Dur("first", st.First).Dur("longest_gap", st.LongestGap).Int("events", st.Events).Int("migrations", st.Migrations)
 	}
 	line.Send()
 }
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -12,13 +12,13 @@
 // leg is the part of a stream that one engine makes.
 type leg struct {
 	target *Target
-	// backup is sent a copy of the run's memory as it grows; nil for none.
-	backup *Target
-	x      *upstream.Exchange
-	ctx    context.Context
-	cancel context.CancelFunc
-	// departure is the way to the next engine; nil until this one leaves.
-	departure *departure
+	// standby is sent a copy of the run's memory as it grows; nil for none.
+	standby *Target
+	x       *upstream.Exchange
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// migration prepares the next leg; nil until the engine drains.
+	migration *migration
 
 	// sentAt and queued tell when the request was sent and how many tokens the engine
 	// then had to read, its own prompt among them.
@@ -26,7 +26,7 @@
 	queued int
 
 	mu     sync.Mutex
-	tokens int // counted at the target, and at the backup
+	tokens int // counted at the target, and at the standby
 	unread int // counted at the target as not yet read
 	ended  bool
 }
@@ -34,10 +34,10 @@
 // begin sends the request to an engine. On anything but Answered the leg has
 // ended; it still tells where a copy of the run may be.
 func (s *streamRun) begin(ctx context.Context, t *Target, d Directive, why string) (*leg, string) {
-	l := &leg{target: t, backup: s.backupFor(t), tokens: s.tokens(), unread: s.unread(d)}
-	if l.backup != nil {
-		d.CopyTo = l.backup.Address
-		l.backup.keep(l.tokens)
+	l := &leg{target: t, standby: s.standbyFor(t), tokens: s.tokens(), unread: s.unread(d)}
+	if l.standby != nil {
+		d.CopyTo = l.standby.Address
+		l.standby.keep(l.tokens)
 	} else {
 		t.expose(1, l.tokens)
 	}
@@ -81,7 +81,7 @@
 	return l.tokens
 }
 
-// grow counts what the stream has grown by, at its engine and at its backup.
+// grow counts what the stream has grown by, at its engine and at its standby.
 func (l *leg) grow(tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,8 +91,8 @@
 	by := tokens - l.tokens
 	l.tokens = tokens
 	l.target.keep(by)
-	if l.backup != nil {
-		l.backup.keep(by)
+	if l.standby != nil {
+		l.standby.keep(by)
 	} else {
 		l.target.expose(0, by)
 	}
@@ -113,8 +113,8 @@
 	}
 	l.target.read(l.unread)
 	l.target.release(l.tokens)
-	if l.backup != nil {
-		l.backup.keep(-l.tokens)
+	if l.standby != nil {
+		l.standby.keep(-l.tokens)
 	} else {
 		l.target.expose(-1, -l.tokens)
 	}
--- a/node/relay/depart.go
+++ b/node/relay/migrate.go
@@ -10,12 +10,12 @@
 	"almondseam.dev/core/retrybudget"
 )
 
-// departure finds where a stream goes on whose engine leaves, while the engine
-// still works on it. done is closed at its end; the fields are read after that.
-type departure struct {
+// migration prepares the next leg of a stream while its draining engine still works
+// on it. done is closed at its end; the fields are read after that.
+type migration struct {
 	cancel context.CancelFunc
 	done   chan struct{}
-	// next is the leg that goes on already; nil if none does.
+	// next is the leg that has begun already; nil if none has.
 	next *leg
 	// copy is the stopped run's memory, to be taken up at one of at, in order.
 	copy Copy
@@ -25,62 +25,62 @@
 	paid *Retry
 }
 
-// How streams go on elsewhere, as observers are told.
+// How streams are continued, as observers are told.
 const (
-	howCopy  = "copy"  // from a copy that was kept beforehand
-	howMove  = "move"  // from a copy made on demand
-	howAgain = "again" // anew, after the last event
+	howStandby   = "standby"   // from a standby copy
+	howMigration = "migration" // from a copy made on demand
+	howRestart   = "restart"   // run anew after the last event
 )
 
-// Why streams stay at an engine that leaves, as observers are told.
+// Why a migration was skipped, as observers are told.
 const (
-	stayNoRoom = "no_room" // no engine took the run
-	stayBudget = "budget"  // the retry budget was spent until the notice was over
-	stayNoStop = "no_stop" // the run could not be stopped, or had ended
+	skipNoRoom = "no_room" // no engine had room for the run
+	skipBudget = "budget"  // the retry budget was spent until the notice was over
+	skipNoStop = "no_stop" // the run could not be stopped, or had ended
 )
 
-// moveZoneWeight is what an engine in another zone counts more as the taker of a
+// moveZoneWeight is what an engine in another zone counts more as the destination of a
 // run, in parts of its load: a move there takes twice the time.
 const moveZoneWeight = 1.2
 
-// maxMoveTries bounds how many engines are asked to take one run: the notice is
+// maxMigrationTries bounds how many engines are asked to take one run: the notice is
 // short.
-const maxMoveTries = 3
+const maxMigrationTries = 3
 
-// leave starts a departure if the stream is to leave its engine.
-func (s *streamRun) leave(l *leg) {
-	action := handoff.Next(s.situation(l, handoff.CauseLeaving))
+// startMigration starts one if the stream can be migrated.
+func (s *streamRun) startMigration(l *leg) {
+	action := handoff.Next(s.situation(l, handoff.CauseDraining))
 	if action == handoff.ActionStay {
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	l.departure = &departure{cancel: cancel, done: make(chan struct{})}
-	s.req.Stream.Goes++
-	go s.depart(ctx, l, action)
+	l.migration = &migration{cancel: cancel, done: make(chan struct{})}
+	s.req.Stream.Migrations++
+	go s.migrate(ctx, l, action)
 }
 
-func (s *streamRun) depart(ctx context.Context, l *leg, action handoff.Action) {
-	d := l.departure
+func (s *streamRun) migrate(ctx context.Context, l *leg, action handoff.Action) {
+	d := l.migration
 	defer close(d.done)
-	if action == handoff.ActionFromCopy && s.departByCopy(ctx, l) {
+	if action == handoff.ActionFromStandby && s.migrateByStandby(ctx, l) {
 		return
 	}
 	if s.canMove() {
-		s.departByMove(ctx, l)
+		s.migrateByCopy(ctx, l)
 	}
 }
 
-// departByCopy goes on at the engine that was sent the run's memory as it grew.
+// migrateByStandby continues the run at the engine that keeps its standby copy.
 //
 // The run ends only once the next engine has taken it up: a copy may be missing,
 // for want of room, and a run that was ended for it could not go on anywhere. For
 // the few milliseconds between, both make the same events; numbers tell which the
 // caller has.
-func (s *streamRun) departByCopy(ctx context.Context, l *leg) bool {
-	if !s.mayResume(ctx, howCopy) {
+func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
+	if !s.mayResume(ctx, howStandby) {
 		return false
 	}
-	next, _ := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), howCopy)
+	next, _ := s.begin(s.ctx, l.standby, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
 	if next.x == nil {
 		return false
 	}
@@ -88,77 +88,77 @@
 		next.end() // the stream has ended meanwhile
 		return false
 	}
-	l.departure.next, l.departure.how = next, howCopy
+	l.migration.next, l.migration.how = next, howStandby
 	l.cancel()
 	return true
 }
 
-// departByMove copies the run to another engine while it goes on, and then once
+// migrateByCopy copies the run to another engine while it continues, and then once
 // more with a stop, so that the pause covers only what was made in between.
-func (s *streamRun) departByMove(ctx context.Context, l *leg) {
+func (s *streamRun) migrateByCopy(ctx context.Context, l *leg) {
 	if !s.waitForTurn(ctx, l) {
 		return
 	}
 	defer func() { <-l.target.turn }()
 	tried := []*Target{l.target}
-	for range maxMoveTries {
-		to := s.taker(tried)
+	for range maxMigrationTries {
+		to := s.destination(tried)
 		if to == nil || ctx.Err() != nil {
 			break
 		}
 		tried = append(tried, to)
-		if why := s.moveTo(ctx, l, to); why != stayNoRoom {
-			s.notMoved(ctx, l, why)
+		if why := s.moveTo(ctx, l, to); why != skipNoRoom {
+			s.skipped(ctx, l, why)
 			return
 		}
 	}
-	s.notMoved(ctx, l, stayNoRoom)
+	s.skipped(ctx, l, skipNoRoom)
 }
 
-// notMoved tells why a run stays, if it does and its stream has not ended.
-func (s *streamRun) notMoved(ctx context.Context, l *leg, why string) {
+// skipped tells why a migration was skipped, unless the stream has ended.
+func (s *streamRun) skipped(ctx context.Context, l *leg, why string) {
 	if why != "" && ctx.Err() == nil {
-		s.relay.obs.NotMoved(s.req, l.target, why)
+		s.relay.obs.MigrationSkipped(s.req, l.target, why)
 	}
 }
 
-// moveTo moves the run to another engine. It gives why the run stays, empty if it has
-// been stopped; after stayNoRoom another engine may take it.
+// moveTo moves the run to another engine. It gives why that was skipped, empty if the run
+// has been stopped; after skipNoRoom another engine may take it.
 func (s *streamRun) moveTo(ctx context.Context, l *leg, to *Target) (why string) {
 	tokens := l.held()
 	to.keep(tokens)
 	defer to.keep(-tokens)
 	if err := s.copyUntilQuick(ctx, l, to); err != nil {
-		return stayNoRoom
+		return skipNoRoom
 	}
-	paid, ok := s.payMove(ctx, l)
+	paid, ok := s.payMigration(ctx, l)
 	if !ok {
-		return stayBudget
+		return skipBudget
 	}
 	moved, err := s.copy(ctx, l, to, true)
 	if moved.ID == "" {
 		s.relay.retries.GiveBack(paid)
-		return stayNoStop
+		return skipNoStop
 	}
 	// Without room at the other engine the run has stopped all the same, and the
-	// one that leaves still holds its memory.
-	l.departure.copy, l.departure.how, l.departure.paid = moved, howMove, &paid
-	l.departure.at = []*Target{to, l.target}
+	// draining one still holds its memory.
+	l.migration.copy, l.migration.how, l.migration.paid = moved, howMigration, &paid
+	l.migration.at = []*Target{to, l.target}
 	if err != nil {
-		l.departure.at = []*Target{l.target}
+		l.migration.at = []*Target{l.target}
 	}
 	return ""
 }
 
-// payMove takes the retry for a move before the run is stopped, and waits for one
+// payMigration takes the retry for a move before the run is stopped, and waits for one
 // while its engine still works.
 //
 // Failure: the budget is spent just then. Symptom if it is asked once the run has
 // stopped: the run can go on nowhere, though its memory is whole at another engine.
-// Until it is stopped it goes on, and may be over before the notice is.
-func (s *streamRun) payMove(ctx context.Context, l *leg) (paid Retry, ok bool) {
+// Until it is stopped it continues, and may be over before the notice is.
+func (s *streamRun) payMigration(ctx context.Context, l *leg) (paid Retry, ok bool) {
 	for {
-		paid, ok = s.relay.retry(ctx, s.req, retrybudget.PurposeResume, howMove)
+		paid, ok = s.relay.retry(ctx, s.req, retrybudget.PurposeResume, howMigration)
 		if ok {
 			return paid, true
 		}
@@ -189,7 +189,7 @@
 // with the engine and some milliseconds of copying.
 const quickCopy = 40 * time.Millisecond
 
-// copyUntilQuick copies the run while it goes on, and again what is new, until
+// copyUntilQuick copies the run while it continues, and again what is new, until
 // that is quick or the notice is nearly over. A slow copy of a few tokens tells
 // that runs of other entries are on the link; a run stopped now would wait for
 // them, and its caller with it.
@@ -201,7 +201,8 @@
 			return err
 		}
 		now := time.Now()
-		if now.Sub(began) < quickCopy || now.After(until) {
+		took := now.Sub(began)
+		if took < quickCopy || now.After(until) {
 			return nil
 		}
 	}
@@ -210,7 +211,7 @@
 // waitForTurn waits until the runs before this one have been moved from the
 // engine; false when ctx ends first.
 //
-// Failure: several runs leave one engine at once. Symptom: their copies share its
+// Failure: several runs migrate from one engine at once. Symptom: their copies share its
 // link, each run that was stopped waits for the long copies of the others, and all
 // callers see a pause of up to a second, or the engine is gone first. One after
 // the other they take the same time in all, and each caller sees the pause of its
@@ -226,7 +227,7 @@
 	if e == nil {
 		return true
 	}
-	left := time.Unix(0, l.target.leftAt.Load())
+	left := time.Unix(0, l.target.drainingSince.Load())
 	backlog := l.target.backlog()
 	ahead := handoff.MoveTime(backlog.Tokens, backlog.Runs, e.MoveRate())
 	t := time.NewTimer(time.Until(left.Add(min(ahead, handoff.Notice))))
@@ -240,11 +241,11 @@
 	}
 }
 
-// taker chooses the engine that a run is moved to, among all that have room.
+// destination chooses the engine that a run is moved to, among all that have room.
 // Several entries move the runs of an engine in the same instant; sent to the one
 // that is emptiest, they would wait for each other on its link until the notice is
 // over.
-func (s *streamRun) taker(not []*Target) *Target {
+func (s *streamRun) destination(not []*Target) *Target {
 	list := s.relay.targets.Of(s.req.Service)
 	candidates := s.relay.candidates(list, not, time.Now())
 	choice := placement.Pick(candidates, placement.Need{Zone: not[0].Zone, Tokens: s.tokens(), ZoneWeight: moveZoneWeight, Even: true}, rand.Float64)
@@ -254,15 +255,15 @@
 	return list[choice]
 }
 
-// resumeFrom gives the directive for a request that goes on from a copy.
+// resumeFrom gives the directive for a request that continues from a copy.
 func (s *streamRun) resumeFrom(c Copy) Directive {
 	return Directive{CopyFrom: c, LastEvent: s.last()}
 }
 
-// departed waits for the leg's departure and begins the next leg; nil if there is
+// migrated waits for the leg's migration and begins the next leg; nil if there is
 // none.
-func (s *streamRun) departed(l *leg) *leg {
-	d := l.departure
+func (s *streamRun) migrated(l *leg) *leg {
+	d := l.migration
 	if d == nil {
 		return nil
 	}
@@ -273,7 +274,7 @@
 		return nil
 	}
 	if d.next != nil {
-		s.relay.obs.Moved(s.req, l.target, d.next.target, d.how, time.Since(s.pausedAt))
+		s.relay.obs.Migrated(s.req, l.target, d.next.target, d.how, time.Since(s.pausedAt))
 		return d.next
 	}
 	for _, t := range d.at {
@@ -282,15 +283,15 @@
 		}
 		next, _ := s.begin(s.ctx, t, s.resumeFrom(d.copy), d.how)
 		if next.x != nil {
-			s.relay.obs.Moved(s.req, l.target, t, d.how, time.Since(s.pausedAt))
+			s.relay.obs.Migrated(s.req, l.target, t, d.how, time.Since(s.pausedAt))
 			return next
 		}
 	}
 	return nil
 }
 
-// pay uses the retry that was taken for a departure, or takes one.
-func (s *streamRun) pay(d *departure) bool {
+// pay uses the retry that was taken for a migration, or takes one.
+func (s *streamRun) pay(d *migration) bool {
 	paid := d.paid
 	d.paid = nil
 	if paid != nil && paid.valid(time.Now()) {
@@ -299,9 +300,9 @@
 	return s.mayResume(s.ctx, d.how)
 }
 
-// forget ends a departure that is not needed any more.
+// forget ends a migration that is not needed any more.
 func (s *streamRun) forget(l *leg) {
-	d := l.departure
+	d := l.migration
 	if d == nil {
 		return
 	}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -48,7 +48,7 @@
 	CopyTo string
 	// CopyFrom names the memory to go on from.
 	CopyFrom Copy
-	// LastEvent is the event after which the answer goes on.
+	// LastEvent is the event after which the answer continues.
 	LastEvent string
 }
 
@@ -107,12 +107,12 @@
 	RetryGranted(r *Request, why string, v RetryVerdict)
 	// RetryDenied tells that it did not.
 	RetryDenied(r *Request, why string, v RetryVerdict)
-	// NotMoved tells that a stream stays at its engine, which leaves, and why.
-	NotMoved(r *Request, from *Target, why string)
+	// MigrationSkipped tells that a stream was not migrated from its draining engine, and why.
+	MigrationSkipped(r *Request, from *Target, why string)
 	// Copied tells of one copy of a run between two engines.
 	Copied(r *Request, from, to *Target, stop bool, took time.Duration, err error)
-	// Moved tells that a stream goes on elsewhere after a pause.
-	Moved(r *Request, from, to *Target, how string, pause time.Duration)
+	// Migrated tells that a stream is continued at another engine after a pause.
+	Migrated(r *Request, from, to *Target, how string, pause time.Duration)
 	// Ended tells how a request ended towards its caller.
 	Ended(r *Request, status int, outcome string)
 }
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -58,8 +58,8 @@
 func (quiet) Copied(*Request, *Target, *Target, bool, time.Duration, error) {}
 func (quiet) RetryGranted(*Request, string, RetryVerdict)                   {}
 func (quiet) RetryDenied(*Request, string, RetryVerdict)                    {}
-func (quiet) NotMoved(*Request, *Target, string)                            {}
-func (quiet) Moved(*Request, *Target, *Target, string, time.Duration)       {}
+func (quiet) MigrationSkipped(*Request, *Target, string)                    {}
+func (quiet) Migrated(*Request, *Target, *Target, string, time.Duration)    {}
 func (quiet) Ended(*Request, int, string)                                   {}
 func (quiet) Dialled(string, error)                                         {}
 
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -63,8 +63,8 @@
 	First      time.Duration
 	LongestGap time.Duration
 	Events     int
-	// Goes is how often the stream went on elsewhere.
-	Goes int
+	// Migrations is how often the stream went on elsewhere.
+	Migrations int
 }
 
 // callerGone tells whether the caller has closed its connection.
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -9,8 +9,8 @@
 	"almondseam.dev/core/placement"
 )
 
-// seat is an engine that has room for a request.
-type seat struct {
+// reserved is an engine that has room for a request.
+type reserved struct {
 	target *Target
 	// reservation names the room that the engine has set aside; empty for none.
 	reservation string
@@ -21,9 +21,8 @@
 
 const (
 	// roomLook is the mean pace at which a waiting request looks for room, spread
-	// over half to one and a half times that: an engine that has just come is seen by
-	// all that wait, and the load of the first that take it is known elsewhere after
-	// some ten milliseconds.
+	// over half to one and a half times that, so that not all of them choose an engine
+	// that has just started before the first load reports arrive.
 	roomLook = 60 * time.Millisecond
 	// roomObjectives is how many times its objective a request waits for room at
 	// most. Callers give a stream up that has not begun after four times that.
@@ -42,29 +41,29 @@
 	reserveWithin = 300 * time.Millisecond
 )
 
-// seatOf finds the engine for a stream, nil if there is none. Streams that do not
+// reserveFor finds the engine for a stream, nil if there is none. Streams that do not
 // tell what they generate are placed by load alone.
-func (r *Relay) seatOf(ctx context.Context, req *Request) *seat {
+func (r *Relay) reserveFor(ctx context.Context, req *Request) *reserved {
 	if req.Route.Generates {
-		return r.seatFor(ctx, req)
+		return r.awaitReservation(ctx, req)
 	}
 	if t := r.place(req, req.Service, req.asked); t != nil {
-		return &seat{target: t}
+		return &reserved{target: t}
 	}
 	return nil
 }
 
-// seatFor finds an engine with room for a generation, and waits for one; nil if
+// awaitReservation finds an engine with room for a generation, and waits for one; nil if
 // there is none in time.
 //
-// Load pattern: thirty entries, each of which hears of the others' choices some
-// milliseconds late, send prompts to engines that are nearly full. Several
-// take the room that one stream has left; all but one of them wait at the engine
-// for seconds, while others have room again. Asked first, the engine gives its room
-// to one of them, and the others look on.
-func (r *Relay) seatFor(ctx context.Context, req *Request) *seat {
+// Load pattern: thirty entries, each of which learns of the others' choices some
+// milliseconds late, send prompts to engines that are nearly full. Several choose the
+// memory that one stream has freed; all but one of them would wait at the engine for
+// seconds, while other engines have room again. A reservation at the engine grants it to
+// one of them, and the others try elsewhere.
+func (r *Relay) awaitReservation(ctx context.Context, req *Request) *reserved {
 	began := time.Now()
-	s := r.trySeat(ctx, req)
+	s := r.tryReserve(ctx, req)
 	if s != nil {
 		return s
 	}
@@ -74,7 +73,7 @@
 			return nil // none could take it at all
 		}
 		pause(ctx, time.Duration((0.5+rand.Float64())*float64(roomLook)))
-		s = r.trySeat(ctx, req)
+		s = r.tryReserve(ctx, req)
 	}
 	r.obs.Held(req, time.Since(began))
 	return s
@@ -100,11 +99,11 @@
 	}
 }
 
-// trySeat asks engines that seem to have room, one after the other, until one
+// tryReserve asks engines that seem to have room, one after the other, until one
 // gives it.
-func (r *Relay) trySeat(ctx context.Context, req *Request) *seat {
+func (r *Relay) tryReserve(ctx context.Context, req *Request) *reserved {
 	for range maxLooks {
-		t := r.roomy(req)
+		t := r.pickWithRoom(req)
 		if t == nil {
 			return nil
 		}
@@ -116,10 +115,10 @@
 }
 
 // ask asks one engine to set room aside; nil if it doesn't.
-func (r *Relay) ask(ctx context.Context, req *Request, t *Target) *seat {
+func (r *Relay) ask(ctx context.Context, req *Request, t *Target) *reserved {
 	e := r.engine(req.Service)
 	if e == nil || e.Reserves == 0 {
-		return &seat{target: t}
+		return &reserved{target: t}
 	}
 	t.hold(req.tokens, req.Ask.PromptTokens)
 	defer func() {
@@ -130,7 +129,7 @@
 	defer cancel()
 	id, err := r.engines.Reserve(within, t.Address, req.tokens, e.Reserves)
 	if err == nil {
-		return &seat{target: t, reservation: id}
+		return &reserved{target: t, reservation: id}
 	}
 	r.obs.NoRoom(req, t, err)
 	switch {
@@ -142,8 +141,8 @@
 	return nil
 }
 
-// roomy chooses an engine that seems to have room, nil if none has.
-func (r *Relay) roomy(req *Request) *Target {
+// pickWithRoom chooses an engine that seems to have room, nil if none has.
+func (r *Relay) pickWithRoom(req *Request) *Target {
 	list := r.targets.Of(req.Service)
 	now := time.Now()
 	choice := placement.Pick(r.candidates(list, req.asked, now), placement.Need{
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -73,7 +73,7 @@
 	switch {
 	case reply.WrongTarget:
 		// The address belongs to another target now; the one that was meant is gone.
-		t.depart()
+		t.drain()
 		return outcomeElse
 	case reply.NotRun:
 		return outcomeNotRun
--- a/node/relay/backup.go
+++ b/node/relay/standby.go
@@ -21,15 +21,15 @@
 	return e != nil && e.Moves
 }
 
-// backupFor chooses the engine that gets a copy of the run's memory, nil for none.
-func (s *streamRun) backupFor(t *Target) *Target {
+// standbyFor chooses the engine that gets a copy of the run's memory, nil for none.
+func (s *streamRun) standbyFor(t *Target) *Target {
 	e := s.engine()
 	if e == nil || !e.Backups || s.req.Ask.MaxTokens < longStream {
 		return nil
 	}
 	list := s.relay.targets.Of(s.req.Service)
 	candidates := s.relay.candidates(list, []*Target{t}, time.Now())
-	fill := handoff.BackupFill(e.Moves, placement.Taken(candidates))
+	fill := handoff.StandbyFill(e.Moves, placement.Taken(candidates))
 	if fill == 0 {
 		return nil
 	}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -16,7 +16,7 @@
 )
 
 // streamRun is one stream on its way from engine to engine to its caller. One
-// goroutine reads and gives events; while an engine leaves, a second one prepares
+// goroutine reads and gives events; while its engine drains, a second one prepares
 // the next leg.
 type streamRun struct {
 	relay *Relay
@@ -24,7 +24,7 @@
 	ctx   context.Context
 	flush func() error
 
-	// expected is read while an engine leaves, too.
+	// expected is read by the migration, too.
 	expected atomic.Int64
 	// began tells that the caller has the answer's head.
 	began bool
@@ -67,7 +67,7 @@
 	why := "first"
 	outcome := outcomeNotRun
 	for {
-		at := s.relay.seatOf(s.ctx, s.req)
+		at := s.relay.reserveFor(s.ctx, s.req)
 		if at == nil {
 			return nil, outcome
 		}
@@ -80,7 +80,7 @@
 		if s.ctx.Err() != nil {
 			return nil, outcome
 		}
-		if outcome == outcomeLost && l.backup != nil {
+		if outcome == outcomeLost && l.standby != nil {
 			return s.next(l, errNoHead), outcome
 		}
 		if !s.relay.mayGoOn(s.req, outcome) || !s.relay.mayRetry(s.ctx, s.req, outcome) {
@@ -114,8 +114,8 @@
 		if s.req.Stream.Events%growEvery == 0 {
 			s.grow(l)
 		}
-		if l.departure == nil && l.target.departs.Load() {
-			s.leave(l)
+		if l.migration == nil && l.target.draining.Load() {
+			s.startMigration(l)
 		}
 	}
 }
@@ -138,24 +138,24 @@
 
 func (s *streamRun) situation(l *leg, cause handoff.Cause) handoff.Situation {
 	return handoff.Situation{
-		Cause:     cause,
-		Events:    s.req.Stream.Events,
-		Ran:       s.req.mayHaveRun,
-		Resumable: s.req.Route.Resumable,
-		HasCopy:   l.backup != nil && (cause == handoff.CauseLost || !l.backup.departs.Load()),
-		CanMove:   s.canMove(),
-		Goes:      s.req.Stream.Goes,
+		Cause:      cause,
+		Events:     s.req.Stream.Events,
+		Ran:        s.req.mayHaveRun,
+		Resumable:  s.req.Route.Resumable,
+		HasStandby: l.standby != nil && (cause == handoff.CauseLost || !l.standby.draining.Load()),
+		CanMove:    s.canMove(),
+		Migrations: s.req.Stream.Migrations,
 	}
 }
 
 // give passes one event on, unless the caller has it.
 //
-// Failure: an engine leaves just after it has made a stream's last event, and the
-// stream goes on elsewhere. Symptom: the next engine, with nothing left to make,
+// Failure: an engine stops just after it has made a stream's last event, and the
+// stream is continued at another engine. Symptom: the next engine, with nothing left to make,
 // gives the last event again. Events are numbered without gaps, so whatever is not
 // above the last one given is a repetition.
 func (s *streamRun) give(l *leg, ev event) error {
-	if s.req.Stream.Goes > 0 && !after(ev.id, s.lastID) {
+	if s.req.Stream.Migrations > 0 && !after(ev.id, s.lastID) {
 		return nil
 	}
 	s.observe()
@@ -213,7 +213,7 @@
 // passOn gives the caller an engine's answer that is no stream.
 func (s *streamRun) passOn(l *leg) error {
 	if s.began {
-		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a stream that goes on")
+		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a stream that is continued")
 	}
 	body, whole, err := readUpTo(l.x.Body, maxWhole)
 	if err != nil {
@@ -224,27 +224,27 @@
 	return nil
 }
 
-// next finds the leg in which the stream goes on after one has ended early.
+// next finds the leg that continues the stream after one has ended early.
 func (s *streamRun) next(l *leg, end error) *leg {
 	if s.ctx.Err() != nil {
 		s.forget(l)
 		return nil
 	}
-	if next := s.departed(l); next != nil || s.ctx.Err() != nil {
+	if next := s.migrated(l); next != nil || s.ctx.Err() != nil {
 		return next
 	}
 	l.target.failed(time.Now())
 	s.relay.obs.Attempted(s.req, l.target, outcomeLost, end)
 	cause := handoff.CauseLost
 	for {
-		s.req.Stream.Goes++
+		s.req.Stream.Migrations++
 		switch handoff.Next(s.situation(l, cause)) {
-		case handoff.ActionFromCopy:
-			if next := s.fromCopy(l); next != nil || s.ctx.Err() != nil {
+		case handoff.ActionFromStandby:
+			if next := s.fromStandby(l); next != nil || s.ctx.Err() != nil {
 				return next
 			}
-			cause = handoff.CauseNoCopy
-		case handoff.ActionAgain:
+			cause = handoff.CauseNoStandby
+		case handoff.ActionRestart:
 			return s.again(l)
 		default:
 			return nil
@@ -252,20 +252,20 @@
 	}
 }
 
-// fromCopy goes on at the engine that has the run's memory.
-func (s *streamRun) fromCopy(l *leg) *leg {
-	if !s.mayResume(s.ctx, howCopy) {
+// fromStandby continues the run at the engine that keeps its standby copy.
+func (s *streamRun) fromStandby(l *leg) *leg {
+	if !s.mayResume(s.ctx, howStandby) {
 		return nil
 	}
-	next, outcome := s.begin(s.ctx, l.backup, s.resumeFrom(Copy{Address: l.backup.Address, ID: string(s.req.Ask.Request)}), howCopy)
+	next, outcome := s.begin(s.ctx, l.standby, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
 	if outcome != Answered {
 		return nil
 	}
-	s.relay.obs.Moved(s.req, l.target, l.backup, howCopy, time.Since(s.pausedAt))
+	s.relay.obs.Migrated(s.req, l.target, l.standby, howStandby, time.Since(s.pausedAt))
 	return next
 }
 
-// mayResume takes the retry for a stream that goes on elsewhere.
+// mayResume takes the retry for a stream that is continued at another engine.
 func (s *streamRun) mayResume(ctx context.Context, how string) bool {
 	_, ok := s.relay.retry(ctx, s.req, retrybudget.PurposeResume, how)
 	return ok
@@ -274,18 +274,18 @@
 // again runs the request anew after the last event.
 func (s *streamRun) again(l *leg) *leg {
 	s.req.asked = append(s.req.asked, l.target)
-	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.mayResume(s.ctx, howAgain) {
+	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.mayResume(s.ctx, howRestart) {
 		return nil
 	}
 	t := s.relay.place(s.req, s.req.Service, s.req.asked)
 	if t == nil {
 		return nil
 	}
-	next, outcome := s.begin(s.ctx, t, Directive{LastEvent: s.last()}, howAgain)
+	next, outcome := s.begin(s.ctx, t, Directive{LastEvent: s.last()}, howRestart)
 	if outcome != Answered {
 		return nil
 	}
-	s.relay.obs.Moved(s.req, l.target, t, howAgain, time.Since(s.pausedAt))
+	s.relay.obs.Migrated(s.req, l.target, t, howRestart, time.Since(s.pausedAt))
 	return next
 }
 
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -16,10 +16,10 @@
 // Target is one run of a target as this entry knows it.
 type Target struct {
 	directory.Record
-	departs atomic.Bool
-	// leftAt is when the target was first known to be leaving, Unix nanoseconds.
-	leftAt   atomic.Int64
-	coldTill time.Time
+	draining atomic.Bool
+	// drainingSince is when the target was first known to drain, Unix nanoseconds.
+	drainingSince atomic.Int64
+	coldTill      time.Time
 	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
@@ -101,7 +101,7 @@
 func (t *Targets) renew(known *Target, r directory.Record) *Target {
 	if known == nil || known.Born != r.Born || known.Address != r.Address || known.Service != r.Service {
 		if known != nil {
-			known.depart()
+			known.drain()
 		}
 		known = &Target{Record: r, table: t, turn: make(chan struct{}, 1), coldTill: time.Now().Add(r.Cold)}
 		if sum, ok := t.others[r.Target]; ok {
@@ -110,20 +110,21 @@
 	}
 	switch r.State {
 	case directory.StateLeaving, directory.StateGone:
-		known.depart()
+		known.drain()
 	}
 	return known
 }
 
-// depart marks the target as leaving: it gets no new requests, and its streams go on
-// elsewhere.
-func (t *Target) depart() {
-	t.leftAt.CompareAndSwap(0, time.Now().UnixNano())
-	t.departs.Store(true)
+// drain marks the target as draining: it gets no new requests, and its streams migrate.
+func (t *Target) drain() {
+	t.drainingSince.CompareAndSwap(0, time.Now().UnixNano())
+	t.draining.Store(true)
 }
 
-// noticeEnds is until when a target that leaves can be relied on.
-func (t *Target) noticeEnds() time.Time { return time.Unix(0, t.leftAt.Load()).Add(handoff.Notice) }
+// noticeEnds is until when a draining target can be relied on.
+func (t *Target) noticeEnds() time.Time {
+	return time.Unix(0, t.drainingSince.Load()).Add(handoff.Notice)
+}
 
 // Of gives the targets of a service.
 func (t *Targets) Of(s api.ServiceID) []*Target { return t.view.Load().byService[s] }
@@ -268,7 +269,7 @@
 
 func (t *Target) setOthers(sum fleetload.Sum) {
 	t.others.Store(&sum.Load)
-	if !t.departs.Load() {
+	if !t.draining.Load() {
 		t.ahead.Store(&sum.Ahead)
 	}
 }
