A copy before the stop is not begun where the notice would end within it

Change: as the next copy may take as long as the last, the run is stopped at once if the notice would be over by then. Its caller sees a late pause instead of a stream that breaks off.

--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -202,7 +202,8 @@
 		}
 		now := time.Now()
 		took := now.Sub(began)
-		if took < quickCopy || now.After(until) {
+		// The next copy may take as long as this one.
+		if took < quickCopy || now.Add(took).After(until) {
 			return nil
 		}
 	}
