The last engines with much room are kept for large requests

A small request fits wherever a stream has ended, a large one only where several have; the next small one takes the room before. Change: while at most 15 engines in 100 have a quarter of their memory free, requests of under a fifth of it leave them that room. Need.Tokens and the candidates decide; no message is needed.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -74,6 +74,7 @@
 	if need.Room != nil && !need.Room.spares(list) {
 		return -1
 	}
+	eligible = withoutKept(list, eligible, need)
 	eligible = drawn(eligible, need.Draws, draw)
 	if len(eligible) == 0 {
 		return -1
