An announcement costs the same however many targets there are

Change: the directory keeps targets by address. Test: TestAddressesAreIndexedAsTheyAre, 20,000 random steps against the list itself.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -21,6 +21,11 @@
 	drainBound = 3 * time.Second
 	// servedAtLeast is the part of calls that a calm fleet answers with success.
 	servedAtLeast = 0.97
+	// retryRatio, retrySlack and retryWindow are the fleet's retry budget: little, so
+	// that faults use it up.
+	retryRatio  = 0.02
+	retrySlack  = 8.0
+	retryWindow = 10 * time.Second
 )
 
 // call is what is kept of a caller's request.
@@ -45,6 +50,9 @@
 	// calmFrom is since when there has been no fault; zero while there are.
 	calmFrom     time.Time
 	calm, served int
+	// sent are the times of all calls, retries those of runs beyond a call's first.
+	sent    []time.Time
+	retries map[api.ServiceID][]time.Time
 }
 
 type ack struct {
@@ -53,7 +61,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), services: make(map[uint64]api.ServiceID)}
+	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), services: make(map[uint64]api.ServiceID), retries: make(map[api.ServiceID][]time.Time)}
 }
 
 // fail notes a broken promise. The lock is held.
@@ -85,7 +93,9 @@
 func (k *checker) Sent(id api.RequestID, what traffic) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.calls[id] = &call{what: what, sent: time.Now()}
+	now := time.Now()
+	k.calls[id] = &call{what: what, sent: now}
+	k.sent = append(k.sent, now)
 }
 
 // Ran takes a target's word that it runs a request.
@@ -98,6 +108,9 @@
 		return
 	}
 	c.runs = append(c.runs, r)
+	if len(c.runs) > 1 {
+		k.retries[r.Service] = append(k.retries[r.Service], r.Began)
+	}
 	if len(c.runs) > 1 && c.what.once {
 		k.fail("%s of %s ran at %s and at %s", r.Request, c.what.path, c.runs[0].Target, r.Target)
 	}
@@ -217,10 +230,41 @@
 	}
 }
 
+// checkRetries holds the retries of each window against the budget, whatever the faults.
+// All calls count as requests for each service, which is more than the budget counts. The
+// lock is held.
+func (k *checker) checkRetries() {
+	for service, list := range k.retries {
+		slices.SortFunc(list, time.Time.Compare)
+		for _, last := range list {
+			end := last.Add(time.Nanosecond)
+			from := end.Add(-retryWindow)
+			most := max(within(k.sent, from, end), within(k.sent, from.Add(-retryWindow), from), within(k.sent, from.Add(-retryWindow/2), end.Add(-retryWindow/2)))
+			got, bound := within(list, from, end), retryRatio*float64(most)+retrySlack
+			if float64(got) > bound {
+				k.fail("%s got %d retries in a window, of %.1f", service, got, bound)
+				return
+			}
+		}
+	}
+}
+
+// within counts the times in a span.
+func within(list []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range list {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // verdict tells what was seen and broken.
 func (k *checker) verdict() (string, []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.checkRetries()
 	broken := slices.Clone(k.broken)
 	if k.calm > 0 && float64(k.served) < servedAtLeast*float64(k.calm) {
 		broken = append(broken, fmt.Sprintf("a calm fleet served %d of %d calls", k.served, k.calm))
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -90,3 +91,19 @@
 		})
 	}
 }
+
+// TestTooManyRetriesAreSeen: a check of the retry budget that can't fail proves nothing.
+func TestTooManyRetriesAreSeen(t *testing.T) {
+	for extra, broken := range map[int]bool{0: false, 1: true} {
+		c := qt.New(t)
+		k := newChecker()
+		for i := range int(retrySlack) + extra {
+			id := api.RequestID(fmt.Sprint(i))
+			k.Sent(id, traffic{})
+			k.Ran(standin.Run{Request: id, Target: "x", Service: serviceA, Began: time.Now()})
+			k.Ran(standin.Run{Request: id, Target: "y", Service: serviceA, Began: time.Now()})
+		}
+		_, seen := k.verdict()
+		c.Assert(len(seen) > 0, qt.Equals, broken, qt.Commentf("%v", seen))
+	}
+}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -108,6 +108,7 @@
 		n.dir, n.binary, n.onUnwell = dir, binary, onUnwell
 		n.set.Name, n.set.Zone, n.set.Seeds, n.set.LinkPort = n.name, "z", seeds, portLinks
 		n.set.Grace, n.set.Every = grace, announceEvery
+		n.set.RetryRatio, n.set.RetrySlack, n.set.RetryWindow = retryRatio, retrySlack, retryWindow
 		if err := n.forward(); err != nil {
 			return f, err
 		}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -74,10 +75,14 @@
 // Directory is one process's copy of the list.
 type Directory struct {
 	targets map[api.TargetID]*entry
+	// byAddress are the targets that are not gone at each address.
+	byAddress map[string][]api.TargetID
 }
 
 // New gives an empty directory.
-func New() *Directory { return &Directory{targets: make(map[api.TargetID]*entry)} }
+func New() *Directory {
+	return &Directory{targets: make(map[api.TargetID]*entry), byAddress: make(map[string][]api.TargetID)}
+}
 
 // supersedes tells whether next is later news than known of the same target.
 //
@@ -158,20 +163,33 @@
 // put stores a record. Another target that was at the same address and is older
 // can't be there any more: an address belongs to one run at a time.
 func (d *Directory) put(r Record, now time.Time, own bool) {
+	if known := d.targets[r.Target]; known != nil {
+		d.vacate(known.record)
+	}
 	d.targets[r.Target] = &entry{record: r, heard: now, own: own}
 	if r.State == StateGone || r.Address == "" {
 		return
 	}
-	for id, e := range d.targets {
-		if id == r.Target || e.record.Address != r.Address || e.record.State == StateGone {
-			continue
-		}
+	for _, id := range slices.Clone(d.byAddress[r.Address]) {
+		e := d.targets[id]
 		if e.record.Born != 0 && r.Born != 0 && e.record.Born > r.Born {
 			continue
 		}
+		d.vacate(e.record)
 		e.record.State = StateGone
 		e.heard = now
 	}
+	d.byAddress[r.Address] = append(d.byAddress[r.Address], r.Target)
+}
+
+// vacate takes a target from its address.
+func (d *Directory) vacate(r Record) {
+	left := slices.DeleteFunc(d.byAddress[r.Address], func(id api.TargetID) bool { return id == r.Target })
+	if len(left) == 0 {
+		delete(d.byAddress, r.Address)
+		return
+	}
+	d.byAddress[r.Address] = left
 }
 
 // Expire concludes that targets which report to this process and have not for
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -1,6 +1,9 @@
 package directory
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +96,38 @@
 	d.Expire(now.Add(2*tombstoneLife), time.Second)
 	c.Assert(d.Records(), qt.HasLen, 0)
 }
+
+// TestAddressesAreIndexedAsTheyAre guards against a target that keeps an address which
+// another one has taken: its requests would go to the other.
+func TestAddressesAreIndexedAsTheyAre(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(8, 9))
+	d, now := New(), time.Unix(0, 0)
+	for range 20_000 {
+		now = now.Add(time.Duration(rng.IntN(50)) * time.Millisecond)
+		r := Record{
+			Target: api.TargetID(fmt.Sprint("t", rng.IntN(12))), Service: "s", Address: fmt.Sprint("a", rng.IntN(5)),
+			Born: int64(rng.IntN(6)), Sequence: uint64(rng.IntN(40)), State: State(1 + rng.IntN(4)),
+		}
+		switch rng.IntN(4) {
+		case 0:
+			d.Leave(r.Target, r.Born, now)
+		case 1:
+			d.Merge(r, now)
+		case 2:
+			d.Expire(now, time.Second)
+		default:
+			d.Announce(r, now)
+		}
+		want := map[string]int{}
+		for id, e := range d.targets {
+			if e.record.State != StateGone && e.record.Address != "" {
+				want[e.record.Address]++
+				c.Assert(slices.Contains(d.byAddress[e.record.Address], id), qt.IsTrue)
+			}
+		}
+		for address, list := range d.byAddress {
+			c.Assert(list, qt.HasLen, want[address])
+		}
+	}
+}
--- a/core/handoff/handoff.go
+++ b/core/handoff/handoff.go
@@ -12,11 +12,11 @@
 	// CauseLost: the connection ended or the answer broke off.
 	CauseLost
 	// CauseNoStandby: an engine said that it does not hold the copy it was asked to
-	// go on from.
+	// continue from.
 	CauseNoStandby
 )
 
-// Situation is what is known of a stream when it must go on elsewhere.
+// Situation is what is known of a stream when it must be continued elsewhere.
 type Situation struct {
 	Cause Cause
 	// Events is how many events the caller has been given.
@@ -30,7 +30,7 @@
 	HasStandby bool
 	// CanMove tells that the engine can copy a run on demand.
 	CanMove bool
-	// Migrations is how many times the stream has gone on elsewhere.
+	// Migrations is how many times the stream has been continued elsewhere.
 	Migrations int
 }
 
@@ -41,7 +41,7 @@
 const (
 	// ActionStay: read on.
 	ActionStay Action = iota + 1
-	// ActionFromStandby: end the run, and go on at the engine that has its memory.
+	// ActionFromStandby: end the run, and continue at the engine that has its memory.
 	ActionFromStandby
 	// ActionMigrate: copy the run while it continues, stop it, and continue at the engine
 	// that has the copy.
--- a/core/handoff/standby.go
+++ b/core/handoff/standby.go
@@ -9,9 +9,9 @@
 
 const (
 	// fillMoves: where engines move runs on demand, up to this part of an engine's
-	// memory copies of other engines' runs cost nobody a place.
+	// memory copies of other engines' runs displace no request.
 	fillMoves = 0.3
-	// fillCopies: where they don't, a copy is a stream's only way to go on.
+	// fillCopies: where they don't, a stream can be continued from a copy only.
 	fillCopies = 0.85
 	// fleetFill is up to which part of the memory of all engines those that move runs on
 	// demand are given copies.
--- a/core/retrybudget/pool.go
+++ b/core/retrybudget/pool.go
@@ -40,7 +40,7 @@
 // Failure: two grantors, one of them cut off or just restarted, hand out the same
 // retries. Symptom: while targets fail, they are sent more retries than the fleet's
 // bound. A grant is an entry of the replicated log, so that there is one order of all
-// of them, whoever leads and whatever is restarted.
+// of them, through changes of leader and restarts.
 type Pool struct {
 	accounts map[api.ServiceID]*Account
 }
--- a/node/registry/messages.go
+++ b/node/registry/messages.go
@@ -54,7 +54,7 @@
 	List []fleetload.Report `cbor:"1,keyasint"`
 }
 
-// Reach tells how many other members a member hears loads from.
+// Reach is how many other members a member gets load reports from.
 type Reach struct {
 	Members int `cbor:"1,keyasint"`
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -18,7 +18,7 @@
 	Send(m wire.Message) error
 }
 
-// Observer hears of every change of what is believed of a target. Its methods
+// Observer is notified of every change of a target's state. Its methods
 // are called with a lock held and must neither block nor call back.
 type Observer interface {
 	// Changed tells a record that is now in force, and where it came from: the
@@ -40,8 +40,8 @@
 	mu          sync.Mutex
 	dir         *directory.Directory
 	subscribers map[Sender]LoadScope
-	// loads are reports that subscribers have yet to be told, by entry; reported are
-	// those of them that came from the entries themselves.
+	// loads are reports that wait for the next round, by entry; reported are those of
+	// them that came from the entries themselves.
 	loads    loadQueue
 	reported loadQueue
 	// reach is how many other members this one hears loads from.
@@ -71,7 +71,7 @@
 	}
 }
 
-// Leave takes a target's word that it is going.
+// Leave takes a target's deregistration.
 func (r *Registry) Leave(id api.TargetID, born int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -234,7 +234,7 @@
 	return r.dir.Records()
 }
 
-// looksPerSilence is how often in the span of a silence it is looked for one, so that
+// looksPerSilence is how often within a silence the list is checked, so that
 // it is noticed a quarter late at most.
 const looksPerSilence = 4
 
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -23,7 +23,7 @@
 var errBroken = errors.New("the stream ended within an event")
 
 // eventReader splits a stream into whole events. Failure: a target stops in the
-// middle of an event, and the stream goes on elsewhere with that same event.
+// middle of an event, and the stream is continued from that same event.
 // Symptom if bytes were passed on as they come: the caller gets half an event and
 // then the whole. An event that is not whole is never given out.
 type eventReader struct {
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -73,7 +73,7 @@
 // migrateByStandby continues the run at the engine that keeps its standby copy.
 //
 // The run ends only once the next engine has taken it up: a copy may be missing,
-// for want of room, and a run that was ended for it could not go on anywhere. For
+// for want of memory, and a run that was ended for it could not be continued. For
 // the few milliseconds between, both make the same events; numbers tell which the
 // caller has.
 func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
@@ -154,7 +154,7 @@
 // while its engine still works.
 //
 // Failure: the budget is spent just then. Symptom if it is asked once the run has
-// stopped: the run can go on nowhere, though its memory is whole at another engine.
+// stopped: the run cannot be continued, though its memory is whole at another engine.
 // Until it is stopped it continues, and may be over before the notice is.
 func (s *streamRun) payMigration(ctx context.Context, l *leg) (paid Retry, ok bool) {
 	for {
@@ -169,7 +169,7 @@
 	}
 }
 
-// payEvery is the pause between two looks whether the budget allows a move.
+// payEvery is the interval at which the retry budget is asked again.
 const payEvery = 100 * time.Millisecond
 
 // moveWithin bounds one copy of a run: a long run takes a fifth of a second on a
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -46,7 +46,7 @@
 	// CopyTo is the address of the engine to which the run's memory is copied as
 	// it grows.
 	CopyTo string
-	// CopyFrom names the memory to go on from.
+	// CopyFrom names the memory to continue from.
 	CopyFrom Copy
 	// LastEvent is the event after which the answer continues.
 	LastEvent string
@@ -89,7 +89,7 @@
 	Reserve(ctx context.Context, at string, tokens int, ttl time.Duration) (string, error)
 }
 
-// Observer hears of requests, for metrics and events. Its methods are called from
+// Observer is notified of requests, for metrics and events. Its methods are called from
 // many goroutines and must not block.
 type Observer interface {
 	// Refused tells of a request that was answered without having run.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -57,8 +57,8 @@
 
 // Retry-After values of refusals, where nothing better is known.
 const (
-	// retryNoConfig: an entry that has just started hears its configuration within
-	// a second.
+	// retryNoConfig: an entry that has just started gets its configuration within a
+	// second.
 	retryNoConfig = time.Second
 	// retryNoTarget: targets announce themselves every second or so.
 	retryNoTarget = 700 * time.Millisecond
@@ -144,7 +144,7 @@
 	// or knows no target of its service, which after a start is over within a
 	// second: refused, the caller would come back later than it is served now.
 	startWait = 1200 * time.Millisecond
-	// startLook is the pace at which it is looked whether that is over.
+	// startLook is the interval at which that is checked.
 	startLook = 25 * time.Millisecond
 	// patienceShare is the part of a caller's patience that it may be held for, one
 	// in so many: what is left is enough to be served, or to come back.
@@ -182,7 +182,7 @@
 	hold(ctx, wait, startLook, known)
 }
 
-// hold waits until done, for some time at most, and looks at an interval.
+// hold waits until done, which it checks at an interval, for some time at most.
 func hold(ctx context.Context, wait, interval time.Duration, done func() bool) {
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
--- a/node/relay/retries.go
+++ b/node/relay/retries.go
@@ -71,6 +71,12 @@
 	purpose retrybudget.Purpose
 }
 
+// refusal is a reason not to ask the group again before a time.
+type refusal struct {
+	reason api.Reason
+	until  time.Time
+}
+
 // Retries holds this entry's budgets for retries, one a service. It is safe for
 // concurrent use.
 type Retries struct {
@@ -83,14 +89,14 @@
 
 	mu      sync.Mutex
 	own     map[api.ServiceID]*retrybudget.Own
-	refused map[refusalKey]time.Time
+	refused map[refusalKey]refusal
 }
 
 // NewRetries makes the budgets.
 func NewRetries(l retrybudget.Limits, g Grantor) *Retries {
 	return &Retries{
 		limits: l, grantor: g, run: strconv.FormatUint(rand.Uint64(), 36),
-		own: make(map[api.ServiceID]*retrybudget.Own), refused: make(map[refusalKey]time.Time),
+		own: make(map[api.ServiceID]*retrybudget.Own), refused: make(map[refusalKey]refusal),
 	}
 }
 
@@ -119,9 +125,10 @@
 	switch {
 	case err != nil:
 		v.Reason = api.ReasonControlUnavailable
+		r.unanswered(refusalKey{s, p}, now)
 	case !answer.Granted:
 		v.Reason = api.ReasonRetryBudget
-		r.refuse(refusalKey{s, p}, now.Add(min(answer.RetryAfter, refusedFor)))
+		r.refuse(refusalKey{s, p}, refusal{v.Reason, now.Add(min(answer.RetryAfter, refusedFor))})
 	case !lease.Valid(now):
 		v.Reason = api.ReasonTimeout
 	default:
@@ -139,16 +146,25 @@
 	switch {
 	case v.Own.OK:
 		v.OK, v.Paid = true, paidOwn
-	case now.Before(r.refused[refusalKey{s, p}]):
-		v.Reason = api.ReasonRetryBudget
+	case now.Before(r.refused[refusalKey{s, p}].until):
+		v.Reason = r.refused[refusalKey{s, p}].reason
 	}
 	return v
 }
 
-func (r *Retries) refuse(k refusalKey, until time.Time) {
+func (r *Retries) refuse(k refusalKey, why refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refused[k] = until
+	r.refused[k] = why
+}
+
+// unanswered notes an ask without an answer. While the group has no leader, requests of
+// which the caller has nothing get their failure at once; a stream that would be lost
+// waits for the next leader.
+func (r *Retries) unanswered(k refusalKey, now time.Time) {
+	if k.purpose == retrybudget.PurposeRetry {
+		r.refuse(k, refusal{api.ReasonControlUnavailable, now.Add(askWithin)})
+	}
 }
 
 // GiveBack returns a retry that was not sent.
--- a/node/relay/retries_test.go
+++ b/node/relay/retries_test.go
@@ -116,3 +116,21 @@
 		c.Assert(taken.valid(time.Now()), qt.IsFalse)
 	})
 }
+
+// TestFailuresDoNotWaitForALeader guards against requests that are each held for the time
+// of an ask while the control group has no leader. A stream that has begun asks again.
+func TestFailuresDoNotWaitForALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := &scripted{after: time.Hour}
+		r := NewRetries(someRetries, g)
+		for i := range 5 {
+			began := time.Now()
+			_, v := r.Take(context.Background(), service, retrybudget.PurposeRetry)
+			c.Assert(v.Reason, qt.Equals, api.ReasonControlUnavailable)
+			c.Assert(time.Since(began) > 0, qt.Equals, i == 0)
+		}
+		r.Take(context.Background(), service, retrybudget.PurposeResume)
+		c.Assert(g.asks, qt.HasLen, 2)
+	})
+}
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -16,11 +16,11 @@
 	reservation string
 }
 
-// ErrNoRoom is an engine's word that it has no room to set aside.
+// ErrNoRoom reports that an engine refused a reservation for want of capacity.
 var ErrNoRoom = errors.New("the engine has no room")
 
 const (
-	// roomLook is the mean pace at which a waiting request looks for room, spread
+	// roomLook is the mean interval at which a waiting request looks for room, spread
 	// over half to one and a half times that, so that not all of them choose an engine
 	// that has just started before the first load reports arrive.
 	roomLook = 60 * time.Millisecond
@@ -33,8 +33,8 @@
 	// roomPatience is the part of a caller's patience that it may be held for: what is
 	// left is enough to come back and be served.
 	roomPatience = 0.5
-	// fullFor is how long an engine is taken for full after it has refused to set
-	// room aside: a stream ends there every second or so.
+	// fullFor is how long an engine counts as full after it has refused a reservation:
+	// a stream ends there every second or so.
 	fullFor = 80 * time.Millisecond
 	// reserveWithin bounds the call that sets room aside: an exchange of some
 	// milliseconds, after which a stalled engine has cost its caller little.
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -119,7 +119,7 @@
 	return !req.mayHaveRun || req.Route.Repeatable()
 }
 
-// maxLooks bounds how many targets are tried that turn out not to be there.
+// maxLooks bounds how many targets are tried that turn out to be unreachable.
 const maxLooks = 6
 
 // retry takes one retry from the budget; why is what it is for.
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -27,18 +27,18 @@
 	moving  atomic.Int64
 	// movingRuns counts the runs in moving.
 	movingRuns atomic.Int64
-	// others is the load by other entries, as last told.
+	// others is the load by other entries, as last reported.
 	others atomic.Pointer[fleetload.Load]
 	// ahead is what entries before this one move first when the target drains, as known
 	// when it began to; nil for nothing.
 	ahead atomic.Pointer[fleetload.Backlog]
-	// table is told of changes of this entry's load.
+	// table is notified of changes of this entry's load.
 	table *Targets
 	// turn is held by the run that is being moved from the target.
 	turn chan struct{}
 	// avoidTill is until when the target is passed over, Unix nanoseconds.
 	avoidTill atomic.Int64
-	// fullTill is until when the target is taken for full, Unix nanoseconds.
+	// fullTill is until when the target counts as full, Unix nanoseconds.
 	fullTill atomic.Int64
 	// failures in a row.
 	failures atomic.Int32
@@ -58,13 +58,13 @@
 	others map[api.TargetID]fleetload.Sum
 	// changed holds a token once this entry's load has changed.
 	changed chan struct{}
-	// entries is how many entries there are, as far as they have told their load.
+	// entries is how many entries have reported their load of late, this one included.
 	entries atomic.Int64
 }
 
-// usualEntries is taken until the first loads of other entries have come. An entry
-// that took itself for the only one would repeat requests at the expense of the
-// whole fleet's budget.
+// usualEntries is assumed until the first load reports of other entries arrive. An entry
+// that took itself for the only one would draw all targets for each choice, as others
+// that have just started do, and choose the same one.
 const usualEntries = 6
 
 // NewTargets makes an empty table.
