An entry is told a peer's news by its home alone

Cause: each change of a target's state came to each entry from every member, four times of five as the news of a peer. Change: a member relays peers' news to members and to entries whose home it is; what targets report to it goes to all as before, so that a drain still takes one hop. A link that becomes the home gets the whole list again, for what it was not told.

--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -104,25 +104,30 @@
 	}
 	r.onChange(news)
 	m := &Records{List: news}
-	for s := range r.subscribers {
+	for s, scope := range r.subscribers {
+		if source == SourcePeer && scope == LoadsNone {
+			continue // it follows that peer itself, and has its home relay what it misses
+		}
 		// A link that has ended is taken out by Unsubscribe, and the peer gets the
 		// whole list on its next one.
 		_ = s.Send(m)
 	}
 }
 
-// Subscribe sends a link all records, and from then on every change and the loads of a
-// scope. For a link that has subscribed it changes the scope.
+// Subscribe sends a link all records, and from then on the loads of a scope and every
+// change; with LoadsNone only changes that targets report here. For a link that has
+// subscribed it changes the scope.
 func (r *Registry) Subscribe(s Sender, loads LoadScope) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.subscribers[s]
+	before, known := r.subscribers[s]
 	r.subscribers[s] = loads
-	if known {
-		return
+	if !known || before == LoadsNone && loads != LoadsNone {
+		_ = s.Send(&Records{List: r.dir.Records()})
+	}
+	if !known {
+		_ = s.Send(&Reach{Members: r.reach})
 	}
-	_ = s.Send(&Records{List: r.dir.Records()})
-	_ = s.Send(&Reach{Members: r.reach})
 }
 
 // SetReach sets how many other members this one hears loads from.
