--- a/node/control/retries.go
+++ b/node/control/retries.go
@@ -19,8 +19,8 @@
 	req.Command = &command
 }
 
-// refuseRetry answers an ask for a retry that the leader knows would be refused. While
-// much fails the log would otherwise grow with refusals.
+// refuseRetry answers an ask for a retry that the leader knows would be refused, so that
+// the log does not grow with refusals while much fails.
 func (m *Member) refuseRetry(c *call) bool {
 	ask := c.req.Command.Retry
 	if ask == nil || ask.Return || m.role != consensus.RoleLeader {
