News of targets travels in rounds, and an entry's table changes by what has changed

By reading: each announcement after a stop made a message to each entry from each member, and each message made the entry build its table of all targets anew; each report of its load looked at all targets. Change: members send ready targets in the rounds of load reports; news that stops the use of a target is queued before its announcement is answered, as before. An entry gets the whole list from its home and from other members what targets announce there. relay.Targets keeps a list for each service and relists those that changed; changes of the own load are kept as they come. TestNewsEndsWhereItIsKnown plays the rounds that are due now. fleetload.Changes moved to the tests, which alone use it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -221,6 +221,17 @@
 	return out
 }
 
+// OwnRecords gives the records of targets that announce themselves to this process.
+func (d *Directory) OwnRecords() []Record {
+	var out []Record
+	for _, e := range d.targets {
+		if e.own {
+			out = append(out, e.record)
+		}
+	}
+	return out
+}
+
 // Get gives one record.
 func (d *Directory) Get(id api.TargetID) (Record, bool) {
 	e := d.targets[id]
--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -71,25 +71,6 @@
 	return out
 }
 
-// Changes gives what differs between two whole lists, in the order of the names.
-func Changes(from, to []TargetLoad) []TargetLoad {
-	var out []TargetLoad
-	for len(from) > 0 || len(to) > 0 {
-		switch {
-		case len(to) == 0 || len(from) > 0 && from[0].Target < to[0].Target:
-			out, from = append(out, TargetLoad{Target: from[0].Target}), from[1:]
-		case len(from) > 0 && from[0].Target == to[0].Target:
-			if from[0].Load != to[0].Load {
-				out = append(out, to[0])
-			}
-			from, to = from[1:], to[1:]
-		default:
-			out, to = append(out, to[0]), to[1:]
-		}
-	}
-	return out
-}
-
 // Stale is after how long without a report an entry's load no longer counts: it
 // reports every second, and one that was killed has nothing under way.
 const Stale = 2500 * time.Millisecond
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -131,8 +131,8 @@
 	have := Report{Entry: "x", Whole: true, List: held}
 	for range 500 {
 		mid, next := draw(), draw()
-		one := Report{Entry: "x", List: Changes(held, mid)}
-		two := Report{Entry: "x", List: Changes(mid, next)}
+		one := Report{Entry: "x", List: changes(held, mid)}
+		two := Report{Entry: "x", List: changes(mid, next)}
 		apart := have.Merge(one).Merge(two)
 		gathered := have.Merge(one.Merge(two))
 		c.Assert(len(apart.List), qt.Equals, len(next))
@@ -143,3 +143,22 @@
 		held, have = next, apart
 	}
 }
+
+// changes gives what differs between two whole lists, in the order of the names.
+func changes(from, to []TargetLoad) []TargetLoad {
+	var out []TargetLoad
+	for len(from) > 0 || len(to) > 0 {
+		switch {
+		case len(to) == 0 || len(from) > 0 && from[0].Target < to[0].Target:
+			out, from = append(out, TargetLoad{Target: from[0].Target}), from[1:]
+		case len(from) > 0 && from[0].Target == to[0].Target:
+			if from[0].Load != to[0].Load {
+				out = append(out, to[0])
+			}
+			from, to = from[1:], to[1:]
+		default:
+			out, to = append(out, to[0]), to[1:]
+		}
+	}
+	return out
+}
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -95,7 +95,7 @@
 func (c *RoutedControl) Start() {
 	c.follower.Follow(c.set.Seeds)
 	c.work.Go(func() { c.registry.Run(c.ctx, missedAnnouncements*c.set.AnnounceEvery) })
-	c.work.Go(func() { c.registry.RunLoads(c.ctx) })
+	c.work.Go(func() { c.registry.RunRounds(c.ctx) })
 	c.work.Go(c.keepRunning)
 	c.work.Go(c.followMembers)
 	events.ControlStarted.Log(c.log).Str("links", c.set.Links).Bool("founding", c.set.Founding).Send()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -173,22 +173,18 @@
 func (e *RoutedEntry) shareLoads() {
 	whole := time.NewTicker(loadsAtLeast)
 	defer whole.Stop()
-	var told []fleetload.TargetLoad
 	for {
 		report := fleetload.Report{Entry: e.set.Instance}
 		select {
 		case <-e.ctx.Done():
 			return
 		case <-whole.C:
-			told = e.targets.Loads()
-			report.Whole, report.List = true, told
+			report.Whole, report.List = true, e.targets.Loads()
 		case <-e.targets.Changed():
-			now := e.targets.Loads()
-			report.List = fleetload.Changes(told, now)
-			told = now
+			report.List = e.targets.ChangedLoads()
 		}
 		e.follower.Report(report)
-		time.Sleep(registry.LoadsEvery)
+		time.Sleep(registry.RoundEvery)
 	}
 }
 
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -132,14 +132,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns[addr] = &member{conn: conn}
-	scope := LoadsNone
 	if f.opt.Member {
-		scope = LoadsOfEntries
 		f.opt.Registry.SetReach(len(f.conns))
+		// A link that has ended is set anew by the next dial.
+		_ = conn.Send(&Subscribe{Loads: LoadsOfEntries})
+		return
 	}
-	// A link that has ended is set anew by the next dial.
-	_ = conn.Send(&Subscribe{Loads: scope})
 	f.chooseHome()
+	if f.home != addr {
+		_ = conn.Send(&Subscribe{Loads: LoadsNone})
+	}
 }
 
 func (f *Follower) unset(addr string, conn Conn) {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -46,8 +46,12 @@
 	reported loadQueue
 	// reach is how many other members this one hears loads from.
 	reach int
-	// loaded holds a token while there are some.
-	loaded chan struct{}
+	// ownNews and peerNews are records that subscribers have yet to be told: of targets
+	// that announce themselves here, and of others.
+	ownNews  []directory.Record
+	peerNews []directory.Record
+	// due holds a token while a round is.
+	due chan struct{}
 	// onChange is called with the changed records, in order.
 	onChange func([]directory.Record)
 }
@@ -58,11 +62,11 @@
 	if onChange == nil {
 		onChange = func([]directory.Record) {}
 	}
-	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]LoadScope), loads: make(loadQueue), reported: make(loadQueue), loaded: make(chan struct{}, 1), onChange: onChange}
+	return &Registry{obs: obs, dir: directory.New(), subscribers: make(map[Sender]LoadScope), loads: make(loadQueue), reported: make(loadQueue), due: make(chan struct{}, 1), onChange: onChange}
 }
 
-// Announce takes what a target says of itself. When it returns, the news has been
-// queued on every link to a subscriber.
+// Announce takes what a target says of itself. When it returns, the news that a target
+// is not to be used any more has been queued on every link to a subscriber.
 func (r *Registry) Announce(rec directory.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -103,27 +107,64 @@
 		r.obs.Changed(rec, source)
 	}
 	r.onChange(news)
-	m := &Records{List: news}
+	if len(r.subscribers) == 0 {
+		return
+	}
+	if source == SourcePeer {
+		r.peerNews = append(r.peerNews, news...)
+	} else {
+		r.ownNews = append(r.ownNews, news...)
+	}
+	if source == SourceTarget && slices.ContainsFunc(news, stopsUse) {
+		r.sendNews()
+		return
+	}
+	r.wake()
+}
+
+// stopsUse tells whether a record takes a target out of use. That is sent before the
+// target's announcement is answered; a target that is ready waits for the next round, since
+// thousands of them announce themselves in a second after a stop of everything.
+func stopsUse(rec directory.Record) bool { return rec.State != directory.StateReady }
+
+// sendNews queues what has changed on every link to a subscriber. The lock is held.
+func (r *Registry) sendNews() {
+	var own, all *Records
+	if len(r.ownNews) > 0 {
+		own = &Records{List: r.ownNews}
+		all = own
+	}
+	if len(r.peerNews) > 0 {
+		all = &Records{List: slices.Concat(r.ownNews, r.peerNews)}
+	}
 	for s, scope := range r.subscribers {
-		if source == SourcePeer && scope == LoadsNone {
-			continue // it follows that peer itself, and has its home relay what it misses
+		m := all
+		if scope == LoadsNone {
+			m = own // it follows the peers itself, and its home relays what it misses
+		}
+		if m != nil {
+			// A link that has ended is taken out by Unsubscribe, and the peer gets the
+			// whole list on its next one.
+			_ = s.Send(m)
 		}
-		// A link that has ended is taken out by Unsubscribe, and the peer gets the
-		// whole list on its next one.
-		_ = s.Send(m)
 	}
+	r.ownNews, r.peerNews = nil, nil
 }
 
-// Subscribe sends a link all records, and from then on the loads of a scope and every
-// change; with LoadsNone only changes that targets report here. For a link that has
-// subscribed it changes the scope.
+// Subscribe sends a link the records of a scope, and from then on what changes of them and
+// the loads of the scope: all records, or with LoadsNone those of targets that announce
+// themselves here. For a link that has subscribed it changes the scope.
 func (r *Registry) Subscribe(s Sender, loads LoadScope) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sendNews()
 	before, known := r.subscribers[s]
 	r.subscribers[s] = loads
-	if !known || before == LoadsNone && loads != LoadsNone {
+	switch {
+	case loads != LoadsNone && (!known || before == LoadsNone):
 		_ = s.Send(&Records{List: r.dir.Records()})
+	case !known:
+		_ = s.Send(&Records{List: r.dir.OwnRecords()})
 	}
 	if !known {
 		_ = s.Send(&Reach{Members: r.reach})
@@ -192,34 +233,40 @@
 // queue is called with the lock held.
 func (r *Registry) queue(list []fleetload.Report) {
 	r.loads.put(list)
+	r.wake()
+}
+
+// wake makes a round due.
+func (r *Registry) wake() {
 	select {
-	case r.loaded <- struct{}{}:
+	case r.due <- struct{}{}:
 	default:
 	}
 }
 
-// LoadsEvery is the least time between two rounds of loads. Load pattern: thirty
-// entries send sixty prompts a second to forty engines two thirds full, and what an
-// entry does not know of the others' choices it adds to. Rounds are made only when
-// something has changed.
-const LoadsEvery = 8 * time.Millisecond
+// RoundEvery is the least time between two rounds. Load pattern: thirty entries send
+// sixty prompts a second to forty engines two thirds full, and what an entry does not know
+// of the others' choices it adds to. Rounds are made only when something has changed.
+const RoundEvery = 8 * time.Millisecond
 
-// RunLoads passes entries' reports on to subscribers, until ctx is done.
-func (r *Registry) RunLoads(ctx context.Context) {
+// RunRounds passes news of targets and entries' load reports on to subscribers, until ctx
+// is done.
+func (r *Registry) RunRounds(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.loaded:
+		case <-r.due:
 		}
-		r.tellLoads()
-		time.Sleep(LoadsEvery)
+		r.round()
+		time.Sleep(RoundEvery)
 	}
 }
 
-func (r *Registry) tellLoads() {
+func (r *Registry) round() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sendNews()
 	all, reported := r.loads.take(), r.reported.take()
 	for s, scope := range r.subscribers {
 		m := all
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"almondseam.dev/core/api"
@@ -57,10 +58,14 @@
 	b.Subscribe(&recorder{&fromB}, LoadsAll)
 	a.Subscribe(&peer{b}, LoadsNone)
 	a.Announce(record(1, directory.StateReady))
+	a.round()
+	b.round()
 	c.Assert(fromB, qt.HasLen, 1)
 	fromB = nil
 	a.Merge([]directory.Record{record(1, directory.StateReady)})
 	b.Merge([]directory.Record{record(1, directory.StateReady)})
+	a.round()
+	b.round()
 	c.Assert(fromB, qt.HasLen, 0)
 }
 
@@ -91,8 +96,8 @@
 	member.Load([]fleetload.Report{{Entry: "a", Whole: true}})
 	newest := fleetload.Report{Entry: "a", Whole: true, List: []fleetload.TargetLoad{{Target: "t", Load: fleetload.Load{Running: 2}}}}
 	member.Load([]fleetload.Report{newest})
-	member.tellLoads()
-	member.tellLoads()
+	member.round()
+	member.round()
 	c.Assert(got, qt.DeepEquals, []fleetload.Report{newest})
 }
 
@@ -144,8 +149,8 @@
 	home.Load([]fleetload.Report{{Entry: "a", Whole: true}})
 	other.Load([]fleetload.Report{{Entry: "b", Whole: true}})
 	home.LoadOfPeer([]fleetload.Report{{Entry: "b", Whole: true}})
-	home.tellLoads()
-	other.tellLoads()
+	home.round()
+	other.round()
 	c.Assert(entry.by, qt.DeepEquals, map[api.InstanceID]int{"a": 1, "b": 1})
 	c.Assert(peerOfHome.by, qt.DeepEquals, map[api.InstanceID]int{"a": 1})
 	c.Assert(peerOfOther.by, qt.DeepEquals, map[api.InstanceID]int{"b": 1})
@@ -160,10 +165,12 @@
 	entry := &recorder{&got}
 	member.Subscribe(entry, LoadsNone)
 	member.Merge([]directory.Record{record(1, directory.StateReady)})
+	member.round()
 	c.Assert(got, qt.HasLen, 0)
 	member.Subscribe(entry, LoadsAll)
 	c.Assert(got, qt.HasLen, 1)
 	member.Merge([]directory.Record{record(2, directory.StateLeaving)})
+	member.round()
 	c.Assert(got[1].State, qt.Equals, directory.StateLeaving)
 	member.Subscribe(entry, LoadsNone)
 	member.Leave("t", 1)
@@ -205,3 +212,30 @@
 	delete(links, "2")
 	c.Assert(reports(), qt.Equals, "1")
 }
+
+// countSends counts messages.
+type countSends struct{ n int }
+
+func (s *countSends) Send(wire.Message) error {
+	s.n++
+	return nil
+}
+
+// TestReadyTargetsAreToldInRounds guards against a message to each entry for each of the
+// thousands of targets that announce themselves within a second of a stop of everything.
+// News that stops the use of a target does not wait.
+func TestReadyTargetsAreToldInRounds(t *testing.T) {
+	c := qt.New(t)
+	member := New(noObserver{}, nil)
+	entry := &countSends{}
+	member.Subscribe(entry, LoadsAll)
+	before := entry.n
+	for i := range 1000 {
+		member.Announce(directory.Record{Target: api.TargetID(fmt.Sprint(i)), Service: "s", Address: fmt.Sprint(i), Born: 1, Sequence: 1, State: directory.StateReady})
+	}
+	c.Assert(entry.n, qt.Equals, before)
+	member.round()
+	c.Assert(entry.n, qt.Equals, before+1)
+	member.Announce(directory.Record{Target: "0", Service: "s", Address: "0", Born: 1, Sequence: 2, State: directory.StateLeaving})
+	c.Assert(entry.n, qt.Equals, before+2)
+}
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 type Target struct {
 	directory.Record
 	draining atomic.Bool
+	// unlisted targets are in no list any more; the table's lock is held for it.
+	unlisted bool
 	// drainingSince is when the target was first known to drain, Unix nanoseconds.
 	drainingSince atomic.Int64
 	coldTill      time.Time
@@ -44,19 +47,27 @@
 	failures atomic.Int32
 }
 
-// view is the table of targets; it is replaced whole.
-type view struct {
-	byService map[api.ServiceID][]*Target
-	byID      map[api.TargetID]*Target
+// serviceTargets are the targets of one service; the list is replaced whole.
+type serviceTargets struct {
+	list atomic.Pointer[[]*Target]
 }
 
-// Targets is this entry's table of targets. Readers take no lock.
+// Targets is this entry's table of targets. Readers of a service's list take no lock; a
+// change costs as much as the list of its service is long, without hashing.
 type Targets struct {
+	// services is copied when a service is added.
+	services atomic.Pointer[map[api.ServiceID]*serviceTargets]
+	count    atomic.Int64
+
 	mu   sync.Mutex
-	view atomic.Pointer[view]
+	byID map[api.TargetID]*Target
 	// others are the loads by other entries, by target.
 	others map[api.TargetID]fleetload.Sum
-	// changed holds a token once this entry's load has changed.
+
+	dirtyMu sync.Mutex
+	// dirty are the targets on which this entry's load has changed since it was taken.
+	dirty map[api.TargetID]struct{}
+	// changed holds a token once a change is to be reported.
 	changed chan struct{}
 	// entries is how many entries have reported their load of late, this one included.
 	entries atomic.Int64
@@ -69,9 +80,12 @@
 
 // NewTargets makes an empty table.
 func NewTargets() *Targets {
-	t := &Targets{changed: make(chan struct{}, 1), others: make(map[api.TargetID]fleetload.Sum)}
+	t := &Targets{
+		byID: make(map[api.TargetID]*Target), others: make(map[api.TargetID]fleetload.Sum),
+		dirty: make(map[api.TargetID]struct{}), changed: make(chan struct{}, 1),
+	}
 	t.entries.Store(usualEntries)
-	t.view.Store(&view{byService: map[api.ServiceID][]*Target{}, byID: map[api.TargetID]*Target{}})
+	t.services.Store(&map[api.ServiceID]*serviceTargets{})
 	return t
 }
 
@@ -79,22 +93,58 @@
 func (t *Targets) Update(list []directory.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.view.Load()
-	byID := make(map[api.TargetID]*Target, len(old.byID)+len(list))
-	for id, target := range old.byID {
-		byID[id] = target
-	}
+	added := make(map[api.ServiceID][]*Target)
+	// changed are the services whose lists are no longer as they were.
+	changed := make(map[api.ServiceID]struct{})
 	for _, r := range list {
-		byID[r.Target] = t.renew(byID[r.Target], r)
+		old := t.byID[r.Target]
+		next := t.renew(old, r)
 		if r.State == directory.StateGone {
-			delete(byID, r.Target)
+			delete(t.byID, r.Target)
+			next.unlisted = true
+		} else {
+			t.byID[r.Target] = next
+		}
+		if old != nil && (old != next || next.unlisted) {
+			old.unlisted = true
+			changed[old.Service] = struct{}{}
+		}
+		if next != old && !next.unlisted {
+			added[next.Service] = append(added[next.Service], next)
+			changed[next.Service] = struct{}{}
 		}
 	}
-	next := &view{byID: byID, byService: make(map[api.ServiceID][]*Target)}
-	for _, target := range byID {
-		next.byService[target.Service] = append(next.byService[target.Service], target)
+	for id := range changed {
+		t.relist(id, added[id])
 	}
-	t.view.Store(next)
+	t.count.Store(int64(len(t.byID)))
+}
+
+// relist drops what is unlisted from a service's list and adds to it. The lock is held.
+func (t *Targets) relist(id api.ServiceID, added []*Target) {
+	service := (*t.services.Load())[id]
+	if service == nil {
+		service = t.addService(id)
+	}
+	old := *service.list.Load()
+	next := make([]*Target, 0, len(old)+len(added))
+	for _, list := range [][]*Target{old, added} {
+		for _, target := range list {
+			if !target.unlisted {
+				next = append(next, target)
+			}
+		}
+	}
+	service.list.Store(&next)
+}
+
+func (t *Targets) addService(id api.ServiceID) *serviceTargets {
+	services := maps.Clone(*t.services.Load())
+	service := &serviceTargets{}
+	service.list.Store(&[]*Target{})
+	services[id] = service
+	t.services.Store(&services)
+	return service
 }
 
 // renew gives the target for a record, keeping the counts of the same run.
@@ -126,11 +176,17 @@
 	return time.Unix(0, t.drainingSince.Load()).Add(handoff.Notice)
 }
 
-// Of gives the targets of a service.
-func (t *Targets) Of(s api.ServiceID) []*Target { return t.view.Load().byService[s] }
+// Of gives the targets of a service. The list must not be changed.
+func (t *Targets) Of(s api.ServiceID) []*Target {
+	service := (*t.services.Load())[s]
+	if service == nil {
+		return nil
+	}
+	return *service.list.Load()
+}
 
 // Len counts the targets.
-func (t *Targets) Len() int { return len(t.view.Load().byID) }
+func (t *Targets) Len() int { return int(t.count.Load()) }
 
 // full tells whether the target has lately refused to set room aside.
 func (t *Target) full(now time.Time) bool { return now.UnixNano() < t.fullTill.Load() }
@@ -168,13 +224,13 @@
 	t.running.Add(1)
 	t.tokens.Add(int64(tokens))
 	t.unread.Add(int64(unread))
-	t.table.noteChange()
+	t.note(true)
 }
 
 func (t *Target) release(tokens int) {
 	t.running.Add(-1)
 	t.tokens.Add(-int64(tokens))
-	t.table.noteChange()
+	t.note(true)
 }
 
 // read takes back what hold counted as unread.
@@ -183,17 +239,21 @@
 		return
 	}
 	t.unread.Add(-int64(unread))
-	t.table.noteChange()
+	t.note(true)
 }
 
 // keep counts memory against the target: a copy of another engine's run, or what
 // a run has grown by.
-func (t *Target) keep(tokens int) { t.tokens.Add(int64(tokens)) }
+func (t *Target) keep(tokens int) {
+	t.tokens.Add(int64(tokens))
+	t.note(false)
+}
 
 // expose counts runs, and memory of runs, that no other engine has a copy of.
 func (t *Target) expose(runs, tokens int) {
 	t.movingRuns.Add(int64(runs))
 	t.moving.Add(int64(tokens))
+	t.note(false)
 }
 
 // backlog is what entries before this one move first.
@@ -220,22 +280,63 @@
 // Loads gives this entry's load on each target that has any, in the order of
 // their names.
 func (t *Targets) Loads() []fleetload.TargetLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeDirty()
 	var out []fleetload.TargetLoad
-	for id, target := range t.view.Load().byID {
+	for id, target := range t.byID {
 		if l := target.own(); l != (fleetload.Load{}) {
 			out = append(out, fleetload.TargetLoad{Target: id, Load: l})
 		}
 	}
-	slices.SortFunc(out, func(a, b fleetload.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	sortLoads(out)
+	return out
+}
+
+// ChangedLoads gives this entry's load on each target on which it has changed since the
+// last call of this or of Loads, in the order of their names.
+func (t *Targets) ChangedLoads() []fleetload.TargetLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []fleetload.TargetLoad
+	for id := range t.takeDirty() {
+		l := fleetload.TargetLoad{Target: id}
+		if target := t.byID[id]; target != nil {
+			l.Load = target.own()
+		}
+		out = append(out, l)
+	}
+	sortLoads(out)
 	return out
 }
 
+func sortLoads(list []fleetload.TargetLoad) {
+	slices.SortFunc(list, func(a, b fleetload.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+}
+
+// takeDirty is called before the loads are read: a change after it is in the next take.
+func (t *Targets) takeDirty() map[api.TargetID]struct{} {
+	t.dirtyMu.Lock()
+	defer t.dirtyMu.Unlock()
+	taken := t.dirty
+	t.dirty = make(map[api.TargetID]struct{})
+	return taken
+}
+
 // Changed gives a token whenever this entry's load has changed since the last one.
 func (t *Targets) Changed() <-chan struct{} { return t.changed }
 
-func (t *Targets) noteChange() {
+// note remembers that this entry's load on the target has changed; with report it is to be
+// reported soon, else with the next change.
+func (t *Target) note(report bool) {
+	t.table.dirtyMu.Lock()
+	t.table.dirty[t.Target] = struct{}{}
+	t.table.dirtyMu.Unlock()
+	if !report {
+		return
+	}
 	select {
-	case t.changed <- struct{}{}:
+	case t.table.changed <- struct{}{}:
 	default:
 	}
 }
@@ -249,10 +350,9 @@
 	t.entries.Store(int64(entries) + 1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byID := t.view.Load().byID
 	for _, sum := range changed {
 		t.keepSum(sum)
-		if target := byID[sum.Target]; target != nil {
+		if target := t.byID[sum.Target]; target != nil {
 			target.setOthers(sum)
 		}
 	}
