An entry keeps its home for a while, and a move needs no whole list

By reading: while members find each other after a stop, each of them hears more others than the rest for a moment; an entry moved its home each time, and was sent the whole list of 3,000 targets by each. Change: the first member with a link is home; it is replaced at once when its link ends, else after two seconds at the least. The new home relays before the old one stops, and sends its list only if the old one was cut off.

--- a/node/control/server.go
+++ b/node/control/server.go
@@ -57,9 +57,9 @@
 }
 
 // subscribe lets a link follow the targets that announce themselves here.
-func (s *Server) subscribe(conn *link.Conn, loads registry.LoadScope) {
+func (s *Server) subscribe(conn *link.Conn, m registry.Subscribe) {
 	if s.registry != nil {
-		s.registry.Subscribe(conn, loads)
+		s.registry.Subscribe(conn, m)
 	}
 }
 
@@ -111,7 +111,7 @@
 	case *Report:
 		s.report(m)
 	case *registry.Subscribe:
-		s.server.subscribe(s.conn, m.Loads)
+		s.server.subscribe(s.conn, *m)
 	case *registry.Loads:
 		if s.server.registry != nil {
 			s.server.registry.Load(m.List)
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -53,6 +53,8 @@
 	active map[string]context.CancelFunc
 	conns  map[string]*member
 	home   string
+	// homeSince is when the home was chosen.
+	homeSince time.Time
 }
 
 // member is a control member with a link.
@@ -138,10 +140,11 @@
 		_ = conn.Send(&Subscribe{Loads: LoadsOfEntries})
 		return
 	}
-	f.chooseHome()
-	if f.home != addr {
-		_ = conn.Send(&Subscribe{Loads: LoadsNone})
+	if f.home == "" {
+		f.moveHome(addr)
+		return
 	}
+	_ = conn.Send(&Subscribe{Loads: LoadsNone})
 }
 
 func (f *Follower) unset(addr string, conn Conn) {
@@ -153,8 +156,11 @@
 	delete(f.conns, addr)
 	if f.opt.Member {
 		f.opt.Registry.SetReach(len(f.conns))
+		return
+	}
+	if f.home == addr {
+		f.moveHome(f.bestHome())
 	}
-	f.chooseHome()
 }
 
 func (f *Follower) reach(addr string, members int) {
@@ -162,30 +168,39 @@
 	defer f.mu.Unlock()
 	if known := f.conns[addr]; known != nil {
 		known.reach = members
-		f.chooseHome()
 	}
 }
 
-// chooseHome moves an entry's home to the best member. The lock is held.
+// homeLeast is how long an entry keeps its home while that has a link. After a stop of all,
+// members find each other within a second, and each of them would be the best for a moment.
+const homeLeast = 2 * time.Second
+
+// improveHome moves an entry's home to a better member. The lock is held.
 //
 // Failure: a member is cut off from the others, and entries still reach it. Symptom if
 // it stays their home: they and the rest of the fleet do not hear of each other's load
 // for as long as the partition lasts. So members that hear the others go first.
-func (f *Follower) chooseHome() {
-	if f.opt.Member {
+func (f *Follower) improveHome(now time.Time) {
+	if f.home == "" || now.Sub(f.homeSince) < homeLeast {
 		return
 	}
-	best := f.bestHome()
-	if best == f.home && best != "" {
-		return
+	if best := f.bestHome(); best != f.home {
+		f.moveHome(best)
 	}
-	if old := f.conns[f.home]; old != nil {
-		_ = old.conn.Send(&Subscribe{Loads: LoadsNone})
+}
+
+// moveHome makes a member home, or none. The new one begins to relay before the old one
+// ends, so that nothing is missed between; the whole list is asked for only where the old
+// one may have missed something.
+func (f *Follower) moveHome(addr string) {
+	old, next := f.conns[f.home], f.conns[addr]
+	if next != nil {
+		_ = next.conn.Send(&Subscribe{Loads: LoadsAll, Whole: old == nil || !f.connected(old)})
 	}
-	f.home = best
-	if now := f.conns[best]; now != nil {
-		_ = now.conn.Send(&Subscribe{Loads: LoadsAll})
+	if old != nil {
+		_ = old.conn.Send(&Subscribe{Loads: LoadsNone})
 	}
+	f.home, f.homeSince = addr, time.Now()
 }
 
 // bestHome gives the address of the member to be home, empty without links.
@@ -194,26 +209,32 @@
 	if len(addrs) == 0 {
 		return ""
 	}
-	most := 0
-	for _, m := range f.conns {
-		most = max(most, m.reach)
-	}
 	return slices.MaxFunc(addrs, func(a, b string) int {
-		return cmp.Or(cmp.Compare(f.suits(a, most), f.suits(b, most)), cmp.Compare(f.rank(a), f.rank(b)))
+		return cmp.Or(cmp.Compare(f.suits(a), f.suits(b)), cmp.Compare(f.rank(a), f.rank(b)))
 	})
 }
 
+// connected tells whether a member hears at least half as many others as any does.
+func (f *Follower) connected(m *member) bool {
+	for _, other := range f.conns {
+		if other.reach > 2*m.reach {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	homeInZone = 1
 	// homeConnected goes before the zone.
 	homeConnected = 2
 )
 
-// suits weighs a member as home: one that hears at least half as many others as any, then
-// one in the own zone. Equal ones are told apart by a hash that spreads entries.
-func (f *Follower) suits(addr string, most int) int {
+// suits weighs a member as home: a connected one, then one in the own zone. Equal ones
+// are told apart by a hash that spreads entries.
+func (f *Follower) suits(addr string) int {
 	m, weight := f.conns[addr], 0
-	if 2*m.reach >= most {
+	if f.connected(m) {
 		weight += homeConnected
 	}
 	if zone := m.conn.Peer().Zone; zone != "" && zone == f.opt.Link.Self.Zone {
@@ -230,6 +251,7 @@
 func (f *Follower) Report(r fleetload.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.improveHome(time.Now())
 	if home := f.conns[f.home]; home != nil {
 		_ = home.conn.Send(&Loads{List: []fleetload.Report{r}})
 	}
--- a/node/registry/messages.go
+++ b/node/registry/messages.go
@@ -37,6 +37,8 @@
 // a link it changes the scope of the loads alone.
 type Subscribe struct {
 	Loads LoadScope `cbor:"1,keyasint,omitempty"`
+	// Whole asks for the whole list again; the first one on a link gets a list anyway.
+	Whole bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Records are news of targets. The first one on a link holds all.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -154,14 +154,14 @@
 // Subscribe sends a link the records of a scope, and from then on what changes of them and
 // the loads of the scope: all records, or with LoadsNone those of targets that announce
 // themselves here. For a link that has subscribed it changes the scope.
-func (r *Registry) Subscribe(s Sender, loads LoadScope) {
+func (r *Registry) Subscribe(s Sender, m Subscribe) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sendNews()
-	before, known := r.subscribers[s]
-	r.subscribers[s] = loads
+	_, known := r.subscribers[s]
+	r.subscribers[s] = m.Loads
 	switch {
-	case loads != LoadsNone && (!known || before == LoadsNone):
+	case m.Whole || !known && m.Loads != LoadsNone:
 		_ = s.Send(&Records{List: r.dir.Records()})
 	case !known:
 		_ = s.Send(&Records{List: r.dir.OwnRecords()})
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -9,10 +9,10 @@
 	"almondseam.dev/core/placement"
 )
 
-// reserved is an engine that has room for a request.
+// reserved is the engine that a request goes to.
 type reserved struct {
 	target *Target
-	// reservation names the room that the engine has set aside; empty for none.
+	// reservation names the memory that the engine has set aside; empty for none.
 	reservation string
 }
 
@@ -63,20 +63,20 @@
 // one of them, and the others try elsewhere.
 func (r *Relay) awaitReservation(ctx context.Context, req *Request) *reserved {
 	began := time.Now()
-	s := r.tryReserve(ctx, req)
-	if s != nil {
-		return s
+	at := r.tryReserve(ctx, req)
+	if at != nil {
+		return at
 	}
 	limit := req.roomLimit()
-	for s == nil && ctx.Err() == nil && time.Now().Before(limit) {
+	for at == nil && ctx.Err() == nil && time.Now().Before(limit) {
 		if r.place(req, req.Service, req.asked) == nil {
 			return nil // none could take it at all
 		}
 		pause(ctx, time.Duration((0.5+rand.Float64())*float64(roomLook)))
-		s = r.tryReserve(ctx, req)
+		at = r.tryReserve(ctx, req)
 	}
 	r.obs.Held(req, time.Since(began))
-	return s
+	return at
 }
 
 // roomLimit is until when the request waits for room.
@@ -107,15 +107,15 @@
 		if t == nil {
 			return nil
 		}
-		if s := r.ask(ctx, req, t); s != nil {
-			return s
+		if at := r.reserveAt(ctx, req, t); at != nil {
+			return at
 		}
 	}
 	return nil
 }
 
-// ask asks one engine to set room aside; nil if it doesn't.
-func (r *Relay) ask(ctx context.Context, req *Request, t *Target) *reserved {
+// reserveAt makes a reservation at one engine; nil if that refuses.
+func (r *Relay) reserveAt(ctx context.Context, req *Request, t *Target) *reserved {
 	e := r.engine(req.Service)
 	if e == nil || e.Reserves == 0 {
 		return &reserved{target: t}
