--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -31,10 +31,10 @@
 	Link     link.Options
 	// Self is an address that is never dialled; empty for none.
 	Self string
-	// OnLoads is told entries' loads, from several goroutines; nil for none.
+	// OnLoads receives entries' load reports, from several goroutines; nil for none.
 	OnLoads func([]fleetload.Report)
-	// Member makes this process hear from each member what entries report there. An
-	// entry hears all loads from one member, its home.
+	// Member makes this process receive from each member what entries report there. An
+	// entry receives all load reports from one member, its home.
 	Member bool
 }
 
@@ -60,7 +60,7 @@
 // member is a control member with a link.
 type member struct {
 	conn Conn
-	// reach is how many other members it hears loads from.
+	// reach is how many other members it gets load reports from.
 	reach int
 }
 
@@ -178,8 +178,8 @@
 // improveHome moves an entry's home to a better member. The lock is held.
 //
 // Failure: a member is cut off from the others, and entries still reach it. Symptom if
-// it stays their home: they and the rest of the fleet do not hear of each other's load
-// for as long as the partition lasts. So members that hear the others go first.
+// it stays their home: they and the rest of the fleet miss each other's load reports
+// for as long as the partition lasts. So members that reach the others go first.
 func (f *Follower) improveHome(now time.Time) {
 	if f.home == "" || now.Sub(f.homeSince) < homeLeast {
 		return
@@ -214,7 +214,7 @@
 	})
 }
 
-// connected tells whether a member hears at least half as many others as any does.
+// connected tells whether a member reaches at least half as many others as any does.
 func (f *Follower) connected(m *member) bool {
 	for _, other := range f.conns {
 		if other.reach > 2*m.reach {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -44,7 +44,7 @@
 	// them that came from the entries themselves.
 	loads    loadQueue
 	reported loadQueue
-	// reach is how many other members this one hears loads from.
+	// reach is how many other members this one gets load reports from.
 	reach int
 	// ownNews and peerNews are records that subscribers have yet to be told: of targets
 	// that announce themselves here, and of others.
@@ -171,7 +171,7 @@
 	}
 }
 
-// SetReach sets how many other members this one hears loads from.
+// SetReach sets how many other members this one gets load reports from.
 func (r *Registry) SetReach(members int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,7 +223,7 @@
 }
 
 // LoadOfPeer takes reports that entries made to another member. They are told to this
-// one's entries, and to no member: each of those hears them from the other itself.
+// one's entries, and to no member: each of those gets them from the other itself.
 func (r *Registry) LoadOfPeer(list []fleetload.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
