--- a/core/api/error.go
+++ b/core/api/error.go
@@ -31,6 +31,8 @@
 	StepMember    Step = "member"
 	StepOrder     Step = "order"
 	StepRetry     Step = "retry"
+
+	StepEvacuation Step = "evacuation"
 )
 
 // Error is the project's error: where it arose (Step, Peer), what the caller is
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -34,6 +34,8 @@
 	Drains  []Drain        `cbor:"9,keyasint"`
 	// Retries is missing in snapshots of versions without a shared budget.
 	Retries []retrybudget.Account `cbor:"10,keyasint,omitempty"`
+	// Zones is missing in snapshots of versions without evacuations.
+	Zones []ZoneOrder `cbor:"11,keyasint,omitempty"`
 }
 
 // Encode gives the bytes of a command.
@@ -65,6 +67,7 @@
 		Orders:  s.orders.Snapshot(),
 		Drains:  s.Drains(),
 		Retries: s.retries.Snapshot(),
+		Zones:   s.ZoneOrders(),
 	}
 	for _, m := range s.members {
 		img.Members = append(img.Members, m)
@@ -104,5 +107,6 @@
 		s.drains[d.Target] = d
 	}
 	s.retries = retrybudget.RestorePool(img.Retries)
+	s.restoreZones(img.Zones)
 	return s, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -61,6 +61,8 @@
 	Drain  *Drain         `cbor:"8,keyasint,omitempty"`
 	// Retry asks for one retry out of the fleet's budget.
 	Retry *retrybudget.Ask `cbor:"9,keyasint,omitempty"`
+	// Evacuation empties an availability zone or takes it back.
+	Evacuation *Evacuation `cbor:"10,keyasint,omitempty"`
 }
 
 // Result is what one command came to. Reason is empty when it took effect, or
@@ -91,6 +93,10 @@
 	drains  map[api.TargetID]Drain
 	drained uint64
 	retries *retrybudget.Pool
+	// zones are the last orders by availability zone, evacuated the log index of the
+	// newest.
+	zones     map[api.Zone]ZoneOrder
+	evacuated uint64
 }
 
 // New gives the state before the first command.
@@ -103,6 +109,7 @@
 		members: make(map[uint64]MemberInfo),
 		drains:  make(map[api.TargetID]Drain),
 		retries: retrybudget.NewPool(),
+		zones:   make(map[api.Zone]ZoneOrder),
 	}
 }
 
@@ -164,6 +171,8 @@
 	case c.Retry != nil:
 		answer := s.retries.Step(s.now, *c.Retry)
 		return Result{Reason: answer.Reason, Retry: &answer}
+	case c.Evacuation != nil:
+		return s.evacuate(index, *c.Evacuation)
 	}
 	return Result{}
 }
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -120,6 +120,10 @@
 		m.stampRetry(req)
 		return nil
 	}
+	if req.Command.Evacuation != nil {
+		m.stampEvacuation(req)
+		return nil
+	}
 	if req.Command.Config == nil {
 		return nil
 	}
@@ -272,9 +276,9 @@
 			kept = append(kept, r)
 			continue
 		}
-		revision := m.state.Current().Revision
+		revision, evacuated := m.state.Current().Revision, m.state.Evacuated()
 		for _, c := range r.calls {
-			c.answer(&Reply{Outcome: api.OutcomeCompleted, Revision: revision})
+			c.answer(&Reply{Outcome: api.OutcomeCompleted, Revision: revision, Evacuated: &evacuated})
 		}
 	}
 	m.readyReads = kept
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -49,6 +49,10 @@
 	// OnOrders is called with the targets that have an order waiting and none
 	// in flight, like OnDrains.
 	OnOrders func(ready []api.TargetID)
+	// OnEvacuated is called with all evacuated availability zones whenever they change, on
+	// the same goroutine as OnConfig. A list may be older than one given before: its index
+	// tells. It may be nil.
+	OnEvacuated func(state.Evacuated)
 	// Observer hears of failed dials; it may be nil.
 	Observer ClientObserver
 	// Report gives what is told of this process; it may be nil.
@@ -115,6 +119,9 @@
 	if opt.OnOrders == nil {
 		opt.OnOrders = func([]api.TargetID) {}
 	}
+	if opt.OnEvacuated == nil {
+		opt.OnEvacuated = func(state.Evacuated) {}
+	}
 	if opt.Observer == nil {
 		opt.Observer = noClientObserver{}
 	}
@@ -208,6 +215,8 @@
 		c.opt.OnEntries(m.List)
 	case *Orders:
 		c.opt.OnOrders(m.Ready)
+	case *Evacuated:
+		c.opt.OnEvacuated(m.Evacuated)
 	case *Leader:
 		c.leader(conn, m)
 	}
@@ -404,11 +413,24 @@
 // that was restarted serves nobody before it has applied that one: it may have
 // forgotten a revision that it had already acted on.
 func (c *Client) HighestRevision(ctx context.Context) (api.Revision, error) {
+	confirmed, err := c.Confirm(ctx)
+	return confirmed.Revision, err
+}
+
+// Confirmed is what a majority has confirmed to be accepted.
+type Confirmed struct {
+	Revision api.Revision
+	// Evacuated is nil if the leader is of a version without evacuations.
+	Evacuated *state.Evacuated
+}
+
+// Confirm is HighestRevision that gives the evacuated availability zones too.
+func (c *Client) Confirm(ctx context.Context) (Confirmed, error) {
 	r, _ := c.call(ctx, Request{Read: true})
 	if r.Outcome != api.OutcomeCompleted {
-		return 0, unavailable(api.StepConfig, r, api.OutcomeNotRun)
+		return Confirmed{}, unavailable(api.StepConfig, r, api.OutcomeNotRun)
 	}
-	return r.Revision, nil
+	return Confirmed{Revision: r.Revision, Evacuated: r.Evacuated}, nil
 }
 
 // Exec carries out any request, for members that pass on what operators ask.
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -353,7 +353,7 @@
 		return
 	}
 	m.mu.Lock()
-	revision, drained, orders := m.state.Current().Revision, m.state.Drained(), m.state.Orders().Version()
+	before := m.watched()
 	answers := make([]answer, 0, len(entries))
 	for _, e := range entries {
 		if e.Type == consensus.EntryCommand {
@@ -361,7 +361,7 @@
 		}
 		m.applied = e.Index
 	}
-	if m.state.Current().Revision != revision || m.state.Drained() != drained || m.state.Orders().Version() != orders {
+	if m.watched() != before {
 		m.announce()
 	}
 	m.mu.Unlock()
@@ -371,6 +371,22 @@
 	}
 }
 
+// watched are the versions of what watchers are told.
+type watched struct {
+	revision           api.Revision
+	drained, evacuated uint64
+	orders             uint64
+}
+
+func (m *Member) watched() watched {
+	return watched{
+		revision:  m.state.Current().Revision,
+		drained:   m.state.Drained(),
+		evacuated: m.state.EvacuatedAt(),
+		orders:    m.state.Orders().Version(),
+	}
+}
+
 // answer is a reply that waits until the state's lock is free.
 type answer struct {
 	call  *call
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -22,6 +22,7 @@
 	kindDrains
 	kindEntries
 	kindOrders
+	kindEvacuated
 )
 
 // Peer carries one message of the agreement between two members.
@@ -41,7 +42,8 @@
 type Request struct {
 	ID      uint64         `cbor:"1,keyasint"`
 	Command *state.Command `cbor:"2,keyasint,omitempty"`
-	// Read asks for the highest accepted revision, confirmed by a majority.
+	// Read asks for the highest accepted revision and the evacuated zones, confirmed by a
+	// majority.
 	Read   bool          `cbor:"3,keyasint,omitempty"`
 	Change *MemberChange `cbor:"4,keyasint,omitempty"`
 	// Status asks for the leader's view of the fleet.
@@ -60,6 +62,8 @@
 	Leader     string        `cbor:"6,keyasint,omitempty"`
 	Result     *state.Result `cbor:"7,keyasint,omitempty"`
 	Revision   api.Revision  `cbor:"8,keyasint,omitempty"`
+	// Evacuated answers a Read beside Revision.
+	Evacuated *state.Evacuated `cbor:"10,keyasint,omitempty"`
 	// Status is the JSON of an opapi.Status.
 	Status []byte `cbor:"9,keyasint,omitempty"`
 }
@@ -168,6 +172,14 @@
 	Ready []api.TargetID `cbor:"1,keyasint,omitempty"`
 }
 
+// Evacuated lists the availability zones whose targets get no new work.
+type Evacuated struct {
+	state.Evacuated
+}
+
+// Kind implements wire.Message.
+func (*Evacuated) Kind() wire.Kind { return kindEvacuated }
+
 // Kind implements wire.Message.
 func (*Orders) Kind() wire.Kind { return kindOrders }
 
@@ -190,5 +202,6 @@
 		wire.ProtoOf[Drains](),
 		wire.ProtoOf[Entries](),
 		wire.ProtoOf[Orders](),
+		wire.ProtoOf[Evacuated](),
 	}
 }
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -166,7 +166,7 @@
 		return true
 	}
 	c := req.Command
-	return c != nil && (c.Config != nil || c.Drain != nil || c.Member != nil || c.Order != nil && c.Order.ForOperators())
+	return c != nil && (c.Config != nil || c.Drain != nil || c.Evacuation != nil || c.Member != nil || c.Order != nil && c.Order.ForOperators())
 }
 
 // push sends the configuration and the leader's address, now and whenever one
@@ -178,6 +178,7 @@
 	base := s.base(w)
 	var told *Leader
 	drained := noDrains
+	var evacuated uint64
 	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watchView()
@@ -190,6 +191,10 @@
 			drained = view.drained
 			_ = s.conn.Send(&Drains{Index: drained, Targets: view.drains})
 		}
+		if view.evacuated.Index != evacuated {
+			evacuated = view.evacuated.Index
+			_ = s.conn.Send(&Evacuated{view.evacuated})
+		}
 		if !slices.Equal(ready, view.ready) {
 			ready = view.ready
 			_ = s.conn.Send(&Orders{Ready: ready})
@@ -249,6 +254,8 @@
 	drained uint64
 	drains  []state.Drain
 	ready   []api.TargetID
+	// evacuated are the zones whose targets get no new work.
+	evacuated state.Evacuated
 }
 
 // watchView gives what watchers are told and a channel that is closed at the
@@ -263,6 +270,8 @@
 		drained: m.state.Drained(),
 		drains:  m.state.Drains(),
 		ready:   m.state.Orders().Ready(),
+
+		evacuated: m.state.Evacuated(),
 	}
 	return v, m.changed
 }
--- a/node/relay/stream_test.go
+++ b/node/relay/stream_test.go
@@ -75,7 +75,8 @@
 func TestLastEventIsNotGivenTwice(t *testing.T) {
 	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
 	var first directory.Record
-	s.target("b", "far", func(w http.ResponseWriter, _ *http.Request) { events(w, 4, 4) })
+	// Asked to continue after the last event, the second engine gives that one again.
+	s.target("b", "far", func(w http.ResponseWriter, r *http.Request) { events(w, min(last(r)+1, 4), 4) })
 	first = s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
 		events(w, 1, 3)
 		s.leaves(first)
