Operators evacuate an availability zone and take it back

A late order, which its member received before the opposite one took effect, is refused by comparing log indexes. Entries are told over the link that brings the configuration, and one that starts reads the list from a majority before it serves. Nothing new goes to a target there: it is no candidate, its standby copies are not used, and a send that was on its way is held back. Where nothing else is left callers are refused at once (zone_evacuated). almondctl zones, /v1/zones, events 607 and 608, a gauge.

--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -187,6 +189,7 @@
 		Seeds:         r.set.SeedLinks(),
 		Founding:      r.set.Founding,
 		AnnounceEvery: r.set.AnnounceEvery,
+		Zones:         slices.Sorted(maps.Keys(r.set.Regions)),
 		Retries:       retryLimits(r.set.Bounds),
 		Validate: func(document []byte) error {
 			_, err := platform.DecodeConfiguration(document)
@@ -195,7 +198,7 @@
 	}, r.metrics, r.log)
 	r.ready, r.stop = func() bool { return true }, c.Stop
 	c.Start()
-	return r.serve("control", r.set.Operators, platform.ControlApp(c, c))
+	return r.serve("control", r.set.Operators, platform.ControlApp(c, c, c))
 }
 
 // wait runs until it is told to stop. SIGHUP says that the settings file has
--- a/core/api/ids.go
+++ b/core/api/ids.go
@@ -26,6 +26,9 @@
 // Zone names an availability zone.
 type Zone string
 
+// Region names a group of availability zones.
+type Region string
+
 // Site names a place with a configuration overlay of its own, such as a region.
 type Site string
 
--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -35,6 +35,7 @@
 	ReasonTokenRateLimit     Reason = "token_rate_limit"
 	ReasonConnectionLimit    Reason = "connection_limit"
 	ReasonNoTarget           Reason = "no_target"
+	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadlineHopeless   Reason = "deadline_hopeless"
 	ReasonNeverFits          Reason = "never_fits"
@@ -95,6 +96,7 @@
 	ReasonTokenRateLimit:     {429, typeRate, true},
 	ReasonConnectionLimit:    {503, typeOverloaded, true},
 	ReasonNoTarget:           {503, typeServer, true},
+	ReasonZoneEvacuated:      {503, typeServer, true},
 	ReasonQueueFull:          {503, typeOverloaded, true},
 	ReasonDeadlineHopeless:   {503, typeOverloaded, true},
 	ReasonNeverFits:          {400, typeInvalid, false},
--- a/node/control/evacuations.go
+++ b/node/control/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/state"
@@ -41,3 +42,23 @@
 	defer m.mu.RUnlock()
 	return m.state.ZoneOrders()
 }
+
+// awaitEvacuated waits until this member has applied the orders up to a log index; false if
+// it hasn't after waitApplied.
+func (m *Member) awaitEvacuated(index uint64) bool {
+	limit := time.NewTimer(waitApplied)
+	defer limit.Stop()
+	for {
+		m.mu.RLock()
+		at, changed := m.state.EvacuatedAt(), m.changed
+		m.mu.RUnlock()
+		if at >= index {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return false
+		}
+	}
+}
--- a/node/control/opapi/opapi.go
+++ b/node/control/opapi/opapi.go
@@ -15,6 +15,7 @@
 	PathHistory = "/v1/config/history"
 	PathTargets = "/v1/targets"
 	PathDrain   = "/v1/targets/drain"
+	PathZones   = "/v1/zones"
 	PathOrders  = "/v1/orders"
 	PathMembers = "/v1/members"
 	PathClaims  = "/v1/claims"
@@ -133,6 +134,16 @@
 	Author      string          `json:"author"`
 }
 
+// ZoneOrder asks that the targets of an availability zone get no new work, or that they
+// get it again. In a list it is the last order for each zone, with the log index at which
+// it took effect.
+type ZoneOrder struct {
+	Zone      api.Zone `json:"zone"`
+	Evacuated bool     `json:"evacuated"`
+	Author    string   `json:"author"`
+	Index     uint64   `json:"index,omitempty"`
+}
+
 // The changes of the control group.
 const (
 	MemberAdd     = "add"
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -45,6 +45,8 @@
 	app.Get(opapi.PathHistory, o.history)
 	app.Get(opapi.PathOrders, o.orders)
 	app.Post(opapi.PathOrders, o.orderPut)
+	app.Get(opapi.PathZones, o.zones)
+	app.Post(opapi.PathZones, o.zonePut)
 	app.Get(opapi.PathMembers, o.members)
 	app.Post(opapi.PathMembers, o.memberPut)
 	app.Get(opapi.PathClaims, o.claims)
@@ -254,6 +256,37 @@
 	return c.JSON(in)
 }
 
+func (o *Operator) zonePut(c fiber.Ctx) error {
+	var in opapi.ZoneOrder
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonBadRequest, err.Error())
+	}
+	order := state.Evacuation{Zone: in.Zone, Finish: !in.Evacuated, Author: in.Author}
+	err := EvacuationError(o.exec.run(Request{Command: &state.Command{Evacuation: &order}}))
+	if err != nil {
+		e := api.AsError(err)
+		return o.refuse(c, e.Outcome, e.Reason, err.Error())
+	}
+	return c.JSON(in)
+}
+
+// zones lists the last order for each availability zone. The leader's list is waited for,
+// so that an operator never reads less than was confirmed before.
+func (o *Operator) zones(c fiber.Ctx) error {
+	r := o.exec.run(Request{Read: true})
+	if r.Outcome != api.OutcomeCompleted || r.Evacuated == nil {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonControlUnavailable, r.Message)
+	}
+	if !o.member.awaitEvacuated(r.Evacuated.Index) {
+		return o.refuse(c, api.OutcomeNotRun, api.ReasonControlUnavailable, "this member lags behind the leader")
+	}
+	list := []opapi.ZoneOrder{}
+	for _, z := range o.member.ZoneOrders() {
+		list = append(list, opapi.ZoneOrder{Zone: z.Zone, Evacuated: z.Evacuated, Author: z.Author, Index: z.Index})
+	}
+	return c.JSON(list)
+}
+
 func (o *Operator) members(c fiber.Ctx) error {
 	r := o.exec.run(Request{Status: true})
 	if r.Outcome != api.OutcomeCompleted {
--- a/node/control/role_test.go
+++ b/node/control/role_test.go
@@ -379,3 +379,45 @@
 	s.ask(http.MethodPost, opapi.PathDrain, opapi.Drain{Target: "t1", Undo: true}, nil)
 	c.Assert(<-w.drains, qt.HasLen, 0)
 }
+
+// An operator evacuates a zone at one member and takes it back at another; entries hear
+// of both, and one that starts reads it with the revision.
+func TestOperatorEvacuatesAZone(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	heard := make(chan state.Evacuated, 16)
+	client := NewClient(ClientOptions{
+		Seeds:       []string{s.addrs[1]},
+		Link:        LinkOptions([]byte(testKey), link.Peer{Instance: "entry", Role: link.RoleEntry}, nil),
+		OnEvacuated: func(e state.Evacuated) { heard <- e },
+	})
+	wg.Go(func() { client.Run(ctx) })
+	order := func(evacuate bool) {
+		for {
+			status, _ := s.ask(http.MethodPost, opapi.PathZones, opapi.ZoneOrder{Zone: "a", Evacuated: evacuate, Author: "ana"}, nil)
+			if status == http.StatusOK {
+				return
+			}
+		}
+	}
+	order(true)
+	c.Assert((<-heard).Zones, qt.DeepEquals, []api.Zone{"a"})
+	confirmed, err := client.Confirm(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(confirmed.Evacuated.Zones, qt.DeepEquals, []api.Zone{"a"})
+	var list []opapi.ZoneOrder
+	status, _ := s.ask(http.MethodGet, opapi.PathZones, nil, &list)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(list, qt.HasLen, 1)
+	c.Assert(list[0].Evacuated, qt.IsTrue)
+	c.Assert(list[0].Author, qt.Equals, "ana")
+	order(false)
+	c.Assert((<-heard).Zones, qt.HasLen, 0)
+	status, e := s.ask(http.MethodPost, opapi.PathZones, opapi.ZoneOrder{}, nil)
+	c.Assert(status, qt.Equals, http.StatusBadRequest)
+	c.Assert(e.Reason, qt.Equals, api.ReasonBadRequest)
+}
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -70,6 +70,8 @@
 	ConfigSwitched   = Event{603, zerolog.InfoLevel, "agent follows another entry's configuration", "None, unless it recurs with why=silence: the network between them stalls."}
 	ConfigPut        = Event{605, zerolog.InfoLevel, "configuration proposed", "None, unless the outcome is not completed for long: see whether the control group has a leader."}
 	ConfigInvalid    = Event{606, zerolog.WarnLevel, "invalid configuration refused", "Show the error to the operator who sent it."}
+	ZonesEvacuated   = Event{607, zerolog.InfoLevel, "evacuated availability zones changed at this entry", "None: targets of the zones listed get nothing new from this entry."}
+	EvacuationPut    = Event{608, zerolog.InfoLevel, "evacuation order", "Without an error the order is in force; stale_fence means that the opposite order came in between, control_unavailable that there is no leader."}
 	ConfigNoSite     = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
 )
 
@@ -81,6 +83,6 @@
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
-		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid,
+		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -33,6 +33,7 @@
 	ended      *prometheus.CounterVec
 	dropped    *prometheus.CounterVec
 	agentEnded *prometheus.CounterVec
+	evacuated  prometheus.Gauge
 }
 
 // New makes a set with a registry of its own.
@@ -53,10 +54,14 @@
 		dropped:    f.NewCounterVec(counter("frames_dropped_total", "Frames that an entry did not take, by why."), []string{"why"}),
 		agentEnded: f.NewCounterVec(counter("agent_requests_ended_total", "Requests that an agent took, by outcome."), []string{"outcome"}),
 	}
+	s.evacuated = f.NewGauge(gauge("zones_evacuated", "Availability zones whose targets get no new work from this entry."))
 	s.zero()
 	return s
 }
 
+// Evacuated tells how many availability zones are evacuated.
+func (s *Set) Evacuated(zones int) { s.evacuated.Set(float64(zones)) }
+
 func gauge(name, help string) prometheus.GaugeOpts {
 	return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
 }
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +43,9 @@
 	Founding bool
 	// AnnounceEvery is how often a target announces itself.
 	AnnounceEvery time.Duration
-	Validate      control.Validator
+	// Zones are the availability zones that operators may evacuate; none for any.
+	Zones    []api.Zone
+	Validate control.Validator
 	// Retries bounds the retries of all entries together.
 	Retries retrybudget.Limits
 }
@@ -265,6 +270,29 @@
 	return outcome
 }
 
+// Evacuate proposes that the targets of an availability zone get no new work, or with
+// finish that they get it again. Nil tells that the order is in force.
+func (c *RoutedControl) Evacuate(ctx context.Context, zone api.Zone, finish bool) error {
+	err := c.evacuate(ctx, zone, finish)
+	events.EvacuationPut.Log(c.log).Str("zone", string(zone)).Bool("finish", finish).Err(err).Send()
+	return err
+}
+
+func (c *RoutedControl) evacuate(ctx context.Context, zone api.Zone, finish bool) error {
+	if len(c.set.Zones) > 0 && !slices.Contains(c.set.Zones, zone) {
+		return api.NotRun(api.StepEvacuation, "", api.ReasonBadRequest, fmt.Errorf("%w: %q", ErrUnknownZone, zone))
+	}
+	role := c.role.Load()
+	if role == nil {
+		return api.NotRun(api.StepEvacuation, "", api.ReasonControlUnavailable, control.ErrStopped)
+	}
+	r := role.Exec(ctx, control.Request{Command: &state.Command{Evacuation: &state.Evacuation{Zone: zone, Finish: finish}}})
+	return control.EvacuationError(r)
+}
+
+// ErrUnknownZone reports an availability zone that the settings do not name.
+var ErrUnknownZone = errors.New("the settings name no such availability zone")
+
 // Get gives the newest document. It is read after a majority has confirmed which
 // that is.
 func (c *RoutedControl) Get(ctx context.Context) ([]byte, bool) {
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -14,6 +14,7 @@
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
@@ -114,7 +115,9 @@
 		Link:      opt,
 		OnConfig:  e.onConfig,
 		OnMembers: e.follower.Follow,
-		Observer:  p.Metrics,
+
+		OnEvacuated: e.onEvacuated,
+		Observer:    p.Metrics,
 	})
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	handler := relay.New(relay.Settings{Zone: set.Zone}, relay.Ports{
@@ -146,13 +149,18 @@
 // confirmPause is the wait after a question to the majority without an answer.
 const confirmPause = 100 * time.Millisecond
 
-// confirm asks a majority which revision may be served, until it is told.
+// confirm asks a majority which revision may be served and which availability zones are
+// evacuated, until it is told. No request is sent before: an entry that has just started
+// must not use a zone that was evacuated while it was down.
 func (e *RoutedEntry) confirm() {
 	for e.ctx.Err() == nil {
-		rev, err := e.client.HighestRevision(e.ctx)
+		confirmed, err := e.client.Confirm(e.ctx)
 		if err == nil {
+			if confirmed.Evacuated != nil {
+				e.onEvacuated(*confirmed.Evacuated)
+			}
 			e.mu.Lock()
-			document, ok := e.gate.Confirm(rev)
+			document, ok := e.gate.Confirm(confirmed.Revision)
 			e.note(document, ok)
 			e.mu.Unlock()
 			return
@@ -199,6 +207,19 @@
 	e.targets.SetOthers(e.loads.Take(now))
 }
 
+// onEvacuated takes the evacuated availability zones.
+func (e *RoutedEntry) onEvacuated(list state.Evacuated) {
+	if !e.targets.Evacuate(list) {
+		return
+	}
+	zones := make([]string, len(list.Zones))
+	for i, z := range list.Zones {
+		zones[i] = string(z)
+	}
+	events.ZonesEvacuated.Log(e.ports.Log).Uint64("index", list.Index).Strs("zones", zones).Send()
+	e.ports.Metrics.Evacuated(len(zones))
+}
+
 func (e *RoutedEntry) onConfig(rev api.Revision, document []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -160,12 +160,15 @@
 	return "", errors.New("no engines")
 }
 
-// A caller's request goes by the configuration that the operator sent to one member
-// to a target that announced itself at another; once the target leaves, no more.
-func TestRoutedPathFromAnnouncementToAnswer(t *testing.T) {
-	g := foundRoutedGroup(t, 3)
+// wholeAnswers is a target that answers every request.
+func wholeAnswers(t *testing.T) *httptest.Server {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole answer") }))
 	t.Cleanup(target.Close)
+	return target
+}
+
+// startRoutedEntry runs an entry of the group and gives the address for its callers.
+func startRoutedEntry(g *routedGroup) (*RoutedEntry, string) {
 	log := zerolog.Nop()
 	set := metrics.New(&log)
 	observer := metrics.NewRelay(set)
@@ -188,23 +191,72 @@
 		},
 	})
 	entry.Start()
-	t.Cleanup(func() { g.c.Check(entry.Stop(context.Background()), qt.IsNil) })
+	g.c.TB.(*testing.T).Cleanup(func() { g.c.Check(entry.Stop(context.Background()), qt.IsNil) })
+	return entry, "http://" + ln.Addr().String() + "/x"
+}
+
+// get gives the status of a caller's request.
+func (g *routedGroup) get(url string) int {
+	resp, err := http.Get(url)
+	g.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A caller's request goes by the configuration that the operator sent to one member
+// to a target that announced itself at another; once the target leaves, no more.
+func TestRoutedPathFromAnnouncementToAnswer(t *testing.T) {
+	g := foundRoutedGroup(t, 3)
+	target := wholeAnswers(t)
+	entry, callers := startRoutedEntry(g)
 
 	g.put(0, 1)
 	record := directory.Record{Target: "t", Service: "s", Address: target.Listener.Addr().String(), Zone: "z", Slots: 1, Sequence: 1, State: directory.StateReady}
 	g.members[2].Announce(record)
 	until(entry.Ready)
-	resp, err := http.Get("http://" + ln.Addr().String() + "/x")
-	g.c.Assert(err, qt.IsNil)
-	resp.Body.Close()
-	g.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	g.c.Assert(g.get(callers), qt.Equals, http.StatusOK)
 
 	record.Sequence, record.State = 2, directory.StateLeaving
 	g.members[2].Announce(record)
-	until(func() bool {
-		resp, err := http.Get("http://" + ln.Addr().String() + "/x")
-		g.c.Assert(err, qt.IsNil)
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusServiceUnavailable
-	})
+	until(func() bool { return g.get(callers) == http.StatusServiceUnavailable })
+}
+
+func (g *routedGroup) evacuate(i int, zone api.Zone, finish bool) {
+	until(func() bool { return g.members[i].Evacuate(context.Background(), zone, finish) == nil })
+}
+
+// TestEvacuationOutlivesEverything guards against an evacuation that is forgotten when all
+// members stop, and against an entry that starts after it and sends to the zone before it
+// has heard of it.
+func TestEvacuationOutlivesEverything(t *testing.T) {
+	g := foundRoutedGroup(t, 3)
+	g.put(0, 1)
+	g.evacuate(1, "z", false)
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i, false)
+	}
+	target := wholeAnswers(t)
+	record := directory.Record{Target: "t", Service: "s", Address: target.Listener.Addr().String(), Zone: "z", Slots: 1, Sequence: 1, State: directory.StateReady}
+	g.members[2].Announce(record)
+	entry, callers := startRoutedEntry(g)
+	until(entry.Ready)
+	g.c.Assert(g.get(callers), qt.Equals, http.StatusServiceUnavailable)
+	// An entry that runs hears of both orders, whichever member is asked.
+	g.evacuate(2, "z", true)
+	until(func() bool { return g.get(callers) == http.StatusOK })
+	g.evacuate(0, "z", false)
+	until(func() bool { return g.get(callers) == http.StatusServiceUnavailable })
+}
+
+// An order for a zone that the settings do not name never takes effect.
+func TestEvacuationOfAnUnknownZoneIsRefused(t *testing.T) {
+	g := foundRoutedGroup(t, 1)
+	g.members[0].set.Zones = []api.Zone{"z"}
+	err := g.members[0].Evacuate(context.Background(), "y", false)
+	g.c.Assert(errors.Is(err, ErrUnknownZone), qt.IsTrue)
+	g.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonBadRequest)
+	g.evacuate(0, "z", false)
 }
--- /dev/null
+++ b/node/relay/evacuation_test.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/state"
+	qt "github.com/frankban/quicktest"
+)
+
+func evacuated(index uint64, zones ...api.Zone) state.Evacuated {
+	return state.Evacuated{Index: index, Zones: zones}
+}
+
+// TestEvacuatedZoneGetsNothing guards against requests to the targets of a zone that an
+// operator has evacuated, and against a refusal that does not say when to come back.
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	for _, kind := range []routeconf.Kind{routeconf.KindIdempotent, routeconf.KindOnce, routeconf.KindStream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			s := newStage(t, routeconf.Route{Kind: kind, MaxTargets: 2, Generates: kind == routeconf.KindStream}, noMoves)
+			answer := func(w http.ResponseWriter, _ *http.Request) {
+				if kind == routeconf.KindStream {
+					events(w, 1, 2)
+				}
+			}
+			var here, there atomic.Int64
+			s.target("here", "z", func(w http.ResponseWriter, r *http.Request) { here.Add(1); answer(w, r) })
+			s.target("there", "far", func(w http.ResponseWriter, r *http.Request) { there.Add(1); answer(w, r) })
+			s.targets.Evacuate(evacuated(5, "z"))
+			for range 20 {
+				resp, _, err := s.ask("/a/x", "Most", "50")
+				s.c.Assert(err, qt.IsNil)
+				s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+			}
+			s.c.Assert([]int64{here.Load(), there.Load()}, qt.DeepEquals, []int64{0, 20})
+
+			s.targets.Evacuate(evacuated(7, "far", "z"))
+			began := time.Now()
+			resp, body, err := s.ask("/a/x", "Most", "50")
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			s.c.Assert(body, qt.Equals, string(api.ReasonZoneEvacuated)+"\n")
+			s.c.Assert(resp.Header.Get("Retry-After"), qt.Equals, "5.00")
+			s.c.Assert(time.Since(began) < roomLeast, qt.IsTrue, qt.Commentf("refused at once"))
+
+			s.targets.Evacuate(evacuated(9))
+			resp, _, err = s.ask("/a/x", "Most", "50")
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+		})
+	}
+}
+
+// TestEvacuationListsOvertakeEachOther guards against a member that lags and gives an entry
+// an older list.
+func TestEvacuationListsOvertakeEachOther(t *testing.T) {
+	c := qt.New(t)
+	targets := NewTargets()
+	in := &Target{table: targets}
+	in.Zone = "a"
+	c.Assert(in.evacuated(), qt.IsFalse)
+	for _, step := range []struct {
+		list state.Evacuated
+		news bool
+		in   bool
+	}{
+		{evacuated(0), true, false},
+		{evacuated(4, "a"), true, true},
+		{evacuated(4, "a"), false, true},
+		{evacuated(3), false, true},
+		{evacuated(9, "b"), true, false},
+		{evacuated(8, "a"), false, false},
+	} {
+		c.Assert(targets.Evacuate(step.list), qt.Equals, step.news)
+		c.Assert(in.evacuated(), qt.Equals, step.in)
+	}
+}
+
+// TestStreamIsNotContinuedInAnEvacuatedZone guards against a stream that goes on from its
+// copy at an engine of a zone that was evacuated after the copy was begun.
+func TestStreamIsNotContinuedInAnEvacuatedZone(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	asked := make(chan struct{}, 1)
+	s.target("copy", "far", func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		events(w, last(r)+1, 8)
+	})
+	s.target("first", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		s.targets.Evacuate(evacuated(2, "far"))
+		panic(http.ErrAbortHandler)
+	})
+	_, body, err := s.ask("/a/x", "Most", "500")
+	s.c.Assert(err, qt.IsNotNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 3))
+	s.c.Assert(asked, qt.HasLen, 0)
+}
+
+// TestStartedSendIsHeldBack guards against a target chosen just before its zone was
+// evacuated, and sent to after that.
+func TestStartedSendIsHeldBack(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	s.target("t", "z", func(http.ResponseWriter, *http.Request) { t.Error("a request reached the target") })
+	r := New(Settings{Zone: "z"}, Ports{Live: &s.live, Targets: s.targets, Dialect: plainDialect{}, Observer: quiet{}})
+	target := s.targets.Of(service)[0]
+	s.targets.Evacuate(evacuated(1, "z"))
+	x, outcome := r.send(context.Background(), &Request{}, target, Directive{}, "first")
+	s.c.Assert(x, qt.IsNil)
+	s.c.Assert(outcome, qt.Equals, outcomeNotSent)
+}
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -40,7 +40,7 @@
 			Cold:     now.Before(t.coldTill),
 			Avoid:    t.avoided(now),
 			Full:     t.full(now),
-			Excluded: t.draining.Load() || contains(not, t),
+			Excluded: t.draining.Load() || t.evacuated() || contains(not, t),
 		}
 	}
 	return out
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -134,6 +134,10 @@
 		r.fail(req, http.StatusBadGateway, api.ReasonEngineDied, 0)
 		return
 	}
+	if r.targets.allEvacuated(req.Service) {
+		r.refuse(req, http.StatusServiceUnavailable, api.ReasonZoneEvacuated, retryEvacuated)
+		return
+	}
 	r.refuse(req, http.StatusServiceUnavailable, api.ReasonNoTarget, retryNoTarget)
 }
 
@@ -154,6 +158,10 @@
 	if r.answerFailure(req) {
 		return
 	}
+	if !req.mayHaveRun && r.targets.allEvacuated(req.Service) {
+		r.noTarget(req)
+		return
+	}
 	if !req.mayHaveRun {
 		r.refuse(req, http.StatusServiceUnavailable, api.ReasonQueueFull, retryAfter(req))
 		return
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -25,6 +25,10 @@
 // send sends the request once and classifies what came back. Only with
 // Answered there is an exchange, which the caller closes.
 func (r *Relay) send(ctx context.Context, req *Request, t *Target, d Directive, why string) (*upstream.Exchange, string) {
+	if t.evacuated() {
+		r.obs.Attempted(req, t, outcomeNotSent, errEvacuated)
+		return nil, outcomeNotSent
+	}
 	d.Target = t.Target
 	if req.Customer != nil {
 		d.Customer = req.Customer.Name
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -142,12 +142,21 @@
 		Events:     s.req.Stream.Events,
 		Ran:        s.req.mayHaveRun,
 		Resumable:  s.req.Route.Resumable,
-		HasStandby: l.standby != nil && (cause == handoff.CauseLost || !l.standby.draining.Load()),
+		HasStandby: s.hasStandby(l, cause),
 		CanMove:    s.canMove(),
 		Migrations: s.req.Stream.Migrations,
 	}
 }
 
+// hasStandby tells whether the run may be continued from its standby copy. An engine that
+// drains still holds one; it is asked only where the run is lost otherwise.
+func (s *streamRun) hasStandby(l *leg, cause handoff.Cause) bool {
+	if l.standby == nil || l.standby.evacuated() {
+		return false
+	}
+	return cause == handoff.CauseLost || !l.standby.draining.Load()
+}
+
 // give passes one event on, unless the caller has it.
 //
 // Failure: an engine stops just after it has made a stream's last event, and the
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -71,6 +71,8 @@
 	changed chan struct{}
 	// entries is how many entries have reported their load of late, this one included.
 	entries atomic.Int64
+	// evacuation is nil before the first list of evacuated zones.
+	evacuation atomic.Pointer[evacuation]
 }
 
 // usualEntries is assumed until the first load reports of other entries arrive. An entry
