Copies of runs that nobody takes up are dropped

Cause: a run that ends by itself, can't be stopped or has no retry leaves its copy at another engine, which keeps the memory for five seconds and more, refuses runs that do have to be moved, and looks empty to the entries. Change: such a copy is freed at both ends (DELETE of its handle); a copy on its way is waited for, since its name is known only then, but not before its caller has the end of the stream.

--- a/node/events/events.go
+++ b/node/events/events.go
@@ -51,6 +51,7 @@
 	RequestNotMoved  = Event{312, zerolog.InfoLevel, "migration skipped", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
 	RetryGranted     = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
 	ColdStart        = Event{314, zerolog.InfoLevel, "a request would go to a target that is cold", "None: granted says whether it went there."}
+	CopyDropped      = Event{315, zerolog.InfoLevel, "the copy of a run that nobody takes up was freed", "None; with an error the engines keep its memory for some seconds."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
@@ -81,7 +82,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -147,6 +147,12 @@
 	retryFigures(request(events.RetryDenied.Log(m.log), r).Str("why", why).Str("reason", string(v.Reason)), v).Send()
 }
 
+// Dropped implements relay.Observer.
+func (m *Relay) Dropped(r *relay.Request, at *relay.Target, err error) {
+	e := request(events.CopyDropped.Log(m.log), r)
+	target(e, "at", at).Err(err).Send()
+}
+
 // ColdStart implements relay.Observer.
 func (m *Relay) ColdStart(r *relay.Request, t *relay.Target, v relay.RetryVerdict) {
 	m.cold.WithLabelValues(strconv.FormatBool(v.OK), string(v.Reason)).Inc()
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -156,6 +156,7 @@
 	return relay.Copy{}, errors.New("no engines")
 }
 
+func (noEngines) Drop(context.Context, string, string) error { return nil }
 func (noEngines) Reserve(context.Context, string, int, time.Duration) (string, error) {
 	return "", errors.New("no engines")
 }
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -100,6 +100,12 @@
 		return
 	}
 	defer func() { <-l.target.turn }()
+	s.skipped(ctx, l, s.tryDestinations(ctx, l))
+}
+
+// tryDestinations moves the run to the first of a few engines that takes it. It gives why
+// that was skipped, empty if the run has been stopped.
+func (s *streamRun) tryDestinations(ctx context.Context, l *leg) (why string) {
 	tried := []*Target{l.target}
 	for range maxMigrationTries {
 		to := s.destination(tried)
@@ -108,11 +114,10 @@
 		}
 		tried = append(tried, to)
 		if why := s.moveTo(ctx, l, to); why != skipNoRoom {
-			s.skipped(ctx, l, why)
-			return
+			return why
 		}
 	}
-	s.skipped(ctx, l, skipNoRoom)
+	return skipNoRoom
 }
 
 // skipped tells why a migration was skipped, unless the stream has ended.
@@ -124,20 +129,28 @@
 
 // moveTo moves the run to another engine. It gives why that was skipped, empty if the run
 // has been stopped; after skipNoRoom another engine may take it.
+//
+// Failure: the run ends by itself while it is copied, or can't be stopped. Symptom if its copy
+// is left where it is: the next engine keeps the memory for seconds, refuses runs that do have to
+// be moved there, and looks empty to the entries. So a copy that nobody takes up is dropped.
 func (s *streamRun) moveTo(ctx context.Context, l *leg, to *Target) (why string) {
 	tokens := l.held()
 	to.keep(tokens)
 	defer to.keep(-tokens)
-	if err := s.copyUntilQuick(ctx, l, to); err != nil {
+	made, err := s.copyUntilQuick(ctx, l, to)
+	if err != nil {
+		s.drop(l, to, made)
 		return skipNoRoom
 	}
 	paid, ok := s.payMigration(ctx, l)
 	if !ok {
+		s.drop(l, to, made)
 		return skipBudget
 	}
 	moved, err := s.copy(ctx, l, to, true)
 	if moved.ID == "" {
 		s.relay.retries.GiveBack(paid)
+		s.drop(l, to, made)
 		return skipNoStop
 	}
 	// Without room at the other engine the run has stopped all the same, and the
@@ -176,8 +189,13 @@
 // free link, and a notice is over in two.
 const moveWithin = 3 * time.Second
 
+// copy copies the run. It goes on when ctx ends: broken off, the copy would be kept at the
+// other engine under a name that is never learnt.
 func (s *streamRun) copy(ctx context.Context, l *leg, to *Target, stop bool) (Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, moveWithin)
+	if err := ctx.Err(); err != nil {
+		return Copy{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveWithin)
 	defer cancel()
 	began := time.Now()
 	moved, err := s.relay.engines.Move(ctx, l.target.Address, s.req.Ask.Request, to.Address, stop)
@@ -185,6 +203,23 @@
 	return moved, err
 }
 
+// drop frees a copy that is not taken up, at the engine that made it and the one that has it.
+func (s *streamRun) drop(l *leg, at *Target, c Copy) {
+	if c.ID == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dropWithin)
+	defer cancel()
+	err := s.relay.engines.Drop(ctx, l.target.Address, c.ID)
+	if err != nil {
+		err = s.relay.engines.Drop(ctx, at.Address, c.ID)
+	}
+	s.relay.obs.Dropped(s.req, at, err)
+}
+
+// dropWithin bounds the calls that free a copy.
+const dropWithin = 500 * time.Millisecond
+
 // quickCopy is how quick a copy of a few tokens is on a free link: two exchanges
 // with the engine and some milliseconds of copying.
 const quickCopy = 40 * time.Millisecond
@@ -193,18 +228,20 @@
 // that is quick or the notice is nearly over. A slow copy of a few tokens tells
 // that runs of other entries are on the link; a run stopped now would wait for
 // them, and its caller with it.
-func (s *streamRun) copyUntilQuick(ctx context.Context, l *leg, to *Target) error {
+func (s *streamRun) copyUntilQuick(ctx context.Context, l *leg, to *Target) (made Copy, err error) {
 	until := l.target.noticeEnds()
 	for {
 		began := time.Now()
-		if _, err := s.copy(ctx, l, to, false); err != nil {
-			return err
+		next, err := s.copy(ctx, l, to, false)
+		if err != nil {
+			return made, err
 		}
+		made = next
 		now := time.Now()
 		took := now.Sub(began)
 		// The next copy may take as long as this one.
 		if took < quickCopy || now.Add(took).After(until) {
-			return nil
+			return made, nil
 		}
 	}
 }
@@ -280,7 +317,7 @@
 	}
 	for _, t := range d.at {
 		if !s.pay(d) {
-			return nil
+			break
 		}
 		next, _ := s.begin(s.ctx, t, s.resumeFrom(d.copy), d.how)
 		if next.x != nil {
@@ -288,9 +325,17 @@
 			return next
 		}
 	}
+	go s.dropStopped(l)
 	return nil
 }
 
+// dropStopped drops the copy of a run that was stopped and is not continued.
+func (s *streamRun) dropStopped(l *leg) {
+	if d := l.migration; d.copy.ID != "" {
+		s.drop(l, d.at[0], d.copy)
+	}
+}
+
 // pay uses the retry that was taken for a migration, or takes one.
 func (s *streamRun) pay(d *migration) bool {
 	paid := d.paid
@@ -308,8 +353,12 @@
 		return
 	}
 	d.cancel()
-	<-d.done
-	if d.next != nil {
-		d.next.end()
-	}
+	// A copy on its way is waited for and dropped, but not before the caller has its end.
+	go func() {
+		<-d.done
+		if d.next != nil {
+			d.next.end()
+		}
+		s.dropStopped(l)
+	}()
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -84,6 +84,8 @@
 	// gives the name under which the memory can be taken up. A stopped run has one
 	// also with an error: the engine that it ran at keeps its memory.
 	Move(ctx context.Context, at string, run api.RequestID, to string, stop bool) (Copy, error)
+	// Drop frees the memory of a copy at an engine; at the one that made the copy, at both.
+	Drop(ctx context.Context, at string, id string) error
 	// Reserve sets a slot and memory aside for one request, for a while. ErrNoRoom
 	// says that the engine has none; with any other error nothing is known.
 	Reserve(ctx context.Context, at string, tokens int, ttl time.Duration) (string, error)
@@ -113,6 +115,8 @@
 	MigrationSkipped(r *Request, from *Target, why string)
 	// Copied tells of one copy of a run between two engines.
 	Copied(r *Request, from, to *Target, stop bool, took time.Duration, err error)
+	// Dropped tells that a copy of a run which nobody takes up was freed, or why not.
+	Dropped(r *Request, at *Target, err error)
 	// Migrated tells that a stream is continued at another engine after a pause.
 	Migrated(r *Request, from, to *Target, how string, pause time.Duration)
 	// Ended tells how a request ended towards its caller.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -57,6 +57,7 @@
 func (quiet) Attempted(*Request, *Target, string, error)                    {}
 func (quiet) Copied(*Request, *Target, *Target, bool, time.Duration, error) {}
 func (quiet) RetryGranted(*Request, string, RetryVerdict)                   {}
+func (quiet) Dropped(*Request, *Target, error)                              {}
 func (quiet) ColdStart(*Request, *Target, RetryVerdict)                     {}
 func (quiet) RetryDenied(*Request, string, RetryVerdict)                    {}
 func (quiet) MigrationSkipped(*Request, *Target, string)                    {}
@@ -73,6 +74,8 @@
 }
 
 // Reserve implements Engines: all room is given.
+func (mover) Drop(context.Context, string, string) error { return nil }
+
 func (mover) Reserve(context.Context, string, int, time.Duration) (string, error) { return "all", nil }
 
 var errNoMove = errors.New("no move")
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -53,7 +53,7 @@
 		l.end()
 		if end == nil {
 			s.forget(l)
-			s.finish()
+			s.finish(l)
 			return
 		}
 		l = s.next(l, end)
@@ -168,11 +168,7 @@
 		return nil
 	}
 	s.observe()
-	if !s.began {
-		copyAnswerHead(s.req.out.Header(), l.x.Header)
-		s.req.out.WriteHeader(l.x.Status)
-		s.began = true
-	}
+	s.begun(l)
 	if _, err := s.req.out.Write(ev.raw); err != nil {
 		return err
 	}
@@ -182,6 +178,16 @@
 	return s.flush()
 }
 
+// begun gives the caller the head of the answer, that of the first engine, unless it has it.
+func (s *streamRun) begun(l *leg) {
+	if s.began {
+		return
+	}
+	copyAnswerHead(s.req.out.Header(), l.x.Header)
+	s.req.out.WriteHeader(l.x.Status)
+	s.began = true
+}
+
 func (s *streamRun) setLast(id string) {
 	s.mu.Lock()
 	s.lastID = id
@@ -299,13 +305,11 @@
 }
 
 // finish ends a stream that was given whole.
-func (s *streamRun) finish() {
+func (s *streamRun) finish(l *leg) {
 	if s.passed {
 		return
 	}
-	if !s.began {
-		s.req.out.WriteHeader(http.StatusOK)
-	}
+	s.begun(l)
 	s.relay.obs.Ended(s.req, http.StatusOK, Answered)
 }
 
--- a/node/relay/stream_test.go
+++ b/node/relay/stream_test.go
@@ -191,3 +191,18 @@
 	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
 	s.c.Assert(body, qt.Equals, wanted(1, 2))
 }
+
+// TestStreamWithoutEventsKeepsItsHead guards against the answer of an engine that made no event
+// and reaches its caller without the head that the engine gave it.
+func TestStreamWithoutEventsKeepsItsHead(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noMoves)
+	s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Seal", "of the engine")
+	})
+	resp, body, err := s.ask("/a/x", "Most", "50")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	s.c.Assert(body, qt.Equals, "")
+	s.c.Assert(resp.Header.Get("Seal"), qt.Equals, "of the engine")
+}
