The relay looks a service up in one place

Change: one gives the service, the others its fields. Measured: the relay's tests pass. Conclusion: as before, shorter.

--- a/node/relay/coldstart.go
+++ b/node/relay/coldstart.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"almondseam.dev/core/api"
 )
 
 // errCold reports a send that was held back because the target is cold and the group has
@@ -33,33 +31,7 @@
 	if back == 0 {
 		return false
 	}
-	return now.UnixNano() < back+r.coldFor(t.Service).Nanoseconds()
-}
-
-func (r *Relay) coldFor(id api.ServiceID) time.Duration {
-	table := r.live.Load()
-	if table == nil {
-		return 0
-	}
-	service := table.Service(id)
-	if service == nil {
-		return 0
-	}
-	return service.ColdFor
-}
-
-// coldRate gives how many requests a second a cold target of a service bears, zero for no
-// bound.
-func (r *Relay) coldRate(id api.ServiceID) float64 {
-	table := r.live.Load()
-	if table == nil {
-		return 0
-	}
-	service := table.Service(id)
-	if service == nil {
-		return 0
-	}
-	return service.ColdRate
+	return now.UnixNano() < back+r.service(t.Service).ColdFor.Nanoseconds()
 }
 
 // coldRefused tells whether the group has just refused a request to the target.
@@ -74,7 +46,7 @@
 // whatever they know of each other. An entry without an answer sends nothing there.
 func (r *Relay) mayStart(ctx context.Context, req *Request, t *Target) bool {
 	now := time.Now()
-	rate := r.coldRate(t.Service)
+	rate := r.service(t.Service).ColdRate
 	if rate <= 0 || !r.cold(t, now) {
 		return true
 	}
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -68,19 +68,22 @@
 	return len(list) > 0
 }
 
-// engine tells what the engines of a service can do, nil if that isn't known.
-func (r *Relay) engine(id api.ServiceID) *routeconf.Engine {
+// service gives what the configuration says of a service, nothing if that isn't known.
+func (r *Relay) service(id api.ServiceID) routeconf.Service {
 	table := r.live.Load()
 	if table == nil {
-		return nil
+		return routeconf.Service{}
 	}
 	service := table.Service(id)
 	if service == nil {
-		return nil
+		return routeconf.Service{}
 	}
-	return service.Engine
+	return *service
 }
 
+// engine tells what the engines of a service can do, nil if that isn't known.
+func (r *Relay) engine(id api.ServiceID) *routeconf.Engine { return r.service(id).Engine }
+
 func (r *Relay) capacity(t *Target) int {
 	e := r.engine(t.Service)
 	if e == nil {
--- a/node/relay/retries.go
+++ b/node/relay/retries.go
@@ -13,10 +13,10 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Grantor grants retries out of the budget that all entries share. It is safe for
-// concurrent use.
+// Grantor grants retries, and requests to cold targets, out of the budget that all entries
+// share. It is safe for concurrent use.
 type Grantor interface {
-	// Retry asks for one retry, or returns one. An error means that no answer came
+	// Retry asks for one grant, or returns one. An error means that no answer came
 	// before ctx ended.
 	Retry(ctx context.Context, ask retrybudget.Ask) (retrybudget.Answer, error)
 }
@@ -79,7 +79,8 @@
 	until  time.Time
 }
 
-// Retries holds this entry's budgets for retries, one a service. It is safe for
+// Retries holds this entry's budgets for retries, one a service, and asks the group for what
+// goes beyond them and for requests to cold targets. It is safe for
 // concurrent use.
 type Retries struct {
 	limits  retrybudget.Limits
