--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -19,6 +19,8 @@
 	// seconds, and one more for what was on its way.
 	inForce    = 3 * time.Second
 	drainBound = 3 * time.Second
+	// evacuationBound is how soon nothing new reaches the targets of an evacuated zone.
+	evacuationBound = 5 * time.Second
 	// servedAtLeast is the part of calls that a calm fleet answers with success.
 	servedAtLeast = 0.97
 	// retryRatio, retrySlack and retryWindow are the fleet's retry budget: little, so
@@ -43,6 +45,8 @@
 	calls   map[api.RequestID]*call
 	broken  []string
 	drained map[api.TargetID]time.Time
+	// evacuated is when the evacuation in force of each zone was confirmed.
+	evacuated map[api.Zone]time.Time
 	// services is the service of the changing route by version; acked are accepted
 	// versions in the order of their acknowledgement.
 	services map[uint64]api.ServiceID
@@ -61,7 +65,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), services: make(map[uint64]api.ServiceID), retries: make(map[api.ServiceID][]time.Time)}
+	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), evacuated: make(map[api.Zone]time.Time), services: make(map[uint64]api.ServiceID), retries: make(map[api.ServiceID][]time.Time)}
 }
 
 // fail notes a broken promise. The lock is held.
@@ -120,9 +124,27 @@
 	if at, ok := k.drained[r.Target]; ok && k.calmAt(c.sent) && c.sent.Sub(at) > drainBound {
 		k.fail("%s was sent to %s %v after it said that it leaves", r.Request, r.Target, c.sent.Sub(at))
 	}
+	if at, ok := k.evacuated[r.Zone]; ok && k.calmAt(c.sent) && c.sent.Sub(at) > evacuationBound {
+		k.fail("%s was sent to %s in %s %v after its evacuation was confirmed", r.Request, r.Target, r.Zone, c.sent.Sub(at))
+	}
 	k.checkVersion(c, r)
 }
 
+// Evacuated notes that the evacuation of a zone was confirmed, TakenBack that its end is about
+// to be ordered.
+func (k *checker) Evacuated(zone api.Zone, at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.evacuated[zone] = at
+}
+
+// TakenBack ends what Evacuated began.
+func (k *checker) TakenBack(zone api.Zone) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.evacuated, zone)
+}
+
 // checkVersion holds a run of the changing route against the versions that may be in
 // force. The lock is held.
 func (k *checker) checkVersion(c *call, r standin.Run) {
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -76,6 +76,19 @@
 		{"the newest version is read", look, func(k *checker) { k.Read("m", 5, time.Now()) }, false},
 		{"an older version is read", look, func(k *checker) { k.Read("m", 4, time.Now()) }, true},
 		{"sent to one that has left", look, func(k *checker) { k.Drained("x", time.Now().Add(-longAgo)); k.Ran(run("r", "x", serviceA)) }, true},
+		{"sent to an evacuated zone", look, func(k *checker) {
+			k.Evacuated(otherZone, time.Now().Add(-longAgo))
+			k.Ran(standin.Run{Request: "r", Target: "x", Service: serviceA, Zone: otherZone})
+		}, true},
+		{"sent to a zone that was just evacuated", look, func(k *checker) {
+			k.Evacuated(otherZone, time.Now())
+			k.Ran(standin.Run{Request: "r", Target: "x", Service: serviceA, Zone: otherZone})
+		}, false},
+		{"sent to a zone that was taken back", look, func(k *checker) {
+			k.Evacuated(otherZone, time.Now().Add(-longAgo))
+			k.TakenBack(otherZone)
+			k.Ran(standin.Run{Request: "r", Target: "x", Service: serviceA, Zone: otherZone})
+		}, false},
 		{"a process ends by itself", look, func(k *checker) { k.Unwell("it ended") }, true},
 		{"a calm fleet serves nobody", look, func(k *checker) { k.Answered("r", standin.Answer{Status: 502}) }, true},
 	} {
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -106,7 +106,7 @@
 	}
 	for _, n := range f.nodes() {
 		n.dir, n.binary, n.onUnwell = dir, binary, onUnwell
-		n.set.Name, n.set.Zone, n.set.Seeds, n.set.LinkPort = n.name, "z", seeds, portLinks
+		n.set.Name, n.set.Zone, n.set.Seeds, n.set.LinkPort = n.name, ownZone, seeds, portLinks
 		n.set.Grace, n.set.Every = grace, announceEvery
 		n.set.RetryRatio, n.set.RetrySlack, n.set.RetryWindow = retryRatio, retrySlack, retryWindow
 		if err := n.forward(); err != nil {
@@ -246,7 +246,10 @@
 	for _, s := range services {
 		for range each {
 			i := len(out)
-			p := &place{service: s, listen: at(a.listen(groupTarget, i), portTarget), known: at(a.known(groupTarget, i), portTarget), control: f.operators(), ran: ran}
+			p := &place{service: s, zone: ownZone, listen: at(a.listen(groupTarget, i), portTarget), known: at(a.known(groupTarget, i), portTarget), control: f.operators(), ran: ran}
+			if len(out)%each > 0 {
+				p.zone = otherZone
+			}
 			out = append(out, p)
 			var err error
 			if p.forward, err = newForwarder(p.known, p.listen); err != nil {
@@ -263,6 +266,7 @@
 // place is an address at which targets come and go.
 type place struct {
 	service api.ServiceID
+	zone    api.Zone
 	listen  string
 	known   string
 	control []string
@@ -284,7 +288,7 @@
 	defer p.mu.Unlock()
 	p.number++
 	t, err := standin.StartTarget(standin.TargetSettings{
-		ID: p.id(), Service: p.service, Zone: "z", Listen: p.listen, Announced: p.known, Control: p.control,
+		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.known, Control: p.control,
 		Every: announceEvery, Work: targetWork, Ran: p.ran,
 	})
 	p.target = t
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -169,6 +169,8 @@
 		own := rand.New(rand.NewPCG(set.seed, uint64(1000+i)))
 		work.Go(func() { ops.run(ctx, own) })
 	}
+	own := rand.New(rand.NewPCG(set.seed, 2000))
+	work.Go(func() { ops.evacuate(ctx, own) })
 	log, err := os.Create(filepath.Join(set.dir, "faults.log"))
 	if err != nil {
 		check.Unwell(err.Error())
