A migration that outlives its stream writes nothing to its request

Change: it is noted once. Measured: the relay's tests three times with the race detector. Conclusion: no change of behaviour.

--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -67,6 +67,14 @@
 	Migrations int
 }
 
+// began notes that a target may have begun to work on the request. A migration that outlives its
+// stream finds it noted already and writes nothing, as the stream's end may be reading it.
+func (req *Request) began() {
+	if !req.mayHaveRun {
+		req.mayHaveRun = true
+	}
+}
+
 // callerGone tells whether the caller has closed its connection.
 func (req *Request) callerGone() bool { return req.caller.Context().Err() != nil }
 
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -75,7 +75,7 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return outcomeNotSent
 		}
-		req.mayHaveRun = true
+		req.began()
 		return outcomeLost
 	}
 	reply := r.dialect.Reply(x.Status, x.Header)
@@ -87,7 +87,7 @@
 	case reply.NotRun:
 		return outcomeNotRun
 	}
-	req.mayHaveRun = true
+	req.began()
 	t.served()
 	return Answered
 }
