Entries with agents leave evacuated zones out of every choice

Cause: only routed entries were told of evacuations. Change: the list comes over the same link and with the read that confirms the revision; core/routing drops targets of the zones, also where nothing else is left.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -273,7 +273,7 @@
 		return
 	}
 	c.s.seen = append(c.s.seen, t)
-	if t.leaving.Load() {
+	if !c.open(t) {
 		return
 	}
 	at := len(c.s.pool)
@@ -288,8 +288,13 @@
 	}
 }
 
+// open tells whether a target takes anything new.
+func (c *choice) open(t *target) bool {
+	return !t.leaving.Load() && !slices.Contains(c.s.q.Evacuated, t.info.Zone)
+}
+
 func (c *choice) lastResort(t *target) {
-	if t.leaving.Load() || avoided(&c.s.q, t.info.ID) {
+	if !c.open(t) || avoided(&c.s.q, t.info.ID) {
 		return
 	}
 	c.s.pool = append(c.s.pool, c.snapshot(t))
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -66,6 +66,8 @@
 	Prompt int
 	// Avoid lists targets that already refused or failed this request.
 	Avoid []api.TargetID
+	// Evacuated lists availability zones whose targets get nothing new.
+	Evacuated []api.Zone
 }
 
 // Candidate is one target as a choice saw it: a snapshot, so that the parts
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -50,8 +50,8 @@
 	// in flight, like OnDrains.
 	OnOrders func(ready []api.TargetID)
 	// OnEvacuated is called with all evacuated availability zones whenever they change, on
-	// the same goroutine as OnConfig. A list may be older than one given before: its index
-	// tells. It may be nil.
+	// the same goroutine as OnConfig, and by HighestRevision on its caller's. A list may be
+	// older than one given before: its index tells. It may be nil.
 	OnEvacuated func(state.Evacuated)
 	// Observer hears of failed dials; it may be nil.
 	Observer ClientObserver
@@ -409,11 +409,15 @@
 	return *r.Result.Order, nil
 }
 
-// HighestRevision asks a majority for the highest accepted revision. A process
+// HighestRevision asks a majority for the highest accepted revision, and delivers the evacuated
+// availability zones first. A process
 // that was restarted serves nobody before it has applied that one: it may have
 // forgotten a revision that it had already acted on.
 func (c *Client) HighestRevision(ctx context.Context) (api.Revision, error) {
 	confirmed, err := c.Confirm(ctx)
+	if confirmed.Evacuated != nil {
+		c.opt.OnEvacuated(*confirmed.Evacuated)
+	}
 	return confirmed.Revision, err
 }
 
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -189,7 +189,9 @@
 // is. The bids are worth their round trip because load reports are late; see
 // docs/design/routing.md.
 func (e *Entry) place(ctx context.Context, r *Request, n api.Attempt) (*peer, error) {
-	ask := e.linked(e.placer.Choose(r.Query, e.cfg.Clock()))
+	query := r.Query
+	query.Evacuated = e.evacuatedZones()
+	ask := e.linked(e.placer.Choose(query, e.cfg.Clock()))
 	if len(ask) == 0 {
 		return nil, e.noTarget(r)
 	}
--- a/node/entry/drain.go
+++ b/node/entry/drain.go
@@ -28,3 +28,15 @@
 		_ = p.to.Send(&wire.Drain{Incarnation: p.inc})
 	}
 }
+
+// SetEvacuated takes the availability zones that operators have evacuated: their targets get
+// nothing new from now on, and go on with what they have.
+func (e *Entry) SetEvacuated(zones []api.Zone) { e.evacuated.Store(&zones) }
+
+func (e *Entry) evacuatedZones() []api.Zone {
+	zones := e.evacuated.Load()
+	if zones == nil {
+		return nil
+	}
+	return *zones
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -44,9 +44,11 @@
 	bids    *bids
 	work    conc.WaitGroup
 	drains  atomic.Pointer[map[api.TargetID]api.Incarnation]
-	fleet   atomic.Pointer[fleetEntries]
-	ready   atomic.Pointer[map[api.TargetID]bool]
-	orderer Orderer
+	// evacuated are the availability zones whose targets get nothing new; nil for none.
+	evacuated atomic.Pointer[[]api.Zone]
+	fleet     atomic.Pointer[fleetEntries]
+	ready     atomic.Pointer[map[api.TargetID]bool]
+	orderer   Orderer
 	// fetching ends the fetching of orders.
 	fetching context.Context
 	lease    time.Duration
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -136,6 +136,9 @@
 // SetEntries takes the fleet's entries, for the agents.
 func (e *Entry) SetEntries(list []wire.EntryInfo) { e.entry.SetEntries(list) }
 
+// SetEvacuated takes the availability zones that operators have evacuated.
+func (e *Entry) SetEvacuated(zones []api.Zone) { e.entry.SetEvacuated(zones) }
+
 // SetDrains takes the targets that operators drain.
 func (e *Entry) SetDrains(drains map[api.TargetID]api.Incarnation) { e.entry.SetDrains(drains) }
 
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -34,18 +35,23 @@
 // EntryControl couples an entry to the control group: the configuration comes
 // from there, claims go there, and what runs here is reported there.
 type EntryControl struct {
-	set    ControlLinkSettings
-	client *control.Client
-	conf   *rollout.Entry
-	hub    *rollout.Hub
-	live   *fleetconfig.Live
-	view   func() []control.TargetReport
-	drain  func(map[api.TargetID]api.Incarnation)
-	tell   func([]wire.EntryInfo)
-	orders func([]api.TargetID)
-	work   conc.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	set      ControlLinkSettings
+	client   *control.Client
+	conf     *rollout.Entry
+	hub      *rollout.Hub
+	live     *fleetconfig.Live
+	view     func() []control.TargetReport
+	drain    func(map[api.TargetID]api.Incarnation)
+	evacuate func([]api.Zone)
+	tell     func([]wire.EntryInfo)
+	orders   func([]api.TargetID)
+	work     conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// evacuatedAt is the log index of the list of evacuated zones in force.
+	evacuatedAt uint64
 }
 
 // NewEntryControl makes the coupling; Start runs it. Nothing is in force in
@@ -53,6 +59,7 @@
 func NewEntryControl(set ControlLinkSettings, m *metrics.Set, log *zerolog.Logger) *EntryControl {
 	e := &EntryControl{set: set, live: &fleetconfig.Live{}, view: func() []control.TargetReport { return nil }}
 	e.drain = func(map[api.TargetID]api.Incarnation) {}
+	e.evacuate = func([]api.Zone) {}
 	e.tell = func([]wire.EntryInfo) {}
 	e.orders = func([]api.TargetID) {}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -62,6 +69,7 @@
 		Link:        control.LinkOptions(set.Key, self, m),
 		OnConfig:    func(rev api.Revision, doc []byte) { e.conf.Deliver(rev, doc) },
 		OnDrains:    e.onDrains,
+		OnEvacuated: e.onEvacuated,
 		OnEntries:   func(list []wire.EntryInfo) { e.tell(list) },
 		OnOrders:    func(ready []api.TargetID) { e.orders(ready) },
 		Observer:    m,
@@ -91,6 +99,7 @@
 func (e *EntryControl) Couple(to *Entry) {
 	e.ShowTargets(to.View)
 	e.DrainTargets(to.SetDrains)
+	e.evacuate = to.SetEvacuated
 	e.TellEntries(to.SetEntries)
 	to.entry.SetOrderer(to.ctxOrders, e.client, order.DefaultLimits().Lease)
 	e.orders = to.entry.SetOrders
@@ -110,6 +119,18 @@
 	e.drain(drains)
 }
 
+// onEvacuated passes a list on unless a newer one was: a member that lags must not undo an
+// order.
+func (e *EntryControl) onEvacuated(list state.Evacuated) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if list.Index < e.evacuatedAt {
+		return
+	}
+	e.evacuatedAt = list.Index
+	e.evacuate(list.Zones)
+}
+
 func (e *EntryControl) report() control.Report {
 	rev, site := e.conf.InForce()
 	r := control.Report{Instance: e.set.Instance, Site: site, Zone: e.set.Zone, Revision: rev, Targets: e.view(), Links: e.set.Links}
