Entries log what targets say of their limits

The logs of the incident could not tell whether an entry had been told of a target's limit. Answers are now decoded for it (platform), the belief is kept with the target (core/targetlimit: stricter statements count at once, looser ones only if their request was sent after the last one had arrived), and events 407 and 408 with counters tell of each change. No request goes another way.

--- a/node/events/events.go
+++ b/node/events/events.go
@@ -59,6 +59,8 @@
 	TargetChanged    = Event{404, zerolog.InfoLevel, "target state changed", "None."}
 	TargetDialFailed = Event{406, zerolog.InfoLevel, "a connection to a target could not be opened", "None, unless one address recurs: see whether its machine is up, and whether it is out of connections."}
 	TargetUnusable   = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out who writes announcements of another form; the other targets hold."}
+	TargetLimited    = Event{407, zerolog.InfoLevel, "a target's limit of requests changed", "None: the target is in need. See why with its own lines, and whether its service has targets enough."}
+	TargetLimitError = Event{408, zerolog.WarnLevel, "a target names a limit that can't be read", "Correct what the target writes; the limit that it named before stays in force."}
 	ControlStarted   = Event{500, zerolog.InfoLevel, "control member started", "None."}
 	ControlLeader    = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
 	ControlNoLeader  = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
@@ -83,7 +85,7 @@
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetLimitError,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -9,6 +9,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
+	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/relay"
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,6 +38,9 @@
 	denied   *prometheus.CounterVec
 	skipped  *prometheus.CounterVec
 	cold     *prometheus.CounterVec
+	limits   *prometheus.CounterVec
+	// unreadable counts limits that could not be read.
+	unreadable prometheus.Counter
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -46,24 +50,26 @@
 func NewRelay(s *Set) *Relay {
 	f := promauto.With(s.Registry)
 	r := &Relay{
-		log:      s.log,
-		refusals: s.refusals,
-		sends:    f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
-		attempts: f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
-		moves:    f.NewCounterVec(counter("relay_migrations_total", "Streams that were continued at another engine, by how."), []string{"how"}),
-		ended:    f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
-		noRoom:   f.NewCounterVec(counter("relay_no_room_total", "Reservations that engines did not give, by whether they said that they are full."), []string{"full"}),
-		granted:  f.NewCounterVec(counter("relay_retries_granted_total", "Retries that the budget allowed, by what they were for and where they were paid from."), []string{"why", "paid"}),
-		denied:   f.NewCounterVec(counter("relay_retries_denied_total", "Retries that the budget did not allow, by what they were for and the reason."), []string{"why", "reason"}),
-		cold:     f.NewCounterVec(counter("relay_cold_starts_total", "Requests to cold targets, by whether they were granted and why not."), []string{"granted", "reason"}),
-		skipped:  f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
-		dials:    f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
-		latency:  f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
-		pause:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_migration_pause_seconds", Help: "Pause of a stream that was continued at another engine.", Buckets: latencyBuckets}, []string{"how"}),
-		held:     f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_held_seconds", Help: "Time that requests waited at the entry for an engine with room, by route.", Buckets: latencyBuckets}, []string{"route"}),
-		copies:   f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_copy_seconds", Help: "Time of a copy of a run between two engines, by whether the run was stopped and whether it worked.", Buckets: latencyBuckets}, []string{"stop", "ok"}),
-		first:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_first_event_seconds", Help: "Time from a request's arrival to the first event of its stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
-		gap:      f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_longest_gap_seconds", Help: "Longest pause between two events of a stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		log:        s.log,
+		refusals:   s.refusals,
+		sends:      f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
+		attempts:   f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
+		moves:      f.NewCounterVec(counter("relay_migrations_total", "Streams that were continued at another engine, by how."), []string{"how"}),
+		ended:      f.NewCounterVec(counter("relay_ended_total", "Ended requests, by route and outcome."), []string{"route", "outcome"}),
+		noRoom:     f.NewCounterVec(counter("relay_no_room_total", "Reservations that engines did not give, by whether they said that they are full."), []string{"full"}),
+		granted:    f.NewCounterVec(counter("relay_retries_granted_total", "Retries that the budget allowed, by what they were for and where they were paid from."), []string{"why", "paid"}),
+		denied:     f.NewCounterVec(counter("relay_retries_denied_total", "Retries that the budget did not allow, by what they were for and the reason."), []string{"why", "reason"}),
+		cold:       f.NewCounterVec(counter("relay_cold_starts_total", "Requests to cold targets, by whether they were granted and why not."), []string{"granted", "reason"}),
+		limits:     f.NewCounterVec(counter("relay_target_limits_total", "Changes of what is believed of targets' limits, by whether they name one."), []string{"limited"}),
+		unreadable: f.NewCounter(counter("relay_target_limits_unreadable_total", "Answers of targets that name a limit that can't be read.")),
+		skipped:    f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
+		dials:      f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
+		latency:    f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		pause:      f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_migration_pause_seconds", Help: "Pause of a stream that was continued at another engine.", Buckets: latencyBuckets}, []string{"how"}),
+		held:       f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_held_seconds", Help: "Time that requests waited at the entry for an engine with room, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		copies:     f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_copy_seconds", Help: "Time of a copy of a run between two engines, by whether the run was stopped and whether it worked.", Buckets: latencyBuckets}, []string{"stop", "ok"}),
+		first:      f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_first_event_seconds", Help: "Time from a request's arrival to the first event of its stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
+		gap:        f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_longest_gap_seconds", Help: "Longest pause between two events of a stream, by route.", Buckets: latencyBuckets}, []string{"route"}),
 	}
 	return r
 }
@@ -160,6 +166,23 @@
 	target(e, "target", t).Bool("granted", v.OK).Str("reason", string(v.Reason)).Int("used", v.Used).Float64("allowed", v.Allowed).Dur("took", v.Took).Send()
 }
 
+// LimitChanged implements relay.Observer.
+func (m *Relay) LimitChanged(r *relay.Request, t *relay.Target, before, after targetlimit.Belief) {
+	m.limits.WithLabelValues(strconv.FormatBool(after.Limited)).Inc()
+	e := target(request(events.TargetLimited.Log(m.log), r), "target", t)
+	e = e.Bool("limited", after.Limited).Float64("rate", after.Rate).Bool("was_limited", before.Limited).Float64("was_rate", before.Rate)
+	if !before.Heard.IsZero() {
+		e = e.Dur("was_age", after.Heard.Sub(before.Heard))
+	}
+	e.Send()
+}
+
+// LimitUnreadable implements relay.Observer.
+func (m *Relay) LimitUnreadable(r *relay.Request, t *relay.Target, err error) {
+	m.unreadable.Inc()
+	target(request(events.TargetLimitError.Log(m.log), r), "target", t).Err(err).Send()
+}
+
 func retryFigures(e *zerolog.Event, v relay.RetryVerdict) *zerolog.Event {
 	return e.Int("own_used", v.Own.Used).Float64("own_allowed", v.Own.Allowed).
 		Int("used", v.Used).Float64("allowed", v.Allowed).Dur("took", v.Took)
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/targetlimit"
 )
 
 // Ask is what a caller's request says of itself.
@@ -65,6 +66,12 @@
 	NotRun bool
 	// WrongTarget is set when another target has the address.
 	WrongTarget bool
+	// Limited is set when the target names a limit, and Limit is that: the requests a
+	// second that it takes from all instances together.
+	Limited bool
+	Limit   float64
+	// LimitErr tells that the target names a limit that can't be read.
+	LimitErr error
 }
 
 // Dialect encodes and decodes the headers of requests and answers. It is safe for
@@ -104,6 +111,12 @@
 	Sent(r *Request, t *Target, why string)
 	// ColdStart tells whether a request may be sent to a target that is cold.
 	ColdStart(r *Request, t *Target, v RetryVerdict)
+	// LimitChanged tells that a target's answer to a request changed what is believed of its
+	// limit.
+	LimitChanged(r *Request, t *Target, before, after targetlimit.Belief)
+	// LimitUnreadable tells that a target's answer names a limit that can't be read. It is
+	// told once until the target names one that can be.
+	LimitUnreadable(r *Request, t *Target, err error)
 	// Attempted tells what one send came to.
 	Attempted(r *Request, t *Target, outcome string, err error)
 	// RetryGranted tells that the retry budget allowed one more send; why is what it is
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -41,6 +41,7 @@
 	d.Remaining = time.Until(req.Deadline)
 	d.Urgency = urgency(req)
 	r.obs.Sent(req, t, why)
+	sent := time.Now()
 	x, err := r.pool.Do(ctx, t.Address, &upstream.Request{
 		Method: req.caller.Method,
 		URI:    req.uri,
@@ -49,7 +50,7 @@
 		Body:   req.body,
 		Mine:   func(h http.Header) bool { return r.mine(req, h) },
 	})
-	outcome := r.judge(ctx, req, t, x, err)
+	outcome := r.judge(ctx, req, t, x, sent, err)
 	if outcome != outcomeNotSent && outcome != outcomeElse {
 		req.sends++
 	}
@@ -67,7 +68,8 @@
 	return got == "" || got == req.Ask.Request
 }
 
-func (r *Relay) judge(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, err error) string {
+// judge classifies what came of a send that began at a time.
+func (r *Relay) judge(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, sent time.Time, err error) string {
 	if err != nil {
 		if ctx.Err() == nil {
 			t.failed(time.Now())
@@ -79,12 +81,13 @@
 		return outcomeLost
 	}
 	reply := r.dialect.Reply(x.Status, x.Header)
-	switch {
-	case reply.WrongTarget:
+	if reply.WrongTarget {
 		// The address belongs to another target now; the one that was meant is gone.
 		t.drain()
 		return outcomeElse
-	case reply.NotRun:
+	}
+	r.learnLimit(req, t, reply, sent)
+	if reply.NotRun {
 		return outcomeNotRun
 	}
 	req.began()
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -12,6 +12,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
 	"almondseam.dev/core/handoff"
+	"almondseam.dev/core/targetlimit"
 )
 
 // Target is one run of a target as this entry knows it.
@@ -29,6 +30,10 @@
 	// coldRefusedTill is until when a cold target is passed over because others get all
 	// that it bears, Unix nanoseconds.
 	coldRefusedTill atomic.Int64
+	// limited is what is believed of the limit that the target names; nil for none.
+	limited atomic.Pointer[targetlimit.Belief]
+	// limitUnreadable is set while the target names a limit that can't be read.
+	limitUnreadable atomic.Bool
 	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
