--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -124,12 +124,17 @@
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
 		Retries: NewRetries(limits, &localPool{limits: limits, pool: retrybudget.NewPool()}), Observer: quiet{},
 	})
-	server := httptest.NewServer(r)
-	t.Cleanup(server.Close)
-	s.url = server.URL
+	s.url = s.serve(r)
 	return s
 }
 
+// serve lets callers reach a relay, and gives the URL for them.
+func (s *stage) serve(r *Relay) string {
+	server := httptest.NewServer(r)
+	s.c.TB.(*testing.T).Cleanup(server.Close)
+	return server.URL
+}
+
 // target starts a target that answers with h, in zone z for the first choice.
 func (s *stage) target(name string, zone api.Zone, h http.HandlerFunc) directory.Record {
 	server := httptest.NewServer(h)
@@ -148,7 +153,11 @@
 }
 
 func (s *stage) ask(path string, header ...string) (*http.Response, string, error) {
-	req, err := http.NewRequest(http.MethodPost, s.url+path, strings.NewReader("a prompt"))
+	return s.askAt(s.url, path, header...)
+}
+
+func (s *stage) askAt(url, path string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("a prompt"))
 	s.c.Assert(err, qt.IsNil)
 	req.Header.Set("Id", "1")
 	req.Header.Set("Key", "k")
@@ -356,6 +365,8 @@
 	limits retrybudget.Limits
 	mu     sync.Mutex
 	pool   *retrybudget.Pool
+	// still stops the group's clock.
+	still bool
 }
 
 func (p *localPool) Retry(_ context.Context, ask retrybudget.Ask) (retrybudget.Answer, error) {
@@ -365,5 +376,8 @@
 	if ask.Purpose == retrybudget.PurposeColdStart {
 		ask.Limits = retrybudget.ColdLimits(ask.Rate)
 	}
+	if p.still {
+		return p.pool.Step(0, ask), nil
+	}
 	return p.pool.Step(time.Now().UnixMilli(), ask), nil
 }
