Every send needs a permit: a target's limit holds for the sum of all entries

What was seen: targets that named a limit of about two requests a second got up to 40 in 4 s. Cause: no entry read the limit, and nothing bounded what entries send one target in sum (sends by entry did not change when the limit was named; single entries passed it alone). The class is a bound on a sum that no single party counts.

Change: a send takes a permit for its target. For a target that names a limit the permit takes a grant of the replicated pool, which paces the grants of one target to the rate that the ask names, at most one second's at once; so the sum holds through changes of leader and whatever entries know of each other. Cold targets take theirs at the same place, for generations now before the engine is asked to set room aside. An entry that is refused leaves the target alone for a time that grows with the number of entries, so that asks follow the rate. A request for which all targets are held back is refused at once: target_limit, with a Retry-After from when this entry may ask again.

Targets without a limit take no grant and no message.

--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -37,6 +37,7 @@
 	ReasonNoTarget           Reason = "no_target"
 	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonOutsideHomes       Reason = "outside_homes"
+	ReasonTargetLimit        Reason = "target_limit"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadlineHopeless   Reason = "deadline_hopeless"
 	ReasonNeverFits          Reason = "never_fits"
@@ -99,6 +100,7 @@
 	ReasonNoTarget:           {503, typeServer, true},
 	ReasonZoneEvacuated:      {503, typeServer, true},
 	ReasonOutsideHomes:       {503, typeServer, true},
+	ReasonTargetLimit:        {503, typeOverloaded, true},
 	ReasonQueueFull:          {503, typeOverloaded, true},
 	ReasonDeadlineHopeless:   {503, typeOverloaded, true},
 	ReasonNeverFits:          {400, typeInvalid, false},
--- a/core/retrybudget/pool.go
+++ b/core/retrybudget/pool.go
@@ -15,6 +15,8 @@
 	maxName = 128
 	// maxSlack bounds the retries that are remembered of one service.
 	maxSlack = 100_000
+	// microsPerMilli converts the replicated time to that of a pace.
+	microsPerMilli = 1000
 )
 
 // Grant is one retry that was granted.
@@ -26,12 +28,17 @@
 	Returned bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Account holds the grants of one service, or of one cold target of it.
+// Account holds the grants of one service, or of one target of it that is cold or that names
+// a limit.
 type Account struct {
 	Service api.ServiceID `cbor:"1,keyasint"`
 	Target  api.TargetID  `cbor:"3,keyasint,omitempty"`
 	// Grants are in the order of Until.
 	Grants []Grant `cbor:"2,keyasint"`
+	// Paced is set for the account of a target's limit.
+	Paced bool `cbor:"4,keyasint,omitempty"`
+	// Next is the replicated time, in microseconds, at which the next paced grant is due.
+	Next int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Pool is the part of the budget that all entries share. It is a replicated state
@@ -50,9 +57,14 @@
 type accountKey struct {
 	service api.ServiceID
 	target  api.TargetID
+	paced   bool
 }
 
-func (a *Ask) key() accountKey { return accountKey{a.Service, a.Target} }
+func (a *Ask) key() accountKey { return accountKey{a.Service, a.Target, a.paced()} }
+
+func (a *Ask) paced() bool { return a.Purpose == PurposeLimited }
+
+func (c *Account) key() accountKey { return accountKey{c.Service, c.Target, c.Paced} }
 
 // NewPool gives a pool of which nothing is granted.
 func NewPool() *Pool { return &Pool{accounts: make(map[accountKey]*Account)} }
@@ -71,7 +83,7 @@
 		if len(p.accounts) >= maxAccounts {
 			return Answer{Reason: api.ReasonRetryBudget}
 		}
-		account = &Account{Service: a.Service, Target: a.Target}
+		account = &Account{Service: a.Service, Target: a.Target, Paced: a.paced()}
 	}
 	if known := account.find(a.ID); known != nil {
 		return account.again(known, a)
@@ -84,7 +96,7 @@
 
 func (a *Ask) valid() bool {
 	return a.ID != "" && len(a.ID) <= maxName && a.Service != "" && len(a.Service) <= maxName &&
-		a.purposeFits() &&
+		a.purposeFits() && a.Rate >= 0 &&
 		a.Limits.Window > 0 && a.Limits.Slack >= 0 && a.Limits.Slack <= maxSlack
 }
 
@@ -93,7 +105,7 @@
 	switch a.Purpose {
 	case PurposeResume, PurposeRetry:
 		return a.Target == ""
-	case PurposeColdStart:
+	case PurposeColdStart, PurposeLimited:
 		return a.Target != "" && len(a.Target) <= maxName
 	}
 	return false
@@ -110,6 +122,9 @@
 // Free tells whether the pool would grant an ask now.
 func (p *Pool) Free(now int64, a Ask) Answer {
 	account := p.accounts[a.key()]
+	if a.paced() {
+		return account.pace(now, a)
+	}
 	used := 0
 	if account != nil {
 		used = account.used(now)
@@ -129,6 +144,9 @@
 		return answer
 	}
 	p.accounts[a.key()] = account
+	if a.paced() {
+		account.advance(now, a)
+	}
 	account.put(Grant{ID: a.ID, Until: now + a.Limits.hold().Milliseconds() + 1})
 	return answer
 }
@@ -153,8 +171,11 @@
 
 // again answers an ask that was decided before.
 func (c *Account) again(known *Grant, a Ask) Answer {
-	if a.Return {
+	if a.Return && !known.Returned {
 		known.Returned = true
+		if c.Paced {
+			c.Next -= a.interval().Microseconds()
+		}
 	}
 	if known.Returned {
 		return Answer{Reason: api.ReasonRetryBudget}
@@ -190,7 +211,7 @@
 func (p *Pool) expire(now int64) {
 	for id, c := range p.accounts {
 		c.Grants = slices.DeleteFunc(c.Grants, func(g Grant) bool { return g.Until <= now })
-		if len(c.Grants) == 0 {
+		if len(c.Grants) == 0 && c.Next <= now*microsPerMilli {
 			delete(p.accounts, id)
 		}
 	}
@@ -200,10 +221,10 @@
 func (p *Pool) Snapshot() []Account {
 	out := make([]Account, 0, len(p.accounts))
 	for _, c := range p.accounts {
-		out = append(out, Account{Service: c.Service, Target: c.Target, Grants: slices.Clone(c.Grants)})
+		out = append(out, c.clone())
 	}
 	slices.SortFunc(out, func(a, b Account) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target), cmp.Compare(a.kind(), b.kind()))
 	})
 	return out
 }
@@ -212,7 +233,22 @@
 func RestorePool(list []Account) *Pool {
 	p := NewPool()
 	for _, c := range list {
-		p.accounts[accountKey{c.Service, c.Target}] = &Account{Service: c.Service, Target: c.Target, Grants: slices.Clone(c.Grants)}
+		account := c.clone()
+		p.accounts[c.key()] = &account
 	}
 	return p
 }
+
+func (c *Account) clone() Account {
+	account := *c
+	account.Grants = slices.Clone(c.Grants)
+	return account
+}
+
+// kind orders the accounts of one target.
+func (c *Account) kind() int {
+	if c.Paced {
+		return 1
+	}
+	return 0
+}
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -1,6 +1,7 @@
 // Package retrybudget bounds how many requests all entries together send to a further
 // target in any window: a share of a service's requests, and so many more. Out of the same
-// pool it bounds how many they send to one target that is cold.
+// pool it bounds how many they send to one target that is cold, and at what pace to one that
+// names a limit.
 //
 // An entry pays a retry from its Own part, which follows from the requests that it has
 // sent itself, or from the Pool, which the control group keeps as a part of its
@@ -54,8 +55,14 @@
 	PurposeRetry
 	// PurposeColdStart sends a request, the first time or again, to a target that is cold.
 	PurposeColdStart
+	// PurposeLimited sends a request, the first time or again, to a target that names a limit.
+	PurposeLimited
 )
 
+// PaceLimits are the limits of a target that names a limit: its pace bounds the grants, and
+// they are remembered for a while.
+func PaceLimits() Limits { return Limits{Window: replay} }
+
 // ColdWindow is the span over which requests to a cold target are counted.
 const ColdWindow = time.Second
 
@@ -99,8 +106,9 @@
 	ID      string        `cbor:"1,keyasint"`
 	Service api.ServiceID `cbor:"2,keyasint"`
 	Purpose Purpose       `cbor:"3,keyasint"`
-	// Target is the cold target of PurposeColdStart, and Rate how many requests a second it
-	// bears by the configuration; both are empty with other purposes.
+	// Target is the target of PurposeColdStart and PurposeLimited, and Rate how many requests a
+	// second it bears by the configuration, or takes by its own word; both are empty with other
+	// purposes.
 	Target api.TargetID `cbor:"6,keyasint,omitempty"`
 	Rate   float64      `cbor:"7,keyasint,omitempty"`
 	// Return gives the retry of an earlier ask back.
@@ -109,6 +117,17 @@
 	Limits Limits `cbor:"5,keyasint"`
 }
 
+// LimitsOf gives the limits that the ask goes by, of which fleet are those of retries.
+func (a *Ask) LimitsOf(fleet Limits) Limits {
+	switch a.Purpose {
+	case PurposeColdStart:
+		return ColdLimits(a.Rate)
+	case PurposeLimited:
+		return PaceLimits()
+	}
+	return fleet
+}
+
 // Answer is the pool's decision.
 type Answer struct {
 	Granted bool `cbor:"1,keyasint,omitempty"`
--- a/node/control/retries.go
+++ b/node/control/retries.go
@@ -14,11 +14,7 @@
 // differ must not change what the group grants.
 func (m *Member) stampRetry(req *Request) {
 	command, ask := *req.Command, *req.Command.Retry
-	if ask.Purpose == retrybudget.PurposeColdStart {
-		ask.Limits = retrybudget.ColdLimits(ask.Rate)
-	} else {
-		ask.Limits = m.opt.Retries
-	}
+	ask.Limits = ask.LimitsOf(m.opt.Retries)
 	command.Retry = &ask
 	req.Command = &command
 }
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -52,6 +52,7 @@
 	RetryGranted     = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
 	ColdStart        = Event{314, zerolog.InfoLevel, "a request would go to a target that is cold", "None: granted says whether it went there."}
 	CopyDropped      = Event{315, zerolog.InfoLevel, "the copy of a run that nobody takes up was freed", "None; with an error the engines keep its memory for some seconds."}
+	LimitedSend      = Event{316, zerolog.InfoLevel, "a request would go to a target that names a limit", "None: granted says whether it went there."}
 	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
@@ -84,7 +85,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetLimitError,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -39,6 +39,7 @@
 	skipped  *prometheus.CounterVec
 	cold     *prometheus.CounterVec
 	limits   *prometheus.CounterVec
+	limited  *prometheus.CounterVec
 	// unreadable counts limits that could not be read.
 	unreadable prometheus.Counter
 }
@@ -61,6 +62,7 @@
 		denied:     f.NewCounterVec(counter("relay_retries_denied_total", "Retries that the budget did not allow, by what they were for and the reason."), []string{"why", "reason"}),
 		cold:       f.NewCounterVec(counter("relay_cold_starts_total", "Requests to cold targets, by whether they were granted and why not."), []string{"granted", "reason"}),
 		limits:     f.NewCounterVec(counter("relay_target_limits_total", "Changes of what is believed of targets' limits, by whether they name one."), []string{"limited"}),
+		limited:    f.NewCounterVec(counter("relay_limited_sends_total", "Requests to targets that name a limit, by whether they were granted and why not."), []string{"granted", "reason"}),
 		unreadable: f.NewCounter(counter("relay_target_limits_unreadable_total", "Answers of targets that name a limit that can't be read.")),
 		skipped:    f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
 		dials:      f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
@@ -177,6 +179,14 @@
 	e.Send()
 }
 
+// LimitedSend implements relay.Observer.
+func (m *Relay) LimitedSend(r *relay.Request, t *relay.Target, limit targetlimit.Belief, v relay.RetryVerdict) {
+	m.limited.WithLabelValues(strconv.FormatBool(v.OK), string(v.Reason)).Inc()
+	e := target(request(events.LimitedSend.Log(m.log), r), "target", t)
+	e.Bool("granted", v.OK).Str("reason", string(v.Reason)).Float64("rate", limit.Rate).Dur("age", time.Since(limit.Heard)).
+		Int("used", v.Used).Dur("next", v.RetryAfter).Dur("took", v.Took).Send()
+}
+
 // LimitUnreadable implements relay.Observer.
 func (m *Relay) LimitUnreadable(r *relay.Request, t *relay.Target, err error) {
 	m.unreadable.Inc()
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -31,9 +31,10 @@
 	ended  bool
 }
 
-// begin sends the request to an engine. On anything but Answered the leg has
+// begin sends the request to an engine by a permit. On anything but Answered the leg has
 // ended; it still tells where a copy of the run may be.
-func (s *streamRun) begin(ctx context.Context, t *Target, d Directive, why string) (*leg, string) {
+func (s *streamRun) begin(ctx context.Context, p *permit, d Directive, why string) (*leg, string) {
+	t := p.target
 	l := &leg{target: t, standby: s.standbyFor(t), tokens: s.tokens(), unread: s.unread(d)}
 	if l.standby != nil {
 		d.CopyTo = l.standby.Address
@@ -44,7 +45,7 @@
 	t.hold(l.tokens, l.unread)
 	l.sentAt, l.queued = time.Now(), t.Load().Unread
 	l.ctx, l.cancel = context.WithCancel(ctx)
-	x, outcome := s.relay.send(l.ctx, s.req, t, d, why)
+	x, outcome := s.relay.send(l.ctx, s.req, p, d, why)
 	l.x = x
 	if x == nil {
 		l.end()
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -77,10 +77,15 @@
 // the few milliseconds between, both make the same events; numbers tell which the
 // caller has.
 func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
+	p, ok := s.relay.permit(ctx, s.req, l.standby)
+	if !ok {
+		return false
+	}
 	if !s.mayResume(ctx, howStandby) {
+		s.relay.giveBack(p)
 		return false
 	}
-	next, _ := s.begin(s.ctx, l.standby, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
+	next, _ := s.begin(s.ctx, p, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
 	if next.x == nil {
 		return false
 	}
@@ -319,7 +324,11 @@
 		if !s.pay(d) {
 			break
 		}
-		next, _ := s.begin(s.ctx, t, s.resumeFrom(d.copy), d.how)
+		p, ok := s.relay.permit(s.ctx, s.req, t)
+		if !ok {
+			continue
+		}
+		next, _ := s.begin(s.ctx, p, s.resumeFrom(d.copy), d.how)
 		if next.x != nil {
 			s.relay.obs.Migrated(s.req, l.target, t, d.how, time.Since(s.pausedAt))
 			return next
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -25,6 +26,21 @@
 	return list[choice]
 }
 
+// placePermitted chooses a target of the request's service that it may be sent to, nil if
+// there is none. Targets that the request was meant for before are left out.
+func (r *Relay) placePermitted(ctx context.Context, req *Request) *permit {
+	for range maxLooks {
+		t := r.place(req, req.Service, req.asked)
+		if t == nil {
+			return nil
+		}
+		if p, ok := r.permit(ctx, req, t); ok {
+			return p
+		}
+	}
+	return nil
+}
+
 // candidates describes targets to the placement of a request, in their order.
 func (r *Relay) candidates(req *Request, list []*Target, not []*Target, now time.Time) []placement.Candidate {
 	out := make([]placement.Candidate, len(list))
@@ -46,9 +62,14 @@
 	return out
 }
 
-// usable tells whether a target may be sent a request at all.
+// usable tells whether a target may be sent a request at present.
 func (r *Relay) usable(req *Request, t *Target, now time.Time) bool {
-	return !t.draining.Load() && !t.evacuated() && !t.coldRefused(now) && r.atHome(req, t)
+	return r.inUse(req, t) && !t.heldBack(now)
+}
+
+// inUse tells whether a target is one that serves requests like this one.
+func (r *Relay) inUse(req *Request, t *Target) bool {
+	return !t.draining.Load() && !t.evacuated() && r.atHome(req, t)
 }
 
 // atHome tells whether the target is in a region in which the request may be served.
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,13 +22,13 @@
 	r.firstSend(req)
 	why := "first"
 	for {
-		t := r.place(req, req.Service, req.asked)
-		if t == nil {
-			r.noTarget(req)
+		p := r.placePermitted(ctx, req)
+		if p == nil {
+			r.nonePermitted(ctx, req)
 			return
 		}
-		req.asked = append(req.asked, t)
-		outcome, done := r.tryPlain(ctx, req, t, why)
+		req.asked = append(req.asked, p.target)
+		outcome, done := r.tryPlain(ctx, req, p, why)
 		if done {
 			return
 		}
@@ -49,10 +50,11 @@
 
 // tryPlain sends the request to one target; done tells that the caller has been
 // answered.
-func (r *Relay) tryPlain(ctx context.Context, req *Request, t *Target, why string) (outcome string, done bool) {
+func (r *Relay) tryPlain(ctx context.Context, req *Request, p *permit, why string) (outcome string, done bool) {
+	t := p.target
 	t.hold(0, 0)
 	defer t.release(0)
-	x, outcome := r.send(ctx, req, t, Directive{}, why)
+	x, outcome := r.send(ctx, req, p, Directive{}, why)
 	if x == nil {
 		return outcome, false
 	}
@@ -125,6 +127,18 @@
 	r.obs.Ended(req, x.Status, Answered)
 }
 
+// nonePermitted ends a request that may be sent to no target (any more).
+func (r *Relay) nonePermitted(ctx context.Context, req *Request) {
+	switch {
+	case req.callerGone():
+		r.gone(req)
+	case ctx.Err() != nil:
+		r.timedOut(req)
+	default:
+		r.noTarget(req)
+	}
+}
+
 // noTarget answers when no target may be asked (any more).
 func (r *Relay) noTarget(req *Request) {
 	if r.answerFailure(req) {
@@ -146,6 +160,10 @@
 	case r.targets.allEvacuated(req.Service):
 		return api.ReasonZoneEvacuated, retryOperator
 	}
+	if wait := r.heldBackFor(req, time.Now()); wait > 0 {
+		// Spread, callers that were refused together do not come back together.
+		return api.ReasonTargetLimit, wait + time.Duration(rand.Float64()*float64(wait))
+	}
 	return api.ReasonNoTarget, retryNoTarget
 }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -117,6 +117,8 @@
 	// LimitUnreadable tells that a target's answer names a limit that can't be read. It is
 	// told once until the target names one that can be.
 	LimitUnreadable(r *Request, t *Target, err error)
+	// LimitedSend tells whether a request may be sent to a target that names a limit.
+	LimitedSend(r *Request, t *Target, limit targetlimit.Belief, v RetryVerdict)
 	// Attempted tells what one send came to.
 	Attempted(r *Request, t *Target, outcome string, err error)
 	// RetryGranted tells that the retry budget allowed one more send; why is what it is
--- a/node/relay/retries.go
+++ b/node/relay/retries.go
@@ -13,8 +13,8 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Grantor grants retries, and requests to cold targets, out of the budget that all entries
-// share. It is safe for concurrent use.
+// Grantor grants retries, and requests to targets that are cold or name a limit, out of the
+// budgets that all entries share. It is safe for concurrent use.
 type Grantor interface {
 	// Retry asks for one grant, or returns one. An error means that no answer came
 	// before ctx ended.
@@ -80,7 +80,7 @@
 }
 
 // Retries holds this entry's budgets for retries, one a service, and asks the group for what
-// goes beyond them and for requests to cold targets. It is safe for
+// goes beyond them and for requests to targets that bear so many in all. It is safe for
 // concurrent use.
 type Retries struct {
 	limits  retrybudget.Limits
@@ -129,12 +129,11 @@
 	return taken, v
 }
 
-// ColdStart takes the right to send one request to a cold target, which bears so many a
-// second.
-func (r *Retries) ColdStart(ctx context.Context, s api.ServiceID, t api.TargetID, rate float64) RetryVerdict {
-	ask := retrybudget.Ask{Service: s, Purpose: retrybudget.PurposeColdStart, Target: t, Rate: rate}
-	_, v := r.askGroup(ctx, ask, RetryVerdict{}, time.Now())
-	return v
+// ForTarget takes the right to send one request to a target that bears so many a second from
+// all entries.
+func (r *Retries) ForTarget(ctx context.Context, p retrybudget.Purpose, s api.ServiceID, t api.TargetID, rate float64) (Retry, RetryVerdict) {
+	ask := retrybudget.Ask{Service: s, Purpose: p, Target: t, Rate: rate}
+	return r.askGroup(ctx, ask, RetryVerdict{}, time.Now())
 }
 
 // askGroup asks the group for a grant, and waits for its answer for a while.
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -11,7 +11,7 @@
 
 // reserved is the engine that a request goes to.
 type reserved struct {
-	target *Target
+	permit *permit
 	// reservation names the memory that the engine has set aside; empty for none.
 	reservation string
 }
@@ -47,8 +47,8 @@
 	if req.Route.Generates {
 		return r.awaitReservation(ctx, req)
 	}
-	if t := r.place(req, req.Service, req.asked); t != nil {
-		return &reserved{target: t}
+	if p := r.placePermitted(ctx, req); p != nil {
+		return &reserved{permit: p}
 	}
 	return nil
 }
@@ -114,11 +114,16 @@
 	return nil
 }
 
-// reserveAt makes a reservation at one engine; nil if that refuses.
+// reserveAt takes a permit for one engine and makes a reservation there; nil if either is
+// refused. The permit comes first: a reservation that is not used keeps room from others.
 func (r *Relay) reserveAt(ctx context.Context, req *Request, t *Target) *reserved {
+	p, ok := r.permit(ctx, req, t)
+	if !ok {
+		return nil
+	}
 	e := r.engine(req.Service)
 	if e == nil || e.Reserves == 0 {
-		return &reserved{target: t}
+		return &reserved{permit: p}
 	}
 	t.hold(req.tokens, req.Ask.PromptTokens)
 	defer func() {
@@ -129,8 +134,9 @@
 	defer cancel()
 	id, err := r.engines.Reserve(within, t.Address, req.tokens, e.Reserves)
 	if err == nil {
-		return &reserved{target: t, reservation: id}
+		return &reserved{permit: p, reservation: id}
 	}
+	r.giveBack(p)
 	r.obs.NoRoom(req, t, err)
 	switch {
 	case errors.Is(err, ErrNoRoom):
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -14,25 +14,30 @@
 const (
 	// Answered is told to observers of a whole answer too.
 	Answered       = "answered"
-	outcomeNotSent = "not_sent"  // the target has read nothing of it
-	outcomeCold    = "cold"      // nothing was sent, as the target is cold
-	outcomeNotRun  = "not_run"   // the target states that it did not run it
-	outcomeElse    = "elsewhere" // another target has the address
-	outcomeLost    = "lost"      // it may have run
-	outcomeNoMove  = "no_move"   // the run could not be moved there
-	outcomeFailed  = "failed"    // the target answered with a failure of its own
+	outcomeNotSent = "not_sent" // the target has read nothing of it
+	// outcomeHeldBack: nothing was sent, as others are granted all that the target bears.
+	outcomeHeldBack = "held_back"
+	outcomeNotRun   = "not_run"   // the target states that it did not run it
+	outcomeElse     = "elsewhere" // another target has the address
+	outcomeLost     = "lost"      // it may have run
+	outcomeNoMove   = "no_move"   // the run could not be moved there
+	outcomeFailed   = "failed"    // the target answered with a failure of its own
 )
 
-// send sends the request once and classifies what came back. Only with
+// send sends the request once, by a permit, and classifies what came back. Only with
 // Answered there is an exchange, which the caller closes.
-func (r *Relay) send(ctx context.Context, req *Request, t *Target, d Directive, why string) (*upstream.Exchange, string) {
+func (r *Relay) send(ctx context.Context, req *Request, p *permit, d Directive, why string) (*upstream.Exchange, string) {
+	t := p.target
 	if t.evacuated() {
+		r.giveBack(p)
 		r.obs.Attempted(req, t, outcomeNotSent, errEvacuated)
 		return nil, outcomeNotSent
 	}
-	if !r.mayStart(ctx, req, t) {
-		r.obs.Attempted(req, t, outcomeCold, errCold)
-		return nil, outcomeCold
+	if !p.valid(time.Now()) {
+		var ok bool
+		if p, ok = r.permit(ctx, req, t); !ok {
+			return nil, outcomeHeldBack
+		}
 	}
 	d.Target = t.Target
 	if req.Customer != nil {
@@ -122,7 +127,7 @@
 // mayGoOn tells whether the request may be sent to one more target after an
 // outcome: never when it may have run and must not run twice.
 func (r *Relay) mayGoOn(req *Request, outcome string) bool {
-	if outcome == outcomeNotSent || outcome == outcomeElse || outcome == outcomeCold {
+	if outcome == outcomeNotSent || outcome == outcomeElse || outcome == outcomeHeldBack {
 		return len(req.asked) < maxLooks
 	}
 	if req.sends >= req.Route.MaxTargets {
@@ -148,7 +153,7 @@
 // mayRetry takes one retry for a request of which its caller has nothing yet. None is
 // needed where no target was sent anything.
 func (r *Relay) mayRetry(ctx context.Context, req *Request, why string) bool {
-	if why == outcomeCold {
+	if why == outcomeHeldBack {
 		return true
 	}
 	_, ok := r.retry(ctx, req, retrybudget.PurposeRetry, why)
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -71,9 +71,9 @@
 		if at == nil {
 			return nil, outcome
 		}
-		s.req.asked = append(s.req.asked, at.target)
+		s.req.asked = append(s.req.asked, at.permit.target)
 		var l *leg
-		l, outcome = s.begin(s.ctx, at.target, Directive{LastEvent: s.last(), Reservation: at.reservation}, why)
+		l, outcome = s.begin(s.ctx, at.permit, Directive{LastEvent: s.last(), Reservation: at.reservation}, why)
 		if outcome == Answered {
 			return l, outcome
 		}
@@ -269,10 +269,15 @@
 
 // fromStandby continues the run at the engine that keeps its standby copy.
 func (s *streamRun) fromStandby(l *leg) *leg {
+	p, ok := s.relay.permit(s.ctx, s.req, l.standby)
+	if !ok {
+		return nil
+	}
 	if !s.mayResume(s.ctx, howStandby) {
+		s.relay.giveBack(p)
 		return nil
 	}
-	next, outcome := s.begin(s.ctx, l.standby, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
+	next, outcome := s.begin(s.ctx, p, s.resumeFrom(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
 	if outcome != Answered {
 		return nil
 	}
@@ -292,15 +297,15 @@
 	if !s.relay.mayGoOn(s.req, outcomeLost) || !s.mayResume(s.ctx, howRestart) {
 		return nil
 	}
-	t := s.relay.place(s.req, s.req.Service, s.req.asked)
-	if t == nil {
+	p := s.relay.placePermitted(s.ctx, s.req)
+	if p == nil {
 		return nil
 	}
-	next, outcome := s.begin(s.ctx, t, Directive{LastEvent: s.last()}, howRestart)
+	next, outcome := s.begin(s.ctx, p, Directive{LastEvent: s.last()}, howRestart)
 	if outcome != Answered {
 		return nil
 	}
-	s.relay.obs.Migrated(s.req, l.target, t, howRestart, time.Since(s.pausedAt))
+	s.relay.obs.Migrated(s.req, l.target, p.target, howRestart, time.Since(s.pausedAt))
 	return next
 }
 
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -27,9 +27,9 @@
 	// finished; Unix nanoseconds, zero for never.
 	coldTill  atomic.Int64
 	takenBack atomic.Int64
-	// coldRefusedTill is until when a cold target is passed over because others get all
-	// that it bears, Unix nanoseconds.
-	coldRefusedTill atomic.Int64
+	// heldBackTill is until when the target is passed over because others are granted all
+	// the requests that it bears, Unix nanoseconds.
+	heldBackTill atomic.Int64
 	// limited is what is believed of the limit that the target names; nil for none.
 	limited atomic.Pointer[targetlimit.Belief]
 	// limitUnreadable is set while the target names a limit that can't be read.
