The group knows the limits of targets and tells all entries

What was seen, in histories in virtual time: entries that had not met a target since it lowered its limit asked by the old one (19 of 16.7 in 4 s), entries without an answer sent what they liked, and entries held a target to a limit that it had dropped until each of them had a grant. Cause: each entry knew only its own answers.

Statements are ordered by when the request was sent and its answer heard; of two that may have been made in either order the stricter counts.

--- a/core/api/error.go
+++ b/core/api/error.go
@@ -33,6 +33,8 @@
 	StepRetry     Step = "retry"
 
 	StepEvacuation Step = "evacuation"
+	// StepTargetLimit tells the control group what a target says of its limit.
+	StepTargetLimit Step = "target_limit"
 )
 
 // Error is the project's error: where it arose (Step, Peer), what the caller is
--- a/core/retrybudget/pace.go
+++ b/core/retrybudget/pace.go
@@ -24,9 +24,9 @@
 	return time.Duration(float64(time.Second) / min(max(a.Rate, leastRate), mostRate))
 }
 
-// tolerance is how far ahead of the pace a grant may be: at least one request may always be
-// granted at once, and no more than paceBurst's.
-func (a *Ask) tolerance() time.Duration { return max(paceBurst-a.interval(), 0) }
+// tolerance is how far ahead of the pace a grant may be: as far as the requests of paceBurst,
+// and as far as one that nobody had asked for when it was due.
+func (a *Ask) tolerance() time.Duration { return max(paceBurst-a.interval(), a.interval()) }
 
 // pace tells whether a grant at a replicated time keeps to the pace that the ask names.
 func (c *Account) pace(now int64, a Ask) Answer {
--- a/core/retrybudget/pool_test.go
+++ b/core/retrybudget/pool_test.go
@@ -66,6 +66,8 @@
 		"a retry with a target":         func(a *Ask) { a.Target = "t" },
 		"a long target":                 func(a *Ask) { a.Purpose, a.Target = PurposeColdStart, api.TargetID(long) },
 		"an unknown purpose":            func(a *Ask) { a.Purpose = 9 },
+		"a negative rate":               func(a *Ask) { a.Purpose, a.Target, a.Rate = PurposeLimited, "t", -1 },
+		"a limit without a target":      func(a *Ask) { a.Purpose = PurposeLimited },
 		"no window":                     func(a *Ask) { a.Limits.Window = 0 },
 		"a negative slack":              func(a *Ask) { a.Limits.Slack = -1 },
 		"a huge slack":                  func(a *Ask) { a.Limits.Slack = 1e300 },
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -36,6 +36,8 @@
 	Retries []retrybudget.Account `cbor:"10,keyasint,omitempty"`
 	// Zones is missing in snapshots of versions without evacuations.
 	Zones []ZoneOrder `cbor:"11,keyasint,omitempty"`
+	// Limits is missing in snapshots of versions without limits of targets.
+	Limits *TargetLimits `cbor:"12,keyasint,omitempty"`
 }
 
 // Encode gives the bytes of a command.
@@ -69,6 +71,9 @@
 		Retries: s.retries.Snapshot(),
 		Zones:   s.ZoneOrders(),
 	}
+	if limits := s.TargetLimits(); limits.Index > 0 {
+		img.Limits = &limits
+	}
 	for _, m := range s.members {
 		img.Members = append(img.Members, m)
 	}
@@ -108,5 +113,8 @@
 	}
 	s.retries = retrybudget.RestorePool(img.Retries)
 	s.restoreZones(img.Zones)
+	if img.Limits != nil {
+		s.restoreLimits(*img.Limits)
+	}
 	return s, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -63,6 +63,8 @@
 	Retry *retrybudget.Ask `cbor:"9,keyasint,omitempty"`
 	// Evacuation empties an availability zone or takes it back.
 	Evacuation *Evacuation `cbor:"10,keyasint,omitempty"`
+	// Limit tells what a target says of its limit.
+	Limit *LimitStatement `cbor:"11,keyasint,omitempty"`
 }
 
 // Result is what one command came to. Reason is empty when it took effect, or
@@ -97,6 +99,10 @@
 	// newest.
 	zones     map[api.Zone]ZoneOrder
 	evacuated uint64
+	// targetLimits are the limits that targets name, limitsAt the log index of the last
+	// change.
+	targetLimits map[api.TargetID]TargetLimit
+	limitsAt     uint64
 }
 
 // New gives the state before the first command.
@@ -110,6 +116,8 @@
 		drains:  make(map[api.TargetID]Drain),
 		retries: retrybudget.NewPool(),
 		zones:   make(map[api.Zone]ZoneOrder),
+
+		targetLimits: make(map[api.TargetID]TargetLimit),
 	}
 }
 
@@ -173,6 +181,8 @@
 		return Result{Reason: answer.Reason, Retry: &answer}
 	case c.Evacuation != nil:
 		return s.evacuate(index, *c.Evacuation)
+	case c.Limit != nil:
+		return s.limit(index, *c.Limit)
 	}
 	return Result{}
 }
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -151,7 +151,7 @@
 	for c, n := first, 0; c != nil && n < maxBatch; c, n = m.waiting(), n+1 {
 		switch {
 		case c.req.Command != nil:
-			if !m.refuseRetry(c) {
+			if !m.refuseRetry(c) && !m.knowsLimit(c) {
 				commands = append(commands, c)
 			}
 		case c.req.Read:
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -53,6 +53,10 @@
 	// the same goroutine as OnConfig, and by HighestRevision on its caller's. A list may be
 	// older than one given before: its index tells. It may be nil.
 	OnEvacuated func(state.Evacuated)
+	// OnLimits is called with all limits that targets name whenever one changes, on the same
+	// goroutine as OnConfig, and before the first configuration of a link. A list may be older
+	// than one given before: its index tells. It may be nil.
+	OnLimits func(state.TargetLimits)
 	// Observer hears of failed dials; it may be nil.
 	Observer ClientObserver
 	// Report gives what is told of this process; it may be nil.
@@ -122,6 +126,9 @@
 	if opt.OnEvacuated == nil {
 		opt.OnEvacuated = func(state.Evacuated) {}
 	}
+	if opt.OnLimits == nil {
+		opt.OnLimits = func(state.TargetLimits) {}
+	}
 	if opt.Observer == nil {
 		opt.Observer = noClientObserver{}
 	}
@@ -217,6 +224,8 @@
 		c.opt.OnOrders(m.Ready)
 	case *Evacuated:
 		c.opt.OnEvacuated(m.Evacuated)
+	case *Limits:
+		c.opt.OnLimits(m.TargetLimits)
 	case *Leader:
 		c.leader(conn, m)
 	}
--- /dev/null
+++ b/node/control/limits.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/state"
+)
+
+// knowsLimit answers a statement that the leader knows to change nothing, so that the log
+// does not grow with what every entry hears.
+func (m *Member) knowsLimit(c *call) bool {
+	stated := c.req.Command.Limit
+	if stated == nil || m.role != consensus.RoleLeader || m.state.LimitChanges(m.clock.at(time.Now()), *stated) {
+		return false
+	}
+	c.answer(&Reply{Outcome: api.OutcomeCompleted, Result: &state.Result{}})
+	return true
+}
+
+// StateLimit tells the group what a target says of its limit. The same statement may be made
+// again. With an error it is not known whether the group has heard it.
+func (c *Client) StateLimit(ctx context.Context, l state.LimitStatement) error {
+	r, _ := c.call(ctx, Request{Command: &state.Command{Limit: &l}})
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Reason != "" {
+		return unavailable(api.StepTargetLimit, r, api.OutcomeUnknown)
+	}
+	return nil
+}
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -375,7 +375,7 @@
 type watched struct {
 	revision           api.Revision
 	drained, evacuated uint64
-	orders             uint64
+	limits, orders     uint64
 }
 
 func (m *Member) watched() watched {
@@ -383,6 +383,7 @@
 		revision:  m.state.Current().Revision,
 		drained:   m.state.Drained(),
 		evacuated: m.state.EvacuatedAt(),
+		limits:    m.state.LimitsAt(),
 		orders:    m.state.Orders().Version(),
 	}
 }
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -23,6 +23,7 @@
 	kindEntries
 	kindOrders
 	kindEvacuated
+	kindLimits
 )
 
 // Peer carries one message of the agreement between two members.
@@ -177,6 +178,14 @@
 	state.Evacuated
 }
 
+// Limits lists the limits that targets name.
+type Limits struct {
+	state.TargetLimits
+}
+
+// Kind implements wire.Message.
+func (*Limits) Kind() wire.Kind { return kindLimits }
+
 // Kind implements wire.Message.
 func (*Evacuated) Kind() wire.Kind { return kindEvacuated }
 
@@ -203,5 +212,6 @@
 		wire.ProtoOf[Entries](),
 		wire.ProtoOf[Orders](),
 		wire.ProtoOf[Evacuated](),
+		wire.ProtoOf[Limits](),
 	}
 }
--- a/node/control/retries_test.go
+++ b/node/control/retries_test.go
@@ -94,3 +94,59 @@
 		c.Assert(g.member(consensus.MemberID(1)).Status().Last, qt.Equals, before)
 	})
 }
+
+// TestKnownLimitsAreNotInTheLog guards against a log that grows with every entry that hears
+// the same limit of a target.
+func TestKnownLimitsAreNotInTheLog(t *testing.T) {
+	inBubble(t, func(t *testing.T, g *group) {
+		c := qt.New(t)
+		g.form(1)
+		stated := Request{Command: &state.Command{Limit: &state.LimitStatement{Target: "t", Limited: true, Rate: 2, SentAge: time.Millisecond}}}
+		g.must(stated)
+		before := g.member(consensus.MemberID(1)).Status().Last
+		for range 50 {
+			c.Assert(g.must(stated).Outcome, qt.Equals, api.OutcomeCompleted)
+		}
+		c.Assert(g.member(consensus.MemberID(1)).Status().Last, qt.Equals, before)
+		view, _ := g.member(consensus.MemberID(1)).watchView()
+		c.Assert(view.limits.List, qt.HasLen, 1)
+	})
+}
+
+// TestPaceOutlivesLeaders guards against a target that is sent its limit twice: by a leader
+// that was cut off and the one after it, or before and after all were killed.
+func TestPaceOutlivesLeaders(t *testing.T) {
+	for name, fault := range map[string]func(g *group){
+		"none":                func(*group) {},
+		"the leader is cut":   func(g *group) { g.isolate(g.leader(), true) },
+		"the leader is lost":  func(g *group) { g.kill(g.leader()) },
+		"all are killed":      (*group).killAndStartAll,
+		"a snapshot is taken": func(g *group) { g.every = 1; g.killAndStartAll() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, g *group) {
+				c := qt.New(t)
+				g.form(3)
+				began, granted := time.Now(), 0
+				ask := func() {
+					r := g.must(Request{Command: &state.Command{Retry: &retrybudget.Ask{
+						ID: fmt.Sprint(time.Now().UnixNano()), Service: "s", Target: "t", Purpose: retrybudget.PurposeLimited, Rate: 4,
+					}}})
+					if r.Result.Retry.Granted {
+						granted++
+					}
+				}
+				for i := range 200 {
+					if i == 100 {
+						fault(g)
+					}
+					ask()
+					time.Sleep(20 * time.Millisecond)
+				}
+				took := time.Since(began).Seconds()
+				c.Assert(float64(granted) <= 4*(took+1)+1, qt.IsTrue, qt.Commentf("%d in %.1f s", granted, took))
+				c.Assert(granted >= 10, qt.IsTrue, qt.Commentf("%d in %.1f s", granted, took))
+			})
+		})
+	}
+}
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -178,7 +178,7 @@
 	base := s.base(w)
 	var told *Leader
 	drained := noDrains
-	var evacuated uint64
+	var evacuated, limits uint64
 	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watchView()
@@ -195,6 +195,10 @@
 			evacuated = view.evacuated.Index
 			_ = s.conn.Send(&Evacuated{view.evacuated})
 		}
+		if view.limits.Index != limits {
+			limits = view.limits.Index
+			_ = s.conn.Send(&Limits{view.limits})
+		}
 		if !slices.Equal(ready, view.ready) {
 			ready = view.ready
 			_ = s.conn.Send(&Orders{Ready: ready})
@@ -256,6 +260,8 @@
 	ready   []api.TargetID
 	// evacuated are the zones whose targets get no new work.
 	evacuated state.Evacuated
+	// limits are those that targets name.
+	limits state.TargetLimits
 }
 
 // watchView gives what watchers are told and a channel that is closed at the
@@ -272,6 +278,7 @@
 		ready:   m.state.Orders().Ready(),
 
 		evacuated: m.state.Evacuated(),
+		limits:    m.state.TargetLimits(),
 	}
 	return v, m.changed
 }
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -26,58 +26,59 @@
 // of requests, from 400 of targets, from 500 of control, from 600 of
 // configuration.
 var (
-	ProcessStarted   = Event{100, zerolog.InfoLevel, "process started", "None."}
-	ProcessDraining  = Event{101, zerolog.InfoLevel, "process draining: no new work, requests in progress go on", "None; a second signal stops it hard."}
-	ProcessDrained   = Event{102, zerolog.InfoLevel, "process drained", "None."}
-	ProcessHardStop  = Event{103, zerolog.WarnLevel, "process stopped hard, requests in progress were cut off", "Find who sent the second signal, or why draining took longer than its limit."}
-	ProcessFailed    = Event{104, zerolog.ErrorLevel, "process failed", "Read the error field; settings are the usual cause."}
-	ProcessReloaded  = Event{105, zerolog.InfoLevel, "settings file changed", "None; a process takes new settings at its next start."}
-	LinkUp           = Event{200, zerolog.InfoLevel, "link up", "None."}
-	LinkDown         = Event{201, zerolog.WarnLevel, "link down", "Read the why field: silence means a stalled network, backlog a peer that does not read, malformed a version or a fault."}
-	LinkDialFailed   = Event{202, zerolog.WarnLevel, "link could not be opened", "Check the address and that the peer is up; it is tried again with growing waits."}
-	LinkRefused      = Event{203, zerolog.WarnLevel, "link refused in the handshake", "Check that both ends were given the same fleet key."}
-	RequestEnded     = Event{300, zerolog.InfoLevel, "request ended", "None."}
-	RequestFailed    = Event{301, zerolog.InfoLevel, "request ended without its whole answer", "Look the reason up in OPERATIONS.md."}
-	RequestRefused   = Event{303, zerolog.InfoLevel, "request refused, it has not run", "Look the reason up in OPERATIONS.md."}
-	RequestSent      = Event{304, zerolog.InfoLevel, "request sent to a target", "None."}
-	RequestAttempted = Event{305, zerolog.InfoLevel, "a target did not answer the request", "Look at the target's own lines by its name."}
-	RequestMoved     = Event{306, zerolog.InfoLevel, "stream is continued at another engine", "None, unless the pause is long: see how full the engines' links are."}
-	RequestRetried   = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
-	RequestCopied    = Event{308, zerolog.InfoLevel, "a run was copied to another engine", "None, unless it takes long: see how full the engines' links are."}
-	CallerFault      = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
-	RequestHeld      = Event{309, zerolog.InfoLevel, "request waited for an engine with room", "None, unless it recurs: the engines are full, add some or lower the customers' limits."}
-	RequestNoRoom    = Event{310, zerolog.InfoLevel, "an engine did not set room aside for a request", "None, unless it recurs with an error: see whether the engine runs."}
-	RetryDenied      = Event{311, zerolog.InfoLevel, "the retry budget did not allow one more send", "None, unless it recurs. reason=control_unavailable: see whether the control group has a leader. Else so much fails that retries are cut back: look for the cause in the 305 lines. Do not raise the budget."}
-	RequestNotMoved  = Event{312, zerolog.InfoLevel, "migration skipped", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
-	RetryGranted     = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
-	ColdStart        = Event{314, zerolog.InfoLevel, "a request would go to a target that is cold", "None: granted says whether it went there."}
-	CopyDropped      = Event{315, zerolog.InfoLevel, "the copy of a run that nobody takes up was freed", "None; with an error the engines keep its memory for some seconds."}
-	LimitedSend      = Event{316, zerolog.InfoLevel, "a request would go to a target that names a limit", "None: granted says whether it went there."}
-	TargetAnnounced  = Event{400, zerolog.InfoLevel, "target announced", "None."}
-	TargetLeaving    = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
-	TargetGone       = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
-	TargetLoadFailed = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
-	TargetChanged    = Event{404, zerolog.InfoLevel, "target state changed", "None."}
-	TargetDialFailed = Event{406, zerolog.InfoLevel, "a connection to a target could not be opened", "None, unless one address recurs: see whether its machine is up, and whether it is out of connections."}
-	TargetUnusable   = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out who writes announcements of another form; the other targets hold."}
-	TargetLimited    = Event{407, zerolog.InfoLevel, "a target's limit of requests changed", "None: the target is in need. See why with its own lines, and whether its service has targets enough."}
-	TargetLimitError = Event{408, zerolog.WarnLevel, "a target names a limit that can't be read", "Correct what the target writes; the limit that it named before stays in force."}
-	ControlStarted   = Event{500, zerolog.InfoLevel, "control member started", "None."}
-	ControlLeader    = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
-	ControlNoLeader  = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
-	ControlSnapshot  = Event{503, zerolog.InfoLevel, "control snapshot", "None."}
-	ControlStranger  = Event{504, zerolog.WarnLevel, "control refused a stranger", "Find who calls the operator interface with a wrong token, or which process asks for what only operators may."}
-	ControlFailed    = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save the disk is to be checked before the member is started again; a lost data folder is replaced by a new member (almondctl members add, promote, remove)."}
-	ControlMended    = Event{506, zerolog.InfoLevel, "control group changes its members by itself", "None, unless refused recurs: then see with the members' logs which of them are up."}
-	ConfigInForce    = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
-	ConfigUnusable   = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
-	ConfigConflict   = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
-	ConfigSwitched   = Event{603, zerolog.InfoLevel, "agent follows another entry's configuration", "None, unless it recurs with why=silence: the network between them stalls."}
-	ConfigPut        = Event{605, zerolog.InfoLevel, "configuration proposed", "None, unless the outcome is not completed for long: see whether the control group has a leader."}
-	ConfigInvalid    = Event{606, zerolog.WarnLevel, "invalid configuration refused", "Show the error to the operator who sent it."}
-	ZonesEvacuated   = Event{607, zerolog.InfoLevel, "evacuated availability zones changed at this entry", "None: targets of the zones listed get nothing new from this entry."}
-	EvacuationPut    = Event{608, zerolog.InfoLevel, "evacuation order", "Without an error the order is in force; stale_fence means that the opposite order came in between, control_unavailable that there is no leader."}
-	ConfigNoSite     = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
+	ProcessStarted       = Event{100, zerolog.InfoLevel, "process started", "None."}
+	ProcessDraining      = Event{101, zerolog.InfoLevel, "process draining: no new work, requests in progress go on", "None; a second signal stops it hard."}
+	ProcessDrained       = Event{102, zerolog.InfoLevel, "process drained", "None."}
+	ProcessHardStop      = Event{103, zerolog.WarnLevel, "process stopped hard, requests in progress were cut off", "Find who sent the second signal, or why draining took longer than its limit."}
+	ProcessFailed        = Event{104, zerolog.ErrorLevel, "process failed", "Read the error field; settings are the usual cause."}
+	ProcessReloaded      = Event{105, zerolog.InfoLevel, "settings file changed", "None; a process takes new settings at its next start."}
+	LinkUp               = Event{200, zerolog.InfoLevel, "link up", "None."}
+	LinkDown             = Event{201, zerolog.WarnLevel, "link down", "Read the why field: silence means a stalled network, backlog a peer that does not read, malformed a version or a fault."}
+	LinkDialFailed       = Event{202, zerolog.WarnLevel, "link could not be opened", "Check the address and that the peer is up; it is tried again with growing waits."}
+	LinkRefused          = Event{203, zerolog.WarnLevel, "link refused in the handshake", "Check that both ends were given the same fleet key."}
+	RequestEnded         = Event{300, zerolog.InfoLevel, "request ended", "None."}
+	RequestFailed        = Event{301, zerolog.InfoLevel, "request ended without its whole answer", "Look the reason up in OPERATIONS.md."}
+	RequestRefused       = Event{303, zerolog.InfoLevel, "request refused, it has not run", "Look the reason up in OPERATIONS.md."}
+	RequestSent          = Event{304, zerolog.InfoLevel, "request sent to a target", "None."}
+	RequestAttempted     = Event{305, zerolog.InfoLevel, "a target did not answer the request", "Look at the target's own lines by its name."}
+	RequestMoved         = Event{306, zerolog.InfoLevel, "stream is continued at another engine", "None, unless the pause is long: see how full the engines' links are."}
+	RequestRetried       = Event{302, zerolog.InfoLevel, "request tried again elsewhere", "None, unless almondseam_retries_total grows: look the reason up."}
+	RequestCopied        = Event{308, zerolog.InfoLevel, "a run was copied to another engine", "None, unless it takes long: see how full the engines' links are."}
+	CallerFault          = Event{307, zerolog.DebugLevel, "the HTTP server ended a caller's connection", "None."}
+	RequestHeld          = Event{309, zerolog.InfoLevel, "request waited for an engine with room", "None, unless it recurs: the engines are full, add some or lower the customers' limits."}
+	RequestNoRoom        = Event{310, zerolog.InfoLevel, "an engine did not set room aside for a request", "None, unless it recurs with an error: see whether the engine runs."}
+	RetryDenied          = Event{311, zerolog.InfoLevel, "the retry budget did not allow one more send", "None, unless it recurs. reason=control_unavailable: see whether the control group has a leader. Else so much fails that retries are cut back: look for the cause in the 305 lines. Do not raise the budget."}
+	RequestNotMoved      = Event{312, zerolog.InfoLevel, "migration skipped", "None, unless it recurs: no_room says that the engines are full, add some or lower the customers' limits."}
+	RetryGranted         = Event{313, zerolog.InfoLevel, "the retry budget allowed one more send", "None."}
+	ColdStart            = Event{314, zerolog.InfoLevel, "a request would go to a target that is cold", "None: granted says whether it went there."}
+	CopyDropped          = Event{315, zerolog.InfoLevel, "the copy of a run that nobody takes up was freed", "None; with an error the engines keep its memory for some seconds."}
+	LimitedSend          = Event{316, zerolog.InfoLevel, "a request would go to a target that names a limit", "None: granted says whether it went there."}
+	TargetAnnounced      = Event{400, zerolog.InfoLevel, "target announced", "None."}
+	TargetLeaving        = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
+	TargetGone           = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether its agent runs; its requests wait for it for a while."}
+	TargetLoadFailed     = Event{403, zerolog.DebugLevel, "target did not report its load", "See whether the engine runs."}
+	TargetChanged        = Event{404, zerolog.InfoLevel, "target state changed", "None."}
+	TargetDialFailed     = Event{406, zerolog.InfoLevel, "a connection to a target could not be opened", "None, unless one address recurs: see whether its machine is up, and whether it is out of connections."}
+	TargetUnusable       = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out who writes announcements of another form; the other targets hold."}
+	TargetLimited        = Event{407, zerolog.InfoLevel, "a target's limit of requests changed", "None: the target is in need. See why with its own lines, and whether its service has targets enough."}
+	TargetLimitNotStated = Event{409, zerolog.WarnLevel, "the control group could not be told of a target's limit", "See whether the group has a leader; the next answer of the target begins anew."}
+	TargetLimitError     = Event{408, zerolog.WarnLevel, "a target names a limit that can't be read", "Correct what the target writes; the limit that it named before stays in force."}
+	ControlStarted       = Event{500, zerolog.InfoLevel, "control member started", "None."}
+	ControlLeader        = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
+	ControlNoLeader      = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
+	ControlSnapshot      = Event{503, zerolog.InfoLevel, "control snapshot", "None."}
+	ControlStranger      = Event{504, zerolog.WarnLevel, "control refused a stranger", "Find who calls the operator interface with a wrong token, or which process asks for what only operators may."}
+	ControlFailed        = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save the disk is to be checked before the member is started again; a lost data folder is replaced by a new member (almondctl members add, promote, remove)."}
+	ControlMended        = Event{506, zerolog.InfoLevel, "control group changes its members by itself", "None, unless refused recurs: then see with the members' logs which of them are up."}
+	ConfigInForce        = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
+	ConfigUnusable       = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
+	ConfigConflict       = Event{602, zerolog.ErrorLevel, "another content came under the revision held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
+	ConfigSwitched       = Event{603, zerolog.InfoLevel, "agent follows another entry's configuration", "None, unless it recurs with why=silence: the network between them stalls."}
+	ConfigPut            = Event{605, zerolog.InfoLevel, "configuration proposed", "None, unless the outcome is not completed for long: see whether the control group has a leader."}
+	ConfigInvalid        = Event{606, zerolog.WarnLevel, "invalid configuration refused", "Show the error to the operator who sent it."}
+	ZonesEvacuated       = Event{607, zerolog.InfoLevel, "evacuated availability zones changed at this entry", "None: targets of the zones listed get nothing new from this entry."}
+	EvacuationPut        = Event{608, zerolog.InfoLevel, "evacuation order", "Without an error the order is in force; stale_fence means that the opposite order came in between, control_unavailable that there is no leader."}
+	ConfigNoSite         = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
 )
 
 // All lists the catalogue in the order of its numbers.
@@ -86,7 +87,7 @@
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetLimitError,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetLimitError, TargetLimitNotStated,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -42,6 +42,7 @@
 	limited  *prometheus.CounterVec
 	// unreadable counts limits that could not be read.
 	unreadable prometheus.Counter
+	notStated  prometheus.Counter
 }
 
 // latencyBuckets reach from a quick answer to the longest stream, in seconds.
@@ -63,6 +64,7 @@
 		cold:       f.NewCounterVec(counter("relay_cold_starts_total", "Requests to cold targets, by whether they were granted and why not."), []string{"granted", "reason"}),
 		limits:     f.NewCounterVec(counter("relay_target_limits_total", "Changes of what is believed of targets' limits, by whether they name one."), []string{"limited"}),
 		limited:    f.NewCounterVec(counter("relay_limited_sends_total", "Requests to targets that name a limit, by whether they were granted and why not."), []string{"granted", "reason"}),
+		notStated:  f.NewCounter(counter("relay_target_limits_not_stated_total", "Limits of targets that the control group could not be told of.")),
 		unreadable: f.NewCounter(counter("relay_target_limits_unreadable_total", "Answers of targets that name a limit that can't be read.")),
 		skipped:    f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
 		dials:      f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
@@ -171,7 +173,12 @@
 // LimitChanged implements relay.Observer.
 func (m *Relay) LimitChanged(r *relay.Request, t *relay.Target, before, after targetlimit.Belief) {
 	m.limits.WithLabelValues(strconv.FormatBool(after.Limited)).Inc()
-	e := target(request(events.TargetLimited.Log(m.log), r), "target", t)
+	e := target(events.TargetLimited.Log(m.log), "target", t)
+	if r != nil {
+		e = request(e.Str("source", "answer"), r)
+	} else {
+		e = e.Str("source", "group")
+	}
 	e = e.Bool("limited", after.Limited).Float64("rate", after.Rate).Bool("was_limited", before.Limited).Float64("was_rate", before.Rate)
 	if !before.Heard.IsZero() {
 		e = e.Dur("was_age", after.Heard.Sub(before.Heard))
@@ -187,6 +194,12 @@
 		Int("used", v.Used).Dur("next", v.RetryAfter).Dur("took", v.Took).Send()
 }
 
+// LimitNotStated implements relay.Observer.
+func (m *Relay) LimitNotStated(t *relay.Target, err error) {
+	m.notStated.Inc()
+	target(events.TargetLimitNotStated.Log(m.log), "target", t).Err(err).Send()
+}
+
 // LimitUnreadable implements relay.Observer.
 func (m *Relay) LimitUnreadable(r *relay.Request, t *relay.Target, err error) {
 	m.unreadable.Inc()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -84,6 +84,7 @@
 	live     atomic.Pointer[routeconf.Table]
 	client   *control.Client
 	retries  *relay.Retries
+	limits   *relay.Limits
 	targets  *relay.Targets
 	registry *registry.Registry
 	follower *registry.Follower
@@ -119,12 +120,14 @@
 		OnMembers: e.follower.Follow,
 
 		OnEvacuated: e.onEvacuated,
+		OnLimits:    e.onLimits,
 		Observer:    p.Metrics,
 	})
 	e.retries = relay.NewRetries(set.Retries, e.client)
+	e.limits = relay.NewLimits(e.client, p.Observer)
 	handler := relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Retries: e.retries, Observer: p.Observer,
+		Retries: e.retries, Limits: e.limits, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
@@ -222,6 +225,13 @@
 	e.ports.Metrics.Evacuated(len(zones))
 }
 
+// onLimits takes the limits that targets have named to other entries.
+func (e *RoutedEntry) onLimits(list state.TargetLimits) {
+	for _, c := range e.targets.HearLimits(list) {
+		e.ports.Observer.LimitChanged(nil, c.Target, c.Before, c.After)
+	}
+}
+
 func (e *RoutedEntry) onConfig(rev api.Revision, document []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -299,6 +309,7 @@
 		err = e.server.Close()
 	}
 	e.retries.Wait()
+	e.limits.Wait()
 	e.cancel()
 	e.work.Wait()
 	e.follower.Wait()
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -1,11 +1,81 @@
 package relay
 
 import (
+	"context"
 	"time"
 
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/state"
 	"almondseam.dev/core/targetlimit"
+	"github.com/sourcegraph/conc"
 )
 
+// LimitStater tells the control group what targets say of their limits. It is safe for
+// concurrent use.
+type LimitStater interface {
+	// StateLimit may be called again with the same statement. After an error the group may
+	// have heard it or not.
+	StateLimit(ctx context.Context, l state.LimitStatement) error
+}
+
+const (
+	// stateWithin bounds one try to tell the group: its ages are those at the beginning.
+	stateWithin = 400 * time.Millisecond
+	// stateTries bounds the tries; the next answer of the target begins anew.
+	stateTries = 20
+)
+
+// Limits tells the control group what targets say of their limits, so that entries know them
+// that have no answer yet. It is safe for concurrent use.
+type Limits struct {
+	to   LimitStater
+	obs  Observer
+	work conc.WaitGroup
+}
+
+// NewLimits makes one; obs hears of statements that could not be made.
+func NewLimits(to LimitStater, obs Observer) *Limits { return &Limits{to: to, obs: obs} }
+
+// Wait returns once all statements have been made or given up. Nothing is heard any more.
+func (l *Limits) Wait() { l.work.Wait() }
+
+// state tells the group what is believed of a target's limit, in the background.
+func (l *Limits) state(t *Target) {
+	if !t.stating.CompareAndSwap(false, true) {
+		return
+	}
+	l.work.Go(func() {
+		told := l.tell(t)
+		t.stating.Store(false)
+		if told && !t.limit().Same(*t.stated.Load()) {
+			l.state(t) // heard while the last try was under way
+		}
+	})
+}
+
+// tell tries until the group has heard what is believed then; false if it is given up.
+func (l *Limits) tell(t *Target) bool {
+	var err error
+	for range stateTries {
+		b := t.limit()
+		ctx, cancel := context.WithTimeout(context.Background(), stateWithin)
+		err = l.to.StateLimit(ctx, statement(t, b, time.Now()))
+		cancel()
+		if err == nil {
+			t.statedNow(b)
+			return true
+		}
+	}
+	l.obs.LimitNotStated(t, err)
+	return false
+}
+
+func statement(t *Target, b targetlimit.Belief, now time.Time) state.LimitStatement {
+	return state.LimitStatement{
+		Target: t.Target, Born: t.Born, Limited: b.Limited, Rate: b.Rate, SentAge: now.Sub(b.Sent), HeardAge: now.Sub(b.Heard),
+	}
+}
+
 // limit is what this entry believes of the target's limit.
 func (t *Target) limit() targetlimit.Belief {
 	if b := t.limited.Load(); b != nil {
@@ -29,6 +99,17 @@
 	}
 }
 
+// statedNow notes that the group holds a belief.
+func (t *Target) statedNow(b targetlimit.Belief) {
+	t.stated.Store(&b)
+	t.statedAt.Store(time.Now().UnixNano())
+}
+
+// stateDue tells whether the group may soon forget the limit that the target goes on naming.
+func (t *Target) stateDue(now time.Time) bool {
+	return t.limit().Limited && now.UnixNano()-t.statedAt.Load() > state.LimitStatedEvery.Nanoseconds()
+}
+
 // learnLimit takes what a target's answer says of its limit. An answer that can't be read
 // leaves the limit as it is, and one that states that the request was not run may come from
 // something before the target: it may name a limit, but not end one.
@@ -43,8 +124,62 @@
 	if reply.NotRun && !reply.Limited {
 		return
 	}
-	before, after := t.hear(targetlimit.Statement{Limited: reply.Limited, Rate: reply.Limit, Sent: sent, Heard: time.Now()})
-	if !before.Same(after) {
+	now := time.Now()
+	before, after := t.hear(targetlimit.Statement{Limited: reply.Limited, Rate: reply.Limit, Sent: sent, Heard: now})
+	changed := !before.Same(after)
+	if changed {
 		r.obs.LimitChanged(req, t, before, after)
 	}
+	if changed || t.stateDue(now) {
+		r.limits.state(t)
+	}
+}
+
+// heardLimit is what the group said of the limit of one run of a target.
+type heardLimit struct {
+	born      int64
+	statement targetlimit.Statement
+}
+
+// LimitChange is a belief that the group's list has changed.
+type LimitChange struct {
+	Target        *Target
+	Before, After targetlimit.Belief
+}
+
+// HearLimits takes the limits that targets have named to any entry. It gives the beliefs that
+// they change.
+func (t *Targets) HearLimits(list state.TargetLimits) []LimitChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if list.Index < t.limitsAt {
+		return nil // of a member that lags
+	}
+	now := time.Now()
+	t.limitsAt, t.limits = list.Index, make(map[api.TargetID]heardLimit, len(list.List))
+	var out []LimitChange
+	for _, l := range list.List {
+		heard := heardLimit{born: l.Born, statement: list.Statement(l, now)}
+		t.limits[l.Target] = heard
+		target := t.byID[l.Target]
+		if target == nil || target.Born != l.Born {
+			continue
+		}
+		before, after := target.hear(heard.statement)
+		target.statedNow(targetlimit.Belief{Statement: heard.statement})
+		if !before.Same(after) {
+			out = append(out, LimitChange{Target: target, Before: before, After: after})
+		}
+	}
+	return out
+}
+
+// remember gives a target that is announced after its limit what the group said of it. The
+// lock is held.
+func (t *Targets) remember(target *Target) {
+	heard, ok := t.limits[target.Target]
+	if ok && heard.born == target.Born {
+		target.hear(heard.statement)
+		target.statedNow(targetlimit.Belief{Statement: heard.statement})
+	}
 }
--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -1,70 +1,257 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/state"
+	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/upstream"
 	qt "github.com/frankban/quicktest"
 )
 
-// join adds an entry to the stage's, with a table of targets of its own. All ask one group,
-// whose clock stands still. It gives the URL for its callers.
-func (s *stage) join(pool *localPool) (url string, targets *Targets) {
-	targets = NewTargets()
-	r := New(Settings{Zone: "z"}, Ports{
-		Live: &s.live, Targets: targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: noMoves,
-		Retries: NewRetries(pool.limits, pool), Observer: quiet{},
-	})
-	return s.serve(r), targets
+// localGroup is a control group of one member, and the entries that it tells.
+type localGroup struct {
+	localPool
+	mu      sync.Mutex
+	state   *state.State
+	entries []*Targets
 }
 
+func newLocalGroup() *localGroup {
+	g := &localGroup{state: state.New(state.DefaultLimits())}
+	g.localPool = localPool{limits: enoughRetries, pool: retrybudget.NewPool(), still: true}
+	return g
+}
+
+// StateLimit implements LimitStater.
+func (g *localGroup) StateLimit(_ context.Context, l state.LimitStatement) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	data, err := state.Encode(state.Command{Now: time.Now().UnixMilli(), Limit: &l})
+	if err != nil {
+		return err
+	}
+	if r := g.state.Apply(g.state.Index()+1, data); r.Reason != "" {
+		return errors.New(r.Message)
+	}
+	for _, t := range g.entries {
+		t.HearLimits(g.state.TargetLimits())
+	}
+	return nil
+}
+
+// member is an entry of a test with a table of targets of its own.
+type member struct {
+	s       *stage
+	url     string
+	targets *Targets
+	limits  *Limits
+}
+
+// join adds an entry that knows a target.
+func (s *stage) join(g *localGroup, known directory.Record) *member {
+	m := &member{s: s, targets: NewTargets(), limits: NewLimits(g, quiet{})}
+	g.mu.Lock()
+	m.targets.HearLimits(g.state.TargetLimits())
+	g.entries = append(g.entries, m.targets)
+	g.mu.Unlock()
+	m.targets.Update([]directory.Record{known})
+	m.url = s.serve(New(Settings{Zone: "z"}, Ports{
+		Live: &s.live, Targets: m.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: noMoves,
+		Retries: NewRetries(g.limits, g), Limits: m.limits, Observer: quiet{},
+	}))
+	return m
+}
+
+// ask makes one request, and waits until the group has been told what its answer says.
+func (m *member) ask() int {
+	resp, _, err := m.s.askAt(m.url, "/a/x")
+	m.s.c.Assert(err, qt.IsNil)
+	m.limits.Wait()
+	return resp.StatusCode
+}
+
+// burst makes so many requests at once.
+func (m *member) burst(n int) {
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() {
+			resp, _, err := m.s.askAt(m.url, "/a/x")
+			m.s.c.Check(err, qt.IsNil)
+			if resp.StatusCode != http.StatusOK {
+				m.s.c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+				m.s.c.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+		})
+	}
+	all.Wait()
+}
+
+// limited is a target that names a limit, none for zero.
+type limited struct {
+	rate    atomic.Value
+	arrived atomic.Int64
+}
+
+func (l *limited) names(rate float64) {
+	l.rate.Store(strconv.FormatFloat(rate, 'f', -1, 64))
+	l.arrived.Store(0)
+}
+
+func (l *limited) namesNone() { l.rate.Store(""); l.arrived.Store(0) }
+
+func (l *limited) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.arrived.Add(1)
+	if rate := l.rate.Load().(string); rate != "" {
+		w.Header().Set("Limit", rate)
+	}
+}
+
+const testRate = 2.3
+
+// allowed is the users' bound on what arrives in four seconds.
+const allowed = 1.5*testRate*4 + 5
+
 // TestLimitHoldsForTheSumOfAllEntries guards against entries that each send a target what it
 // says that it takes from all instances together.
 func TestLimitHoldsForTheSumOfAllEntries(t *testing.T) {
-	const (
-		entries, each = 5, 40
-		limit         = 2.3
-		// span and the rest are the users' bound on what arrives in a span of seconds.
-		span, over, slack = 4, 1.5, 5
-	)
+	const entries, each = 5, 40
 	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
-	pool := &localPool{limits: enoughRetries, pool: retrybudget.NewPool(), still: true}
-	var arrived atomic.Int64
-	own := s.target("t", "z", func(w http.ResponseWriter, _ *http.Request) {
-		arrived.Add(1)
-		w.Header().Set("Limit", strconv.FormatFloat(limit, 'f', -1, 64))
-	})
-	var urls []string
+	g, target := newLocalGroup(), &limited{}
+	target.names(testRate)
+	own := s.target("t", "z", target.ServeHTTP)
+	var members []*member
 	for range entries {
-		url, targets := s.join(pool)
-		targets.Update([]directory.Record{own})
-		urls = append(urls, url)
-		resp, _, err := s.askAt(url, "/a/x")
-		s.c.Assert(err, qt.IsNil)
-		s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+		m := s.join(g, own)
+		m.ask()
+		members = append(members, m)
 	}
-	arrived.Store(0)
+	target.arrived.Store(0)
 	var all sync.WaitGroup
-	for _, url := range urls {
-		for range each {
-			all.Go(func() {
-				resp, _, err := s.askAt(url, "/a/x")
-				s.c.Check(err, qt.IsNil)
-				if resp.StatusCode != http.StatusOK {
-					s.c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-					s.c.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
-				}
-			})
-		}
+	for _, m := range members {
+		all.Go(func() { m.burst(each) })
 	}
 	all.Wait()
-	s.c.Assert(float64(arrived.Load()) <= over*limit*span+slack, qt.IsTrue, qt.Commentf("%d", arrived.Load()))
-	s.c.Assert(arrived.Load() > 0, qt.IsTrue)
+	s.c.Assert(float64(target.arrived.Load()) <= allowed, qt.IsTrue, qt.Commentf("%d", target.arrived.Load()))
+}
+
+// TestLimitIsKnownToEntriesWithoutAnAnswer guards against entries that send a limited target
+// what they like until they have an answer of it themselves: those that have asked it nothing
+// yet, and those that start later.
+func TestLimitIsKnownToEntriesWithoutAnAnswer(t *testing.T) {
+	const each = 40
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	g, target := newLocalGroup(), &limited{}
+	target.names(testRate)
+	own := s.target("t", "z", target.ServeHTTP)
+	told, other := s.join(g, own), s.join(g, own)
+	s.c.Assert(told.ask(), qt.Equals, http.StatusOK)
+	other.burst(each)
+	s.join(g, own).burst(each)
+	s.c.Assert(float64(target.arrived.Load()) <= allowed, qt.IsTrue, qt.Commentf("%d", target.arrived.Load()))
+}
+
+// TestLimitIsLetGo guards against a limit that outlives the target's naming it, at any entry,
+// and against one that is held against the next run of the target.
+func TestLimitIsLetGo(t *testing.T) {
+	const each = 40
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	g, target := newLocalGroup(), &limited{}
+	target.names(testRate)
+	own := s.target("t", "z", target.ServeHTTP)
+	told, other := s.join(g, own), s.join(g, own)
+	told.ask()
+
+	target.namesNone()
+	s.c.Assert(told.ask(), qt.Equals, http.StatusOK)
+	other.burst(each)
+	s.c.Assert(target.arrived.Load(), qt.Equals, int64(1+each))
+
+	target.names(testRate)
+	told.ask()
+	target.namesNone()
+	own.Born++
+	for _, m := range []*member{told, other} {
+		m.targets.Update([]directory.Record{own})
+		m.burst(each)
+	}
+	s.c.Assert(target.arrived.Load(), qt.Equals, int64(2*each))
+}
+
+// TestLoweredLimitReachesAllEntries guards against entries that go on by a limit that the
+// target has lowered since.
+func TestLoweredLimitReachesAllEntries(t *testing.T) {
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+	g, target := newLocalGroup(), &limited{}
+	target.names(40)
+	own := s.target("t", "z", target.ServeHTTP)
+	told, other := s.join(g, own), s.join(g, own)
+	told.ask()
+	target.names(testRate)
+	told.ask()
+	s.c.Assert(other.targets.Of(service)[0].limit().Rate, qt.Equals, testRate)
+	other.burst(60)
+	s.c.Assert(float64(target.arrived.Load()) <= allowed, qt.IsTrue, qt.Commentf("%d", target.arrived.Load()))
+}
+
+// What an answer changes in what is believed of the target's limit.
+func TestLimitIsLearned(t *testing.T) {
+	believed := targetlimit.Statement{Limited: true, Rate: testRate, Sent: time.Now().Add(-2 * time.Second), Heard: time.Now().Add(-time.Second)}
+	for _, tt := range []struct {
+		name  string
+		reply Reply
+		want  bool
+	}{
+		{"named", Reply{Limited: true, Limit: testRate}, true},
+		{"named by an answer that states that the request was not run", Reply{Limited: true, Limit: testRate, NotRun: true}, true},
+		{"named no more", Reply{}, false},
+		{"nothing named by an answer that states that the request was not run", Reply{NotRun: true}, true},
+		{"unreadable", Reply{LimitErr: errors.New("unreadable")}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			targets := NewTargets()
+			targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
+			r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{}})
+			target := targets.Of(service)[0]
+			target.hear(believed)
+			r.learnLimit(&Request{}, target, tt.reply, time.Now())
+			r.limits.Wait()
+			qt.New(t).Assert(target.limit().Limited, qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestLimitThatCannotBeStatedIsGivenUp guards against a goroutine for each answer of a target
+// while the group has no leader.
+func TestLimitThatCannotBeStatedIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	targets := NewTargets()
+	targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
+	to := &deafGroup{}
+	r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(to, quiet{}), Observer: quiet{}})
+	for range 100 {
+		r.learnLimit(&Request{}, targets.Of(service)[0], Reply{Limited: true, Limit: 1}, time.Now())
+	}
+	r.limits.Wait()
+	c.Assert(to.most.Load() <= 1, qt.IsTrue)
+}
+
+// deafGroup hears nothing; most is how many have told it something at the same time.
+type deafGroup struct{ now, most atomic.Int64 }
+
+// StateLimit implements LimitStater.
+func (d *deafGroup) StateLimit(context.Context, state.LimitStatement) error {
+	d.most.Store(max(d.most.Load(), d.now.Add(1)))
+	defer d.now.Add(-1)
+	return errors.New("no leader")
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -32,6 +32,7 @@
 	Dialect  Dialect
 	Engines  Engines
 	Retries  *Retries
+	Limits   *Limits
 	Observer Observer
 }
 
@@ -44,6 +45,7 @@
 	dialect Dialect
 	engines Engines
 	retries *Retries
+	limits  *Limits
 	obs     Observer
 	lengths *lengths
 	reading *readingSpeeds
@@ -53,7 +55,7 @@
 func New(set Settings, p Ports) *Relay {
 	return &Relay{
 		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
-		engines: p.Engines, retries: p.Retries, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
+		engines: p.Engines, retries: p.Retries, limits: p.Limits, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
 	}
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -64,6 +64,7 @@
 func (quiet) RetryGranted(*Request, string, RetryVerdict)                            {}
 func (quiet) Dropped(*Request, *Target, error)                                       {}
 func (quiet) LimitedSend(*Request, *Target, targetlimit.Belief, RetryVerdict)        {}
+func (quiet) LimitNotStated(*Target, error)                                          {}
 func (quiet) LimitUnreadable(*Request, *Target, error)                               {}
 func (quiet) LimitChanged(*Request, *Target, targetlimit.Belief, targetlimit.Belief) {}
 func (quiet) ColdStart(*Request, *Target, RetryVerdict)                              {}
@@ -123,7 +124,7 @@
 	s.live.Store(table)
 	r := New(Settings{Zone: "z"}, Ports{
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
-		Retries: NewRetries(limits, &localPool{limits: limits, pool: retrybudget.NewPool()}), Observer: quiet{},
+		Retries: NewRetries(limits, &localPool{limits: limits, pool: retrybudget.NewPool()}), Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{},
 	})
 	s.url = s.serve(r)
 	return s
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -34,6 +34,11 @@
 	limited atomic.Pointer[targetlimit.Belief]
 	// limitUnreadable is set while the target names a limit that can't be read.
 	limitUnreadable atomic.Bool
+	// stated is what the control group holds of the limit, as far as this entry knows, since
+	// statedAt, Unix nanoseconds; stating is set while the group is told.
+	stated   atomic.Pointer[targetlimit.Belief]
+	statedAt atomic.Int64
+	stating  atomic.Bool
 	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
@@ -74,6 +79,9 @@
 	byID map[api.TargetID]*Target
 	// others are the loads by other entries, by target.
 	others map[api.TargetID]fleetload.Sum
+	// limits are those that targets have named to any entry, as of the log index limitsAt.
+	limits   map[api.TargetID]heardLimit
+	limitsAt uint64
 
 	dirtyMu sync.Mutex
 	// dirty are the targets on which this entry's load has changed since it was taken.
@@ -170,6 +178,7 @@
 		if sum, ok := t.others[r.Target]; ok {
 			known.setOthers(sum)
 		}
+		t.remember(known)
 	}
 	if r.Cold > 0 {
 		known.chill(time.Now().Add(r.Cold))
