The soak's targets name limits, lower them and drop them, whatever the faults

Real processes, entries that restart, members that are killed, cut off and lose disks: what reaches a target that names a limit is held against the users' bound, over all entries; requests that a stalled link held up are left out, as are windows in which the target did not name one all the while.

--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -27,6 +27,19 @@
 	return standin.Run{Request: api.RequestID(id), Target: t, Service: s}
 }
 
+// limited lets a target name a limit since some time, and lets so many requests reach it now.
+func limited(k *checker, t api.TargetID, rate float64, since time.Duration, n int) {
+	k.Limited(t, serviceA, rate)
+	k.limits.spans[t][0].from = time.Now().Add(-since)
+	arrive(k, t, n)
+}
+
+func arrive(k *checker, t api.TargetID, n int) {
+	for range n {
+		k.limits.arrived[t] = append(k.limits.arrived[t], time.Now())
+	}
+}
+
 // Each promise, once kept and once broken: a check that can't fail proves nothing.
 func TestBrokenPromisesAreSeen(t *testing.T) {
 	once, look, change := traffic{once: true}, traffic{}, traffic{changing: true}
@@ -56,6 +69,12 @@
 			k.Ran(run("r", "x", serviceA))
 			k.Answered("r", standin.Answer{Status: 200, Whole: true, Sealed: true, Request: "r", Target: "x"})
 		}, false},
+		{"a target that names a limit gets that", look, func(k *checker) { limited(k, "x", 1, longAgo, 11) }, false},
+		{"a target that names a limit gets more", look, func(k *checker) { limited(k, "x", 1, longAgo, 12) }, true},
+		{"a target that has just begun to name one", look, func(k *checker) { limited(k, "x", 1, time.Second, 12) }, false},
+		{"a target that names one no more", look, func(k *checker) { limited(k, "x", 1, longAgo, 0); k.Unlimited("x"); arrive(k, "x", 12) }, false},
+		{"a target whose requests were held up", look, func(k *checker) { k.Excuse("x", longAgo); limited(k, "x", 1, longAgo, 12) }, false},
+		{"a target that names less than before", look, func(k *checker) { limited(k, "x", 2, longAgo, 17); k.Limited("x", serviceA, 1) }, false},
 		{"whole stream", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(true, one, two)) }, false},
 		{"broken stream that says so", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(false, one)) }, false},
 		{"broken stream that looks whole", stream, func(k *checker) { k.Ran(run("r", "x", serviceA)); k.Answered("r", events(true, one)) }, true},
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -78,6 +78,7 @@
 	case 3:
 		j.disturb(ctx, "callers of "+entry.name, entry.front, modeDelay, delay, lasts)
 	case 4:
+		j.check.Excuse(target.current(), lasts)
 		j.disturb(ctx, "requests to "+target.known, target.forward, []mode{modeDelay, modeSilent}[j.rng.IntN(2)], delay, lasts)
 	case 5:
 		j.note("reset of the connections of %s, %s and %s", control.name, entry.name, target.known)
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -299,6 +299,13 @@
 	return api.TargetID(fmt.Sprintf("%s-%s-%d", p.service, p.known, p.number))
 }
 
+// current names the target that is there.
+func (p *place) current() api.TargetID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id()
+}
+
 // replace ends the target, after a notice if drain is given, and starts another.
 func (p *place) replace(ctx context.Context, drain time.Duration, drained func(api.TargetID, time.Time)) error {
 	p.mu.Lock()
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -28,7 +28,9 @@
 	storms   int
 	storm    time.Duration
 	calm     time.Duration
-	out      io.Writer
+	// limits lets targets name limits.
+	limits bool
+	out    io.Writer
 }
 
 func main() {
@@ -45,6 +47,7 @@
 	app.Flag("storms", "Times of faults in one run.").Default("2").IntVar(&set.storms)
 	app.Flag("storm", "How long each lasts.").Default("8s").DurationVar(&set.storm)
 	app.Flag("calm", "Time without faults after each, counted from when the fleet has settled.").Default("5s").DurationVar(&set.calm)
+	app.Flag("limits", "Targets name limits.").Default("true").BoolVar(&set.limits)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failed := 0
 	base := set.dir
@@ -171,6 +174,10 @@
 	}
 	own := rand.New(rand.NewPCG(set.seed, 2000))
 	work.Go(func() { ops.evacuate(ctx, own) })
+	if set.limits {
+		own := rand.New(rand.NewPCG(set.seed, 3000))
+		work.Go(func() { limitTargets(ctx, places, check, own) })
+	}
 	log, err := os.Create(filepath.Join(set.dir, "faults.log"))
 	if err != nil {
 		check.Unwell(err.Error())
