A run is stopped only for an engine that may be asked to take it up

Found by looking for the incident's class elsewhere: the grant for a target that is cold or names a limit was taken when the moved run was taken up, after it had been stopped. Without one the run was lost though its memory was whole. The permit is taken before the stop now, beside the retry; without it the next engine is tried. Engines that name a limit are the last choice for copies.

TestRunIsNotStoppedForAnEngineThatMayNotBeAsked failed before ('the run was stopped'), passes now. A story in a comment of moveTo is shortened.

--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -255,3 +255,38 @@
 	defer d.now.Add(-1)
 	return errors.New("no leader")
 }
+
+// TestRunIsNotStoppedForAnEngineThatMayNotBeAsked guards against a run that is stopped to go
+// on at an engine whose limit then refuses it.
+func TestRunIsNotStoppedForAnEngineThatMayNotBeAsked(t *testing.T) {
+	copied := make(chan struct{}, 4)
+	engines := mover(func(_, _ string, stop bool) (Copy, error) {
+		if stop {
+			t.Error("the run was stopped")
+		}
+		copied <- struct{}{}
+		return Copy{Address: "x", ID: "handle"}, nil
+	})
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, engines)
+	s.target("b", "far", func(http.ResponseWriter, *http.Request) { t.Error("the second engine got the request") })
+	s.targets.Of(service)[0].hear(targetlimit.Statement{Limited: true, Sent: time.Now(), Heard: time.Now()})
+	others := &localPool{limits: enoughRetries, pool: s.group.pool, still: s.group.still}
+	for i := range 2 { // others are granted what the engine takes
+		ask := retrybudget.Ask{ID: strconv.Itoa(i), Service: service, Target: "b", Purpose: retrybudget.PurposeLimited}
+		answer, err := others.Retry(context.Background(), ask)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(answer.Granted, qt.IsTrue)
+	}
+	var first directory.Record
+	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-copied
+		time.Sleep(3 * payEvery)
+		events(w, 5, 9)
+	})
+	_, body, err := s.ask("/a/x", "Most", "50")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(body, qt.Equals, wanted(1, 9))
+}
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -21,8 +22,9 @@
 	copy Copy
 	at   []*Target
 	how  string
-	// paid is the retry for the first of at; nil once it is used.
-	paid *Retry
+	// paid is the retry for the first of at, permit the right to ask it; nil once used.
+	paid   *Retry
+	permit *permit
 }
 
 // How streams are continued, as observers are told.
@@ -37,6 +39,8 @@
 	skipNoRoom = "no_room" // no engine had room for the run
 	skipBudget = "budget"  // the retry budget was spent until the notice was over
 	skipNoStop = "no_stop" // the run could not be stopped, or had ended
+	// skipHeldBack: others were granted all the requests that the engine bears.
+	skipHeldBack = "held_back"
 )
 
 // moveZoneWeight is what an engine in another zone counts more as the destination of a
@@ -118,11 +122,12 @@
 			break
 		}
 		tried = append(tried, to)
-		if why := s.moveTo(ctx, l, to); why != skipNoRoom {
+		why = s.moveTo(ctx, l, to)
+		if why != skipNoRoom && why != skipHeldBack {
 			return why
 		}
 	}
-	return skipNoRoom
+	return cmp.Or(why, skipNoRoom)
 }
 
 // skipped tells why a migration was skipped, unless the stream has ended.
@@ -133,11 +138,8 @@
 }
 
 // moveTo moves the run to another engine. It gives why that was skipped, empty if the run
-// has been stopped; after skipNoRoom another engine may take it.
-//
-// Failure: the run ends by itself while it is copied, or can't be stopped. Symptom if its copy
-// is left where it is: the next engine keeps the memory for seconds, refuses runs that do have to
-// be moved there, and looks empty to the entries. So a copy that nobody takes up is dropped.
+// has been stopped; after skipNoRoom and skipHeldBack another engine may take it. A copy that
+// nobody takes up is dropped: the engine would keep its memory for seconds and refuse others.
 func (s *streamRun) moveTo(ctx context.Context, l *leg, to *Target) (why string) {
 	tokens := l.held()
 	to.keep(tokens)
@@ -152,18 +154,27 @@
 		s.drop(l, to, made)
 		return skipBudget
 	}
+	// Before the stop: a run that was stopped for an engine that may not be asked is lost.
+	p, ok := s.relay.permit(ctx, s.req, to)
+	if !ok {
+		s.relay.retries.GiveBack(paid)
+		s.drop(l, to, made)
+		return skipHeldBack
+	}
 	moved, err := s.copy(ctx, l, to, true)
 	if moved.ID == "" {
 		s.relay.retries.GiveBack(paid)
+		s.relay.giveBack(p)
 		s.drop(l, to, made)
 		return skipNoStop
 	}
-	// Without room at the other engine the run has stopped all the same, and the
-	// draining one still holds its memory.
 	l.migration.copy, l.migration.how, l.migration.paid = moved, howMigration, &paid
-	l.migration.at = []*Target{to, l.target}
+	l.migration.at, l.migration.permit = []*Target{to, l.target}, p
 	if err != nil {
-		l.migration.at = []*Target{l.target}
+		// Without room at the other engine the run has stopped all the same, and the
+		// draining one still holds its memory.
+		s.relay.giveBack(p)
+		l.migration.at, l.migration.permit = []*Target{l.target}, nil
 	}
 	return ""
 }
@@ -290,7 +301,7 @@
 // over.
 func (s *streamRun) destination(not []*Target) *Target {
 	list := s.relay.targets.Of(s.req.Service)
-	candidates := s.relay.candidates(s.req, list, not, time.Now())
+	candidates := s.relay.copyCandidates(s.req, list, not, time.Now())
 	choice := placement.Pick(candidates, placement.Need{Zone: not[0].Zone, Tokens: s.tokens(), ZoneWeight: moveZoneWeight, Even: true}, rand.Float64)
 	if choice < 0 {
 		return nil
@@ -324,8 +335,8 @@
 		if !s.pay(d) {
 			break
 		}
-		p, ok := s.relay.permit(s.ctx, s.req, t)
-		if !ok {
+		p := s.permitFor(d, t)
+		if p == nil {
 			continue
 		}
 		next, _ := s.begin(s.ctx, p, s.resumeFrom(d.copy), d.how)
@@ -338,6 +349,20 @@
 	return nil
 }
 
+// permitFor uses the permit that was taken for a migration, or takes one; nil if there is none.
+func (s *streamRun) permitFor(d *migration, t *Target) *permit {
+	p := d.permit
+	d.permit = nil
+	if p != nil && p.target == t {
+		return p
+	}
+	p, ok := s.relay.permit(s.ctx, s.req, t)
+	if !ok {
+		return nil
+	}
+	return p
+}
+
 // dropStopped drops the copy of a run that was stopped and is not continued.
 func (s *streamRun) dropStopped(l *leg) {
 	if d := l.migration; d.copy.ID != "" {
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -62,6 +62,16 @@
 	return out
 }
 
+// copyCandidates describes targets to the placement of a copy of a run. One that names a limit
+// is the last choice: the run may go on there only with a grant.
+func (r *Relay) copyCandidates(req *Request, list []*Target, not []*Target, now time.Time) []placement.Candidate {
+	out := r.candidates(req, list, not, now)
+	for i, t := range list {
+		out[i].Avoid = out[i].Avoid || t.limit().Limited
+	}
+	return out
+}
+
 // usable tells whether a target may be sent a request at present.
 func (r *Relay) usable(req *Request, t *Target, now time.Time) bool {
 	return r.inUse(req, t) && !t.heldBack(now)
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -97,6 +97,7 @@
 	targets *Targets
 	live    atomic.Pointer[routeconf.Table]
 	url     string
+	group   *localPool
 }
 
 const service = api.ServiceID("s")
@@ -122,9 +123,10 @@
 	})
 	s.c.Assert(err, qt.IsNil)
 	s.live.Store(table)
+	s.group = &localPool{limits: limits, pool: retrybudget.NewPool()}
 	r := New(Settings{Zone: "z"}, Ports{
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
-		Retries: NewRetries(limits, &localPool{limits: limits, pool: retrybudget.NewPool()}), Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{},
+		Retries: NewRetries(limits, s.group), Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{},
 	})
 	s.url = s.serve(r)
 	return s
--- a/node/relay/standby.go
+++ b/node/relay/standby.go
@@ -28,7 +28,7 @@
 		return nil
 	}
 	list := s.relay.targets.Of(s.req.Service)
-	candidates := s.relay.candidates(s.req, list, []*Target{t}, time.Now())
+	candidates := s.relay.copyCandidates(s.req, list, []*Target{t}, time.Now())
 	fill := handoff.StandbyFill(e.Moves, placement.Taken(candidates))
 	if fill == 0 {
 		return nil
