Entries share the connections that a target accepts

Found by looking for the incident's class elsewhere: the configuration says how many connections a target accepts from all callers together, and nobody read it. Each entry kept up to 16 idle ones a target: 68 entries 1,088, of 572 that an engine accepts there. Now all entries together keep at most half of what a target accepts, by the number of entries that have reported their load. Tests: TestKeptConnectionsAreBounded, TestEntriesShareTheConnectionsOfATarget.

--- a/core/routeconf/routeconf.go
+++ b/core/routeconf/routeconf.go
@@ -89,6 +89,9 @@
 	// how many requests a second it bears while it is cold; zero sets no bound.
 	ColdFor  time.Duration
 	ColdRate float64
+	// Connections is how many connections one target accepts from all instances together,
+	// zero if that is not known.
+	Connections int
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -290,3 +290,24 @@
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(body, qt.Equals, wanted(1, 9))
 }
+
+// TestEntriesShareTheConnectionsOfATarget guards against idle connections of many entries that
+// use up what a target accepts from all together.
+func TestEntriesShareTheConnectionsOfATarget(t *testing.T) {
+	for _, tt := range []struct{ accepts, entries, most int }{
+		{0, 320, upstream.MaxIdlePerTarget},
+		{252, 5, 25},
+		{572, 68, 4},
+		{200, 320, 1},
+	} {
+		s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
+		config := s.live.Load().Config
+		config.Services[0].Connections = tt.accepts
+		table, err := routeconf.Compile(config)
+		s.c.Assert(err, qt.IsNil)
+		s.live.Store(table)
+		s.targets.SetOthers(nil, tt.entries-1)
+		r := New(Settings{}, Ports{Live: &s.live, Targets: s.targets})
+		s.c.Assert(r.keepMost(&Target{Record: directory.Record{Service: service}}), qt.Equals, tt.most)
+	}
+}
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -54,6 +54,8 @@
 		Header: r.upstreamHeader(req, d),
 		Body:   req.body,
 		Mine:   func(h http.Header) bool { return r.mine(req, h) },
+
+		KeepMost: r.keepMost(t),
 	})
 	outcome := r.judge(ctx, req, t, x, sent, err)
 	if outcome != outcomeNotSent && outcome != outcomeElse {
@@ -67,6 +69,19 @@
 	return x, outcome
 }
 
+// keptShare is the part of the connections that a target accepts which all entries together
+// keep idle; the rest is for requests at a peak.
+const keptShare = 0.5
+
+// keepMost is how many idle connections to a target this entry may keep.
+func (r *Relay) keepMost(t *Target) int {
+	accepts := r.service(t.Service).Connections
+	if accepts <= 0 {
+		return upstream.MaxIdlePerTarget
+	}
+	return max(int(keptShare*float64(accepts))/r.targets.Entries(), 1)
+}
+
 // mine tells whether an answer belongs to the request: targets echo its ID.
 func (r *Relay) mine(req *Request, h http.Header) bool {
 	got := r.dialect.Reply(http.StatusOK, h).Request
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -23,6 +23,9 @@
 	// Mine tells by its head whether an answer belongs to this request; nil takes
 	// the first one.
 	Mine func(http.Header) bool
+	// KeepMost bounds how many idle connections to the target are kept once the exchange is
+	// over; zero, or more than MaxIdlePerTarget, is that.
+	KeepMost int
 }
 
 // maxStray is how many answers that belong to other requests are skipped on one
@@ -48,6 +51,7 @@
 	stop    func() bool
 	written chan error
 	whole   bool
+	most    int
 }
 
 // Do sends a request and reads the head of its answer. ctx ends the whole
@@ -57,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{pool: p, conn: c}
+	x := &Exchange{pool: p, conn: c, most: req.KeepMost}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.send(req)
 	if err := x.readHead(req); err != nil {
@@ -155,7 +159,7 @@
 		_ = x.conn.Close() // given up on purpose
 		return
 	}
-	x.pool.put(x.conn, x.keepFor())
+	x.pool.put(x.conn, x.keepFor(), x.most)
 }
 
 // sent tells whether the request was written whole. A target that answered early
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -24,9 +24,9 @@
 	// DefaultIdle is how long a connection without a Keep-Alive time is kept: below
 	// the few seconds after which servers usually close one.
 	DefaultIdle = 4 * time.Second
-	// maxIdlePerTarget bounds the kept connections to one target: more than one
-	// entry uses at once at its peak, and a small part of what a target accepts.
-	maxIdlePerTarget = 16
+	// MaxIdlePerTarget bounds the kept connections to one target: more than one
+	// entry uses at once at its peak.
+	MaxIdlePerTarget = 16
 	// userTimeout ends a connection whose bytes are not acknowledged: a machine
 	// behind a partition answers nothing, not even a reset.
 	userTimeout = 3 * time.Second
@@ -113,8 +113,8 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), addr: addr, fresh: true}, nil
 }
 
-// put keeps a connection after an answer that ended where it said.
-func (p *Pool) put(c *conn, keep time.Duration) {
+// put keeps a connection after an answer that ended where it said, and so many to its target.
+func (p *Pool) put(c *conn, keep time.Duration, most int) {
 	if keep <= 0 || c.r.Buffered() > 0 {
 		_ = c.Close()
 		return
@@ -124,8 +124,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.kept[c.addr]
-	if len(list) >= maxIdlePerTarget {
-		_ = list[0].Close()
+	if most <= 0 || most > MaxIdlePerTarget {
+		most = MaxIdlePerTarget
+	}
+	for len(list) >= most {
+		_ = list[0].Close() // idle for longest; nothing is under way on it
 		list = list[1:]
 	}
 	p.kept[c.addr] = append(list, c)
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -205,3 +205,33 @@
 	head := string(encodeHead(&Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A": {"x\r\n\r\nGET /smuggled HTTP/1.1"}}}))
 	c.Assert(strings.Contains(head, "\r\nGET "), qt.IsFalse)
 }
+
+// TestKeptConnectionsAreBounded guards against entries that together keep more idle connections
+// to a target than it accepts.
+func TestKeptConnectionsAreBounded(t *testing.T) {
+	const most, atOnce = 2, 6
+	c := qt.New(t)
+	addr := target(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprint(conn, answer(req.Header.Get("Id"), "whole"))
+		}
+	})
+	p := NewPool(noObserver{})
+	var open []*Exchange
+	for i := range atOnce {
+		req := get(fmt.Sprint(i))
+		req.KeepMost = most
+		x, err := p.Do(context.Background(), addr, req)
+		c.Assert(err, qt.IsNil)
+		open = append(open, x)
+	}
+	for _, x := range open {
+		_, err := x.text()
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p.kept[addr], qt.HasLen, most)
+}
