A process test: limits outlive members and entries

Real group of three and real entries over loopback: the second entry is told of the limit by the group, all members stop and start, and an entry that starts after that keeps to the pace (60 requests at once).

--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -10,6 +10,9 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/relay"
 	"almondseam.dev/node/upstream"
@@ -148,7 +152,10 @@
 	return relay.Ask{Request: api.RequestID(h.Get("Id"))}, nil
 }
 func (headerDialect) Direct(http.Header, relay.Directive) {}
-func (headerDialect) Reply(int, http.Header) relay.Reply  { return relay.Reply{} }
+func (headerDialect) Reply(_ int, h http.Header) relay.Reply {
+	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return relay.Reply{Limited: err == nil, Limit: limit}
+}
 
 type noEngines struct{}
 
@@ -170,6 +177,10 @@
 
 // startRoutedEntry runs an entry of the group and gives the address for its callers.
 func startRoutedEntry(g *routedGroup) (*RoutedEntry, string) {
+	return startObservedEntry(g, func(m *metrics.Relay) relay.Observer { return m })
+}
+
+func startObservedEntry(g *routedGroup, observe func(*metrics.Relay) relay.Observer) (*RoutedEntry, string) {
 	log := zerolog.Nop()
 	set := metrics.New(&log)
 	observer := metrics.NewRelay(set)
@@ -179,7 +190,7 @@
 		Instance: "front-0", Zone: "z", Key: []byte("a key of the tests"), Callers: ln, Seeds: g.links,
 		Retries: retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
 	}, RoutedEntryPorts{
-		Dialect: headerDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observer, Metrics: set, Log: &log,
+		Dialect: headerDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observe(observer), Metrics: set, Log: &log,
 		Decode: func(d []byte) (*routeconf.Table, error) {
 			return routeconf.Compile(routeconf.Config{
 				Version:  binary.BigEndian.Uint64(d),
@@ -261,3 +272,64 @@
 	g.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonBadRequest)
 	g.evacuate(0, "z", false)
 }
+
+// limitObserver notes what the group tells of a target's limit.
+type limitObserver struct {
+	*metrics.Relay
+	told chan targetlimit.Belief
+}
+
+// LimitChanged implements relay.Observer.
+func (o limitObserver) LimitChanged(r *relay.Request, t *relay.Target, before, after targetlimit.Belief) {
+	o.Relay.LimitChanged(r, t, before, after)
+	if r == nil {
+		o.told <- after
+	}
+}
+
+// TestLimitOutlivesMembersAndEntries guards against a target's limit that is forgotten when all
+// members stop, and against an entry that starts after it was named and sends what it likes.
+func TestLimitOutlivesMembersAndEntries(t *testing.T) {
+	const limit, burst = 2, 60
+	var arrived atomic.Int64
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Limit", strconv.Itoa(limit))
+		fmt.Fprint(w, "whole answer")
+	}))
+	t.Cleanup(target.Close)
+	g := foundRoutedGroup(t, 3)
+	g.put(0, 1)
+	record := directory.Record{Target: "t", Service: "s", Address: target.Listener.Addr().String(), Zone: "z", Slots: 1, Sequence: 1, State: directory.StateReady}
+	g.members[2].Announce(record)
+	told := make(chan targetlimit.Belief, 16)
+	other, _ := startObservedEntry(g, func(m *metrics.Relay) relay.Observer { return limitObserver{m, told} })
+	first, callers := startRoutedEntry(g)
+	until(first.Ready)
+	until(other.Ready)
+	g.c.Assert(g.get(callers), qt.Equals, http.StatusOK)
+	heard := <-told
+	g.c.Assert(heard.Limited, qt.IsTrue)
+	g.c.Assert(heard.Rate, qt.Equals, float64(limit))
+
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i, false)
+	}
+	record.Sequence++
+	g.members[1].Announce(record)
+	later, callers := startRoutedEntry(g)
+	until(later.Ready)
+	arrived.Store(0)
+	began := time.Now()
+	var all sync.WaitGroup
+	for range burst {
+		all.Go(func() { g.get(callers) })
+	}
+	all.Wait()
+	// What the pace allows in the time that the burst took, however long that was.
+	most := limit*(time.Since(began).Seconds()+1) + 1
+	g.c.Assert(float64(arrived.Load()) <= most, qt.IsTrue, qt.Commentf("%d of %.1f", arrived.Load(), most))
+}
