--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -46,7 +46,7 @@
 		// A lookup's answer was lost, the only other target was leaving, and the caller
 		// was told that it had not run.
 		{"refused though it may have run", 121, false},
-		{"targets name limits", 2, true},
+		{"targets name limits", 4, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
--- a/core/retrybudget/pool.go
+++ b/core/retrybudget/pool.go
@@ -45,10 +45,8 @@
 // machine: equal asks in equal order give equal answers, and time is the replicated
 // clock, which is never ahead of what has really passed.
 //
-// Failure: two grantors, one of them cut off or just restarted, hand out the same
-// retries. Symptom: while targets fail, they are sent more retries than the fleet's
-// bound. A grant is an entry of the replicated log, so that there is one order of all
-// of them, through changes of leader and restarts.
+// Its grants are entries of the replicated log, so that there is one order of all of them,
+// through changes of leader and restarts: no two grantors give the same one.
 type Pool struct {
 	accounts map[accountKey]*Account
 }
--- a/core/state/evacuation.go
+++ b/core/state/evacuation.go
@@ -46,10 +46,9 @@
 
 // evacuate carries out an order.
 //
-// Failure: a member freezes with an order that it has received, or a link holds it up,
-// and the opposite order takes effect meanwhile. Symptom without the comparison with
-// Base: the late order undoes what was confirmed after it. An order whose member had not
-// seen the opposite one is refused; an operator that still wants it sends it again.
+// An order that was held up on its way must not undo what was confirmed after it: one whose
+// member had not seen the opposite order is refused, and an operator that still wants it sends
+// it again.
 func (s *State) evacuate(index uint64, e Evacuation) Result {
 	if e.Zone == "" || len(e.Zone) > maxZoneName {
 		return Result{Reason: api.ReasonBadRequest, Message: fmt.Sprintf("zone %q is no name of an availability zone", e.Zone)}
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -34,10 +34,9 @@
 // replicatedClock gives the time that commands carry: the state's own time when
 // this member became leader, and what has passed since on its monotonic clock.
 //
-// Failure: a member whose wall clock is a day ahead becomes leader. Symptom if
-// the wall clock were used: every claim expires at once, and a booking that is
-// still on its way can be granted again. Counting only what passes during an
-// office, the replicated clock is never ahead of real elapsed time.
+// The wall clock is not used: a leader whose clock is ahead would let claims expire that are
+// still in use. Counting only what passes during an office, the replicated clock is never
+// ahead of real elapsed time.
 type replicatedClock struct {
 	base    int64
 	started time.Time
@@ -293,11 +292,9 @@
 // takeChange starts a change, or holds it for a while when it takes a vote away
 // or gives one.
 //
-// Failure: a member dies, and within the second an operator removes another one
-// for good. Symptom: the dead member still counts as active, because it answered
-// within the last election timeout; the change passes, and the group that is
-// left has no majority. Held for an election timeout, the check counts only
-// members that have answered since the operator asked.
+// A member that has just died counts as active for an election timeout. Held for as long, the
+// check counts only members that have answered since the operator asked, and the group that
+// is left has a majority.
 func (m *Member) takeChange(c *call) {
 	if c.req.Change.Type == consensus.ChangeAddLearner || m.role != consensus.RoleLeader {
 		m.startChange(c)
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -279,11 +279,9 @@
 // process carries out the agreement's work in the order that its package
 // comment demands: save, then send, then apply and answer.
 //
-// Failure: a vote or an acknowledgement is sent and the power fails before it is
-// on the disk. Symptom: after the restart the member votes again in the same
-// term, or a change that was reported as accepted is gone. Nothing but Early
-// leaves this function's first half before Save has returned; an append promises
-// nothing about the leader's own copy.
+// Votes, acknowledgements and replies promise what is on the disk. Nothing but Early leaves
+// this function's first half before Save has returned; an append promises nothing about the
+// leader's own copy.
 func (m *Member) process() error {
 	for m.node.HasReady() {
 		rd := m.node.Ready()
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -65,11 +65,8 @@
 
 // enter counts a session in, unless the server has stopped.
 //
-// Failure: a link's handshake ends just as the role stops. The HTTP server has
-// handed the connection over and does not wait for it, so that its session began
-// while the stop waited for the last one, or after it: it would have served a
-// member that no longer runs. Counted under the same lock as the stop, a session is
-// either waited for or never begins.
+// The HTTP server does not wait for connections that it has handed over. Counted under the same
+// lock as the stop, a session is either waited for or never begins.
 func (s *Server) enter() bool {
 	s.gate.Lock()
 	defer s.gate.Unlock()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -241,11 +241,8 @@
 
 // note leaves a document to publishLoop. The lock is held.
 //
-// Failure: documents of some thousand routes change several times a second, and an
-// entry with a seventh of a core takes over half a second to read one. Symptom when
-// each is read in turn: the entry falls behind by seconds and answers 404 for routes
-// that were accepted long before. Only the newest is read; the lag is then twice the
-// time of one at most.
+// A large document takes longer to read than the next one to arrive. Only the newest is read,
+// so that the lag is twice the time of one at most.
 func (e *RoutedEntry) note(document []byte, ok bool) {
 	if !ok {
 		return
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -22,10 +22,8 @@
 // errBroken is a stream that ended in the middle of an event.
 var errBroken = errors.New("the stream ended within an event")
 
-// eventReader splits a stream into whole events. Failure: a target stops in the
-// middle of an event, and the stream is continued from that same event.
-// Symptom if bytes were passed on as they come: the caller gets half an event and
-// then the whole. An event that is not whole is never given out.
+// eventReader splits a stream into whole events. An event that is not
+// whole is never given out: the stream may be continued from it elsewhere.
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -182,9 +182,7 @@
 // payMigration takes the retry for a move before the run is stopped, and waits for one
 // while its engine still works.
 //
-// Failure: the budget is spent just then. Symptom if it is asked once the run has
-// stopped: the run cannot be continued, though its memory is whole at another engine.
-// Until it is stopped it continues, and may be over before the notice is.
+// Until it is stopped the run continues, and may be over before the notice is.
 func (s *streamRun) payMigration(ctx context.Context, l *leg) (paid Retry, ok bool) {
 	for {
 		paid, ok = s.relay.retry(ctx, s.req, retrybudget.PurposeResume, howMigration)
@@ -265,12 +263,10 @@
 // waitForTurn waits until the runs before this one have been moved from the
 // engine; false when ctx ends first.
 //
-// Failure: several runs migrate from one engine at once. Symptom: their copies share its
-// link, each run that was stopped waits for the long copies of the others, and all
-// callers see a pause of up to a second, or the engine is gone first. One after
-// the other they take the same time in all, and each caller sees the pause of its
-// own last tokens only. Among entries the order follows from what each of them
-// last told of its load.
+// Copies of several runs would share the engine's link, and each run that was stopped would wait
+// for the long copies of the others. One after the other each caller sees the pause of its own
+// last tokens only. Among entries the order follows from what each of them last told of its
+// load.
 func (s *streamRun) waitForTurn(ctx context.Context, l *leg) bool {
 	select {
 	case l.target.turn <- struct{}{}:
--- a/node/relay/permit.go
+++ b/node/relay/permit.go
@@ -35,10 +35,9 @@
 // permit takes the right to send a request to a target, false if there is none for now: the
 // target is then passed over for a while.
 //
-// Load pattern: a target that is cold, or that names a limit, seems empty to every entry, and
-// each alone sends little; together they send more than it bears. Grants are entries of the
-// replicated log, so that the sum holds however many entries there are and whatever they know
-// of each other. An entry without an answer sends nothing there.
+// A target that is cold, or that names a limit, seems empty to every entry, and each alone sends
+// little. Grants are entries of the replicated log, so that the sum holds however many entries
+// there are and whatever they know of each other. An entry without an answer sends nothing.
 func (r *Relay) permit(ctx context.Context, req *Request, t *Target) (*permit, bool) {
 	p := &permit{target: t}
 	if r.withinLimit(ctx, req, p) && r.mayStart(ctx, req, p) {
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -56,11 +56,9 @@
 // awaitReservation finds an engine with room for a generation, and waits for one; nil if
 // there is none in time.
 //
-// Load pattern: thirty entries, each of which learns of the others' choices some
-// milliseconds late, send prompts to engines that are nearly full. Several choose the
-// memory that one stream has freed; all but one of them would wait at the engine for
-// seconds, while other engines have room again. A reservation at the engine grants it to
-// one of them, and the others try elsewhere.
+// Entries learn of each other's choices some milliseconds late, and several choose the memory
+// that one stream has freed. A reservation at the engine grants it to one of them; the others
+// try elsewhere instead of waiting there.
 func (r *Relay) awaitReservation(ctx context.Context, req *Request) *reserved {
 	began := time.Now()
 	at := r.tryReserve(ctx, req)
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -117,11 +117,8 @@
 
 // usualUrgency is the urgency of all generations at their engines.
 //
-// Load pattern: engines full of long streams, and short requests of a higher rank
-// coming in. Given a higher urgency there, each of them took its memory from a
-// running stream, whose caller saw a pause of seconds while its prompt was read
-// again. Ranks count where nothing is taken away: in which order requests find room
-// from the entry.
+// A more urgent request takes its memory from a running stream, whose prompt is then read again.
+// Ranks count where nothing is taken away: in which order requests find room from the entry.
 const usualUrgency = 5
 
 // urgency gives the engine's order of a request; below zero says none.
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -159,10 +159,8 @@
 
 // give passes one event on, unless the caller has it.
 //
-// Failure: an engine stops just after it has made a stream's last event, and the
-// stream is continued at another engine. Symptom: the next engine, with nothing left to make,
-// gives the last event again. Events are numbered without gaps, so whatever is not
-// above the last one given is a repetition.
+// Events are numbered without gaps. An engine that goes on after the last one gives it again;
+// whatever is not above the last one given is a repetition.
 func (s *streamRun) give(l *leg, ev event) error {
 	if s.req.Stream.Migrations > 0 && !after(ev.id, s.lastID) {
 		return nil
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -146,9 +146,8 @@
 }
 
 // sound looks whether the target has closed the connection or sent bytes that
-// nobody asked for. Failure: a target sends a second answer late; the next request
-// on the connection would be given it. A byte that is there before the request is
-// sent belongs to no request of ours.
+// nobody asked for. A byte that is there before the
+// request is sent is a late answer to another request, or no answer at all.
 func (c *conn) sound() bool {
 	sc, ok := c.Conn.(*net.TCPConn)
 	if !ok {
