A limit's end that was in doubt is stated again

Cause: the group's clock has milliseconds; of a naming and its end less than one apart it can't tell which was first, keeps the stricter, and the entry that had stated the end took it for told. Callers would have been refused at the other entries until one of them had a grant. The group now answers what it goes by, and an entry whose belief differs states it again with the target's next answer, which is later without doubt. The test lets 3 ms pass between statements, as it is about other things; TestEndOfLimitThatWasInDoubtIsStatedAgain is about this.

--- a/core/state/limits.go
+++ b/core/state/limits.go
@@ -92,14 +92,22 @@
 	s.expireLimits()
 	next, changes := s.hearLimit(s.now, &l)
 	if !changes {
-		return Result{}
+		return Result{Limit: s.known(l.Target)}
 	}
 	if _, known := s.targetLimits[l.Target]; !known && len(s.targetLimits) >= maxTargetLimits {
 		return Result{Reason: api.ReasonQueueFull, Message: "too many targets name limits"}
 	}
 	s.targetLimits[l.Target] = next
 	s.limitsAt = index
-	return Result{}
+	return Result{Limit: &next}
+}
+
+// known gives what is known of a target's limit, nil for nothing.
+func (s *State) known(t api.TargetID) *TargetLimit {
+	if limit, ok := s.targetLimits[t]; ok {
+		return &limit
+	}
+	return nil
 }
 
 // hearLimit gives what is known of a target's limit after a statement at a replicated time,
@@ -126,10 +134,13 @@
 	return known, true
 }
 
-// LimitChanges tells whether a statement at a replicated time would change anything.
-func (s *State) LimitChanges(now int64, l LimitStatement) bool {
-	_, changes := s.hearLimit(now, &l)
-	return changes
+// LimitChanges tells whether a statement at a replicated time would change anything, and what
+// is known if it would not.
+func (s *State) LimitChanges(now int64, l LimitStatement) (Result, bool) {
+	if _, changes := s.hearLimit(now, &l); changes {
+		return Result{}, true
+	}
+	return Result{Limit: s.known(l.Target)}, false
 }
 
 // expireLimits forgets what nobody has stated for long. Entries keep what they have heard.
--- a/core/state/limits_fleet_test.go
+++ b/core/state/limits_fleet_test.go
@@ -86,7 +86,8 @@
 	belief   targetlimit.Belief
 	heldTill time.Time
 	toldAt   time.Time
-	statedAt time.Time
+	held     *targetlimit.Belief
+	heldAt   time.Time
 	listed   uint64
 }
 
@@ -140,8 +141,10 @@
 func (f *fleet) commit(c Command) Result {
 	f.replicated = max(f.replicated, f.base+f.now.Sub(f.leads).Milliseconds())
 	c.Now = f.replicated
-	if c.Limit != nil && !f.log.s.LimitChanges(c.Now, *c.Limit) {
-		return Result{}
+	if c.Limit != nil {
+		if known, changes := f.log.s.LimitChanges(c.Now, *c.Limit); !changes {
+			return known
+		}
 	}
 	before := f.log.s.LimitsAt()
 	r := f.log.apply(c)
@@ -168,7 +171,7 @@
 		for _, l := range list.List {
 			if l.Born == e.born {
 				e.belief = e.belief.Hear(list.Statement(l, f.now))
-				e.statedAt = f.now
+				e.groupHolds(f.now, l)
 			}
 		}
 	})
@@ -250,19 +253,33 @@
 	}
 	before := e.belief
 	e.belief = before.Hear(says)
-	if !before.Same(e.belief) || e.belief.Limited && f.now.Sub(e.statedAt) > LimitStatedEvery {
+	if !before.Same(e.belief) || e.stateDue(f.now) {
 		f.state(e, 0)
 	}
 }
 
+func (e *entry) groupHolds(now time.Time, l TargetLimit) {
+	e.held, e.heldAt = &targetlimit.Belief{Statement: targetlimit.Statement{Limited: l.Limited, Rate: l.Rate}}, now
+}
+
+func (e *entry) stateDue(now time.Time) bool {
+	if e.held == nil {
+		return e.belief.Limited
+	}
+	return !e.belief.Same(*e.held) || e.belief.Limited && now.Sub(e.heldAt) > LimitStatedEvery
+}
+
 // state tells the group what an entry believes, again until the group has heard it.
 func (f *fleet) state(e *entry, tries int) {
 	b, run, done := e.belief, e.run, false
 	f.propose(e, Command{Limit: &LimitStatement{
 		Target: "t", Born: e.born, Limited: b.Limited, Rate: b.Rate, SentAge: f.now.Sub(b.Sent), HeardAge: f.now.Sub(b.Heard),
-	}}, func(Result) {
+	}}, func(r Result) {
 		done = true
-		e.statedAt = f.now
+		if r.Limit == nil || r.Limit.Born != e.born {
+			r.Limit = &TargetLimit{}
+		}
+		e.groupHolds(f.now, *r.Limit)
 	})
 	f.after(400*time.Millisecond, func() {
 		if !done && e.run == run && tries < 20 {
--- a/core/state/limits_test.go
+++ b/core/state/limits_test.go
@@ -113,7 +113,7 @@
 				HeardAge: heard, SentAge: heard + time.Duration(r.IntN(500))*time.Millisecond,
 			}
 			now := time.Duration(step) * 300 * time.Millisecond
-			changes := a.s.LimitChanges(now.Milliseconds(), s)
+			_, changes := a.s.LimitChanges(now.Milliseconds(), s)
 			at := a.s.LimitsAt()
 			a.limit(now, s)
 			b.limit(now, s)
--- a/node/control/limits.go
+++ b/node/control/limits.go
@@ -13,10 +13,14 @@
 // does not grow with what every entry hears.
 func (m *Member) knowsLimit(c *call) bool {
 	stated := c.req.Command.Limit
-	if stated == nil || m.role != consensus.RoleLeader || m.state.LimitChanges(m.clock.at(time.Now()), *stated) {
+	if stated == nil || m.role != consensus.RoleLeader {
 		return false
 	}
-	c.answer(&Reply{Outcome: api.OutcomeCompleted, Result: &state.Result{}})
+	known, changes := m.state.LimitChanges(m.clock.at(time.Now()), *stated)
+	if changes {
+		return false
+	}
+	c.answer(&Reply{Outcome: api.OutcomeCompleted, Result: &known})
 	return true
 }
 
@@ -27,12 +31,16 @@
 	return m.state.TargetLimits()
 }
 
-// StateLimit tells the group what a target says of its limit. The same statement may be made
-// again. With an error it is not known whether the group has heard it.
-func (c *Client) StateLimit(ctx context.Context, l state.LimitStatement) error {
+// StateLimit tells the group what a target says of its limit, and gives what the group goes by
+// then. The same statement may be made again. With an error it is not known whether the group
+// has heard it.
+func (c *Client) StateLimit(ctx context.Context, l state.LimitStatement) (state.TargetLimit, error) {
 	r, _ := c.call(ctx, Request{Command: &state.Command{Limit: &l}})
 	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Reason != "" {
-		return unavailable(api.StepTargetLimit, r, api.OutcomeUnknown)
+		return state.TargetLimit{}, unavailable(api.StepTargetLimit, r, api.OutcomeUnknown)
+	}
+	if r.Result.Limit == nil || r.Result.Limit.Born != l.Born {
+		return state.TargetLimit{Target: l.Target, Born: l.Born}, nil
 	}
-	return nil
+	return *r.Result.Limit, nil
 }
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -13,9 +13,9 @@
 // LimitStater tells the control group what targets say of their limits. It is safe for
 // concurrent use.
 type LimitStater interface {
-	// StateLimit may be called again with the same statement. After an error the group may
-	// have heard it or not.
-	StateLimit(ctx context.Context, l state.LimitStatement) error
+	// StateLimit gives what the group goes by after the statement. It may be called again with
+	// the same one. After an error the group may have heard it or not.
+	StateLimit(ctx context.Context, l state.LimitStatement) (state.TargetLimit, error)
 }
 
 const (
@@ -45,29 +45,31 @@
 		return
 	}
 	l.work.Go(func() {
-		told := l.tell(t)
+		told, ok := l.tell(t)
 		t.stating.Store(false)
-		if told && !t.limit().Same(*t.stated.Load()) {
+		if ok && !t.limit().Same(told) {
 			l.state(t) // heard while the last try was under way
 		}
 	})
 }
 
-// tell tries until the group has heard what is believed then; false if it is given up.
-func (l *Limits) tell(t *Target) bool {
+// tell tries until the group has heard what is believed then, and gives that; false if it is
+// given up.
+func (l *Limits) tell(t *Target) (told targetlimit.Belief, ok bool) {
 	var err error
 	for range stateTries {
 		b := t.limit()
 		ctx, cancel := context.WithTimeout(context.Background(), stateWithin)
-		err = l.to.StateLimit(ctx, statement(t, b, time.Now()))
+		var held state.TargetLimit
+		held, err = l.to.StateLimit(ctx, statement(t, b, time.Now()))
 		cancel()
 		if err == nil {
-			t.statedNow(b)
-			return true
+			t.groupHolds(held.Limited, held.Rate)
+			return b, true
 		}
 	}
 	l.obs.LimitNotStated(t, err)
-	return false
+	return targetlimit.Belief{}, false
 }
 
 func statement(t *Target, b targetlimit.Belief, now time.Time) state.LimitStatement {
@@ -102,15 +104,20 @@
 	}
 }
 
-// statedNow notes that the group holds a belief.
-func (t *Target) statedNow(b targetlimit.Belief) {
-	t.stated.Store(&b)
-	t.statedAt.Store(time.Now().UnixNano())
+// groupHolds notes what the group goes by.
+func (t *Target) groupHolds(limited bool, rate float64) {
+	t.held.Store(&targetlimit.Belief{Statement: targetlimit.Statement{Limited: limited, Rate: rate}})
+	t.heldAt.Store(time.Now().UnixNano())
 }
 
-// stateDue tells whether the group may soon forget the limit that the target goes on naming.
+// stateDue tells whether the group goes by something else, as it could not tell which of two
+// statements was made first, or may soon forget the limit that the target goes on naming.
 func (t *Target) stateDue(now time.Time) bool {
-	return t.limit().Limited && now.UnixNano()-t.statedAt.Load() > state.LimitStatedEvery.Nanoseconds()
+	b, held := t.limit(), t.held.Load()
+	if held == nil {
+		return b.Limited
+	}
+	return !b.Same(*held) || b.Limited && now.UnixNano()-t.heldAt.Load() > state.LimitStatedEvery.Nanoseconds()
 }
 
 // learnLimit takes what a target's answer says of its limit. An answer that can't be read
@@ -169,7 +176,7 @@
 			continue
 		}
 		before, after := target.hear(heard.statement)
-		target.statedNow(targetlimit.Belief{Statement: heard.statement})
+		target.groupHolds(l.Limited, l.Rate)
 		if !before.Same(after) {
 			out = append(out, LimitChange{Target: target, Before: before, After: after})
 		}
@@ -183,6 +190,6 @@
 	heard, ok := t.limits[target.Target]
 	if ok && heard.born == target.Born {
 		target.hear(heard.statement)
-		target.statedNow(targetlimit.Belief{Statement: heard.statement})
+		target.groupHolds(heard.statement.Limited, heard.statement.Rate)
 	}
 }
--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -34,20 +34,24 @@
 }
 
 // StateLimit implements LimitStater.
-func (g *localGroup) StateLimit(_ context.Context, l state.LimitStatement) error {
+func (g *localGroup) StateLimit(_ context.Context, l state.LimitStatement) (state.TargetLimit, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	data, err := state.Encode(state.Command{Now: time.Now().UnixMilli(), Limit: &l})
 	if err != nil {
-		return err
+		return state.TargetLimit{}, err
 	}
-	if r := g.state.Apply(g.state.Index()+1, data); r.Reason != "" {
-		return errors.New(r.Message)
+	r := g.state.Apply(g.state.Index()+1, data)
+	if r.Reason != "" {
+		return state.TargetLimit{}, errors.New(r.Message)
 	}
 	for _, t := range g.entries {
 		t.HearLimits(g.state.TargetLimits())
 	}
-	return nil
+	if r.Limit == nil {
+		return state.TargetLimit{}, nil
+	}
+	return *r.Limit, nil
 }
 
 // member is an entry of a test with a table of targets of its own.
@@ -73,8 +77,12 @@
 	return m
 }
 
+// apart separates two statements by more than the resolution of the group's clock.
+func apart() { time.Sleep(3 * time.Millisecond) }
+
 // ask makes one request, and waits until the group has been told what its answer says.
 func (m *member) ask() int {
+	apart()
 	resp, _, err := m.s.askAt(m.url, "/a/x")
 	m.s.c.Assert(err, qt.IsNil)
 	m.limits.Wait()
@@ -253,10 +261,10 @@
 type deafGroup struct{ now, most atomic.Int64 }
 
 // StateLimit implements LimitStater.
-func (d *deafGroup) StateLimit(context.Context, state.LimitStatement) error {
+func (d *deafGroup) StateLimit(context.Context, state.LimitStatement) (state.TargetLimit, error) {
 	d.most.Store(max(d.most.Load(), d.now.Add(1)))
 	defer d.now.Add(-1)
-	return errors.New("no leader")
+	return state.TargetLimit{}, errors.New("no leader")
 }
 
 // TestRunIsNotStoppedForAnEngineThatMayNotBeAsked guards against a run that is stopped to go
@@ -314,3 +322,39 @@
 		s.c.Assert(r.keepMost(&Target{Record: directory.Record{Service: service}}), qt.Equals, tt.most)
 	}
 }
+
+// TestEndOfLimitThatWasInDoubtIsStatedAgain guards against a group that goes by a limit which
+// has ended, as it could not tell which of two answers came first.
+func TestEndOfLimitThatWasInDoubtIsStatedAgain(t *testing.T) {
+	c := qt.New(t)
+	targets := NewTargets()
+	targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
+	target := targets.Of(service)[0]
+	to := &doubtfulGroup{}
+	r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(to, quiet{}), Observer: quiet{}})
+	hear := func(reply Reply) {
+		r.learnLimit(&Request{}, target, reply, time.Now())
+		r.limits.Wait()
+	}
+	hear(Reply{Limited: true, Limit: 1})
+	to.keeps = state.TargetLimit{Limited: true, Rate: 1}
+	hear(Reply{})
+	c.Assert(to.told, qt.Equals, 2)
+	to.keeps = state.TargetLimit{}
+	hear(Reply{})
+	c.Assert(to.told, qt.Equals, 3)
+	hear(Reply{})
+	c.Assert(to.told, qt.Equals, 3)
+}
+
+// doubtfulGroup goes by what it keeps, whatever it is told.
+type doubtfulGroup struct {
+	keeps state.TargetLimit
+	told  int
+}
+
+// StateLimit implements LimitStater.
+func (d *doubtfulGroup) StateLimit(context.Context, state.LimitStatement) (state.TargetLimit, error) {
+	d.told++
+	return d.keeps, nil
+}
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -34,11 +34,11 @@
 	limited atomic.Pointer[targetlimit.Belief]
 	// limitUnreadable is set while the target names a limit that can't be read.
 	limitUnreadable atomic.Bool
-	// stated is what the control group holds of the limit, as far as this entry knows, since
-	// statedAt, Unix nanoseconds; stating is set while the group is told.
-	stated   atomic.Pointer[targetlimit.Belief]
-	statedAt atomic.Int64
-	stating  atomic.Bool
+	// held is what the control group goes by for the limit, as it said at heldAt, Unix
+	// nanoseconds; nil if it has said nothing. stating is set while the group is told.
+	held    atomic.Pointer[targetlimit.Belief]
+	heldAt  atomic.Int64
+	stating atomic.Bool
 	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
 	tokens  atomic.Int64
