--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -84,7 +84,7 @@
 	live     atomic.Pointer[routeconf.Table]
 	client   *control.Client
 	retries  *relay.Retries
-	limits   *relay.Limits
+	limits   *relay.LimitReports
 	targets  *relay.Targets
 	registry *registry.Registry
 	follower *registry.Follower
@@ -124,10 +124,10 @@
 		Observer:    p.Metrics,
 	})
 	e.retries = relay.NewRetries(set.Retries, e.client)
-	e.limits = relay.NewLimits(e.client, p.Observer)
+	e.limits = relay.NewLimitReports(e.client, p.Observer)
 	handler := relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Retries: e.retries, Limits: e.limits, Observer: p.Observer,
+		Retries: e.retries, LimitReports: e.limits, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -25,22 +25,24 @@
 	stateTries = 20
 )
 
-// Limits tells the control group what targets say of their limits, so that entries know them
-// that have no answer yet. It is safe for concurrent use.
-type Limits struct {
+// LimitReports tells the control group what targets say of their limits, so that entries know
+// them that have no answer yet. It is safe for concurrent use.
+type LimitReports struct {
 	to   LimitStater
 	obs  Observer
 	work conc.WaitGroup
 }
 
-// NewLimits makes one; obs hears of statements that could not be made.
-func NewLimits(to LimitStater, obs Observer) *Limits { return &Limits{to: to, obs: obs} }
+// NewLimitReports makes one; obs hears of statements that could not be made.
+func NewLimitReports(to LimitStater, obs Observer) *LimitReports {
+	return &LimitReports{to: to, obs: obs}
+}
 
 // Wait returns once all statements have been made or given up. Nothing is heard any more.
-func (l *Limits) Wait() { l.work.Wait() }
+func (l *LimitReports) Wait() { l.work.Wait() }
 
-// state tells the group what is believed of a target's limit, in the background.
-func (l *Limits) state(t *Target) {
+// state tells the group what this entry takes for a target's limit, in the background.
+func (l *LimitReports) state(t *Target) {
 	if !t.stating.CompareAndSwap(false, true) {
 		return
 	}
@@ -53,9 +55,9 @@
 	})
 }
 
-// tell tries until the group has heard what is believed then, and gives that; false if it is
-// given up.
-func (l *Limits) tell(t *Target) (told targetlimit.Belief, ok bool) {
+// tell tries until the group has heard what this entry takes for the limit then, and gives
+// that; false if it is given up.
+func (l *LimitReports) tell(t *Target) (told targetlimit.Belief, ok bool) {
 	var err error
 	for range stateTries {
 		b := t.limit()
@@ -78,7 +80,7 @@
 	}
 }
 
-// limit is what this entry believes of the target's limit.
+// limit is what this entry takes for the target's limit.
 func (t *Target) limit() targetlimit.Belief {
 	if b := t.limited.Load(); b != nil {
 		return *b
@@ -141,7 +143,7 @@
 		r.obs.LimitChanged(req, t, before, after)
 	}
 	if changed || t.stateDue(now) {
-		r.limits.state(t)
+		r.limitReports.state(t)
 	}
 }
 
--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -59,12 +59,12 @@
 	s       *stage
 	url     string
 	targets *Targets
-	limits  *Limits
+	limits  *LimitReports
 }
 
 // join adds an entry that knows a target.
 func (s *stage) join(g *localGroup, known directory.Record) *member {
-	m := &member{s: s, targets: NewTargets(), limits: NewLimits(g, quiet{})}
+	m := &member{s: s, targets: NewTargets(), limits: NewLimitReports(g, quiet{})}
 	g.mu.Lock()
 	m.targets.HearLimits(g.state.TargetLimits())
 	g.entries = append(g.entries, m.targets)
@@ -72,7 +72,7 @@
 	m.targets.Update([]directory.Record{known})
 	m.url = s.serve(New(Settings{Zone: "z"}, Ports{
 		Live: &s.live, Targets: m.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: noMoves,
-		Retries: NewRetries(g.limits, g), Limits: m.limits, Observer: quiet{},
+		Retries: NewRetries(g.limits, g), LimitReports: m.limits, Observer: quiet{},
 	}))
 	return m
 }
@@ -127,6 +127,13 @@
 
 const testRate = 2.3
 
+// newLimitedStage has one target, which names a limit.
+func newLimitedStage(t *testing.T, rate float64) (*stage, *localGroup, *limited, directory.Record) {
+	s, target := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves), &limited{}
+	target.names(rate)
+	return s, newLocalGroup(), target, s.target("t", "z", target.ServeHTTP)
+}
+
 // allowed is the users' bound on what arrives in four seconds.
 const allowed = 1.5*testRate*4 + 5
 
@@ -134,10 +141,7 @@
 // says that it takes from all instances together.
 func TestLimitHoldsForTheSumOfAllEntries(t *testing.T) {
 	const entries, each = 5, 40
-	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
-	g, target := newLocalGroup(), &limited{}
-	target.names(testRate)
-	own := s.target("t", "z", target.ServeHTTP)
+	s, g, target, own := newLimitedStage(t, testRate)
 	var members []*member
 	for range entries {
 		m := s.join(g, own)
@@ -158,10 +162,7 @@
 // yet, and those that start later.
 func TestLimitIsKnownToEntriesWithoutAnAnswer(t *testing.T) {
 	const each = 40
-	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
-	g, target := newLocalGroup(), &limited{}
-	target.names(testRate)
-	own := s.target("t", "z", target.ServeHTTP)
+	s, g, target, own := newLimitedStage(t, testRate)
 	told, other := s.join(g, own), s.join(g, own)
 	s.c.Assert(told.ask(), qt.Equals, http.StatusOK)
 	other.burst(each)
@@ -173,10 +174,7 @@
 // and against one that is held against the next run of the target.
 func TestLimitIsLetGo(t *testing.T) {
 	const each = 40
-	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
-	g, target := newLocalGroup(), &limited{}
-	target.names(testRate)
-	own := s.target("t", "z", target.ServeHTTP)
+	s, g, target, own := newLimitedStage(t, testRate)
 	told, other := s.join(g, own), s.join(g, own)
 	told.ask()
 
@@ -202,10 +200,7 @@
 // TestLoweredLimitReachesAllEntries guards against entries that go on by a limit that the
 // target has lowered since.
 func TestLoweredLimitReachesAllEntries(t *testing.T) {
-	s := newStage(t, routeconf.Route{Kind: routeconf.KindOnce, MaxTargets: 1}, noMoves)
-	g, target := newLocalGroup(), &limited{}
-	target.names(40)
-	own := s.target("t", "z", target.ServeHTTP)
+	s, g, target, own := newLimitedStage(t, 40)
 	told, other := s.join(g, own), s.join(g, own)
 	told.ask()
 	target.names(testRate)
@@ -232,11 +227,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			targets := NewTargets()
 			targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
-			r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{}})
+			r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(newLocalGroup(), quiet{}), Observer: quiet{}})
 			target := targets.Of(service)[0]
 			target.hear(believed)
 			r.learnLimit(&Request{}, target, tt.reply, time.Now())
-			r.limits.Wait()
+			r.limitReports.Wait()
 			qt.New(t).Assert(target.limit().Limited, qt.Equals, tt.want)
 		})
 	}
@@ -249,11 +244,11 @@
 	targets := NewTargets()
 	targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
 	to := &deafGroup{}
-	r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(to, quiet{}), Observer: quiet{}})
+	r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(to, quiet{}), Observer: quiet{}})
 	for range 100 {
 		r.learnLimit(&Request{}, targets.Of(service)[0], Reply{Limited: true, Limit: 1}, time.Now())
 	}
-	r.limits.Wait()
+	r.limitReports.Wait()
 	c.Assert(to.most.Load() <= 1, qt.IsTrue)
 }
 
@@ -288,15 +283,7 @@
 		s.c.Assert(err, qt.IsNil)
 		s.c.Assert(answer.Granted, qt.IsTrue)
 	}
-	var first directory.Record
-	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
-		events(w, 1, 3)
-		s.leaves(first)
-		events(w, 4, 4)
-		<-copied
-		time.Sleep(3 * payEvery)
-		events(w, 5, 9)
-	})
+	s.leavingEngine(copied)
 	_, body, err := s.ask("/a/x", "Most", "50")
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(body, qt.Equals, wanted(1, 9))
@@ -331,10 +318,10 @@
 	targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
 	target := targets.Of(service)[0]
 	to := &doubtfulGroup{}
-	r := New(Settings{}, Ports{Targets: targets, Limits: NewLimits(to, quiet{}), Observer: quiet{}})
+	r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(to, quiet{}), Observer: quiet{}})
 	hear := func(reply Reply) {
 		r.learnLimit(&Request{}, target, reply, time.Now())
-		r.limits.Wait()
+		r.limitReports.Wait()
 	}
 	hear(Reply{Limited: true, Limit: 1})
 	to.keeps = state.TargetLimit{Limited: true, Rate: 1}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -111,8 +111,8 @@
 	Sent(r *Request, t *Target, why string)
 	// ColdStart tells whether a request may be sent to a target that is cold.
 	ColdStart(r *Request, t *Target, v RetryVerdict)
-	// LimitChanged tells that what is believed of a target's limit has changed: by its answer
-	// to a request, or, where that is nil, by what the control group tells.
+	// LimitChanged tells that this entry goes by another limit of a target: by its answer to a
+	// request, or, where that is nil, by what the control group tells.
 	LimitChanged(r *Request, t *Target, before, after targetlimit.Belief)
 	// LimitNotStated tells that the control group could not be told of a target's limit.
 	LimitNotStated(t *Target, err error)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -26,36 +26,37 @@
 // Ports of a Relay.
 type Ports struct {
 	// Live is the configuration in force; nil in it means none yet.
-	Live     *atomic.Pointer[routeconf.Table]
-	Targets  *Targets
-	Pool     *upstream.Pool
-	Dialect  Dialect
-	Engines  Engines
-	Retries  *Retries
-	Limits   *Limits
-	Observer Observer
+	Live    *atomic.Pointer[routeconf.Table]
+	Targets *Targets
+	Pool    *upstream.Pool
+	Dialect Dialect
+	Engines Engines
+	Retries *Retries
+	// LimitReports tell the control group of targets' limits.
+	LimitReports *LimitReports
+	Observer     Observer
 }
 
 // Relay handles callers' requests.
 type Relay struct {
-	set     Settings
-	live    *atomic.Pointer[routeconf.Table]
-	targets *Targets
-	pool    *upstream.Pool
-	dialect Dialect
-	engines Engines
-	retries *Retries
-	limits  *Limits
-	obs     Observer
-	lengths *lengths
-	reading *readingSpeeds
+	set          Settings
+	live         *atomic.Pointer[routeconf.Table]
+	targets      *Targets
+	pool         *upstream.Pool
+	dialect      Dialect
+	engines      Engines
+	retries      *Retries
+	limitReports *LimitReports
+	obs          Observer
+	lengths      *lengths
+	reading      *readingSpeeds
 }
 
 // New makes a relay.
 func New(set Settings, p Ports) *Relay {
 	return &Relay{
 		set: set, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
-		engines: p.Engines, retries: p.Retries, limits: p.Limits, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
+		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, lengths: newLengths(), reading: newReadingSpeeds(),
 	}
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -126,7 +126,7 @@
 	s.group = &localPool{limits: limits, pool: retrybudget.NewPool()}
 	r := New(Settings{Zone: "z"}, Ports{
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(quiet{}), Dialect: plainDialect{}, Engines: engines,
-		Retries: NewRetries(limits, s.group), Limits: NewLimits(newLocalGroup(), quiet{}), Observer: quiet{},
+		Retries: NewRetries(limits, s.group), LimitReports: NewLimitReports(newLocalGroup(), quiet{}), Observer: quiet{},
 	})
 	s.url = s.serve(r)
 	return s
--- a/node/relay/stream_test.go
+++ b/node/relay/stream_test.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// leavingEngine starts an engine that leaves while it makes a stream of nine events, and goes
+// on for a while once its run has been copied.
+func (s *stage) leavingEngine(copied <-chan struct{}) {
+	var first directory.Record
+	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		s.leaves(first)
+		events(w, 4, 4)
+		<-copied
+		time.Sleep(3 * payEvery)
+		events(w, 5, 9)
+	})
+}
+
 // The caller reads a long stream, its engine leaves, and the budget for repeats is
 // spent. The run is copied to another engine; were it stopped then, it could go on
 // nowhere and the stream would break off. It is not stopped, and its engine, which
@@ -143,15 +157,7 @@
 	})
 	s := newStageWith(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, engines, retrybudget.Limits{Window: 10 * time.Second})
 	s.target("b", "far", func(http.ResponseWriter, *http.Request) { t.Error("the second engine got the request") })
-	var first directory.Record
-	first = s.target("a", "z", func(w http.ResponseWriter, _ *http.Request) {
-		events(w, 1, 3)
-		s.leaves(first)
-		events(w, 4, 4)
-		<-copied
-		time.Sleep(3 * payEvery)
-		events(w, 5, 9)
-	})
+	s.leavingEngine(copied)
 	_, body, err := s.ask("/a/x", "Most", "50")
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(body, qt.Equals, wanted(1, 9))
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -30,7 +30,7 @@
 	// heldBackTill is until when the target is passed over because others are granted all
 	// the requests that it bears, Unix nanoseconds.
 	heldBackTill atomic.Int64
-	// limited is what is believed of the limit that the target names; nil for none.
+	// limited is what this entry takes for the target's limit; nil for none.
 	limited atomic.Pointer[targetlimit.Belief]
 	// limitUnreadable is set while the target names a limit that can't be read.
 	limitUnreadable atomic.Bool
