A test that no room is set aside without a grant

The permit has come before the reservation since, without a test of its own. With the reservation first (trial on a copy) it fails: the engine was asked to set room aside for a request that others' grants then held back.

--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
@@ -262,6 +263,36 @@
 	return state.TargetLimit{}, errors.New("no leader")
 }
 
+// grantsOthersAll lets the stage's only target name a limit of nothing, and others be granted
+// the two requests that it gets all the same.
+func (s *stage) grantsOthersAll() {
+	target := s.targets.Of(service)[0]
+	target.hear(targetlimit.Statement{Limited: true, Sent: time.Now(), Heard: time.Now()})
+	for i := range 2 {
+		ask := retrybudget.Ask{ID: strconv.Itoa(i), Service: service, Target: target.Target, Purpose: retrybudget.PurposeLimited}
+		answer, err := s.group.Retry(context.Background(), ask)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(answer.Granted, qt.IsTrue)
+	}
+}
+
+// TestNoRoomIsSetAsideWithoutAGrant guards against engines in need that keep room for requests
+// which are then not sent.
+func TestNoRoomIsSetAsideWithoutAGrant(t *testing.T) {
+	k := &keeper{mover: noMoves, room: map[string]bool{}}
+	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1, Generates: true}, k)
+	s.reserving()
+	a := s.target("a", "z", func(http.ResponseWriter, *http.Request) { t.Error("the engine got the request") })
+	k.room[a.Address] = true
+	s.grantsOthersAll()
+	resp, body, err := s.ask("/a/x")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(body, qt.Equals, string(api.ReasonTargetLimit)+"\n")
+	s.c.Assert(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	s.c.Assert(k.asked, qt.HasLen, 0)
+}
+
 // TestRunIsNotStoppedForAnEngineThatMayNotBeAsked guards against a run that is stopped to go
 // on at an engine whose limit then refuses it.
 func TestRunIsNotStoppedForAnEngineThatMayNotBeAsked(t *testing.T) {
@@ -275,14 +306,7 @@
 	})
 	s := newStage(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, engines)
 	s.target("b", "far", func(http.ResponseWriter, *http.Request) { t.Error("the second engine got the request") })
-	s.targets.Of(service)[0].hear(targetlimit.Statement{Limited: true, Sent: time.Now(), Heard: time.Now()})
-	others := &localPool{limits: enoughRetries, pool: s.group.pool, still: s.group.still}
-	for i := range 2 { // others are granted what the engine takes
-		ask := retrybudget.Ask{ID: strconv.Itoa(i), Service: service, Target: "b", Purpose: retrybudget.PurposeLimited}
-		answer, err := others.Retry(context.Background(), ask)
-		s.c.Assert(err, qt.IsNil)
-		s.c.Assert(answer.Granted, qt.IsTrue)
-	}
+	s.grantsOthersAll()
 	s.leavingEngine(copied)
 	_, body, err := s.ask("/a/x", "Most", "50")
 	s.c.Assert(err, qt.IsNil)
