--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -49,13 +51,19 @@
 	app.Flag("calm", "Time without faults after each, counted from when the fleet has settled.").Default("5s").DurationVar(&set.calm)
 	app.Flag("limits", "Targets name limits.").Default("true").BoolVar(&set.limits)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	// Interrupted, a run ends its processes: frozen ones would hold their addresses for ever.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	failed := 0
 	base := set.dir
 	for i := range seeds {
+		if ctx.Err() != nil {
+			break
+		}
 		run := set
 		run.seed += uint64(i)
 		run.dir = filepath.Join(base, fmt.Sprintf("seed-%d", run.seed))
-		if err := soak(run); err != nil {
+		if err := soak(ctx, run); err != nil {
 			fmt.Fprintf(set.out, "seed %d FAILED\n%v\n", run.seed, err)
 			failed++
 		}
@@ -75,11 +83,8 @@
 // errNoNet reports that too many runs go on.
 var errNoNet = errors.New("no free range of loopback addresses")
 
-// takeNet takes a range of loopback addresses for a run until the listener is closed.
-//
-// Failure: two runs use the same addresses at once. Symptom: one of them can't listen,
-// or the processes of both talk to each other. Whoever holds the range's listener has
-// it alone.
+// takeNet takes a range of loopback addresses for a run until the listener is closed: whoever
+// holds the range's listener has it alone.
 func takeNet(from uint64) (byte, net.Listener, error) {
 	for i := range uint64(nets) {
 		n := byte(firstNet + (from+i)%nets)
@@ -94,8 +99,8 @@
 // foundWithin bounds the founding of the group and the first configuration.
 const foundWithin = 30 * time.Second
 
-// soak plays one seed. The error names every broken promise.
-func soak(set settings) error {
+// soak plays one seed, or the part of it until ctx ends. The error names every broken promise.
+func soak(ctx context.Context, set settings) error {
 	if err := os.MkdirAll(set.dir, 0o755); err != nil {
 		return err
 	}
@@ -122,10 +127,10 @@
 		return err
 	}
 	ops := &operators{members: f.operators(), check: check}
-	if err := found(f, ops, rng); err != nil {
+	if err := found(ctx, f, ops, rng); err != nil {
 		return err
 	}
-	play(set, f, places, ops, check, rng)
+	play(ctx, set, f, places, ops, check, rng)
 	summary, broken := check.verdict()
 	fmt.Fprintf(set.out, "seed %d: %s, %d promises broken\n", set.seed, summary, len(broken))
 	var errs []error
@@ -136,8 +141,8 @@
 }
 
 // found waits for the first configuration and for all entries.
-func found(f *fleet, ops *operators, rng *rand.Rand) error {
-	ctx, cancel := context.WithTimeout(context.Background(), foundWithin)
+func found(ctx context.Context, f *fleet, ops *operators, rng *rand.Rand) error {
+	ctx, cancel := context.WithTimeout(ctx, foundWithin)
 	defer cancel()
 	op := standin.NewOperator()
 	for !ops.put(ctx, op, rng) {
@@ -157,8 +162,8 @@
 }
 
 // play runs callers and operators beside the times of faults.
-func play(set settings, f *fleet, places []*place, ops *operators, check *checker, rng *rand.Rand) {
-	ctx, cancel := context.WithCancel(context.Background())
+func play(ctx context.Context, set settings, f *fleet, places []*place, ops *operators, check *checker, rng *rand.Rand) {
+	ctx, cancel := context.WithCancel(ctx)
 	var work conc.WaitGroup
 	c := &callers{check: check}
 	for _, n := range f.entries {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -52,7 +52,7 @@
 			t.Parallel()
 			set := short(binary, filepath.Join(t.TempDir(), "run"), tt.seed)
 			set.limits = tt.limits
-			qt.New(t).Assert(soak(set), qt.IsNil)
+			qt.New(t).Assert(soak(t.Context(), set), qt.IsNil)
 		})
 	}
 }
--- a/core/claim/window.go
+++ b/core/claim/window.go
@@ -12,10 +12,8 @@
 //     the dispatch carries that reading back. The agent doesn't start what
 //     carries a reading older than Start.
 //
-// Failure: a process is stopped, or a link stalls, with the dispatch under way,
-// and goes on an hour later. Symptom: the booking runs, long after its caller
-// was told that nothing is known, and perhaps a second time. The guard suffices
-// because a stop before the reading is caught by the entry's own count, and one
+// A process that was stopped, or a link that stalled, with the dispatch under way must not let
+// it run an hour later: a stop before the reading is caught by the entry's own count, and one
 // after it by the agent's.
 //
 // The replicated clock runs only while a leader lives and never faster than its
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -148,11 +148,9 @@
 
 // resetElection draws the silence after which this member stands.
 //
-// Failure: all members stop at once and come back. Symptom with the usual timeout:
-// the group is without a leader for an election timeout longer than it need be, and
-// entries that wait for its word serve nobody. A member that has known no leader since
-// its start has none to take for silent, so that it stands sooner; if there is one
-// all the same, the others refuse it their pre-votes and nothing is disturbed.
+// A member that has known no leader since its start has none to take for silent, so that it
+// stands sooner and a group that was stopped whole has a leader sooner; if there is one all the
+// same, the others refuse it their pre-votes and nothing is disturbed.
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
 	least := n.cfg.ElectionTicks
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -87,11 +87,9 @@
 
 // supersedes tells whether next is later news than known of the same target.
 //
-// Failure: an announcement is held up by a partition, its sender crashes and
-// starts again under the same name, and the old announcement arrives last.
-// Symptom without the comparison of runs: the new run is sent away, or one that
-// has left is given work. A later run always wins, within a run the higher
-// sequence, and within one announcement the later state.
+// An announcement may arrive after its sender has started again under the same name. A later
+// run always wins, within a run the higher sequence, and within one announcement the later
+// state.
 func supersedes(next, known Record) bool {
 	if next.Born != known.Born && next.Born != 0 && known.Born != 0 {
 		return next.Born > known.Born
--- a/core/membership/subset.go
+++ b/core/membership/subset.go
@@ -82,11 +82,9 @@
 
 // Plan gives the moves from the links that are held to those that are wanted.
 //
-// Failure: an entry starts and every agent that ranks it high dials at the same
-// moment. Symptom: hundreds of handshakes in one tick, and first tokens late at
-// all callers of that entry. The opens are spread over the given time by lot. A
-// link is closed only after all opens are due, so that no agent has fewer links
-// in between than before.
+// Every agent that ranks a new entry high would dial it at the same moment, so the opens are
+// spread over the given time at random. A link is closed only after all opens are due, so that
+// no agent has fewer links in between than before.
 func Plan(held, wanted []Entry, spread time.Duration, r *rand.Rand) []Move {
 	var moves []Move
 	for _, e := range wanted {
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -64,11 +64,8 @@
 
 // View is the fleet's targets, gathered from the reports of entries.
 //
-// Failure: the link between one entry and a target stalls while the target works
-// on. Symptom, if one entry's word were enough: a working target is dropped in
-// the lunch hour. A target is suspected only when every entry that knew it has
-// lost it for a whole lease, which a single stalled link can't bring about,
-// since each agent keeps links to several entries.
+// A target is suspected only when every entry that knew it has lost it for a whole lease: a
+// single stalled link can't bring that about, since each agent keeps links to several entries.
 type View struct {
 	limits  Limits
 	targets map[api.TargetID]*target
--- a/core/order/gate.go
+++ b/core/order/gate.go
@@ -10,13 +10,11 @@
 // long as the agent's incarnation; nothing of it is kept over a restart, which
 // the incarnation in each order makes up for.
 //
-// Failure: a leader cut off silently, or a stalled link, delivers an order after
-// its successor. Symptom: the target goes back to a model that was replaced.
-// Where the target checks the fence it refuses by itself. Where it doesn't, the
-// agent is the only road to it, so a check here suffices, but for one window: an
-// agent stopped between MaySend and the write to the target. The table's lease
-// does not close it, for the target takes the late write. It is as long as the
-// target's connection stays open across the stop.
+// An order may arrive after its successor. Where the target checks the fence it refuses by
+// itself. Where it doesn't, the agent is the only way to it, so a check here suffices, but for
+// one window: an agent stopped between MaySend and the write to the target. The table's lease
+// does not close it, for the target takes the late write. It is as long as the target's
+// connection stays open across the stop.
 type Gate struct {
 	incarnation api.Incarnation
 	highest     api.Fence
--- a/core/regroup/regroup.go
+++ b/core/regroup/regroup.go
@@ -72,12 +72,10 @@
 
 // remove finds a member that is lost.
 //
-// Failure: a machine loses its disk or is replaced, and its old identity keeps its
-// vote. Symptom: the group's majority counts a voter that never answers again, and
-// the next loss stops all changes. A voter is removed only when that leaves no
-// fewer voters than its replacement made up for: when another active voter has its
-// address, or when the number of voters is even. The others must all answer, so a
-// partition never shrinks a group.
+// A voter that never answers again brings the group one loss closer to a standstill. It is
+// removed only when that leaves no fewer voters than its replacement made up for: when another
+// active voter has its address, or when the number of voters is even. The others must all
+// answer, so a partition never shrinks a group.
 func (k *Keeper) remove(st *consensus.Status, now time.Time) *consensus.Change {
 	for _, p := range st.Members {
 		if !p.Voter && k.silentFor(p.ID, now) > k.limits.LearnerSilence {
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -103,11 +103,8 @@
 
 // put accepts or refuses a change, and remembers the answer.
 //
-// Failure: the answer to an accepted change is lost and the operator sends it
-// again. Symptom without the memory: it is refused as a race that the operator
-// lost to nobody but himself, or, rebased by hand, applied twice over a change
-// made in between. The memory is part of the snapshot, so neither a compaction
-// nor a new leader forgets it.
+// An operator who sends an accepted change again, as its answer was lost, gets that answer. The
+// memory is part of the snapshot, so neither a compaction nor a new leader forgets it.
 func (c *configs) put(index uint64, wall int64, p *ConfigPut) ConfigResult {
 	if p.Version > 0 {
 		return c.putVersion(index, wall, p)
@@ -126,12 +123,8 @@
 
 // putVersion accepts a document under the operator's own version.
 //
-// Failure: two operators write at once, or a change whose answer was lost is sent
-// again after a later one. Symptom without the comparison: the older document
-// comes back in force, or the repetition is refused though it had been accepted.
-// Only a higher version changes anything, so repetitions and latecomers have no
-// effect in whatever order they arrive, and other content under the version held
-// is never read back.
+// Only a higher version changes anything, so repetitions and latecomers have no effect in
+// whatever order they arrive, and other content under the version held is never read back.
 func (c *configs) putVersion(index uint64, wall int64, p *ConfigPut) ConfigResult {
 	cur := c.current()
 	if p.Version <= cur.Version {
--- a/core/state/patch.go
+++ b/core/state/patch.go
@@ -36,11 +36,8 @@
 
 // MakePatch gives the patch from one document to another.
 //
-// Failure: a document of some thousand routes changes in two places far apart, its
-// version at the beginning and a route in the middle. Symptom of a patch of one
-// place: nearly the whole document goes to each entry with each change, and over a
-// link of 10 Mbit/s half a second of it; changes that come faster are in force seconds
-// late. In pieces the same change takes less than two kilobytes.
+// A document may change in two places far apart, its version at the beginning and a route in the
+// middle; a patch of one piece would hold nearly all between them.
 func MakePatch(from, to []byte) Patch {
 	shorter := min(len(from), len(to))
 	p := Patch{Sum: sha256.Sum256(to)}
--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -34,10 +34,8 @@
 
 // choose gives any known address, one that has not failed of late if there is one.
 //
-// Failure: two members of five are cut off, the leader among them. Symptom with a
-// choice among all: an entry that has noticed waits for a dial to the second, then
-// to the first again, and a configuration that the others accepted comes in force
-// there seconds late. With the failed ones left out two dials are enough.
+// Members that have failed of late are left out while others are known: several may be cut off
+// at once, and a dial to each takes long.
 func (c *Client) choose(now time.Time) string {
 	known := slices.Concat(c.opt.Seeds, c.members)
 	known = slices.DeleteFunc(known, func(a string) bool { return a == c.opt.Not })
--- a/node/control/compact.go
+++ b/node/control/compact.go
@@ -14,9 +14,8 @@
 // freeze begins a snapshot when enough has been applied since the last one. The
 // copy is made here; sorting and encoding go on beside the driving goroutine.
 //
-// Failure: a full claims table takes a fifth of a second to encode, and its
-// write to the disk is to follow. Symptom, if the driving goroutine did both: no
-// heartbeat for nearly an election timeout, and a new leader at each snapshot.
+// Encoding a large state takes a good part of an election timeout; the driving goroutine would
+// send no heartbeat meanwhile.
 func (m *Member) freeze() {
 	since := m.applied - m.lastSnap
 	if m.freezing || since == 0 || since < m.opt.SnapshotEntries && m.node.Status().LogBytes < snapshotBytes {
--- a/node/link/patience.go
+++ b/node/link/patience.go
@@ -8,10 +8,8 @@
 // Patience dials one peer, or one group of peers, and gives each attempt more time
 // than the one before, from a least to a most. It is not safe for concurrent use.
 //
-// Failure: all machines lose power and are back within half a second of each other.
-// Symptom: one that is up first dials one that is not, which answers nothing; with time
-// for a slow peer it still waits when the other has long been up. A first attempt is
-// given up soon; a peer that is only slow is reached by a later one.
+// A peer that is not up yet answers nothing. A first attempt is given up soon, so that it is
+// reached once it is up; a peer that is only slow is reached by a later one.
 type Patience struct {
 	least, most time.Duration
 	next        time.Duration
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -177,9 +177,8 @@
 
 // improveHome moves an entry's home to a better member. The lock is held.
 //
-// Failure: a member is cut off from the others, and entries still reach it. Symptom if
-// it stays their home: they and the rest of the fleet miss each other's load reports
-// for as long as the partition lasts. So members that reach the others go first.
+// A member that is cut off from the others misses their load reports, and they those of its
+// entries. So members that reach the others go first.
 func (f *Follower) improveHome(now time.Time) {
 	if f.home == "" || now.Sub(f.homeSince) < homeLeast {
 		return
