Limits are ordered by what the sender knew, not by ages

One that a stalled link or a suspended process delivered late counted as newer than it was: the end of a limit could undo a limit that the target had named since, and all entries would have sent without grants until their next answers. TestLateEndOfALimitChangesNothing failed before.

Change: a statement carries the log index of the limit that its sender knew when it sent the request; one that asks for more counts only if that is the limit in force. Entries put their own answers in order by their own steady clock and follow the group once it has held what they believe (core/targetlimit.View, pure, which the histories step too). The rule of ages, its tests and the times in the list are gone; the cases of TestHear are in TestAnswers, TestTold and TestAccepts, those of the statements' table are kept with indexes in place of ages and some more. TestEndOfLimitThatWasInDoubtIsStatedAgain is as strict (three statements, the last with the index that it has seen).

--- a/core/state/limits.go
+++ b/core/state/limits.go
@@ -19,10 +19,11 @@
 	LimitStatedEvery = limitKept / 3
 	// limitFresh is for how long after a statement the same one changes nothing.
 	limitFresh = LimitStatedEvery / 2
+	// maxTargetName bounds the name of a target, in bytes.
+	maxTargetName = 128
 )
 
-// LimitStatement tells what one answer of a target says of its limit. It may be made again:
-// the ages are those at the time of sending.
+// LimitStatement tells what one answer of a target says of its limit. It may be made again.
 type LimitStatement struct {
 	Target api.TargetID `cbor:"1,keyasint"`
 	// Born is the start of the target's run, Unix milliseconds.
@@ -30,123 +31,106 @@
 	Limited bool  `cbor:"3,keyasint,omitempty"`
 	// Rate is the limit in requests a second.
 	Rate float64 `cbor:"4,keyasint,omitempty"`
-	// SentAge and HeardAge are how long ago the request was sent and its answer heard.
-	SentAge  time.Duration `cbor:"5,keyasint,omitempty"`
-	HeardAge time.Duration `cbor:"6,keyasint,omitempty"`
+	// Seen is the Index of the target's limit that the sender of the request knew then.
+	Seen uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// TargetLimit is what is known of the limit of one target. Sent and Heard are replicated
-// times in milliseconds.
+// TargetLimit is what is known of the limit of one target.
 type TargetLimit struct {
 	Target  api.TargetID `cbor:"1,keyasint"`
 	Born    int64        `cbor:"2,keyasint,omitempty"`
 	Limited bool         `cbor:"3,keyasint,omitempty"`
 	Rate    float64      `cbor:"4,keyasint,omitempty"`
-	Sent    int64        `cbor:"5,keyasint"`
-	Heard   int64        `cbor:"6,keyasint"`
+	// Index is the log index of the last change.
+	Index uint64 `cbor:"5,keyasint"`
+	// Stated is when it was last stated, replicated milliseconds.
+	Stated int64 `cbor:"6,keyasint"`
 }
 
-// TargetLimits are the limits that targets name, by target. A list with a lower Index than
-// one seen before is out of date.
+// TargetLimits are the limits that targets name, by target.
 type TargetLimits struct {
 	// Index is the log index of the last change, zero before the first.
-	Index uint64 `cbor:"1,keyasint,omitempty"`
-	// Now is the replicated time of the list in milliseconds.
-	Now  int64         `cbor:"2,keyasint,omitempty"`
-	List []TargetLimit `cbor:"3,keyasint,omitempty"`
+	Index uint64        `cbor:"1,keyasint,omitempty"`
+	List  []TargetLimit `cbor:"2,keyasint,omitempty"`
 }
 
-// Statement gives what is known of a target's limit as a statement by the clock of an
-// instance that gets the list at a time.
-func (l TargetLimits) Statement(t TargetLimit, received time.Time) targetlimit.Statement {
-	ago := func(at int64) time.Time { return received.Add(-time.Duration(l.Now-at) * time.Millisecond) }
-	return targetlimit.Statement{Limited: t.Limited, Rate: t.Rate, Sent: ago(t.Sent), Heard: ago(t.Heard)}
+// Known gives the limit as entries are told of it.
+func (t TargetLimit) Known() targetlimit.Known {
+	return targetlimit.Known{Limit: targetlimit.Limit{Limited: t.Limited, Rate: t.Rate}, Index: t.Index}
 }
 
-func (t TargetLimit) belief() targetlimit.Belief {
-	return targetlimit.Belief{Statement: targetlimit.Statement{
-		Limited: t.Limited, Rate: t.Rate, Sent: time.UnixMilli(t.Sent), Heard: time.UnixMilli(t.Heard),
-	}}
-}
-
-// at gives the statement at a replicated time.
-func (l *LimitStatement) at(now int64) targetlimit.Statement {
-	return targetlimit.Statement{
-		Limited: l.Limited, Rate: l.Rate,
-		Sent: time.UnixMilli(now).Add(-l.SentAge), Heard: time.UnixMilli(now).Add(-l.HeardAge),
-	}
+func (l *LimitStatement) limit() targetlimit.Limit {
+	return targetlimit.Limit{Limited: l.Limited, Rate: l.Rate}
 }
 
 func (l *LimitStatement) valid() bool {
-	return l.Target != "" && len(l.Target) <= maxTargetName && l.Rate >= 0 && l.HeardAge >= 0 && l.SentAge >= l.HeardAge
+	return l.Target != "" && len(l.Target) <= maxTargetName && l.Rate >= 0 && (l.Limited || l.Rate == 0)
 }
 
-// maxTargetName bounds the name of a target, in bytes.
-const maxTargetName = 128
-
 // limit carries out a statement.
 func (s *State) limit(index uint64, l LimitStatement) Result {
 	if !l.valid() {
 		return Result{Reason: api.ReasonBadRequest, Message: "the statement names no target, or no limit"}
 	}
 	s.expireLimits()
-	next, changes := s.hearLimit(s.now, &l)
-	if !changes {
-		return Result{Limit: s.known(l.Target)}
-	}
-	if _, known := s.targetLimits[l.Target]; !known && len(s.targetLimits) >= maxTargetLimits {
-		return Result{Reason: api.ReasonQueueFull, Message: "too many targets name limits"}
+	known, found := s.targetLimits[l.Target]
+	switch {
+	case s.limitIsNews(l):
+		if !found && len(s.targetLimits) >= maxTargetLimits {
+			return Result{Reason: api.ReasonQueueFull, Message: "too many targets name limits"}
+		}
+		known = TargetLimit{Target: l.Target, Born: l.Born, Limited: l.Limited, Rate: l.Rate, Index: index, Stated: s.now}
+		s.limitsAt = index
+	case s.limitIsStale(s.now, l):
+		known.Stated = s.now
+	default:
+		return Result{Limit: s.knownLimit(l)}
 	}
-	s.targetLimits[l.Target] = next
-	s.limitsAt = index
-	return Result{Limit: &next}
+	s.targetLimits[l.Target] = known
+	return Result{Limit: &known}
 }
 
-// known gives what is known of a target's limit, nil for nothing.
-func (s *State) known(t api.TargetID) *TargetLimit {
-	if limit, ok := s.targetLimits[t]; ok {
-		return &limit
+// limitIsNews tells whether entries have to be told of a statement.
+func (s *State) limitIsNews(l LimitStatement) bool {
+	known, found := s.targetLimits[l.Target]
+	switch {
+	case !found || known.Born < l.Born:
+		return l.Limited
+	case known.Born > l.Born:
+		return false
 	}
-	return nil
+	return known.Known().Accepts(l.limit(), l.Seen)
 }
 
-// hearLimit gives what is known of a target's limit after a statement at a replicated time,
-// and whether entries have to be told.
-func (s *State) hearLimit(now int64, l *LimitStatement) (TargetLimit, bool) {
+// limitIsStale tells whether a statement repeats what was stated long ago.
+func (s *State) limitIsStale(now int64, l LimitStatement) bool {
 	known, found := s.targetLimits[l.Target]
-	if found && known.Born > l.Born {
-		return known, false
-	}
-	if !found || known.Born < l.Born {
-		known = TargetLimit{Target: l.Target, Born: l.Born}
-		found = false
-	}
-	before := known.belief()
-	after := before.Hear(l.at(now))
-	if found && after.Same(before) && after.Heard.Sub(before.Heard) < limitFresh {
-		return known, false
-	}
-	if !found && !after.Limited {
-		return known, false // nobody takes the target for limited
-	}
-	known.Limited, known.Rate = after.Limited, after.Rate
-	known.Sent, known.Heard = after.Sent.UnixMilli(), after.Heard.UnixMilli()
-	return known, true
+	return found && known.Born == l.Born && known.Known().Limit == l.limit() && now-known.Stated >= limitFresh.Milliseconds()
 }
 
 // LimitChanges tells whether a statement at a replicated time would change anything, and what
 // is known if it would not.
 func (s *State) LimitChanges(now int64, l LimitStatement) (Result, bool) {
-	if _, changes := s.hearLimit(now, &l); changes {
+	if s.limitIsNews(l) || s.limitIsStale(now, l) {
 		return Result{}, true
 	}
-	return Result{Limit: s.known(l.Target)}, false
+	return Result{Limit: s.knownLimit(l)}, false
+}
+
+// knownLimit gives what is known of the limit of a target's run; where that is nothing, as of
+// the last change of any limit.
+func (s *State) knownLimit(l LimitStatement) *TargetLimit {
+	known, found := s.targetLimits[l.Target]
+	if !found || known.Born != l.Born {
+		known = TargetLimit{Target: l.Target, Born: l.Born, Index: s.limitsAt}
+	}
+	return &known
 }
 
 // expireLimits forgets what nobody has stated for long. Entries keep what they have heard.
 func (s *State) expireLimits() {
 	for id, t := range s.targetLimits {
-		if s.now-t.Heard > limitKept.Milliseconds() {
+		if s.now-t.Stated > limitKept.Milliseconds() {
 			delete(s.targetLimits, id)
 		}
 	}
@@ -157,7 +141,7 @@
 
 // TargetLimits gives the limits that targets name.
 func (s *State) TargetLimits() TargetLimits {
-	out := TargetLimits{Index: s.limitsAt, Now: s.now, List: make([]TargetLimit, 0, len(s.targetLimits))}
+	out := TargetLimits{Index: s.limitsAt, List: make([]TargetLimit, 0, len(s.targetLimits))}
 	for _, t := range s.targetLimits {
 		out.List = append(out.List, t)
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -78,8 +78,7 @@
 	// RetryAfter tells when asking again makes sense, zero when unknown.
 	RetryAfter time.Duration       `cbor:"6,keyasint,omitempty"`
 	Retry      *retrybudget.Answer `cbor:"7,keyasint,omitempty"`
-	// Limit is what is known of a target's limit after a statement; nil where nobody has named
-	// one.
+	// Limit is what is known of a target's limit after a statement.
 	Limit *TargetLimit `cbor:"8,keyasint,omitempty"`
 }
 
--- a/node/control/limits.go
+++ b/node/control/limits.go
@@ -36,11 +36,8 @@
 // has heard it.
 func (c *Client) StateLimit(ctx context.Context, l state.LimitStatement) (state.TargetLimit, error) {
 	r, _ := c.call(ctx, Request{Command: &state.Command{Limit: &l}})
-	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Reason != "" {
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Limit == nil {
 		return state.TargetLimit{}, unavailable(api.StepTargetLimit, r, api.OutcomeUnknown)
 	}
-	if r.Result.Limit == nil || r.Result.Limit.Born != l.Born {
-		return state.TargetLimit{Target: l.Target, Born: l.Born}, nil
-	}
 	return *r.Result.Limit, nil
 }
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -171,7 +171,7 @@
 }
 
 // LimitChanged implements relay.Observer.
-func (m *Relay) LimitChanged(r *relay.Request, t *relay.Target, before, after targetlimit.Belief) {
+func (m *Relay) LimitChanged(r *relay.Request, t *relay.Target, before, after targetlimit.Statement) {
 	m.limits.WithLabelValues(strconv.FormatBool(after.Limited)).Inc()
 	e := target(events.TargetLimited.Log(m.log), "target", t)
 	if r != nil {
@@ -187,7 +187,7 @@
 }
 
 // LimitedSend implements relay.Observer.
-func (m *Relay) LimitedSend(r *relay.Request, t *relay.Target, limit targetlimit.Belief, v relay.RetryVerdict) {
+func (m *Relay) LimitedSend(r *relay.Request, t *relay.Target, limit targetlimit.Statement, v relay.RetryVerdict) {
 	m.limited.WithLabelValues(strconv.FormatBool(v.OK), string(v.Reason)).Inc()
 	e := target(request(events.LimitedSend.Log(m.log), r), "target", t)
 	e.Bool("granted", v.OK).Str("reason", string(v.Reason)).Float64("rate", limit.Rate).Dur("age", time.Since(limit.Heard)).
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -19,7 +19,7 @@
 }
 
 const (
-	// stateWithin bounds one try to tell the group: its ages are those at the beginning.
+	// stateWithin bounds one try to tell the group.
 	stateWithin = 400 * time.Millisecond
 	// stateTries bounds the tries; the next answer of the target begins anew.
 	stateTries = 20
@@ -41,7 +41,7 @@
 // Wait returns once all statements have been made or given up. Nothing is heard any more.
 func (l *LimitReports) Wait() { l.work.Wait() }
 
-// state tells the group what this entry takes for a target's limit, in the background.
+// state tells the group what this entry goes by for a target, in the background.
 func (l *LimitReports) state(t *Target) {
 	if !t.stating.CompareAndSwap(false, true) {
 		return
@@ -49,83 +49,87 @@
 	l.work.Go(func() {
 		told, ok := l.tell(t)
 		t.stating.Store(false)
-		if ok && !t.limit().Same(told) {
+		if ok && t.limit() != told {
 			l.state(t) // heard while the last try was under way
 		}
 	})
 }
 
-// tell tries until the group has heard what this entry takes for the limit then, and gives
-// that; false if it is given up.
-func (l *LimitReports) tell(t *Target) (told targetlimit.Belief, ok bool) {
+// tell tries until the group has heard what this entry goes by then, and gives that; false if
+// it is given up.
+func (l *LimitReports) tell(t *Target) (told targetlimit.Limit, ok bool) {
 	var err error
 	for range stateTries {
-		b := t.limit()
+		b := t.view().Belief
 		ctx, cancel := context.WithTimeout(context.Background(), stateWithin)
-		var held state.TargetLimit
-		held, err = l.to.StateLimit(ctx, statement(t, b, time.Now()))
+		var known state.TargetLimit
+		known, err = l.to.StateLimit(ctx, statement(t, b))
 		cancel()
 		if err == nil {
-			t.groupHolds(held.Limited, held.Rate)
-			return b, true
+			l.followGroup(t, known)
+			return b.Limit, true
 		}
 	}
 	l.obs.LimitNotStated(t, err)
-	return targetlimit.Belief{}, false
+	return targetlimit.Limit{}, false
 }
 
-func statement(t *Target, b targetlimit.Belief, now time.Time) state.LimitStatement {
-	return state.LimitStatement{
-		Target: t.Target, Born: t.Born, Limited: b.Limited, Rate: b.Rate, SentAge: now.Sub(b.Sent), HeardAge: now.Sub(b.Heard),
+func (l *LimitReports) followGroup(t *Target, known state.TargetLimit) {
+	if before, after := t.told(known); before.Limit != after.Limit {
+		l.obs.LimitChanged(nil, t, before, after)
 	}
 }
 
-// limit is what this entry takes for the target's limit.
-func (t *Target) limit() targetlimit.Belief {
-	if b := t.limited.Load(); b != nil {
-		return *b
+func statement(t *Target, b targetlimit.Statement) state.LimitStatement {
+	return state.LimitStatement{Target: t.Target, Born: t.Born, Limited: b.Limited, Rate: b.Rate, Seen: b.Seen}
+}
+
+// view is what this entry knows of the target's limit.
+func (t *Target) view() targetlimit.View {
+	if v := t.limited.Load(); v != nil {
+		return *v
 	}
-	return targetlimit.Belief{}
+	return targetlimit.View{}
 }
 
-// hear takes a statement of the target. It gives the beliefs before and after it.
-func (t *Target) hear(s targetlimit.Statement) (before, after targetlimit.Belief) {
+// limit is what this entry goes by.
+func (t *Target) limit() targetlimit.Limit { return t.view().Belief.Limit }
+
+// learn changes the view. It gives what this entry went by before, and goes by now.
+func (t *Target) learn(change func(targetlimit.View) targetlimit.View) (before, after targetlimit.Statement) {
 	for {
 		held := t.limited.Load()
-		before = targetlimit.Belief{}
+		view := targetlimit.View{}
 		if held != nil {
-			before = *held
+			view = *held
+		}
+		next := change(view)
+		if !t.limited.CompareAndSwap(held, &next) {
+			continue
 		}
-		after = before.Hear(s)
-		if t.limited.CompareAndSwap(held, &after) {
-			if before.Limited && (!after.Limited || after.Rate > before.Rate) {
-				t.heldBackTill.Store(0) // what the group refused was by the stricter limit
-			}
-			return before, after
+		before, after = view.Belief, next.Belief
+		if before.Stricter(after.Limit) {
+			t.heldBackTill.Store(0) // what the group refused was by the stricter limit
 		}
+		return before, after
 	}
 }
 
-// groupHolds notes what the group goes by.
-func (t *Target) groupHolds(limited bool, rate float64) {
-	t.held.Store(&targetlimit.Belief{Statement: targetlimit.Statement{Limited: limited, Rate: rate}})
-	t.heldAt.Store(time.Now().UnixNano())
+// heard takes an answer of the target.
+func (t *Target) heard(s targetlimit.Statement) (before, after targetlimit.Statement) {
+	return t.learn(func(v targetlimit.View) targetlimit.View { return v.Answer(s) })
 }
 
-// stateDue tells whether the group goes by something else, as it could not tell which of two
-// statements was made first, or may soon forget the limit that the target goes on naming.
-func (t *Target) stateDue(now time.Time) bool {
-	b, held := t.limit(), t.held.Load()
-	if held == nil {
-		return b.Limited
-	}
-	return !b.Same(*held) || b.Limited && now.UnixNano()-t.heldAt.Load() > state.LimitStatedEvery.Nanoseconds()
+// told takes what the group goes by.
+func (t *Target) told(known state.TargetLimit) (before, after targetlimit.Statement) {
+	now := time.Now()
+	return t.learn(func(v targetlimit.View) targetlimit.View { return v.Told(known.Known(), now) })
 }
 
 // learnLimit takes what a target's answer says of its limit. An answer that can't be read
 // leaves the limit as it is, and one that states that the request was not run may come from
 // something before the target: it may name a limit, but not end one.
-func (r *Relay) learnLimit(req *Request, t *Target, reply Reply, sent time.Time) {
+func (r *Relay) learnLimit(req *Request, t *Target, reply Reply, began sendBegan) {
 	if reply.LimitErr != nil {
 		if t.limitUnreadable.CompareAndSwap(false, true) {
 			r.obs.LimitUnreadable(req, t, reply.LimitErr)
@@ -137,49 +141,49 @@
 		return
 	}
 	now := time.Now()
-	before, after := t.hear(targetlimit.Statement{Limited: reply.Limited, Rate: reply.Limit, Sent: sent, Heard: now})
-	changed := !before.Same(after)
+	before, after := t.heard(targetlimit.Statement{
+		Limit: targetlimit.Limit{Limited: reply.Limited, Rate: reply.Limit}, Sent: began.at, Heard: now, Seen: began.seen,
+	})
+	changed := before.Limit != after.Limit
 	if changed {
 		r.obs.LimitChanged(req, t, before, after)
 	}
-	if changed || t.stateDue(now) {
+	if changed || t.view().StateDue(now, state.LimitStatedEvery) {
 		r.limitReports.state(t)
 	}
 }
 
-// heardLimit is what the group said of the limit of one run of a target.
-type heardLimit struct {
-	born      int64
-	statement targetlimit.Statement
+// sendBegan is when a request was sent, and what was known of the group then: the index of its
+// target's limit.
+type sendBegan struct {
+	at   time.Time
+	seen uint64
 }
 
-// LimitChange is a belief that the group's list has changed.
+func (t *Target) sendBegins() sendBegan { return sendBegan{at: time.Now(), seen: t.view().Group.Index} }
+
+// LimitChange is a limit that the group's list has changed at this entry.
 type LimitChange struct {
 	Target        *Target
-	Before, After targetlimit.Belief
+	Before, After targetlimit.Statement
 }
 
-// HearLimits takes the limits that targets have named to any entry. It gives the beliefs that
-// they change.
+// HearLimits takes the limits that targets have named to any entry. It gives the changes.
 func (t *Targets) HearLimits(list state.TargetLimits) []LimitChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if list.Index < t.limitsAt {
 		return nil // of a member that lags
 	}
-	now := time.Now()
-	t.limitsAt, t.limits = list.Index, make(map[api.TargetID]heardLimit, len(list.List))
+	t.limitsAt, t.limits = list.Index, make(map[api.TargetID]state.TargetLimit, len(list.List))
 	var out []LimitChange
 	for _, l := range list.List {
-		heard := heardLimit{born: l.Born, statement: list.Statement(l, now)}
-		t.limits[l.Target] = heard
+		t.limits[l.Target] = l
 		target := t.byID[l.Target]
 		if target == nil || target.Born != l.Born {
 			continue
 		}
-		before, after := target.hear(heard.statement)
-		target.groupHolds(l.Limited, l.Rate)
-		if !before.Same(after) {
+		if before, after := target.told(l); before.Limit != after.Limit {
 			out = append(out, LimitChange{Target: target, Before: before, After: after})
 		}
 	}
@@ -189,9 +193,7 @@
 // remember gives a target that is announced after its limit what the group said of it. The
 // lock is held.
 func (t *Targets) remember(target *Target) {
-	heard, ok := t.limits[target.Target]
-	if ok && heard.born == target.Born {
-		target.hear(heard.statement)
-		target.groupHolds(heard.statement.Limited, heard.statement.Rate)
+	if l, ok := t.limits[target.Target]; ok && l.Born == target.Born {
+		target.told(l)
 	}
 }
--- a/node/relay/permit.go
+++ b/node/relay/permit.go
@@ -59,17 +59,17 @@
 // withinLimit takes the grant for a request to a target that names a limit.
 func (r *Relay) withinLimit(ctx context.Context, req *Request, p *permit) bool {
 	t := p.target
-	believed := t.limit()
-	if !believed.Limited {
+	limit := t.view().Belief
+	if !limit.Limited {
 		return true
 	}
-	grant, v := r.retries.ForTarget(ctx, retrybudget.PurposeLimited, t.Service, t.Target, believed.Rate)
+	grant, v := r.retries.ForTarget(ctx, retrybudget.PurposeLimited, t.Service, t.Target, limit.Rate)
 	if v.OK {
 		p.grants = append(p.grants, grant)
 	} else if ctx.Err() == nil {
-		t.passOverFor(targetlimit.AskAgain(believed.Rate, r.targets.Entries(), v.RetryAfter, rand.Float64()))
+		t.passOverFor(targetlimit.AskAgain(limit.Rate, r.targets.Entries(), v.RetryAfter, rand.Float64()))
 	}
-	r.obs.LimitedSend(req, t, believed, v)
+	r.obs.LimitedSend(req, t, limit, v)
 	return v.OK
 }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -113,14 +113,14 @@
 	ColdStart(r *Request, t *Target, v RetryVerdict)
 	// LimitChanged tells that this entry goes by another limit of a target: by its answer to a
 	// request, or, where that is nil, by what the control group tells.
-	LimitChanged(r *Request, t *Target, before, after targetlimit.Belief)
+	LimitChanged(r *Request, t *Target, before, after targetlimit.Statement)
 	// LimitNotStated tells that the control group could not be told of a target's limit.
 	LimitNotStated(t *Target, err error)
 	// LimitUnreadable tells that a target's answer names a limit that can't be read. It is
 	// told once until the target names one that can be.
 	LimitUnreadable(r *Request, t *Target, err error)
 	// LimitedSend tells whether a request may be sent to a target that names a limit.
-	LimitedSend(r *Request, t *Target, limit targetlimit.Belief, v RetryVerdict)
+	LimitedSend(r *Request, t *Target, limit targetlimit.Statement, v RetryVerdict)
 	// Attempted tells what one send came to.
 	Attempted(r *Request, t *Target, outcome string, err error)
 	// RetryGranted tells that the retry budget allowed one more send; why is what it is
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -46,7 +46,7 @@
 	d.Remaining = time.Until(req.Deadline)
 	d.Urgency = urgency(req)
 	r.obs.Sent(req, t, why)
-	sent := time.Now()
+	began := t.sendBegins()
 	x, err := r.pool.Do(ctx, t.Address, &upstream.Request{
 		Method: req.caller.Method,
 		URI:    req.uri,
@@ -57,7 +57,7 @@
 
 		KeepMost: r.keepMost(t),
 	})
-	outcome := r.judge(ctx, req, t, x, sent, err)
+	outcome := r.judge(ctx, req, t, x, began, err)
 	if outcome != outcomeNotSent && outcome != outcomeElse {
 		req.sends++
 	}
@@ -88,8 +88,8 @@
 	return got == "" || got == req.Ask.Request
 }
 
-// judge classifies what came of a send that began at a time.
-func (r *Relay) judge(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, sent time.Time, err error) string {
+// judge classifies what came of a send.
+func (r *Relay) judge(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, began sendBegan, err error) string {
 	if err != nil {
 		if ctx.Err() == nil {
 			t.failed(time.Now())
@@ -106,7 +106,7 @@
 		t.drain()
 		return outcomeElse
 	}
-	r.learnLimit(req, t, reply, sent)
+	r.learnLimit(req, t, reply, began)
 	if reply.NotRun {
 		return outcomeNotRun
 	}
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -12,6 +12,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
 	"almondseam.dev/core/handoff"
+	"almondseam.dev/core/state"
 	"almondseam.dev/core/targetlimit"
 )
 
@@ -30,14 +31,11 @@
 	// heldBackTill is until when the target is passed over because others are granted all
 	// the requests that it bears, Unix nanoseconds.
 	heldBackTill atomic.Int64
-	// limited is what this entry takes for the target's limit; nil for none.
-	limited atomic.Pointer[targetlimit.Belief]
+	// limited is what this entry knows of the target's limit; nil for nothing.
+	limited atomic.Pointer[targetlimit.View]
 	// limitUnreadable is set while the target names a limit that can't be read.
 	limitUnreadable atomic.Bool
-	// held is what the control group goes by for the limit, as it said at heldAt, Unix
-	// nanoseconds; nil if it has said nothing. stating is set while the group is told.
-	held    atomic.Pointer[targetlimit.Belief]
-	heldAt  atomic.Int64
+	// stating is set while the group is told of the limit.
 	stating atomic.Bool
 	// running to movingRuns are this entry's own load on the target.
 	running atomic.Int64
@@ -80,7 +78,7 @@
 	// others are the loads by other entries, by target.
 	others map[api.TargetID]fleetload.Sum
 	// limits are those that targets have named to any entry, as of the log index limitsAt.
-	limits   map[api.TargetID]heardLimit
+	limits   map[api.TargetID]state.TargetLimit
 	limitsAt uint64
 
 	dirtyMu sync.Mutex
