--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -34,8 +34,7 @@
 		return nil, outcomeNotSent
 	}
 	if !p.valid(time.Now()) {
-		var ok bool
-		if p, ok = r.permit(ctx, req, t); !ok {
+		if _, ok := r.permit(ctx, req, t); !ok {
 			return nil, outcomeHeldBack
 		}
 	}
