--- a/node/control/retries_test.go
+++ b/node/control/retries_test.go
@@ -28,16 +28,19 @@
 	}
 }
 
+// leaderFaults end the office of a group's leader in each way, or not at all.
+var leaderFaults = map[string]func(g *group){
+	"none":                func(*group) {},
+	"the leader is cut":   func(g *group) { g.isolate(g.leader(), true) },
+	"the leader is lost":  func(g *group) { g.kill(g.leader()) },
+	"all are killed":      (*group).killAndStartAll,
+	"a snapshot is taken": func(g *group) { g.every = 1; g.killAndStartAll() },
+}
+
 // TestRetriesAreCountedWhoeverLeads guards against retries that are granted twice: by a
 // leader that was cut off and the one after it, or before and after all were killed.
 func TestRetriesAreCountedWhoeverLeads(t *testing.T) {
-	for name, fault := range map[string]func(g *group){
-		"none":                func(*group) {},
-		"the leader is cut":   func(g *group) { g.isolate(g.leader(), true) },
-		"the leader is lost":  func(g *group) { g.kill(g.leader()) },
-		"all are killed":      (*group).killAndStartAll,
-		"a snapshot is taken": func(g *group) { g.every = 1; g.killAndStartAll() },
-	} {
+	for name, fault := range leaderFaults {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, g *group) {
 				c := qt.New(t)
@@ -115,13 +118,7 @@
 // TestPaceOutlivesLeaders guards against a target that is sent its limit twice: by a leader
 // that was cut off and the one after it, or before and after all were killed.
 func TestPaceOutlivesLeaders(t *testing.T) {
-	for name, fault := range map[string]func(g *group){
-		"none":                func(*group) {},
-		"the leader is cut":   func(g *group) { g.isolate(g.leader(), true) },
-		"the leader is lost":  func(g *group) { g.kill(g.leader()) },
-		"all are killed":      (*group).killAndStartAll,
-		"a snapshot is taken": func(g *group) { g.every = 1; g.killAndStartAll() },
-	} {
+	for name, fault := range leaderFaults {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, g *group) {
 				c := qt.New(t)
