Events 410 and 411: what a target asks for and states in its answers

Decoded and logged only: backoff (event 410), leaving (411), and either one malformed (408, which was for limits only; the counter relay_target_limits_unreadable_total is now relay_target_statements_unreadable_total).

--- a/node/events/events.go
+++ b/node/events/events.go
@@ -64,7 +64,9 @@
 	TargetUnusable       = Event{405, zerolog.WarnLevel, "an announcement could not be used", "Find out which process sends announcements in another format; the other targets are not affected."}
 	TargetLimited        = Event{407, zerolog.InfoLevel, "request rate limit of a target changed", "None: a target states a limit to protect itself. See its own log for the reason, and whether its service has enough targets."}
 	TargetLimitNotStated = Event{409, zerolog.WarnLevel, "the control group could not be told of a target's limit", "See whether the group has a leader; the next answer of the target starts another attempt."}
-	TargetLimitError     = Event{408, zerolog.WarnLevel, "a target states a limit that cannot be parsed", "Correct what the target sends; the limit that it stated before stays in force."}
+	TargetStatementError = Event{408, zerolog.WarnLevel, "a target states something about itself that cannot be parsed", "Correct what the target sends; what it stated before stays in force."}
+	TargetBackoff        = Event{410, zerolog.InfoLevel, "a target asks this instance to send it nothing for a time", "None: the target is overloaded. If it recurs, see whether its service has enough targets."}
+	TargetStatesLeaving  = Event{411, zerolog.InfoLevel, "a target states in a response that it is leaving", "None."}
 	ControlStarted       = Event{500, zerolog.InfoLevel, "control member started", "None."}
 	ControlLeader        = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
 	ControlNoLeader      = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
@@ -89,7 +91,7 @@
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetLimitError, TargetLimitNotStated,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -40,10 +40,12 @@
 	coldStarts        *prometheus.CounterVec
 	limitChanges      *prometheus.CounterVec
 	limitedSends      *prometheus.CounterVec
-	// unreadableLimits counts target limits that could not be parsed, unstatedLimits
-	// those that could not be reported to the control group.
-	unreadableLimits prometheus.Counter
-	unstatedLimits   prometheus.Counter
+	// unreadable counts statements of targets about themselves that could not be parsed,
+	// unstatedLimits target limits that could not be reported to the control group.
+	unreadable     prometheus.Counter
+	unstatedLimits prometheus.Counter
+	backoffs       prometheus.Counter
+	leavings       prometheus.Counter
 }
 
 // latencyBuckets are the bounds in seconds of all histograms of the relay: from 5 ms,
@@ -67,7 +69,9 @@
 		limitChanges:      f.NewCounterVec(counter("relay_target_limits_total", "Changes of what is believed of targets' limits, by whether they name one."), []string{"limited"}),
 		limitedSends:      f.NewCounterVec(counter("relay_limited_sends_total", "Requests to targets that name a limit, by whether they were granted and why not."), []string{"granted", "reason"}),
 		unstatedLimits:    f.NewCounter(counter("relay_target_limits_not_stated_total", "Limits of targets that the control group could not be told of.")),
-		unreadableLimits:  f.NewCounter(counter("relay_target_limits_unreadable_total", "Answers of targets that name a limit that can't be read.")),
+		unreadable:        f.NewCounter(counter("relay_target_statements_unreadable_total", "Targets whose responses began to state something about themselves that cannot be parsed.")),
+		backoffs:          f.NewCounter(counter("relay_target_backoffs_total", "Responses in which a target asks for no requests for a time.")),
+		leavings:          f.NewCounter(counter("relay_target_leavings_total", "Responses in which a target states that it is leaving.")),
 		skippedMigrations: f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
 		dials:             f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
 		duration:          f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "relay_seconds", Help: "Time from a request's arrival to its end, by route.", Buckets: latencyBuckets}, []string{"route"}),
@@ -203,10 +207,22 @@
 	addTarget(events.TargetLimitNotStated.Log(m.log), "target", t).Err(err).Send()
 }
 
-// LimitUnreadable implements relay.Observer.
-func (m *Relay) LimitUnreadable(r *relay.Request, t *relay.Target, err error) {
-	m.unreadableLimits.Inc()
-	addTarget(addRequest(events.TargetLimitError.Log(m.log), r), "target", t).Err(err).Send()
+// BackoffAsked implements relay.Observer.
+func (m *Relay) BackoffAsked(r *relay.Request, t *relay.Target, backoff time.Duration) {
+	m.backoffs.Inc()
+	addTarget(addRequest(events.TargetBackoff.Log(m.log), r), "target", t).Dur("backoff", backoff).Send()
+}
+
+// LeavingStated implements relay.Observer.
+func (m *Relay) LeavingStated(r *relay.Request, t *relay.Target) {
+	m.leavings.Inc()
+	addTarget(addRequest(events.TargetStatesLeaving.Log(m.log), r), "target", t).Send()
+}
+
+// StatementUnreadable implements relay.Observer.
+func (m *Relay) StatementUnreadable(r *relay.Request, t *relay.Target, err error) {
+	m.unreadable.Inc()
+	addTarget(addRequest(events.TargetStatementError.Log(m.log), r), "target", t).Err(err).Send()
 }
 
 func addRetryVerdict(e *zerolog.Event, v relay.RetryVerdict) *zerolog.Event {
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -139,14 +139,7 @@
 // run may come from an intermediary in front of the target, so it may set a limit but not
 // remove one.
 func (r *Relay) updateLimit(req *Request, t *Target, reply Reply, start sendStart) {
-	if reply.LimitErr != nil {
-		if t.limitUnreadable.CompareAndSwap(false, true) {
-			r.obs.LimitUnreadable(req, t, reply.LimitErr)
-		}
-		return
-	}
-	t.limitUnreadable.Store(false)
-	if reply.NotRun && !reply.Limited {
+	if reply.LimitErr != nil || reply.NotRun && !reply.Limited {
 		return
 	}
 	now := time.Now()
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -81,6 +81,14 @@
 	Limit   float64
 	// LimitErr is set if the target announces a limit that cannot be parsed.
 	LimitErr error
+	// Backoff is the time for which the target asks this entry to send it nothing; zero if it
+	// does not ask. BackoffErr is set if that time cannot be parsed.
+	Backoff    time.Duration
+	BackoffErr error
+	// Leaving is set if the target states that it is leaving. LeavingErr is set if that
+	// statement cannot be parsed.
+	Leaving    bool
+	LeavingErr error
 }
 
 // Dialect encodes and decodes the headers of requests and responses. It is safe for concurrent
@@ -128,9 +136,14 @@
 	LimitChanged(r *Request, t *Target, before, after targetlimit.Statement)
 	// LimitNotStated reports that a target's limit could not be reported to the control group.
 	LimitNotStated(t *Target, err error)
-	// LimitUnreadable reports that a target announced a limit that cannot be parsed. It is not
-	// called again for the target until one of its responses arrives without that error.
-	LimitUnreadable(r *Request, t *Target, err error)
+	// BackoffAsked reports that a target, in its response to r, asked this entry to send it
+	// nothing for the time backoff.
+	BackoffAsked(r *Request, t *Target, backoff time.Duration)
+	// LeavingStated reports that a target states, in its response to r, that it is leaving.
+	LeavingStated(r *Request, t *Target)
+	// StatementUnreadable reports a statement of a target about itself that cannot be parsed. It
+	// is not called again for the target until one of its responses arrives without an error.
+	StatementUnreadable(r *Request, t *Target, err error)
 	// LimitedSend reports whether a request may be sent to a rate-limited target.
 	LimitedSend(r *Request, t *Target, limit targetlimit.Statement, v RetryVerdict)
 	// Attempted reports the outcome of one send.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -65,7 +65,9 @@
 func (nopObserver) Dropped(*Request, *Target, error)                                             {}
 func (nopObserver) LimitedSend(*Request, *Target, targetlimit.Statement, RetryVerdict)           {}
 func (nopObserver) LimitNotStated(*Target, error)                                                {}
-func (nopObserver) LimitUnreadable(*Request, *Target, error)                                     {}
+func (nopObserver) BackoffAsked(*Request, *Target, time.Duration)                                {}
+func (nopObserver) LeavingStated(*Request, *Target)                                              {}
+func (nopObserver) StatementUnreadable(*Request, *Target, error)                                 {}
 func (nopObserver) LimitChanged(*Request, *Target, targetlimit.Statement, targetlimit.Statement) {}
 func (nopObserver) ColdStart(*Request, *Target, RetryVerdict)                                    {}
 func (nopObserver) RetryDenied(*Request, string, RetryVerdict)                                   {}
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -107,6 +107,7 @@
 		t.drain()
 		return outcomeWrongTarget
 	}
+	r.reportStatements(req, t, reply)
 	r.updateLimit(req, t, reply, began)
 	if reply.NotRun {
 		return outcomeNotRun
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -34,8 +34,8 @@
 	heldBackUntil atomic.Int64
 	// limitView is what this entry knows of the target's rate limit, nil if nothing.
 	limitView atomic.Pointer[targetlimit.View]
-	// limitUnreadable is set while the target announces a limit that cannot be parsed.
-	limitUnreadable atomic.Bool
+	// unreadable is set while the target's responses contain statements that cannot be parsed.
+	unreadable atomic.Bool
 	// reportingLimit is set while the limit is being reported to the control group.
 	reportingLimit atomic.Bool
 	// running to unbackedRuns are this entry's own load on the target.
