--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -46,7 +46,9 @@
 
 func (plainDialect) Reply(status int, h http.Header) Reply {
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	backoff, _ := time.ParseDuration(h.Get("Backoff"))
 	return Reply{
+		Backoff: backoff, Leaving: h.Get("Leaving") != "",
 		Request: api.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", WrongTarget: status == http.StatusMisdirectedRequest,
 		Limited: err == nil, Limit: limit,
 	}
