One condition for each target, checked before everything that is sent to it

Callers saw bookings refused while three of four targets had room; a target that had answered 503 and asked for 3 s without requests went on getting 10 to 23 a second.

Class of fault: what a target says of itself is handled, if at all, by a mechanism of its own at some of the places that send. The rate limit was the first (permits), cold targets before it, each with a field and a check of its own; responses to reservations, copies and drops were read by nobody, and nothing was looked at again after a connection had been opened.

Change: core/targetstate holds all that an entry knows of a target's condition as one value (draining, cold, rate limit, backoff, refused grants, failures, full) and decides what may be sent. node/relay/outbound.go is the only code that sends: callers' requests and the calls of Engines, which get a Peer in place of an address. It checks before a connection is opened and again before the first byte, and applies what any response states. Targets in backoff are not chosen; a request for which all are is refused at once as target_backoff, with a Retry-After that is true and spread. Streams that must be continued wait up to 2 s for an engine in backoff. The deadlines of targets are now time.Time with the monotonic clock: as Unix nanoseconds, a step of the time of day ended or extended them.

--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -165,7 +165,7 @@
 	}, process.RoutedEntryPorts{
 		Dialect:  platform.Dialect{},
 		Pool:     pool,
-		Engines:  &platform.Engines{Pool: pool},
+		Engines:  platform.Engines{},
 		Decode:   platform.DecodeConfiguration,
 		Observer: observer,
 		Metrics:  r.metrics,
--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -39,6 +39,7 @@
 	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonOutsideHomes       Reason = "outside_homes"
 	ReasonTargetLimit        Reason = "target_limit"
+	ReasonTargetBackoff      Reason = "target_backoff"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadlineHopeless   Reason = "deadline_hopeless"
 	ReasonNeverFits          Reason = "never_fits"
@@ -103,6 +104,7 @@
 	ReasonZoneEvacuated:      {503, typeServer, true},
 	ReasonOutsideHomes:       {503, typeServer, true},
 	ReasonTargetLimit:        {503, typeOverloaded, true},
+	ReasonTargetBackoff:      {503, typeOverloaded, true},
 	ReasonQueueFull:          {503, typeOverloaded, true},
 	ReasonDeadlineHopeless:   {503, typeOverloaded, true},
 	ReasonNeverFits:          {400, typeInvalid, false},
--- /dev/null
+++ b/core/targetstate/check.go
@@ -0,0 +1,86 @@
+package targetstate
+
+import (
+	"fmt"
+	"time"
+)
+
+// Use is what an instance wants to send to a target.
+type Use int
+
+const (
+	// UseNew is a request that the target has not begun, or a reservation for one.
+	UseNew Use = iota
+	// UseHeld is a request or call about a run of which the target holds the memory.
+	UseHeld
+)
+
+// Obstacle is why nothing may be sent to a target.
+type Obstacle int
+
+const (
+	// None: it may be sent.
+	None Obstacle = iota
+	// Draining: the target takes no new requests.
+	Draining
+	// Backoff: the target wants nothing from this instance at present.
+	Backoff
+)
+
+// String returns the obstacle as it appears in logs.
+func (o Obstacle) String() string {
+	switch o {
+	case Draining:
+		return "the target is draining"
+	case Backoff:
+		return "the target asked for no requests"
+	case None:
+		return "none"
+	}
+	return fmt.Sprintf("obstacle %d", int(o))
+}
+
+// Check decides whether something may be sent to the target at the time now. It applies to
+// everything that is sent, and must be made again immediately before the first byte: what was
+// decided earlier may have waited for a permit, for room or for a connection.
+//
+// A backoff binds every use. The target cannot distinguish a call that would help it from one
+// more request, and counts both.
+func (s *Status) Check(use Use, now time.Time) Obstacle {
+	switch {
+	case now.Before(s.BackoffUntil):
+		return Backoff
+	case use == UseNew && s.IsDraining():
+		return Draining
+	}
+	return None
+}
+
+// UnavailableFor returns how long the target takes no new request for reasons that end by
+// themselves: a backoff, or a grant that was refused. It returns zero if there is none.
+func (s *Status) UnavailableFor(now time.Time) time.Duration {
+	return max(0, later(s.BackoffUntil, s.RefusedUntil).Sub(now))
+}
+
+// IsDraining reports whether the target takes no new requests until its end.
+func (s *Status) IsDraining() bool { return !s.DrainingSince.IsZero() }
+
+// IsCold reports whether the target is cold, or must be treated as cold because the evacuation of
+// its availability zone ended less than coldFor ago: it may have been restarted meanwhile, and its
+// next announcement is up to a second away.
+func (s *Status) IsCold(now time.Time, coldFor time.Duration) bool {
+	if now.Before(s.ColdUntil) {
+		return true
+	}
+	return !s.EvacuationEnded.IsZero() && now.Sub(s.EvacuationEnded) < coldFor
+}
+
+// IsAvoided reports whether the target is the last choice after failures.
+func (s *Status) IsAvoided(now time.Time) bool { return now.Before(s.AvoidUntil) }
+
+// IsFull reports whether the target has recently refused a reservation.
+func (s *Status) IsFull(now time.Time) bool { return now.Before(s.FullUntil) }
+
+// IsRefused reports whether the control group has recently refused a grant for a request to the
+// target.
+func (s *Status) IsRefused(now time.Time) bool { return now.Before(s.RefusedUntil) }
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -208,9 +208,11 @@
 }
 
 // BackoffAsked implements relay.Observer.
-func (m *Relay) BackoffAsked(r *relay.Request, t *relay.Target, backoff time.Duration) {
+func (m *Relay) BackoffAsked(r *relay.Request, t *relay.Target, backoff time.Duration, before, after time.Time) {
 	m.backoffs.Inc()
-	addTarget(addRequest(events.TargetBackoff.Log(m.log), r), "target", t).Dur("backoff", backoff).Send()
+	now := time.Now()
+	addTarget(addRequest(events.TargetBackoff.Log(m.log), r), "target", t).Dur("backoff", backoff).
+		Dur("left", after.Sub(now)).Dur("left_before", max(0, before.Sub(now))).Send()
 }
 
 // LeavingStated implements relay.Observer.
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -158,12 +158,12 @@
 
 type noEngines struct{}
 
-func (noEngines) Move(context.Context, string, api.RequestID, string, bool) (relay.Copy, error) {
+func (noEngines) Move(context.Context, relay.Peer, api.RequestID, string, bool) (relay.Copy, error) {
 	return relay.Copy{}, errors.New("no engines")
 }
 
-func (noEngines) Drop(context.Context, string, string) error { return nil }
-func (noEngines) Reserve(context.Context, string, int, time.Duration) (string, error) {
+func (noEngines) Drop(context.Context, relay.Peer, string) error { return nil }
+func (noEngines) Reserve(context.Context, relay.Peer, int, time.Duration) (string, error) {
 	return "", errors.New("no engines")
 }
 
--- a/node/relay/coldstart_test.go
+++ b/node/relay/coldstart_test.go
@@ -13,6 +13,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/targetstate"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -69,14 +70,15 @@
 		Retries: NewRetries(enoughRetries, &scriptedGrantor{err: errors.New("no leader")}),
 	})
 	target := s.targets.Of(service)[0]
-	_, ok := r.permit(context.Background(), &Request{}, target)
+	_, ok := r.permit(context.Background(), &Request{}, target, targetstate.UseNew)
 	s.c.Assert(ok, qt.IsFalse)
 	// A permit that has expired is replaced by a new one, which is refused here.
 	old := &permit{target: target, grants: []Retry{{paid: paidPool}}}
 	x, outcome := r.send(context.Background(), &Request{}, old, Directive{}, "first")
 	s.c.Assert(x, qt.IsNil)
 	s.c.Assert(outcome, qt.Equals, outcomeHeldBack)
-	s.c.Assert(target.isHeldBack(time.Now()), qt.IsTrue)
+	status := target.state()
+	s.c.Assert(status.IsRefused(time.Now()), qt.IsTrue)
 }
 
 // TestCold checks what makes a target cold, and for how long.
--- a/node/relay/drop_test.go
+++ b/node/relay/drop_test.go
@@ -21,7 +21,8 @@
 	fails map[string]bool
 }
 
-func (c *copyDropper) Drop(_ context.Context, at, id string) error {
+func (c *copyDropper) Drop(_ context.Context, peer Peer, id string) error {
+	at := peer.Address()
 	if c.fails[at] {
 		return errors.New("unreachable")
 	}
--- a/node/relay/evacuation.go
+++ b/node/relay/evacuation.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/state"
+	"almondseam.dev/core/targetstate"
 )
 
 // errEvacuated reports a send that was skipped because an operator has evacuated the target's
@@ -49,14 +50,14 @@
 	if current == nil {
 		return
 	}
-	now := time.Now().UnixNano()
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, target := range t.byID {
 		_, before := current.zones[target.Zone]
 		_, still := next.zones[target.Zone]
 		if before && !still {
-			target.evacuationEnded.Store(now)
+			target.update(func(s targetstate.Status) targetstate.Status { return s.EndEvacuation(now) })
 		}
 	}
 }
@@ -79,7 +80,7 @@
 		switch {
 		case target.evacuated():
 			found = true
-		case !target.draining.Load():
+		case !target.isDraining():
 			return false
 		}
 	}
--- a/node/relay/limit.go
+++ b/node/relay/limit.go
@@ -7,6 +7,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/state"
 	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/core/targetstate"
 	"github.com/sourcegraph/conc"
 )
 
@@ -92,78 +93,17 @@
 }
 
 // view returns what this entry knows of the target's rate limit.
-func (t *Target) view() targetlimit.View {
-	if v := t.limitView.Load(); v != nil {
-		return *v
-	}
-	return targetlimit.View{}
-}
+func (t *Target) view() targetlimit.View { return t.state().Limit }
 
 // limit returns the rate limit that this entry applies to the target.
 func (t *Target) limit() targetlimit.Limit { return t.view().Current.Limit }
 
-// updateView replaces the view atomically. It returns the limits that this entry applied before
-// and applies after the change.
-func (t *Target) updateView(change func(targetlimit.View) targetlimit.View) (before, after targetlimit.Statement) {
-	for {
-		current := t.limitView.Load()
-		view := targetlimit.View{}
-		if current != nil {
-			view = *current
-		}
-		next := change(view)
-		if !t.limitView.CompareAndSwap(current, &next) {
-			continue
-		}
-		before, after = view.Current, next.Current
-		if before.Stricter(after.Limit) {
-			t.heldBackUntil.Store(0) // the refusal was based on the stricter limit
-		}
-		return before, after
-	}
-}
-
-// applyStatement updates the view by a response of the target.
-func (t *Target) applyStatement(s targetlimit.Statement) (before, after targetlimit.Statement) {
-	return t.updateView(func(v targetlimit.View) targetlimit.View { return v.ApplyStatement(s) })
-}
-
-// applyGroupLimit updates the view by the limit that the control group applies.
+// applyGroupLimit updates the status by the limit that the control group applies. It returns the
+// limits that this entry applied before and applies after that.
 func (t *Target) applyGroupLimit(known state.TargetLimit) (before, after targetlimit.Statement) {
 	now := time.Now()
-	return t.updateView(func(v targetlimit.View) targetlimit.View { return v.ApplyGroup(known.Known(), now) })
-}
-
-// updateLimit updates the rate limit of a target by what its response says of it. If that
-// cannot be parsed, the limit stays as it is. A response which states that the request was not
-// run may come from an intermediary in front of the target, so it may set a limit but not
-// remove one.
-func (r *Relay) updateLimit(req *Request, t *Target, reply Reply, start sendStart) {
-	if reply.LimitErr != nil || reply.NotRun && !reply.Limited {
-		return
-	}
-	now := time.Now()
-	before, after := t.applyStatement(targetlimit.Statement{
-		Limit: targetlimit.Limit{Limited: reply.Limited, Rate: reply.Limit}, Sent: start.at, Received: now, Seen: start.seen,
-	})
-	changed := before.Limit != after.Limit
-	if changed {
-		r.obs.LimitChanged(req, t, before, after)
-	}
-	if changed || t.view().ReportDue(now, state.LimitRestateInterval) {
-		r.limitReports.state(t)
-	}
-}
-
-// sendStart holds when a request was sent, and the log index of the target's limit that this
-// entry process knew at that time.
-type sendStart struct {
-	at   time.Time
-	seen uint64
-}
-
-func (t *Target) newSendStart() sendStart {
-	return sendStart{at: time.Now(), seen: t.view().Group.Index}
+	b, a := t.update(func(s targetstate.Status) targetstate.Status { return s.ApplyGroupLimit(known.Known(), now) })
+	return b.Limit.Current, a.Limit.Current
 }
 
 // LimitChange is a change of the limit that this entry process applies to a target, caused by a
--- a/node/relay/limit_test.go
+++ b/node/relay/limit_test.go
@@ -16,6 +16,7 @@
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/core/state"
 	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/core/targetstate"
 	"almondseam.dev/node/upstream"
 	qt "github.com/frankban/quicktest"
 )
@@ -173,7 +174,8 @@
 	informed.ask()
 
 	other.burst(each) // the control group refuses grants beyond the limit
-	s.c.Assert(other.targets.Of(service)[0].isHeldBack(time.Now()), qt.IsTrue)
+	status := other.targets.Of(service)[0].state()
+	s.c.Assert(status.IsRefused(time.Now()), qt.IsTrue)
 	target.clearLimit()
 	g.now = time.Minute.Milliseconds()
 	s.c.Assert(informed.ask(), qt.Equals, http.StatusOK)
@@ -224,8 +226,8 @@
 			targets.Update([]directory.Record{{Target: "t", Service: service, Address: "a:1", State: directory.StateReady}})
 			r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(newLocalGroup(), nopObserver{}), Observer: nopObserver{}})
 			target := targets.Of(service)[0]
-			target.applyStatement(current)
-			r.updateLimit(&Request{}, target, tt.reply, target.newSendStart())
+			target.applyLimit(current)
+			r.applyStatements(&Request{}, target, tt.reply, target.newSendStart(false))
 			r.limitReports.Wait()
 			qt.New(t).Assert(target.limit().Limited, qt.Equals, tt.want)
 		})
@@ -242,7 +244,7 @@
 	r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(to, nopObserver{}), Observer: nopObserver{}})
 	for range 100 {
 		target := targets.Of(service)[0]
-		r.updateLimit(&Request{}, target, Reply{Limited: true, Limit: 1}, target.newSendStart())
+		r.applyStatements(&Request{}, target, Reply{Limited: true, Limit: 1}, target.newSendStart(false))
 	}
 	r.limitReports.Wait()
 	c.Assert(to.most.Load() <= 1, qt.IsTrue)
@@ -258,11 +260,18 @@
 	return state.TargetLimit{}, errors.New("no leader")
 }
 
+// applyLimit applies what a response states of the target's limit.
+func (t *Target) applyLimit(l targetlimit.Statement) {
+	t.update(func(s targetstate.Status) targetstate.Status {
+		return s.Apply(targetstate.Statement{Limit: &l}, l.Received, 0)
+	})
+}
+
 // exhaustGrants makes the only target announce a limit of zero, and acquires the two requests
 // that are granted nevertheless.
 func (s *fixture) exhaustGrants() {
 	target := s.targets.Of(service)[0]
-	target.applyStatement(targetlimit.Statement{Limit: targetlimit.Limit{Limited: true}, Sent: time.Now(), Received: time.Now()})
+	target.applyLimit(targetlimit.Statement{Limit: targetlimit.Limit{Limited: true}, Sent: time.Now(), Received: time.Now()})
 	for i := range 2 {
 		ask := retrybudget.Ask{ID: strconv.Itoa(i), Service: service, Target: target.Target, Purpose: retrybudget.PurposeLimited}
 		answer, err := s.group.Retry(context.Background(), ask)
@@ -319,7 +328,7 @@
 	to := &fixedGroup{result: state.TargetLimit{Limited: true, Rate: 1, Index: 1}}
 	r := New(Settings{}, Ports{Targets: targets, LimitReports: NewLimitReports(to, nopObserver{}), Observer: nopObserver{}})
 	receive := func(reply Reply) {
-		r.updateLimit(&Request{}, target, reply, target.newSendStart())
+		r.applyStatements(&Request{}, target, reply, target.newSendStart(false))
 		r.limitReports.Wait()
 	}
 	receive(Reply{Limited: true, Limit: 1})
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -9,6 +9,7 @@
 	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/placement"
 	"almondseam.dev/core/retrybudget"
+	"almondseam.dev/core/targetstate"
 )
 
 // migration prepares the next leg of a stream while its draining engine still works on the
@@ -42,7 +43,9 @@
 	skipNoRoom = "no_room" // no engine was found that accepted a copy of the run
 	skipBudget = "budget"  // the retry budget was exhausted until the drain notice ended
 	skipNoStop = "no_stop" // the run could not be stopped, or had ended
-	// skipHeldBack: the control group refused the request to the destination.
+	// skipBackoff: the draining engine takes no calls until its notice ends.
+	skipBackoff = "backoff"
+	// skipHeldBack: the request to the destination was not allowed.
 	skipHeldBack = "held_back"
 )
 
@@ -85,7 +88,7 @@
 // milliseconds both engines generate the same events; the event numbers tell which ones the
 // caller already has.
 func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
-	p, ok := s.relay.permit(ctx, s.req, l.standby)
+	p, ok := s.relay.permit(ctx, s.req, l.standby, targetstate.UseHeld)
 	if !ok {
 		return false
 	}
@@ -113,6 +116,10 @@
 		return
 	}
 	defer func() { <-l.target.migrationSlot }()
+	if !awaitBackoffEnd(ctx, l.target, l.target.noticeEnd()) {
+		s.reportSkipped(ctx, l, skipBackoff)
+		return
+	}
 	s.reportSkipped(ctx, l, s.tryDestinations(ctx, l))
 }
 
@@ -162,7 +169,7 @@
 	}
 	// Take the permit before the stop: a run that was stopped for an engine to which no request
 	// may be sent is lost.
-	p, ok := s.relay.permit(ctx, s.req, to)
+	p, ok := s.relay.permit(ctx, s.req, to, targetstate.UseHeld)
 	if !ok {
 		s.relay.retries.GiveBack(retry)
 		s.dropCopy(l, to, made)
@@ -218,7 +225,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
 	began := time.Now()
-	moved, err := s.relay.engines.Move(ctx, l.target.Address, s.req.Ask.Request, to.Address, stop)
+	moved, err := s.relay.engines.Move(ctx, s.relay.peer(s.req, l.target, targetstate.UseHeld), s.req.Ask.Request, to.Address, stop)
 	s.relay.obs.Copied(s.req, l.target, to, stop, time.Since(began), err)
 	return moved, err
 }
@@ -231,9 +238,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
-	err := s.relay.engines.Drop(ctx, l.target.Address, c.ID)
+	err := s.relay.engines.Drop(ctx, s.relay.peer(s.req, l.target, targetstate.UseHeld), c.ID)
 	if err != nil {
-		err = s.relay.engines.Drop(ctx, at.Address, c.ID)
+		err = s.relay.engines.Drop(ctx, s.relay.peer(s.req, at, targetstate.UseHeld), c.ID)
 	}
 	s.relay.obs.Dropped(s.req, at, err)
 }
@@ -284,7 +291,7 @@
 	if e == nil {
 		return true
 	}
-	drainStart := time.Unix(0, l.target.drainingSince.Load())
+	drainStart := l.target.state().DrainingSince
 	backlog := l.target.backlog()
 	ahead := handoff.MoveTime(backlog.Tokens, backlog.Runs, e.MoveRate())
 	t := time.NewTimer(time.Until(drainStart.Add(min(ahead, handoff.Notice))))
@@ -333,7 +340,10 @@
 		s.relay.obs.Migrated(s.req, l.target, d.nextLeg.target, d.how, time.Since(s.lastEventAt))
 		return d.nextLeg
 	}
-	for _, t := range d.destinations {
+	for _, t := range byBackoff(d.destinations) {
+		if !awaitBackoffEnd(s.ctx, t, s.resumeDeadline()) {
+			continue
+		}
 		if !s.useRetry(d) {
 			break
 		}
@@ -359,7 +369,7 @@
 	if p != nil && p.target == t {
 		return p
 	}
-	p, ok := s.relay.permit(s.ctx, s.req, t)
+	p, ok := s.relay.permit(s.ctx, s.req, t, targetstate.UseHeld)
 	if !ok {
 		return nil
 	}
--- a/node/relay/permit.go
+++ b/node/relay/permit.go
@@ -6,14 +6,17 @@
 	"math/rand/v2"
 	"time"
 
+	"almondseam.dev/core/api"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/core/targetstate"
 )
 
 // permit is the right to send one request to a target. Every send needs one, because no entry
 // alone can count the requests that a target receives in total.
 type permit struct {
 	target *Target
+	use    targetstate.Use
 	// grants are from the control group; empty if the target is neither cold nor rate limited.
 	grants []Retry
 }
@@ -40,8 +43,12 @@
 // recorded in the replicated log, so that their total is bounded however many entries there are
 // and whatever they know of each other. An entry that gets no answer from the control group
 // sends nothing.
-func (r *Relay) permit(ctx context.Context, req *Request, t *Target) (*permit, bool) {
-	p := &permit{target: t}
+func (r *Relay) permit(ctx context.Context, req *Request, t *Target, use targetstate.Use) (*permit, bool) {
+	p := &permit{target: t, use: use}
+	if err := r.check(t, use); err != nil {
+		r.obs.Attempted(req, t, outcomeHeldBack, err)
+		return nil, false
+	}
 	if r.acquireLimitGrant(ctx, req, p) && r.acquireColdGrant(ctx, req, p) {
 		return p, true
 	}
@@ -69,7 +76,7 @@
 	if v.OK {
 		p.grants = append(p.grants, grant)
 	} else if ctx.Err() == nil {
-		t.holdBack(targetlimit.RetryDelay(limit.Rate, r.targets.EntryCount(), v.RetryAfter, rand.Float64()))
+		t.refuse(targetlimit.RetryDelay(limit.Rate, r.targets.EntryCount(), v.RetryAfter, rand.Float64()))
 	}
 	r.obs.LimitedSend(req, t, limit, v)
 	return v.OK
@@ -86,35 +93,35 @@
 	if v.OK {
 		p.grants = append(p.grants, grant)
 	} else if ctx.Err() == nil {
-		t.holdBack(maxRefusalTime)
+		t.refuse(maxRefusalTime)
 	}
 	r.obs.ColdStart(req, t, v)
 	return v.OK
 }
 
-// heldBackTime returns the time until the first of the request's eligible, untried targets is
-// no longer held back. It returns zero if there is no such target, or if one of them is not
-// held back.
-func (r *Relay) heldBackTime(req *Request, now time.Time) time.Duration {
-	soonest := time.Duration(0)
+// unavailable returns the time until the first of the request's targets is available again, and
+// why none is. It returns zero if one is available or if none is known to become available. A
+// target that was tried counts only while it is unavailable: it will not be tried again, but
+// serves the caller's next request.
+func (r *Relay) unavailable(req *Request, now time.Time) (soonest time.Duration, reason api.Reason) {
 	for _, t := range r.targets.Of(req.Service) {
-		if !r.eligible(req, t) || contains(req.tried, t) {
+		if !r.eligible(req, t) {
+			continue
+		}
+		s := t.state()
+		left := s.UnavailableFor(now)
+		if left == 0 && contains(req.tried, t) {
 			continue
 		}
-		left := time.Duration(t.heldBackUntil.Load() - now.UnixNano())
-		if left <= 0 {
-			return 0
+		if left == 0 {
+			return 0, ""
 		}
 		if soonest == 0 || left < soonest {
-			soonest = left
+			soonest, reason = left, api.ReasonTargetLimit
+			if s.Check(targetstate.UseNew, now) == targetstate.Backoff {
+				reason = api.ReasonTargetBackoff
+			}
 		}
 	}
-	return soonest
+	return soonest, reason
 }
-
-// holdBack excludes the target for a while, because the control group has refused a request to
-// it.
-func (t *Target) holdBack(d time.Duration) { t.heldBackUntil.Store(time.Now().Add(d).UnixNano()) }
-
-// isHeldBack reports whether the control group has recently refused a request to the target.
-func (t *Target) isHeldBack(now time.Time) bool { return now.UnixNano() < t.heldBackUntil.Load() }
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -8,6 +8,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/placement"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/core/targetstate"
 )
 
 // pickTarget selects a target of a service for a request, nil if there is none. Targets in
@@ -34,7 +35,7 @@
 		if t == nil {
 			return nil
 		}
-		if p, ok := r.permit(ctx, req, t); ok {
+		if p, ok := r.permit(ctx, req, t, targetstate.UseNew); ok {
 			return p
 		}
 	}
@@ -45,7 +46,7 @@
 func (r *Relay) candidates(req *Request, list []*Target, exclude []*Target, now time.Time) []placement.Candidate {
 	out := make([]placement.Candidate, len(list))
 	for i, t := range list {
-		load := t.Load()
+		load, status := t.Load(), t.state()
 		out[i] = placement.Candidate{
 			Zone:     t.Zone,
 			Slots:    t.Slots,
@@ -54,8 +55,8 @@
 			Unread:   load.Unread,
 			Capacity: r.capacity(t),
 			Cold:     r.isCold(t, now),
-			Avoid:    t.isAvoided(now),
-			Full:     t.isFull(now),
+			Avoid:    status.IsAvoided(now),
+			Full:     status.IsFull(now),
 			Excluded: !r.usable(req, t, now) || contains(exclude, t),
 		}
 	}
@@ -74,13 +75,14 @@
 
 // usable reports whether a target may be sent the request at present.
 func (r *Relay) usable(req *Request, t *Target, now time.Time) bool {
-	return r.eligible(req, t) && !t.isHeldBack(now)
+	s := t.state()
+	return r.eligible(req, t) && s.Check(targetstate.UseNew, now) == targetstate.None && !s.IsRefused(now)
 }
 
 // eligible reports whether a target serves requests like this one: it is not draining, not
 // evacuated and in an allowed region.
 func (r *Relay) eligible(req *Request, t *Target) bool {
-	return !t.draining.Load() && !t.evacuated() && r.inAllowedRegion(req, t)
+	return !t.isDraining() && !t.evacuated() && r.inAllowedRegion(req, t)
 }
 
 // inAllowedRegion reports whether the target is in a region in which the request may be served.
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -159,9 +159,9 @@
 	case r.targets.allEvacuated(req.Service):
 		return api.ReasonZoneEvacuated, operatorRetryAfter
 	}
-	if wait := r.heldBackTime(req, time.Now()); wait > 0 {
+	if wait, reason := r.unavailable(req, time.Now()); wait > 0 {
 		// The random part keeps callers that were refused together from retrying together.
-		return api.ReasonTargetLimit, wait + time.Duration(rand.Float64()*float64(wait))
+		return reason, wait + time.Duration(rand.Float64()*float64(wait))
 	}
 	return api.ReasonNoTarget, retryNoTarget
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -22,6 +22,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/node/upstream"
 )
 
 // Ask holds the parameters in the header of a caller's request.
@@ -102,20 +103,29 @@
 	Reply(status int, h http.Header) Reply
 }
 
-// Engines makes calls to model engines other than forwarded requests. It is safe for concurrent
-// use.
+// Peer is one target as the destination of calls. It is safe for concurrent use.
+type Peer interface {
+	// Address is the address of the target.
+	Address() string
+	// Do sends a request to the target and returns its response. It applies to the target what
+	// the response states of it. It returns a NotAdmittedError, and sends nothing, if the target's
+	// condition does not allow the request.
+	Do(ctx context.Context, req *upstream.Request) (*upstream.Exchange, error)
+}
+
+// Engines makes calls to model engines other than forwarded requests. Each call is sent through
+// the Peer that it names. It is safe for concurrent use.
 type Engines interface {
-	// Move copies a run's KV cache from the engine at address at to the engine at address to;
-	// with stop, the run is ended first. It returns the copy from which the run can be
-	// continued. For a stopped run it returns a copy even with an error: the engine at address
-	// at then keeps the KV cache.
-	Move(ctx context.Context, at string, run api.RequestID, to string, stop bool) (Copy, error)
-	// Drop frees a copy at the engine at address at. If that engine made the copy, it is freed
-	// at the receiving engine too.
-	Drop(ctx context.Context, at string, id string) error
+	// Move copies a run's KV cache from the engine at to the engine at address to; with stop, the
+	// run is ended first. It returns the copy from which the run can be continued. For a stopped
+	// run it returns a copy even with an error: the engine at then keeps the KV cache.
+	Move(ctx context.Context, at Peer, run api.RequestID, to string, stop bool) (Copy, error)
+	// Drop frees a copy at the engine at. If that engine made the copy, it is freed at the
+	// receiving engine too.
+	Drop(ctx context.Context, at Peer, id string) error
 	// Reserve reserves a slot and memory for one request for the time ttl. It returns ErrNoRoom
 	// if the engine has none left; any other error leaves the outcome unknown.
-	Reserve(ctx context.Context, at string, tokens int, ttl time.Duration) (string, error)
+	Reserve(ctx context.Context, at Peer, tokens int, ttl time.Duration) (string, error)
 }
 
 // Observer is notified of events in the life of requests, for metrics and logs. Its methods are
@@ -137,8 +147,9 @@
 	// LimitNotStated reports that a target's limit could not be reported to the control group.
 	LimitNotStated(t *Target, err error)
 	// BackoffAsked reports that a target, in its response to r, asked this entry to send it
-	// nothing for the time backoff.
-	BackoffAsked(r *Request, t *Target, backoff time.Duration)
+	// nothing for the time backoff, and until when the entry sends it nothing: before and after
+	// that response.
+	BackoffAsked(r *Request, t *Target, backoff time.Duration, before, after time.Time)
 	// LeavingStated reports that a target states, in its response to r, that it is leaving.
 	LeavingStated(r *Request, t *Target)
 	// StatementUnreadable reports a statement of a target about itself that cannot be parsed. It
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -67,7 +67,7 @@
 func (nopObserver) Dropped(*Request, *Target, error)                                             {}
 func (nopObserver) LimitedSend(*Request, *Target, targetlimit.Statement, RetryVerdict)           {}
 func (nopObserver) LimitNotStated(*Target, error)                                                {}
-func (nopObserver) BackoffAsked(*Request, *Target, time.Duration)                                {}
+func (nopObserver) BackoffAsked(*Request, *Target, time.Duration, time.Time, time.Time)          {}
 func (nopObserver) LeavingStated(*Request, *Target)                                              {}
 func (nopObserver) StatementUnreadable(*Request, *Target, error)                                 {}
 func (nopObserver) LimitChanged(*Request, *Target, targetlimit.Statement, targetlimit.Statement) {}
@@ -82,15 +82,15 @@
 type copyFunc func(at string, to string, stop bool) (Copy, error)
 
 // Move implements Engines.
-func (m copyFunc) Move(_ context.Context, at string, _ api.RequestID, to string, stop bool) (Copy, error) {
-	return m(at, to, stop)
+func (m copyFunc) Move(_ context.Context, at Peer, _ api.RequestID, to string, stop bool) (Copy, error) {
+	return m(at.Address(), to, stop)
 }
 
 // Drop implements Engines.
-func (copyFunc) Drop(context.Context, string, string) error { return nil }
+func (copyFunc) Drop(context.Context, Peer, string) error { return nil }
 
 // Reserve implements Engines. It always succeeds.
-func (copyFunc) Reserve(context.Context, string, int, time.Duration) (string, error) {
+func (copyFunc) Reserve(context.Context, Peer, int, time.Duration) (string, error) {
 	return "all", nil
 }
 
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/placement"
+	"almondseam.dev/core/targetstate"
 )
 
 // reservedTarget is the engine that was selected for a request.
@@ -117,7 +118,7 @@
 // either is refused. The permit comes first, because an unused reservation keeps room from
 // other requests.
 func (r *Relay) reserveAt(ctx context.Context, req *Request, t *Target) *reservedTarget {
-	p, ok := r.permit(ctx, req, t)
+	p, ok := r.permit(ctx, req, t, targetstate.UseNew)
 	if !ok {
 		return nil
 	}
@@ -132,15 +133,16 @@
 	}()
 	within, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	id, err := r.engines.Reserve(within, t.Address, req.tokens, e.ReservationTTL)
+	id, err := r.engines.Reserve(within, r.peer(req, t, targetstate.UseNew), req.tokens, e.ReservationTTL)
 	if err == nil {
 		return &reservedTarget{permit: p, reservation: id}
 	}
 	r.releasePermit(p)
 	r.obs.NoRoom(req, t, err)
 	switch {
+	case isNotAdmitted(err), errors.Is(err, errEvacuated):
 	case errors.Is(err, ErrNoRoom):
-		t.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
+		t.markFull(fullTime)
 	case ctx.Err() == nil:
 		t.recordFailure(time.Now())
 	}
--- a/node/relay/room_test.go
+++ b/node/relay/room_test.go
@@ -21,7 +21,8 @@
 }
 
 // Reserve implements Engines.
-func (k *reservingEngines) Reserve(_ context.Context, at string, _ int, _ time.Duration) (string, error) {
+func (k *reservingEngines) Reserve(_ context.Context, peer Peer, _ int, _ time.Duration) (string, error) {
+	at := peer.Address()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.asked = append(k.asked, at)
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -15,8 +15,8 @@
 	// Answered is also reported as the outcome of a request that was answered.
 	Answered       = "answered"
 	outcomeNotSent = "not_sent" // the target has read nothing of the request
-	// outcomeHeldBack: nothing was sent, because the control group granted no request to the
-	// target.
+	// outcomeHeldBack: nothing was sent, because of the target's condition or because the control
+	// group granted no request to the target.
 	outcomeHeldBack    = "held_back"
 	outcomeNotRun      = "not_run"   // the target states that it did not run the request
 	outcomeWrongTarget = "elsewhere" // another target has the address
@@ -35,7 +35,7 @@
 		return nil, outcomeNotSent
 	}
 	if !p.valid(time.Now()) {
-		if _, ok := r.permit(ctx, req, t); !ok {
+		if _, ok := r.permit(ctx, req, t, p.use); !ok {
 			return nil, outcomeHeldBack
 		}
 	}
@@ -45,9 +45,13 @@
 	}
 	d.Remaining = time.Until(req.Deadline)
 	d.Urgency = urgency(req)
+	if err := r.check(t, p.use); err != nil {
+		r.releasePermit(p)
+		r.obs.Attempted(req, t, outcomeHeldBack, err)
+		return nil, outcomeHeldBack
+	}
 	r.obs.Sent(req, t, why)
-	start := t.newSendStart()
-	x, err := r.pool.Do(ctx, t.Address, &upstream.Request{
+	x, reply, err := r.exchange(ctx, req, t, p.use, t.newSendStart(false), &upstream.Request{
 		Method: req.httpRequest.Method,
 		URI:    req.uri,
 		Host:   req.httpRequest.Host,
@@ -57,8 +61,11 @@
 
 		MaxIdle: r.maxIdleConns(t),
 	})
-	outcome := r.classify(ctx, req, t, x, start, err)
-	if outcome != outcomeNotSent && outcome != outcomeWrongTarget {
+	outcome := r.classify(ctx, req, t, reply, err)
+	if outcome == outcomeHeldBack {
+		r.releasePermit(p)
+	}
+	if mayHaveReadIt(outcome) {
 		req.sends++
 	}
 	r.obs.Attempted(req, t, outcome, err)
@@ -90,8 +97,13 @@
 
 // classify determines the outcome of a send, and updates the target and the request
 // accordingly.
-func (r *Relay) classify(ctx context.Context, req *Request, t *Target, x *upstream.Exchange, began sendStart, err error) string {
-	if err != nil {
+func (r *Relay) classify(ctx context.Context, req *Request, t *Target, reply Reply, err error) string {
+	switch {
+	case isNotAdmitted(err):
+		return outcomeHeldBack
+	case errors.Is(err, errEvacuated):
+		return outcomeNotSent
+	case err != nil:
 		if ctx.Err() == nil {
 			t.recordFailure(time.Now())
 		}
@@ -101,14 +113,11 @@
 		req.began()
 		return outcomeLost
 	}
-	reply := r.dialect.Reply(x.Status, x.Header)
 	if reply.WrongTarget {
 		// Another target has the address now, so the selected one is gone.
 		t.drain()
 		return outcomeWrongTarget
 	}
-	r.reportStatements(req, t, reply)
-	r.updateLimit(req, t, reply, began)
 	if reply.NotRun {
 		return outcomeNotRun
 	}
@@ -139,10 +148,15 @@
 	return req.Route.Rank
 }
 
+// mayHaveReadIt reports whether the target may have read the request after an outcome.
+func mayHaveReadIt(outcome string) bool {
+	return outcome != outcomeNotSent && outcome != outcomeWrongTarget && outcome != outcomeHeldBack
+}
+
 // mayTryAnother reports whether the request may be sent to another target after an outcome:
 // never if it may have been run and must not be run twice.
 func (r *Relay) mayTryAnother(req *Request, outcome string) bool {
-	if outcome == outcomeNotSent || outcome == outcomeWrongTarget || outcome == outcomeHeldBack {
+	if !mayHaveReadIt(outcome) {
 		return len(req.tried) < maxTargetTries
 	}
 	if req.sends >= req.Route.MaxTargets {
--- /dev/null
+++ b/node/relay/status.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"time"
+
+	"almondseam.dev/core/handoff"
+	"almondseam.dev/core/targetstate"
+)
+
+// state returns what this entry knows of the target's condition.
+func (t *Target) state() targetstate.Status {
+	if s := t.status.Load(); s != nil {
+		return *s
+	}
+	return targetstate.Status{}
+}
+
+// update replaces the target's status atomically, and returns it as it was before and is after
+// the change.
+func (t *Target) update(change func(targetstate.Status) targetstate.Status) (before, after targetstate.Status) {
+	for {
+		current := t.status.Load()
+		before = targetstate.Status{}
+		if current != nil {
+			before = *current
+		}
+		after = change(before)
+		if after == before || t.status.CompareAndSwap(current, &after) {
+			return before, after
+		}
+	}
+}
+
+// drain marks the target as draining: it gets no new requests, and its streams are migrated.
+func (t *Target) drain() {
+	now := time.Now()
+	t.update(func(s targetstate.Status) targetstate.Status { return s.Drain(now) })
+}
+
+func (t *Target) isDraining() bool {
+	s := t.status.Load()
+	return s != nil && s.IsDraining()
+}
+
+// noticeEnd returns until when a draining target can be relied on.
+func (t *Target) noticeEnd() time.Time { return t.state().DrainingSince.Add(handoff.Notice) }
+
+// recordFailure marks the target as avoided for a while.
+func (t *Target) recordFailure(now time.Time) {
+	t.update(func(s targetstate.Status) targetstate.Status { return s.Fail(now) })
+}
+
+// recordSuccess ends the effect of earlier failures.
+func (t *Target) recordSuccess() { t.update(targetstate.Status.Succeed) }
+
+// refuse excludes the target for a while, because the control group has refused a grant for a
+// request to it.
+func (t *Target) refuse(d time.Duration) {
+	until := time.Now().Add(d)
+	t.update(func(s targetstate.Status) targetstate.Status { return s.Refuse(until) })
+}
+
+// markFull marks the target as full for a while, because it has refused a reservation.
+func (t *Target) markFull(d time.Duration) {
+	until := time.Now().Add(d)
+	t.update(func(s targetstate.Status) targetstate.Status { return s.Fill(until) })
+}
+
+// isCold reports whether a target is cold or must be treated as cold.
+func (r *Relay) isCold(t *Target, now time.Time) bool {
+	s := t.state()
+	return s.IsCold(now, r.service(t.Service).ColdFor)
+}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -13,6 +13,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/retrybudget"
+	"almondseam.dev/core/targetstate"
 )
 
 // streamRun forwards one stream to its caller, from one engine after the other. One goroutine
@@ -116,7 +117,7 @@
 		if s.req.Stream.Events%recountEvents == 0 {
 			s.updateTokens(l)
 		}
-		if l.migration == nil && l.target.draining.Load() {
+		if l.migration == nil && l.target.isDraining() {
 			s.startMigration(l)
 		}
 	}
@@ -157,7 +158,7 @@
 	if l.standby == nil || l.standby.evacuated() {
 		return false
 	}
-	return cause == handoff.CauseLost || !l.standby.draining.Load()
+	return cause == handoff.CauseLost || !l.standby.isDraining()
 }
 
 // forward sends one event to the caller, unless the caller already has it.
@@ -272,7 +273,10 @@
 
 // resumeFromStandby continues the run at the engine that holds its standby copy.
 func (s *streamRun) resumeFromStandby(l *leg) *leg {
-	p, ok := s.relay.permit(s.ctx, s.req, l.standby)
+	if !awaitBackoffEnd(s.ctx, l.standby, s.resumeDeadline()) {
+		return nil
+	}
+	p, ok := s.relay.permit(s.ctx, s.req, l.standby, targetstate.UseHeld)
 	if !ok {
 		return nil
 	}
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -11,29 +11,18 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
-	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/state"
-	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/core/targetstate"
 )
 
 // Target is one run of a target, from its start to its end, as this entry process knows it.
 type Target struct {
 	directory.Record
-	draining atomic.Bool
+	// status is what this entry knows of the target's condition, nil if nothing.
+	status atomic.Pointer[targetstate.Status]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
 	// lock.
 	removed bool
-	// drainingSince is when this entry learned that the target drains, in Unix nanoseconds.
-	drainingSince atomic.Int64
-	// coldUntil is until when the target is cold, evacuationEnded when the evacuation of its
-	// zone ended, both in Unix nanoseconds, zero for never.
-	coldUntil       atomic.Int64
-	evacuationEnded atomic.Int64
-	// heldBackUntil is until when no request is sent to the target because the control group
-	// refused a grant, in Unix nanoseconds.
-	heldBackUntil atomic.Int64
-	// limitView is what this entry knows of the target's rate limit, nil if nothing.
-	limitView atomic.Pointer[targetlimit.View]
 	// unreadable is set while the target's responses contain statements that cannot be parsed.
 	unreadable atomic.Bool
 	// reportingLimit is set while the limit is being reported to the control group.
@@ -54,12 +43,6 @@
 	table *Targets
 	// migrationSlot is held by the run that is being migrated from the target.
 	migrationSlot chan struct{}
-	// avoidUntil is until when the target is avoided after failures, in Unix nanoseconds.
-	avoidUntil atomic.Int64
-	// fullUntil is until when the target counts as full, in Unix nanoseconds.
-	fullUntil atomic.Int64
-	// failures counts consecutive failures.
-	failures atomic.Int32
 }
 
 // serviceTargets holds the targets of one service; the list is replaced as a whole.
@@ -183,8 +166,9 @@
 		}
 		t.applyListedLimit(known)
 	}
+	now := time.Now()
 	if r.Cold > 0 {
-		known.markColdUntil(time.Now().Add(r.Cold))
+		known.update(func(s targetstate.Status) targetstate.Status { return s.Cool(now.Add(r.Cold)) })
 	}
 	switch r.State {
 	case directory.StateLeaving, directory.StateGone:
@@ -193,17 +177,6 @@
 	return known
 }
 
-// drain marks the target as draining: it gets no new requests, and its streams are migrated.
-func (t *Target) drain() {
-	t.drainingSince.CompareAndSwap(0, time.Now().UnixNano())
-	t.draining.Store(true)
-}
-
-// noticeEnd returns until when a draining target can be relied on.
-func (t *Target) noticeEnd() time.Time {
-	return time.Unix(0, t.drainingSince.Load()).Add(handoff.Notice)
-}
-
 // Of returns the targets of a service. The list must not be modified.
 func (t *Targets) Of(s api.ServiceID) []*Target {
 	service := (*t.services.Load())[s]
@@ -216,36 +189,6 @@
 // Len returns the number of targets.
 func (t *Targets) Len() int { return int(t.count.Load()) }
 
-// isFull reports whether the target has recently refused a reservation.
-func (t *Target) isFull(now time.Time) bool { return now.UnixNano() < t.fullUntil.Load() }
-
-// isAvoided reports whether the target is avoided, as a last choice, after failures.
-func (t *Target) isAvoided(now time.Time) bool { return now.UnixNano() < t.avoidUntil.Load() }
-
-const (
-	// avoidMin is how long a target is avoided after its first failure. The time doubles with
-	// each consecutive failure, up to avoidMax.
-	avoidMin = 250 * time.Millisecond
-	avoidMax = 4 * time.Second
-	// avoidDoublings is the number of doublings from avoidMin to avoidMax.
-	avoidDoublings = 4
-)
-
-// recordFailure marks the target as avoided for a while.
-func (t *Target) recordFailure(now time.Time) {
-	n := t.failures.Add(1)
-	wait := avoidMin << min(n-1, avoidDoublings)
-	t.avoidUntil.Store(now.Add(min(wait, avoidMax)).UnixNano())
-}
-
-// recordSuccess ends the effect of earlier failures.
-func (t *Target) recordSuccess() {
-	if t.failures.Load() != 0 {
-		t.failures.Store(0)
-		t.avoidUntil.Store(0)
-	}
-}
-
 // addRequest counts a request on the target until removeRequest; unread is the number of its
 // prompt tokens that the engine has to process.
 func (t *Target) addRequest(tokens, unread int) {
@@ -398,7 +341,7 @@
 
 func (t *Target) setOthers(sum fleetload.Sum) {
 	t.others.Store(&sum.Load)
-	if !t.draining.Load() {
+	if !t.isDraining() {
 		t.ahead.Store(&sum.Ahead)
 	}
 }
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -23,6 +23,10 @@
 	// Match reports from the header of a response whether it belongs to this request. If
 	// Match is nil, the first response is taken.
 	Match func(http.Header) bool
+	// Admit is called once a connection is open, immediately before the first byte is written.
+	// If it returns an error, nothing is sent, and Do returns that error together with
+	// ErrNotSent. If it is nil, every request is sent.
+	Admit func() error
 	// MaxIdle bounds the idle connections to the target that are kept after the exchange.
 	// Zero or a value above MaxIdlePerTarget means MaxIdlePerTarget.
 	MaxIdle int
@@ -63,6 +67,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Admit != nil {
+		if err := req.Admit(); err != nil {
+			p.putBack(c, req.MaxIdle)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	x := &Exchange{pool: p, conn: c, maxIdle: req.MaxIdle}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.send(req)
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -145,6 +145,15 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// putBack returns a connection on which nothing was sent.
+func (p *Pool) putBack(c *conn, maxIdle int) {
+	if c.fresh {
+		p.putIdle(c, p.idleTimeout, maxIdle)
+		return
+	}
+	p.putIdle(c, time.Until(c.expires), maxIdle)
+}
+
 // CloseIdle closes the idle connections to addr.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
