A target that states in a response that it is leaving drains

Callers whose requests go on to a target that leaves lose their answers with it.

The statement is one field more of targetstate.Statement; the checks on every path are those that exist. A target that states it is leaving in a response of any kind gets no new request or reservation from that entry, also if it was chosen before; its streams are migrated; what concerns runs that it holds goes on. No announcement of the same run revokes it, the next run starts anew. A run that is announced at another address keeps its status.

--- a/core/targetstate/status.go
+++ b/core/targetstate/status.go
@@ -42,6 +42,8 @@
 	// Backoff is the time for which the target wants nothing from this instance; zero if it
 	// states none.
 	Backoff time.Duration
+	// Leaving is set if the target states that it is leaving.
+	Leaving bool
 	// Limit is what the response states of the rate limit, nil if that is unknown.
 	Limit *targetlimit.Statement
 }
@@ -68,6 +70,9 @@
 		d += time.Duration(spread * float64(min(time.Duration(backoffSpread*float64(d)), maxBackoffSpread)))
 		s.BackoffUntil = later(s.BackoffUntil, now.Add(d))
 	}
+	if st.Leaving {
+		s = s.Drain(now)
+	}
 	if st.Limit != nil {
 		return s.withLimit(s.Limit.ApplyStatement(*st.Limit))
 	}
--- a/core/targetstate/status_test.go
+++ b/core/targetstate/status_test.go
@@ -47,6 +47,20 @@
 	qt.New(t).Assert(s.BackoffUntil.Before(t0.Add(MaxBackoff+maxBackoffSpread)), qt.IsTrue)
 }
 
+// TestLeaving checks that a target drains from the first response that states it is leaving, and
+// that no later response ends that.
+func TestLeaving(t *testing.T) {
+	c := qt.New(t)
+	s := Status{}.Apply(Statement{}, t0, 0)
+	c.Assert(s.IsDraining(), qt.IsFalse)
+	for _, leaving := range []bool{true, false, true} {
+		s = s.Apply(Statement{Leaving: leaving}, at(3), 0)
+		c.Assert(s.IsDraining(), qt.IsTrue)
+	}
+	c.Assert(s.Apply(Statement{Leaving: true}, at(5), 0).DrainingSince, qt.Equals, at(3))
+	c.Assert(s.Drain(at(6)).DrainingSince, qt.Equals, at(3))
+}
+
 // TestCheck checks what may be sent to a target.
 func TestCheck(t *testing.T) {
 	resting := Status{}.Apply(Statement{Backoff: seconds(3)}, t0, 0)
--- a/node/relay/backoff_test.go
+++ b/node/relay/backoff_test.go
@@ -99,6 +99,18 @@
 	return "reserved", err
 }
 
+// stopTimeout bounds the wait for a migration that a test expects.
+const stopTimeout = 10 * time.Second
+
+// awaitStop waits until a run has been stopped for its migration.
+func awaitStop(t *testing.T, stopped <-chan struct{}) {
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		t.Error("the run was not stopped")
+	}
+}
+
 // enterBackoff makes the target want no requests for a time.
 func (t *Target) enterBackoff(d time.Duration) {
 	t.update(func(s targetstate.Status) targetstate.Status {
@@ -279,7 +291,7 @@
 		writeEvents(w, 1, 3)
 		s.drain(first)
 		writeEvents(w, 4, 4)
-		<-stopped
+		awaitStop(t, stopped)
 		panic(http.ErrAbortHandler)
 	})
 	_, body, err := s.ask("/a/x", "Most", "50")
@@ -337,7 +349,7 @@
 		}
 		s.drain(first)
 		writeEvents(w, 4, 4)
-		<-stopped
+		awaitStop(t, stopped)
 		panic(http.ErrAbortHandler)
 	})
 	_, body, err := s.ask("/a/x", "Most", "50")
@@ -388,3 +400,23 @@
 	}
 	s.c.Assert(served.Load(), qt.Equals, int64(10))
 }
+
+// TestReservationThatWasNotSentIsNoFailure guards against avoiding an engine, after its backoff, for
+// a reservation that was never sent to it.
+func TestReservationThatWasNotSentIsNoFailure(t *testing.T) {
+	obs := &dialObserver{opened: func() {}}
+	r, target, req, arrived := newPathFixture(t, obs, func(http.ResponseWriter, *http.Request) {})
+	c := qt.New(t)
+	config := r.live.Load().Config
+	engine := *config.Services[0].Engine
+	engine.ReservationTTL = time.Second
+	config.Services = []routeconf.Service{{Name: service, Engine: &engine}}
+	table, err := routeconf.Compile(config)
+	c.Assert(err, qt.IsNil)
+	r.live.Store(table)
+	obs.opened = func() { target.enterBackoff(time.Hour) }
+	c.Assert(r.reserveAt(context.Background(), req, target), qt.IsNil)
+	status := target.state()
+	c.Assert(status.IsAvoided(time.Now()), qt.IsFalse)
+	c.Assert(arrived.Load(), qt.Equals, int64(0))
+}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -150,7 +150,8 @@
 	// nothing for the time backoff, and until when the entry sends it nothing: before and after
 	// that response.
 	BackoffAsked(r *Request, t *Target, backoff time.Duration, before, after time.Time)
-	// LeavingStated reports that a target states, in its response to r, that it is leaving.
+	// LeavingStated reports that a target states, in its response to r, that it is leaving, which
+	// this entry did not know.
 	LeavingStated(r *Request, t *Target)
 	// StatementUnreadable reports a statement of a target about itself that cannot be parsed. It
 	// is not called again for the target until one of its responses arrives without an error.
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -31,11 +31,14 @@
 		return // another target has the address and speaks of itself
 	}
 	now := time.Now()
-	st := targetstate.Statement{Backoff: reply.Backoff, Limit: limitStatement(reply, start, now)}
+	st := targetstate.Statement{Backoff: reply.Backoff, Leaving: reply.Leaving, Limit: limitStatement(reply, start, now)}
 	before, after := t.update(func(s targetstate.Status) targetstate.Status { return s.Apply(st, now, rand.Float64()) })
 	if after.BackoffUntil != before.BackoffUntil {
 		r.obs.BackoffAsked(req, t, reply.Backoff, before.BackoffUntil, after.BackoffUntil)
 	}
+	if !before.IsDraining() && after.IsDraining() {
+		r.obs.LeavingStated(req, t)
+	}
 	changed := before.Limit.Current.Limit != after.Limit.Current.Limit
 	if changed {
 		r.obs.LimitChanged(req, t, before.Limit.Current, after.Limit.Current)
@@ -66,7 +69,4 @@
 	} else if t.unreadable.CompareAndSwap(false, true) {
 		r.obs.StatementUnreadable(req, t, err)
 	}
-	if reply.Leaving {
-		r.obs.LeavingStated(req, t)
-	}
 }
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -157,10 +157,14 @@
 // describes the same run of the target.
 func (t *Targets) targetFor(known *Target, r directory.Record) *Target {
 	if known == nil || known.Born != r.Born || known.Address != r.Address || known.Service != r.Service {
+		next := &Target{Record: r, table: t, migrationSlot: make(chan struct{}, 1)}
 		if known != nil {
+			if known.Born == r.Born && r.Born != 0 {
+				next.status.Store(known.status.Load()) // the same run speaks for itself at any address
+			}
 			known.drain()
 		}
-		known = &Target{Record: r, table: t, migrationSlot: make(chan struct{}, 1)}
+		known = next
 		if sum, ok := t.others[r.Target]; ok {
 			known.setOthers(sum)
 		}
