A backoff that the next run of a target asked for is not lost

Cause: responses do not tell which run made them. A run that answers before its announcement arrives, or while it does, was taken for the run before it, and what it asked for was forgotten with that run.

Change: a target inherits from the one before at its address a backoff that was asked for less than 5 s before it became known, as announcements may be late by seconds, for 10 s at most; one that arrives later for a request to the old run is applied to the new one too. That it leaves is not inherited: a run before that left would take a new one out for good.

--- a/core/targetstate/status.go
+++ b/core/targetstate/status.go
@@ -21,6 +21,8 @@
 	DrainingSince time.Time
 	// BackoffUntil is until when the target wants nothing from this instance.
 	BackoffUntil time.Time
+	// BackoffAskedAt is when a response that asked for a backoff was last received.
+	BackoffAskedAt time.Time
 	// RefusedUntil is until when the instance asks the control group for no grant for a request
 	// to the target, because the group has refused one.
 	RefusedUntil time.Time
@@ -68,7 +70,7 @@
 	if st.Backoff > 0 {
 		d := min(st.Backoff, MaxBackoff)
 		d += time.Duration(spread * float64(min(time.Duration(backoffSpread*float64(d)), maxBackoffSpread)))
-		s.BackoffUntil = later(s.BackoffUntil, now.Add(d))
+		s.BackoffUntil, s.BackoffAskedAt = later(s.BackoffUntil, now.Add(d)), now
 	}
 	if st.Leaving {
 		s = s.Drain(now)
@@ -79,6 +81,29 @@
 	return s
 }
 
+const (
+	// RunOverlap is for how long before an instance learns of a target's next run that run may
+	// already have answered in place of the one before. Announcements may be seconds late.
+	RunOverlap = 5 * time.Second
+	// maxInheritedBackoff bounds a backoff of which it is not known which run asked for it.
+	maxInheritedBackoff = 10 * time.Second
+)
+
+// Inherit returns the status of a run that has taken the address of another one, of which the
+// instance knows prev. Responses do not tell which run made them, so a recent backoff may be the
+// new run's.
+func (s Status) Inherit(prev Status, now time.Time) Status {
+	if prev.BackoffAskedAt.IsZero() || now.Sub(prev.BackoffAskedAt) >= RunOverlap {
+		return s
+	}
+	until := prev.BackoffUntil
+	if longest := now.Add(maxInheritedBackoff); until.After(longest) {
+		until = longest
+	}
+	s.BackoffUntil, s.BackoffAskedAt = later(s.BackoffUntil, until), later(s.BackoffAskedAt, prev.BackoffAskedAt)
+	return s
+}
+
 // ApplyGroupLimit returns the status after a rate limit was received from the control group.
 func (s Status) ApplyGroupLimit(k targetlimit.Known, now time.Time) Status {
 	return s.withLimit(s.Limit.ApplyGroup(k, now))
--- a/core/targetstate/status_test.go
+++ b/core/targetstate/status_test.go
@@ -61,6 +61,34 @@
 	c.Assert(s.Drain(at(6)).DrainingSince, qt.Equals, at(3))
 }
 
+// TestInherit checks which backoff applies to a run that takes over the address of another one.
+func TestInherit(t *testing.T) {
+	asked := func(backoff float64) Status {
+		return Status{}.Apply(Statement{Backoff: seconds(backoff), Leaving: true}, t0, 0)
+	}
+	for _, tt := range []struct {
+		name string
+		prev Status
+		own  Status
+		at   float64
+		want time.Time
+	}{
+		{"nothing known of the run before", Status{}, Status{}, 1, time.Time{}},
+		{"asked for just before", asked(3), Status{}, 1, at(3)},
+		{"asked for too early to be the new run's", asked(60), Status{}, RunOverlap.Seconds(), time.Time{}},
+		{"a long one asked for just before", asked(3600), Status{}, 1, at(1 + maxInheritedBackoff.Seconds())},
+		{"the new run's own ends later", asked(3), asked(5), 1, at(5)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := tt.own.Inherit(tt.prev, at(tt.at))
+			c.Assert(Status{}.Inherit(got, at(tt.at)).BackoffUntil, qt.Equals, tt.want, qt.Commentf("by the run after it"))
+			c.Assert(got.BackoffUntil, qt.Equals, tt.want)
+			c.Assert(got.IsDraining(), qt.Equals, tt.own.IsDraining())
+		})
+	}
+}
+
 // TestCheck checks what may be sent to a target.
 func TestCheck(t *testing.T) {
 	resting := Status{}.Apply(Statement{Backoff: seconds(3)}, t0, 0)
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -33,8 +33,10 @@
 	now := time.Now()
 	st := targetstate.Statement{Backoff: reply.Backoff, Leaving: reply.Leaving, Limit: limitStatement(reply, start, now)}
 	before, after := t.update(func(s targetstate.Status) targetstate.Status { return s.Apply(st, now, rand.Float64()) })
-	if after.BackoffUntil != before.BackoffUntil {
-		r.obs.BackoffAsked(req, t, reply.Backoff, before.BackoffUntil, after.BackoffUntil)
+	r.reportBackoff(req, t, reply, before, after)
+	for next := t.successor.Load(); next != nil; next = next.successor.Load() {
+		b, a := next.inherit(after, now)
+		r.reportBackoff(req, next, reply, b, a)
 	}
 	if !before.IsDraining() && after.IsDraining() {
 		r.obs.LeavingStated(req, t)
@@ -48,6 +50,14 @@
 	}
 }
 
+// reportBackoff reports to the observer that a response has changed until when the target wants
+// nothing.
+func (r *Relay) reportBackoff(req *Request, t *Target, reply Reply, before, after targetstate.Status) {
+	if before.BackoffUntil != after.BackoffUntil {
+		r.obs.BackoffAsked(req, t, reply.Backoff, before.BackoffUntil, after.BackoffUntil)
+	}
+}
+
 // limitStatement returns what a response states of the rate limit, nil if that is unknown. A
 // response which states that the request was not run may come from an intermediary in front of
 // the target, and the response to a call need not state what responses to requests do: either may
--- a/node/relay/status.go
+++ b/node/relay/status.go
@@ -37,6 +37,11 @@
 	t.update(func(s targetstate.Status) targetstate.Status { return s.Drain(now) })
 }
 
+// inherit applies what is known of another run at the target's address.
+func (t *Target) inherit(previous targetstate.Status, now time.Time) (before, after targetstate.Status) {
+	return t.update(func(s targetstate.Status) targetstate.Status { return s.Inherit(previous, now) })
+}
+
 func (t *Target) isDraining() bool {
 	s := t.status.Load()
 	return s != nil && s.IsDraining()
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -20,6 +20,8 @@
 	directory.Record
 	// status is what this entry knows of the target's condition, nil if nothing.
 	status atomic.Pointer[targetstate.Status]
+	// successor is the target that was announced at this one's address after it, nil if none.
+	successor atomic.Pointer[Target]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
 	// lock.
 	removed bool
@@ -59,6 +61,10 @@
 
 	mu   sync.Mutex
 	byID map[api.TargetID]*Target
+	// latest holds the target that was last announced at each address. Targets that are gone stay
+	// there for targetstate.RunOverlap, in the order of retired.
+	latest  map[string]*Target
+	retired []retiredTarget
 	// others holds the load from other entry processes, by target.
 	others map[api.TargetID]fleetload.Sum
 	// limits holds the rate limits announced to any entry process, as of the log index
@@ -86,7 +92,7 @@
 // NewTargets returns an empty table.
 func NewTargets() *Targets {
 	t := &Targets{
-		byID: make(map[api.TargetID]*Target), others: make(map[api.TargetID]fleetload.Sum),
+		byID: make(map[api.TargetID]*Target), latest: make(map[string]*Target), others: make(map[api.TargetID]fleetload.Sum),
 		dirty: make(map[api.TargetID]struct{}), changed: make(chan struct{}, 1),
 	}
 	t.entries.Store(assumedEntries)
@@ -98,6 +104,7 @@
 func (t *Targets) Update(list []directory.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetRetired(time.Now())
 	added := make(map[api.ServiceID][]*Target)
 	// changed holds the services whose lists have to be rebuilt.
 	changed := make(map[api.ServiceID]struct{})
@@ -107,6 +114,7 @@
 		if r.State == directory.StateGone {
 			delete(t.byID, r.Target)
 			next.removed = true
+			t.retired = append(t.retired, retiredTarget{next, time.Now()})
 		} else {
 			t.byID[r.Target] = next
 		}
@@ -164,6 +172,9 @@
 			}
 			known.drain()
 		}
+		if r.State != directory.StateGone {
+			t.succeed(next)
+		}
 		known = next
 		if sum, ok := t.others[r.Target]; ok {
 			known.setOthers(sum)
@@ -181,6 +192,34 @@
 	return known
 }
 
+// retiredTarget is a target that is gone, and since when.
+type retiredTarget struct {
+	target *Target
+	since  time.Time
+}
+
+// succeed makes next the target at its address. The target before it and next may both have
+// answered requests for the other, because responses do not tell which run made them.
+func (t *Targets) succeed(next *Target) {
+	if previous := t.latest[next.Address]; previous != nil {
+		// Set first, so that a response is applied to next either through successor or here.
+		previous.successor.Store(next)
+		next.inherit(previous.state(), time.Now())
+	}
+	t.latest[next.Address] = next
+}
+
+// forgetRetired removes the targets from latest that have been gone for targetstate.RunOverlap.
+func (t *Targets) forgetRetired(now time.Time) {
+	for len(t.retired) > 0 && now.Sub(t.retired[0].since) >= targetstate.RunOverlap {
+		gone := t.retired[0].target
+		if t.latest[gone.Address] == gone {
+			delete(t.latest, gone.Address)
+		}
+		t.retired = t.retired[1:]
+	}
+}
+
 // Of returns the targets of a service. The list must not be modified.
 func (t *Targets) Of(s api.ServiceID) []*Target {
 	service := (*t.services.Load())[s]
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -49,9 +49,14 @@
 	Dialled(addr string, err error)
 }
 
+// Dialer opens connections to targets. It is safe for concurrent use.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool holds idle connections, by target address.
 type Pool struct {
-	dialTimeout time.Duration
+	dialer      Dialer
 	idleTimeout time.Duration
 	obs         Observer
 
@@ -59,9 +64,14 @@
 	idle map[string][]*conn // by address; the most recently used last
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool that opens TCP connections.
 func NewPool(obs Observer) *Pool {
-	return &Pool{dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout, obs: obs, idle: make(map[string][]*conn)}
+	return NewPoolWithDialer(obs, &net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1})
+}
+
+// NewPoolWithDialer returns an empty pool that opens connections with d.
+func NewPoolWithDialer(obs Observer, d Dialer) *Pool {
+	return &Pool{dialer: d, idleTimeout: DefaultIdleTimeout, obs: obs, idle: make(map[string][]*conn)}
 }
 
 // conn is one connection to a target, used by one request at a time.
@@ -111,8 +121,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	p.obs.Dialled(addr, err)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
