--- a/node/relay/targets_test.go
+++ b/node/relay/targets_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
