Agents: nothing reaches a target in backoff

The same class elsewhere: an agent is the only sender to its target, and read nothing of a 503 or 429 with Retry-After either; it went on starting queued sequences, making calls and asking for load reports, which are requests too.

The engine client keeps a targetstate.Status as the routed entry does, and checks it before connecting and before the first byte; what it does not send is not_run with the reason target_backoff and the time left. The agent refuses bids and offers with that reason and Retry-After, so that entries place the request elsewhere; what is queued waits; load reports pause.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -228,6 +228,7 @@
 var refusalReasons = map[api.Reason]bool{
 	api.ReasonQueueFull:         true,
 	api.ReasonDeadlineHopeless:  true,
+	api.ReasonTargetBackoff:     true,
 	api.ReasonTargetLeaving:     true,
 	api.ReasonTargetGone:        true,
 	api.ReasonLinkLost:          true,
--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -40,6 +40,7 @@
 		{"earlier incarnation", func(_ *harness, o *wire.Offer) { o.Incarnation-- }, api.ReasonIncarnation},
 		{"later incarnation", func(_ *harness, o *wire.Offer) { o.Incarnation++ }, api.ReasonIncarnation},
 		{"leaving", func(b *harness, _ *wire.Offer) { b.agent.Leave() }, api.ReasonTargetLeaving},
+		{"target in backoff", func(b *harness, _ *wire.Offer) { b.target.setBackoff(time.Hour) }, api.ReasonTargetBackoff},
 		{"drained", func(b *harness, _ *wire.Offer) { b.send(&wire.Drain{Incarnation: incarnation}) }, api.ReasonTargetLeaving},
 		{"tombstoned", func(b *harness, o *wire.Offer) { b.send(&wire.Tombstone{Key: o.Key, Incarnation: incarnation}) }, api.ReasonTombstoned},
 		{"claimed long ago", func(b *harness, o *wire.Offer) {
@@ -66,6 +67,26 @@
 	}
 }
 
+// TestQueueWaitsForTheEndOfABackoff guards against queued requests that are sent to a target which
+// has asked for no requests, and against bids for such a target.
+func TestQueueWaitsForTheEndOfABackoff(t *testing.T) {
+	withHarness(t, Config{}, 1, func(b *harness) {
+		b.send(newOffer("r1"))
+		b.send(newOffer("r2"))
+		b.target.setBackoff(time.Minute)
+		close(b.target.run(0).items)
+		b.advance(time.Second)
+		b.c.Assert(b.target.count(), qt.Equals, 1)
+		b.send(&wire.BidRequest{Key: key("r3")})
+		bid := receiveOne[*wire.Bid](b.c, b.link)
+		b.c.Assert(bid.Refuse, qt.Equals, api.ReasonTargetBackoff)
+		b.c.Assert(bid.RetryAfter, qt.Equals, time.Minute)
+		b.target.setBackoff(0)
+		b.advance(time.Second)
+		b.c.Assert(b.target.count(), qt.Equals, 2)
+	})
+}
+
 // A Drain message for an earlier incarnation of the agent arrives late. The
 // target, which an operator has just restarted, must not leave again.
 func TestLateDrainIsDropped(t *testing.T) {
--- a/node/agent/fake_test.go
+++ b/node/agent/fake_test.go
@@ -84,6 +84,20 @@
 	startErr error
 	load     TargetLoad
 	loadErr  error
+	backoff  time.Duration
+}
+
+// Backoff implements Target.
+func (t *fakeTarget) Backoff() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.backoff
+}
+
+func (t *fakeTarget) setBackoff(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.backoff = d
 }
 
 // fakeRun is a response that the test controls. If ignoresClose is set, it returns
--- a/node/agent/handle.go
+++ b/node/agent/handle.go
@@ -72,7 +72,9 @@
 	now := a.cfg.Clock()
 	a.mu.Lock()
 	bid := admission.Bid{Refuse: api.ReasonTargetLeaving}
-	if !a.leaving {
+	if left := a.target.Backoff(); left > 0 && !a.leaving {
+		bid = admission.Bid{Refuse: api.ReasonTargetBackoff, RetryAfter: left}
+	} else if !a.leaving {
 		bid = a.admitter.Bid(a.request(m.Key, m.Size, now), now)
 	}
 	a.mu.Unlock()
@@ -120,6 +122,9 @@
 	if a.leaving {
 		return admission.Verdict{Refuse: api.ReasonTargetLeaving}
 	}
+	if left := a.target.Backoff(); left > 0 {
+		return admission.Verdict{Refuse: api.ReasonTargetBackoff, RetryAfter: left}
+	}
 	if m.Claimed && !claim.DefaultWindow().MayStart(m.Echo, a.uptime()) {
 		return admission.Verdict{Refuse: api.ReasonTimeout}
 	}
--- a/node/agent/start.go
+++ b/node/agent/start.go
@@ -11,11 +11,15 @@
 )
 
 // startReady starts the sequences that the Admitter returns, and ends the queued
-// requests whose deadline has passed.
+// requests whose deadline has passed. While the target wants nothing, queued requests
+// wait; the next tick starts them.
 func (a *Agent) startReady(now time.Time) {
 	a.mu.Lock()
 	expired := a.sessionsOf(a.admitter.Expired(now))
-	starts := slices.Clone(a.admitter.Next(now))
+	var starts []admission.Start
+	if a.target.Backoff() == 0 {
+		starts = slices.Clone(a.admitter.Next(now))
+	}
 	ready := a.sessionsOf(starts)
 	a.mu.Unlock()
 	for i, s := range ready {
@@ -136,6 +140,9 @@
 			return
 		case <-t.C:
 		}
+		if a.target.Backoff() > 0 {
+			continue // a load report is a request too
+		}
 		lctx, cancel := context.WithTimeout(ctx, a.cfg.LoadInterval)
 		l, err := a.target.Load(lctx)
 		cancel()
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -31,6 +31,10 @@
 	ReadTimeout time.Duration
 	// Capabilities are the target's, as given in the agent's settings.
 	Capabilities agent.Capabilities
+	// OnBackoff is called when a response asks for the time asked without requests; left is
+	// the time for which nothing is sent from then on. It may be nil. It is called from
+	// several goroutines.
+	OnBackoff func(asked, left time.Duration)
 }
 
 // Defaults of Config.
@@ -55,8 +59,9 @@
 // server had read it. A booking would then be made twice. On a new connection the
 // request is written once, and there is no reason to send it again.
 type Client struct {
-	cfg    Config
-	dialer net.Dialer
+	cfg       Config
+	dialer    net.Dialer
+	condition condition
 }
 
 // New returns a client. It opens no connection.
@@ -83,7 +88,9 @@
 	resp        fasthttp.Response
 	body        io.Reader
 	readTimeout time.Duration
-	once        sync.Once
+	// statementErr reports a statement in the response's header that cannot be parsed.
+	statementErr error
+	once         sync.Once
 }
 
 // Close closes the connection, which cancels the work at the target.
@@ -100,7 +107,13 @@
 
 // startExchange connects, writes the request once and reads the response header.
 // The outcome of its error is not_run only if no byte was written.
+//
+// Whether the target wants anything is checked before connecting and again before the
+// first byte, because connecting takes time.
 func (c *Client) startExchange(ctx context.Context, w agent.Work, body []byte, accept string) (*exchange, error) {
+	if err := c.admit(); err != nil {
+		return nil, err
+	}
 	conn, err := c.dialer.DialContext(ctx, "tcp", c.cfg.Addr)
 	if err != nil {
 		return nil, c.newError(api.OutcomeNotRun, api.ReasonEngineUnreachable, err)
@@ -108,6 +121,10 @@
 	x := &exchange{conn: conn, readTimeout: c.cfg.ReadTimeout}
 	stop := context.AfterFunc(ctx, x.Close)
 	defer stop()
+	if err := c.admit(); err != nil {
+		x.Close()
+		return nil, err
+	}
 	if err := c.writeRequest(x, w, body, accept); err != nil {
 		x.Close()
 		return nil, c.newError(api.OutcomeUnknown, reasonBeforeResponse(ctx, err), err)
@@ -121,6 +138,7 @@
 		x.Close()
 		return nil, c.newError(api.OutcomeUnknown, reasonBeforeResponse(ctx, err), err)
 	}
+	x.statementErr = c.applyStatements(&x.resp)
 	return x, nil
 }
 
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/targetstate"
 	"almondseam.dev/node/agent"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -331,6 +332,46 @@
 	c.Assert(collect(e.client().Generate(ctx, generateWork)).outcome, qt.Equals, unknown)
 }
 
+// TestNothingReachesATargetInBackoff guards against a request of any kind, load reports among them,
+// that is sent to a target which has asked for no requests.
+func TestNothingReachesATargetInBackoff(t *testing.T) {
+	head := "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: "
+	sends := map[string]func(cl *Client) error{
+		"generation":  func(cl *Client) error { _, err := cl.Generate(t.Context(), generateWork); return err },
+		"call":        func(cl *Client) error { _, err := cl.Call(t.Context(), getWork); return err },
+		"load report": func(cl *Client) error { _, err := cl.Load(t.Context()); return err },
+	}
+	for name, first := range sends {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newRespondingEngine(t, head+"3600\r\n\r\n")
+			asked := time.Duration(0)
+			cl := New(Config{Addr: e.addr, OnBackoff: func(d, _ time.Duration) { asked = d }})
+			_ = first(cl) // asks for an hour without requests
+			for _, send := range sends {
+				err := api.AsError(send(cl))
+				c.Assert(err.Outcome, qt.Equals, notRun)
+				c.Assert(err.Reason, qt.Equals, api.ReasonTargetBackoff)
+				c.Assert(err.RetryAfter > 59*time.Minute, qt.IsTrue)
+			}
+			c.Assert(cl.Backoff() > 59*time.Minute, qt.IsTrue)
+			c.Assert(e.requests.Load(), qt.Equals, int32(1))
+			c.Assert(asked, qt.Equals, time.Hour)
+		})
+	}
+}
+
+// TestMalformedBackoffIsReported checks that a time that cannot be parsed asks for nothing, and that
+// the refusal says so.
+func TestMalformedBackoffIsReported(t *testing.T) {
+	c := qt.New(t)
+	e := newRespondingEngine(t, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: soon\r\n\r\n")
+	cl := e.client()
+	_, err := cl.Generate(t.Context(), generateWork)
+	c.Assert(err, qt.ErrorIs, targetstate.ErrBackoff)
+	c.Assert(cl.Backoff(), qt.Equals, time.Duration(0))
+}
+
 func TestLoad(t *testing.T) {
 	c := qt.New(t)
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
--- a/node/engine/generate.go
+++ b/node/engine/generate.go
@@ -72,7 +72,9 @@
 	if status >= 400 && status < 500 && status != fasthttp.StatusTooManyRequests {
 		reason = api.ReasonBadRequest
 	}
-	return c.newError(api.OutcomeNotRun, reason, errors.New(errorMessage(status, b)))
+	err := c.newError(api.OutcomeNotRun, reason, errors.Join(errors.New(errorMessage(status, b)), x.statementErr))
+	err.RetryAfter = c.Backoff()
+	return err
 }
 
 func errorMessage(status int, body []byte) string {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -187,5 +187,11 @@
 		Str("outcome", string(o)).Str("reason", string(reason)).Send()
 }
 
+// BackoffAsked logs that the target has asked for a time without requests, and for how long it is
+// sent nothing from now on.
+func (s Agent) BackoffAsked(asked, left time.Duration) {
+	events.TargetBackoff.Log(s.log).Dur("backoff", asked).Dur("left", left).Send()
+}
+
 // LoadFailed implements agent.Observer.
 func (s Agent) LoadFailed(err error) { events.TargetLoadFailed.Log(s.log).Err(err).Send() }
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -85,7 +85,8 @@
 	}
 	a := &Agent{set: set, ports: ports}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	target := engine.New(engine.Config{Addr: set.TargetAddr, Capabilities: set.Capabilities})
+	observer := metrics.Agent{Set: ports.Metrics}
+	target := engine.New(engine.Config{Addr: set.TargetAddr, Capabilities: set.Capabilities, OnBackoff: observer.BackoffAsked})
 	admit := admission.New(admission.Config{
 		Capacity:      set.Capacity,
 		MaxRunning:    set.MaxRunning,
@@ -102,7 +103,7 @@
 		Links:       set.Links,
 		Live:        ports.Live,
 		Queue:       set.Queue,
-		Observer:    metrics.Agent{Set: ports.Metrics},
+		Observer:    observer,
 	}, target, admit)
 	a.links = newLinkManager(linkManagerSettings{
 		seeds:  set.Seeds,
