--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
+	"time"
 )
 
 const namespace = "almondseam"
