The owner of a customer's limit grants its own first lease at once

Callers saw a stream refused as token_rate_limit, 'no lease of this customer's limit here', though nobody was near the limit. Cause: a customer's first request waits 100 ms for a lease that the goroutine of Run asks for; on a machine without processor time Run got none in that time, and the entry refused what it could have granted itself.

Change: where the entry owns the limit, the request's own goroutine makes the round. Rounds are exclusive.

Evidence: TestFirstLeaseOfAnOwnCustomerNeedsNoWait, with Run not called, failed (15 of 15 refused) and passes without any time passing.

--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -20,8 +20,8 @@
 	Send(to api.InstanceID, m wire.Message)
 }
 
-// RosterSource returns the entries that share the limits. Roster is called from one
-// goroutine and does not block. confirmed is the time at which the source last
+// RosterSource returns the entries that share the limits. Roster is called by one
+// goroutine at a time and does not block. confirmed is the time at which the source last
 // asked whether the roster is in force and learned that it is. An empty roster
 // means that it is not known.
 type RosterSource interface {
@@ -67,6 +67,8 @@
 	applied atomic.Pointer[fleetconfig.Snapshot]
 	outputs sync.Map // api.CustomerID to *meanOutput
 	wake    chan struct{}
+	// rounds is held during a round.
+	rounds sync.Mutex
 	// lastEarlyRound is when a refusal last caused an early round, in Unix
 	// nanoseconds.
 	lastEarlyRound atomic.Int64
@@ -115,6 +117,13 @@
 // owners of the customers' limits. A request to this entry itself is granted
 // directly.
 func (l *Limits) round() {
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	l.roundLocked()
+}
+
+// roundLocked is round for a caller that holds l.rounds.
+func (l *Limits) roundLocked() {
 	now := l.cfg.Clock()
 	l.refresh(now)
 	if r, confirmed := l.cfg.Roster.Roster(); len(r.Entries) > 0 {
@@ -215,8 +224,12 @@
 	}, nil
 }
 
-// acquireFirst requests a lease and waits for it, for at most firstLeaseTimeout.
+// acquireFirst requests a lease and waits for it, for at most firstLeaseTimeout. If this
+// entry owns the customer's limit, it grants the lease at once.
 func (l *Limits) acquireFirst(c api.CustomerID, est int64) (*limit.Permit, *api.Error) {
+	if p, err := l.acquireOwned(c, est); err == nil || !errors.Is(err, limit.ErrNoLease) {
+		return p, err
+	}
 	t := time.NewTimer(firstLeaseTimeout)
 	defer t.Stop()
 	for {
@@ -234,6 +247,27 @@
 	}
 }
 
+// acquireOwned requests and grants a lease in the caller's goroutine if this entry owns the
+// customer's limit. It does not wait for Run, which may get no processor time for longer
+// than firstLeaseTimeout on a busy machine.
+func (l *Limits) acquireOwned(c api.CustomerID, est int64) (*limit.Permit, *api.Error) {
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	p, err := l.holder.Acquire(c, est, l.cfg.Clock())
+	if err == nil || !errors.Is(err, limit.ErrNoLease) || !l.owns(c) {
+		return p, err
+	}
+	l.roundLocked()
+	return l.holder.Acquire(c, est, l.cfg.Clock())
+}
+
+// owns reports whether this entry owns the customer's limit under the roster in force. The
+// caller must hold l.rounds.
+func (l *Limits) owns(c api.CustomerID) bool {
+	r, _ := l.cfg.Roster.Roster()
+	return len(r.Entries) > 0 && r.Owner(c) == l.cfg.Self
+}
+
 // requestRound makes Run start a round early.
 func (l *Limits) requestRound() {
 	select {
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -76,6 +76,32 @@
 	}
 }
 
+// TestFirstLeaseOfAnOwnCustomerNeedsNoWait guards against refusing a customer's first request, with a
+// limit that it has not reached, because the goroutine of Run got no processor time. The entry
+// itself grants the leases of the customers that it owns.
+func TestFirstLeaseOfAnOwnCustomerNeedsNoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, err := fleetconfig.Parse(fleetconfig.File{Name: "test.yaml", Data: fmt.Appendf(nil, limitsConfig, fleetconfig.KeySum("key"))})
+		c.Assert(err, qt.IsNil)
+		live := &fleetconfig.Live{}
+		live.Publish(fleetconfig.Compile(f).At(1, "s"))
+		cust, _ := live.Load().Customer("c1")
+		roster := FixedRoster{Entries: []api.InstanceID{"e1"}, Clock: time.Now}
+		l := NewLimits(LimitsConfig{Self: "e1", Incarnation: 1, Live: live, Roster: roster}) // Run is not called
+		began := time.Now()
+		var all sync.WaitGroup
+		for range 15 {
+			all.Go(func() {
+				_, err := l.Acquire(cust, 0, time.Now())
+				c.Check(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+			})
+		}
+		all.Wait()
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
+
 // A customer sends more requests to two entries than its limit allows. The first
 // request at each entry must wait for a lease instead of being refused. Together,
 // the entries must stay within the limit plus its slack, even while the network
