Choices read each target's status once; spread of Retry-After is 5 s at most

The status is read by pointer, and the service's configuration once for all of its targets in place of once a target.

A caller that is refused because all targets are unavailable is told the time that is left and a random part of up to as much, now 5 s at most: with a backoff of a minute it was told to stay away for up to a minute longer than needed.

--- a/core/targetstate/status.go
+++ b/core/targetstate/status.go
@@ -92,7 +92,7 @@
 // Inherit returns the status of a run that has taken the address of another one, of which the
 // instance knows prev. Responses do not tell which run made them, so a recent backoff may be the
 // new run's.
-func (s Status) Inherit(prev Status, now time.Time) Status {
+func (s Status) Inherit(prev *Status, now time.Time) Status {
 	if prev.BackoffAskedAt.IsZero() || now.Sub(prev.BackoffAskedAt) >= RunOverlap {
 		return s
 	}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -6,6 +6,8 @@
 package metrics
 
 import (
+	"time"
+
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/retry"
 	"almondseam.dev/node/entry"
@@ -16,7 +18,6 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
-	"time"
 )
 
 const namespace = "almondseam"
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -42,8 +42,14 @@
 	return nil
 }
 
-// candidates describes targets to the placement of a request, in the order of list.
+// candidates describes targets of one service to the placement of a request, in the order of
+// list.
 func (r *Relay) candidates(req *Request, list []*Target, exclude []*Target, now time.Time) []placement.Candidate {
+	if len(list) == 0 {
+		return nil
+	}
+	service := r.service(list[0].Service)
+	capacity := capacityOf(&service)
 	out := make([]placement.Candidate, len(list))
 	for i, t := range list {
 		load, status := t.Load(), t.state()
@@ -53,11 +59,11 @@
 			Running:  load.Running,
 			Tokens:   load.Tokens,
 			Unread:   load.Unread,
-			Capacity: r.capacity(t),
-			Cold:     r.isCold(t, now),
+			Capacity: capacity,
+			Cold:     status.IsCold(now, service.ColdFor),
 			Avoid:    status.IsAvoided(now),
 			Full:     status.IsFull(now),
-			Excluded: !r.usable(req, t, now) || contains(exclude, t),
+			Excluded: !r.usable(req, t, status, now) || contains(exclude, t),
 		}
 	}
 	return out
@@ -74,15 +80,20 @@
 }
 
 // usable reports whether a target may be sent the request at present.
-func (r *Relay) usable(req *Request, t *Target, now time.Time) bool {
-	s := t.state()
-	return r.eligible(req, t) && s.Check(targetstate.UseNew, now) == targetstate.None && !s.IsRefused(now)
+func (r *Relay) usable(req *Request, t *Target, s *targetstate.Status, now time.Time) bool {
+	return s.Check(targetstate.UseNew, now) == targetstate.None && !s.IsRefused(now) && r.mayServe(req, t)
 }
 
 // eligible reports whether a target serves requests like this one: it is not draining, not
 // evacuated and in an allowed region.
 func (r *Relay) eligible(req *Request, t *Target) bool {
-	return !t.isDraining() && !t.evacuated() && r.inAllowedRegion(req, t)
+	return !t.isDraining() && r.mayServe(req, t)
+}
+
+// mayServe reports whether a target is in an availability zone and a region in which the request
+// may be served at present.
+func (r *Relay) mayServe(req *Request, t *Target) bool {
+	return !t.evacuated() && r.inAllowedRegion(req, t)
 }
 
 // inAllowedRegion reports whether the target is in a region in which the request may be served.
@@ -118,12 +129,12 @@
 // engine returns the properties of a service's engines, nil if they are unknown.
 func (r *Relay) engine(id api.ServiceID) *routeconf.Engine { return r.service(id).Engine }
 
-func (r *Relay) capacity(t *Target) int {
-	e := r.engine(t.Service)
-	if e == nil {
+// capacityOf returns the memory, in tokens, of each engine of a service; zero if unknown.
+func capacityOf(s *routeconf.Service) int {
+	if s.Engine == nil {
 		return 0
 	}
-	return e.CacheTokens
+	return s.Engine.CacheTokens
 }
 
 func contains(list []*Target, t *Target) bool {
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -151,6 +151,10 @@
 	r.refuse(req, http.StatusServiceUnavailable, reason, retry)
 }
 
+// maxRetrySpread bounds the random part of the Retry-After value of callers that were refused
+// together.
+const maxRetrySpread = 5 * time.Second
+
 // noTargetReason returns why no target is available, and the Retry-After value for it.
 func (r *Relay) noTargetReason(req *Request) (api.Reason, time.Duration) {
 	switch {
@@ -161,7 +165,7 @@
 	}
 	if wait, reason := r.unavailable(req, time.Now()); wait > 0 {
 		// The random part keeps callers that were refused together from retrying together.
-		return reason, wait + time.Duration(rand.Float64()*float64(wait))
+		return reason, wait + time.Duration(rand.Float64()*float64(min(wait, maxRetrySpread)))
 	}
 	return api.ReasonNoTarget, retryNoTarget
 }
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -35,7 +35,7 @@
 	before, after := t.update(func(s targetstate.Status) targetstate.Status { return s.Apply(st, now, rand.Float64()) })
 	r.reportBackoff(req, t, reply, before, after)
 	for next := t.successor.Load(); next != nil; next = next.successor.Load() {
-		b, a := next.inherit(after, now)
+		b, a := next.inherit(&after, now)
 		r.reportBackoff(req, next, reply, b, a)
 	}
 	if !before.IsDraining() && after.IsDraining() {
--- a/node/relay/status.go
+++ b/node/relay/status.go
@@ -7,12 +7,15 @@
 	"almondseam.dev/core/targetstate"
 )
 
-// state returns what this entry knows of the target's condition.
-func (t *Target) state() targetstate.Status {
+// unknownStatus is the status of a target of which nothing is known.
+var unknownStatus targetstate.Status
+
+// state returns what this entry knows of the target's condition. The result must not be modified.
+func (t *Target) state() *targetstate.Status {
 	if s := t.status.Load(); s != nil {
-		return *s
+		return s
 	}
-	return targetstate.Status{}
+	return &unknownStatus
 }
 
 // update replaces the target's status atomically, and returns it as it was before and is after
@@ -20,13 +23,13 @@
 func (t *Target) update(change func(targetstate.Status) targetstate.Status) (before, after targetstate.Status) {
 	for {
 		current := t.status.Load()
-		before = targetstate.Status{}
+		before = unknownStatus
 		if current != nil {
 			before = *current
 		}
-		after = change(before)
-		if after == before || t.status.CompareAndSwap(current, &after) {
-			return before, after
+		next := change(before)
+		if next == before || t.status.CompareAndSwap(current, &next) {
+			return before, next
 		}
 	}
 }
@@ -38,14 +41,11 @@
 }
 
 // inherit applies what is known of another run at the target's address.
-func (t *Target) inherit(previous targetstate.Status, now time.Time) (before, after targetstate.Status) {
+func (t *Target) inherit(previous *targetstate.Status, now time.Time) (before, after targetstate.Status) {
 	return t.update(func(s targetstate.Status) targetstate.Status { return s.Inherit(previous, now) })
 }
 
-func (t *Target) isDraining() bool {
-	s := t.status.Load()
-	return s != nil && s.IsDraining()
-}
+func (t *Target) isDraining() bool { return t.state().IsDraining() }
 
 // noticeEnd returns until when a draining target can be relied on.
 func (t *Target) noticeEnd() time.Time { return t.state().DrainingSince.Add(handoff.Notice) }
@@ -73,6 +73,5 @@
 
 // isCold reports whether a target is cold or must be treated as cold.
 func (r *Relay) isCold(t *Target, now time.Time) bool {
-	s := t.state()
-	return s.IsCold(now, r.service(t.Service).ColdFor)
+	return t.state().IsCold(now, r.service(t.Service).ColdFor)
 }
