A member awaits the reply to its last attempt to reach the leader

An operator was told 'outcome unknown' of a change that no member had run. Cause, read in the code before: the 2.5 s for attempts ended while the reply to the last one was on its way, and a request without a reply may have run.

Change: the time bounds when attempts start; a reply is awaited for as long as any other.

Evidence: TestReplyAfterTheLastAttemptIsAwaited fails with the old bound (5 of 5 unknown) and passes (5 of 5).

--- a/node/control/client.go
+++ b/node/control/client.go
@@ -314,11 +314,17 @@
 // whether every attempt, except one whose reply ended the call, is known to have had
 // no effect.
 func (c *Client) call(ctx context.Context, req Request) (reply *Reply, noEffect bool) {
+	return c.callWithin(ctx, ctx, req)
+}
+
+// callWithin is call with another context for the start of attempts: once start has
+// ended no further attempt begins, but the reply to the last one is still awaited.
+func (c *Client) callWithin(start, ctx context.Context, req Request) (reply *Reply, noEffect bool) {
 	noEffect = true
 	pause := retryMin
 	last := &Reply{Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable, Message: "no member of the control group was reached"}
-	for ctx.Err() == nil {
-		r, sent := c.attempt(ctx, req)
+	for start.Err() == nil && ctx.Err() == nil {
+		r, sent := c.attempt(start, ctx, req)
 		if r != nil && r.Reason != api.ReasonControlUnavailable && r.Reason != api.ReasonQueueFull {
 			return r, noEffect
 		}
@@ -329,20 +335,23 @@
 		if sent {
 			noEffect = false
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		sleep(start, pause/2+rand.N(pause))
 		pause = min(2*pause, retryMax)
 	}
 	return last, noEffect
 }
 
-// attempt sends the request once. If there is no reply, sent reports whether the
-// request may have reached a member.
-func (c *Client) attempt(ctx context.Context, req Request) (r *Reply, sent bool) {
+// attempt sends the request once, unless start ends before there is a link, and awaits
+// the reply until ctx ends or attemptTimeout has passed. If there is no reply, sent
+// reports whether the request may have reached a member.
+func (c *Client) attempt(start, ctx context.Context, req Request) (r *Reply, sent bool) {
 	c.mu.Lock()
 	up := c.up
 	c.mu.Unlock()
 	select {
 	case <-up:
+	case <-start.Done():
+		return nil, false
 	case <-ctx.Done():
 		return nil, false
 	}
@@ -458,7 +467,13 @@
 // Exec executes any request, for members that forward requests of operators.
 // Outcome not_run in the reply means that no attempt had an effect.
 func (c *Client) Exec(ctx context.Context, req Request) *Reply {
-	r, noEffect := c.call(ctx, req)
+	return c.ExecWithin(ctx, ctx, req)
+}
+
+// ExecWithin is Exec with another context for the start of attempts: a request that was
+// sent before start ended still gets its reply, which may prove that it had no effect.
+func (c *Client) ExecWithin(start, ctx context.Context, req Request) *Reply {
+	r, noEffect := c.callWithin(start, ctx, req)
 	if r.Outcome != api.OutcomeCompleted && !noEffect {
 		r.Outcome = api.OutcomeUnknown
 	}
--- a/node/control/client_test.go
+++ b/node/control/client_test.go
@@ -80,6 +80,32 @@
 	c.Assert(drains, qt.Equals, 1)
 }
 
+// TestReplyAfterTheLastAttemptIsAwaited guards against the outcome unknown for a request of an operator
+// that no member ran, because the time for attempts ended while the last reply was on its way.
+func TestReplyAfterTheLastAttemptIsAwaited(t *testing.T) {
+	c := qt.New(t)
+	start, stop := context.WithCancel(context.Background())
+	addr := serveScript(t, func(conn *link.Conn, m wire.Message) {
+		if req, ok := m.(*Request); ok {
+			stop()
+			_ = conn.Send(&Reply{ID: req.ID, Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable})
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	client := NewClient(ClientOptions{
+		Seeds: []string{addr}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "control", Role: link.RoleControl}, nil),
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		client.Run(ctx)
+	}()
+	r := client.ExecWithin(start, ctx, Request{Command: &state.Command{}})
+	c.Assert(r.Outcome, qt.Equals, api.OutcomeNotRun)
+	cancel()
+	<-ended
+}
+
 // serveScript accepts control links and passes each message that arrives to handle.
 // It returns the address that it listens on.
 func serveScript(t *testing.T, handle func(*link.Conn, wire.Message)) string {
--- a/node/control/executor.go
+++ b/node/control/executor.go
@@ -9,7 +9,8 @@
 
 const (
 	operatorTimeout = 10 * time.Second
-	// forwardTimeout is how long a member tries to reach the leader: two elections.
+	// forwardTimeout is how long a member starts attempts to reach the leader: two
+	// elections.
 	forwardTimeout = 2500 * time.Millisecond
 )
 
@@ -35,5 +36,5 @@
 	}
 	forwardCtx, stop := context.WithTimeout(ctx, forwardTimeout)
 	defer stop()
-	return x.forward.Exec(forwardCtx, req)
+	return x.forward.ExecWithin(forwardCtx, ctx, req)
 }
