Wording of comments on backoff

Cause: read as a newcomer, several comments said 'wants nothing', 'tells' or 'speaks for itself' where a term of the field says it shorter.

--- a/core/targetstate/check.go
+++ b/core/targetstate/check.go
@@ -23,7 +23,7 @@
 	None Obstacle = iota
 	// Draining: the target takes no new requests.
 	Draining
-	// Backoff: the target wants nothing from this instance at present.
+	// Backoff: the target accepts nothing from this instance at present.
 	Backoff
 )
 
@@ -44,8 +44,7 @@
 // everything that is sent, and must be made again immediately before the first byte: what was
 // decided earlier may have waited for a permit, for room or for a connection.
 //
-// A backoff binds every use. The target cannot distinguish a call that would help it from one
-// more request, and counts both.
+// A backoff applies to every use, because the target counts calls as requests.
 func (s *Status) Check(use Use, now time.Time) Obstacle {
 	switch {
 	case now.Before(s.BackoffUntil):
--- a/core/targetstate/parse.go
+++ b/core/targetstate/parse.go
@@ -12,7 +12,7 @@
 // ErrBackoff reports a time without requests that cannot be parsed.
 var ErrBackoff = errors.New("no time in seconds")
 
-// ParseBackoff parses the time, in decimal seconds, for which a target wants no requests. An empty
+// ParseBackoff parses the time, in decimal seconds, for which a target accepts no requests. An empty
 // value is zero. Times beyond the range of time.Duration yield the longest one. An error wraps
 // ErrBackoff.
 func ParseBackoff(value string) (time.Duration, error) {
--- a/core/targetstate/status.go
+++ b/core/targetstate/status.go
@@ -19,7 +19,7 @@
 type Status struct {
 	// DrainingSince is when the instance learned that the target drains; zero if it does not.
 	DrainingSince time.Time
-	// BackoffUntil is until when the target wants nothing from this instance.
+	// BackoffUntil is until when the target accepts nothing from this instance.
 	BackoffUntil time.Time
 	// BackoffAskedAt is when a response that asked for a backoff was last received.
 	BackoffAskedAt time.Time
@@ -41,7 +41,7 @@
 
 // Statement is what one response of a target states of the target.
 type Statement struct {
-	// Backoff is the time for which the target wants nothing from this instance; zero if it
+	// Backoff is the time for which the target accepts nothing from this instance; zero if it
 	// states none.
 	Backoff time.Duration
 	// Leaving is set if the target states that it is leaving.
@@ -90,8 +90,8 @@
 )
 
 // Inherit returns the status of a run that has taken the address of another one, of which the
-// instance knows prev. Responses do not tell which run made them, so a recent backoff may be the
-// new run's.
+// instance knows prev. Responses do not identify the run that made them, so a recent backoff may
+// be the new run's.
 func (s Status) Inherit(prev *Status, now time.Time) Status {
 	if prev.BackoffAskedAt.IsZero() || now.Sub(prev.BackoffAskedAt) >= RunOverlap {
 		return s
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -64,8 +64,8 @@
 	Call(ctx context.Context, w Work) (Answer, error)
 	// Load requests the target's own load report, which may lag.
 	Load(ctx context.Context) (TargetLoad, error)
-	// Backoff returns for how long the target wants nothing, as it has asked for; zero if it may
-	// be sent requests. Until then every other method that sends something returns an error with
+	// Backoff returns the time left of the backoff that the target has asked for, zero if there is
+	// none. Until it ends every other method that sends something returns an error with
 	// the outcome not_run and the reason target_backoff, and sends nothing.
 	Backoff() time.Duration
 	// Capabilities returns the same value as long as the target runs.
--- a/node/agent/start.go
+++ b/node/agent/start.go
@@ -11,8 +11,8 @@
 )
 
 // startReady starts the sequences that the Admitter returns, and ends the queued
-// requests whose deadline has passed. While the target wants nothing, queued requests
-// wait; the next tick starts them.
+// requests whose deadline has passed. During a backoff of the target, queued requests
+// wait; the first tick after it starts them.
 func (a *Agent) startReady(now time.Time) {
 	a.mu.Lock()
 	expired := a.sessionsOf(a.admitter.Expired(now))
--- a/node/engine/backoff.go
+++ b/node/engine/backoff.go
@@ -16,7 +16,7 @@
 	status targetstate.Status
 }
 
-// backoff returns for how long the target wants nothing.
+// backoff returns for how long the target accepts nothing.
 func (c *condition) backoff() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -32,7 +32,7 @@
 // Backoff implements agent.Target.
 func (c *Client) Backoff() time.Duration { return c.condition.backoff() }
 
-// admit returns an error if the target wants nothing at present.
+// admit returns an error if the target is in backoff.
 func (c *Client) admit() error {
 	left := c.condition.backoff()
 	if left == 0 {
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -108,8 +108,8 @@
 // startExchange connects, writes the request once and reads the response header.
 // The outcome of its error is not_run only if no byte was written.
 //
-// Whether the target wants anything is checked before connecting and again before the
-// first byte, because connecting takes time.
+// A backoff of the target is checked before connecting and again before the first byte,
+// because connecting takes time.
 func (c *Client) startExchange(ctx context.Context, w agent.Work, body []byte, accept string) (*exchange, error) {
 	if err := c.admit(); err != nil {
 		return nil, err
--- a/node/relay/backoff_test.go
+++ b/node/relay/backoff_test.go
@@ -22,16 +22,15 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// reject answers a request with the statement that it was not run and that the target wants no
-// further ones for the time backoff.
+// reject states that a request was not run, and asks for a backoff.
 func reject(w http.ResponseWriter, backoff string) {
 	w.Header().Set("Not-Run", "1")
 	w.Header().Set("Backoff", backoff)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// TestTargetInBackoffGetsNoRequests guards against an entry that goes on sending to a target
-// which has asked it to send nothing for a time.
+// TestTargetInBackoffGetsNoRequests guards against an entry that continues to send to a target
+// which has asked for a backoff.
 func TestTargetInBackoffGetsNoRequests(t *testing.T) {
 	for _, kind := range []routeconf.Kind{routeconf.KindIdempotent, routeconf.KindOnce, routeconf.KindStream} {
 		t.Run(kind.String(), func(t *testing.T) {
@@ -130,7 +129,7 @@
 	s.c.Assert(body, qt.Equals, eventText(1, 9))
 }
 
-// enterBackoff makes the target want no requests for a time.
+// enterBackoff starts a backoff of the target.
 func (t *Target) enterBackoff(d time.Duration) {
 	t.update(func(s targetstate.Status) targetstate.Status {
 		return s.Apply(targetstate.Statement{Backoff: d}, time.Now(), 0)
@@ -216,8 +215,8 @@
 	}
 }
 
-// TestBackoffInAnyResponseIsApplied guards against a path on which nobody reads what a target
-// asks for.
+// TestBackoffInAnyResponseIsApplied guards against a path on which the backoff in a response is
+// not applied.
 func TestBackoffInAnyResponseIsApplied(t *testing.T) {
 	for name, send := range pathsToATarget {
 		t.Run(name, func(t *testing.T) {
@@ -337,7 +336,7 @@
 }
 
 // TestStoppedRunWaitsForABackoff guards against a stream that is lost because the engine that
-// holds its stopped run wants no requests for a moment.
+// holds its stopped run is in backoff for a moment.
 func TestStoppedRunWaitsForABackoff(t *testing.T) {
 	stopped := make(chan struct{})
 	var s *fixture
@@ -354,7 +353,7 @@
 }
 
 // TestRunIsNotStoppedForAnEngineInBackoff guards against stopping a run in order to continue it at
-// an engine that wants no requests.
+// an engine in backoff.
 func TestRunIsNotStoppedForAnEngineInBackoff(t *testing.T) {
 	copied := make(chan struct{}, 4)
 	var s *fixture
@@ -376,7 +375,7 @@
 }
 
 // TestDrainingEngineInBackoffIsCalledAfterIt guards against a migration that is given up because
-// the draining engine wants no calls for a moment.
+// the draining engine is in backoff for a moment.
 func TestDrainingEngineInBackoffIsCalledAfterIt(t *testing.T) {
 	stopped := make(chan struct{})
 	var s *fixture
--- a/node/relay/leaving_test.go
+++ b/node/relay/leaving_test.go
@@ -24,7 +24,7 @@
 			c.Assert(pathsToATarget["reservation"](r, req, target), qt.IsNotNil)
 			c.Assert(r.pickTarget(req, service, nil), qt.IsNil)
 			c.Assert(arrived.Load(), qt.Equals, int64(1))
-			// What concerns a run that it holds goes on, or the run would be lost.
+			// A run that the target holds would be lost without these.
 			c.Assert(pathsToATarget["move"](r, req, target), qt.IsNil)
 			c.Assert(pathsToATarget["continuation"](r, req, target), qt.IsNil)
 		})
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -82,8 +82,8 @@
 	Limit   float64
 	// LimitErr is set if the target announces a limit that cannot be parsed.
 	LimitErr error
-	// Backoff is the time for which the target asks this entry to send it nothing; zero if it
-	// does not ask. BackoffErr is set if that time cannot be parsed.
+	// Backoff is the time for which the target accepts nothing from this entry; zero if it states
+	// none. BackoffErr is set if that time cannot be parsed.
 	Backoff    time.Duration
 	BackoffErr error
 	// Leaving is set if the target states that it is leaving. LeavingErr is set if that
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -28,7 +28,7 @@
 func (r *Relay) applyStatements(req *Request, t *Target, reply Reply, start sendStart) {
 	r.reportUnreadable(req, t, reply)
 	if reply.WrongTarget {
-		return // another target has the address and speaks of itself
+		return // the response is from another target at this address
 	}
 	now := time.Now()
 	st := targetstate.Statement{Backoff: reply.Backoff, Leaving: reply.Leaving, Limit: limitStatement(reply, start, now)}
@@ -50,8 +50,8 @@
 	}
 }
 
-// reportBackoff reports to the observer that a response has changed until when the target wants
-// nothing.
+// reportBackoff reports to the observer that a response has changed the end of the target's
+// backoff.
 func (r *Relay) reportBackoff(req *Request, t *Target, reply Reply, before, after targetstate.Status) {
 	if before.BackoffUntil != after.BackoffUntil {
 		r.obs.BackoffAsked(req, t, reply.Backoff, before.BackoffUntil, after.BackoffUntil)
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -168,7 +168,7 @@
 		next := &Target{Record: r, table: t, migrationSlot: make(chan struct{}, 1)}
 		if known != nil {
 			if known.Born == r.Born && r.Born != 0 {
-				next.status.Store(known.status.Load()) // the same run speaks for itself at any address
+				next.status.Store(known.status.Load()) // the same run at another address
 			}
 			known.drain()
 		}
@@ -198,8 +198,8 @@
 	since  time.Time
 }
 
-// succeed makes next the target at its address. The target before it and next may both have
-// answered requests for the other, because responses do not tell which run made them.
+// succeed makes next the target at its address. Responses to requests for the previous target may
+// be from next, because responses do not identify the run that made them.
 func (t *Targets) succeed(next *Target) {
 	if previous := t.latest[next.Address]; previous != nil {
 		// Set first, so that a response is applied to next either through successor or here.
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -236,7 +236,7 @@
 	return e.boot
 }
 
-// announce tells all entries of a target's record.
+// announce sends a target's record to all entries.
 func (w *world) announce(r directory.Record) {
 	for _, e := range w.entries {
 		e.current().targets.Update([]directory.Record{r})
