Log the crash of a target with the fingerprints of the requests that it ran

Cause: event 305 says that an answer was lost, not whether the target's process has ended, and lines name routes, not bodies. Change: after an answer is lost, the entry tries the address: if connections are refused, the process has ended, and event 412 lists the requests that were in progress there with their fingerprints (customer, host, method, path, query, body) and for how long. No decision changes.

--- a/node/events/events.go
+++ b/node/events/events.go
@@ -67,6 +67,7 @@
 	TargetStatementError = Event{408, zerolog.WarnLevel, "a target states something about itself that cannot be parsed", "Correct what the target sends; what it stated before stays in force."}
 	TargetBackoff        = Event{410, zerolog.InfoLevel, "a target asks this instance to send it nothing for a time", "None: the target is overloaded. If it recurs, see whether its service has enough targets."}
 	TargetStatesLeaving  = Event{411, zerolog.InfoLevel, "a target states in a response that it is leaving", "None."}
+	TargetCrashed        = Event{412, zerolog.WarnLevel, "a target ended while it ran requests of this instance", "Look for a fingerprint that recurs in the lines of several targets: that request is likely to crash them."}
 	ControlStarted       = Event{500, zerolog.InfoLevel, "control member started", "None."}
 	ControlLeader        = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
 	ControlNoLeader      = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
@@ -91,7 +92,7 @@
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -46,6 +46,7 @@
 	unstatedLimits prometheus.Counter
 	backoffs       prometheus.Counter
 	leavings       prometheus.Counter
+	crashes        prometheus.Counter
 }
 
 // latencyBuckets are the bounds in seconds of all histograms of the relay: from 5 ms,
@@ -71,6 +72,7 @@
 		unstatedLimits:    f.NewCounter(counter("relay_target_limits_not_stated_total", "Limits of targets that the control group could not be told of.")),
 		unreadable:        f.NewCounter(counter("relay_target_statements_unreadable_total", "Targets whose responses began to state something about themselves that cannot be parsed.")),
 		backoffs:          f.NewCounter(counter("relay_target_backoffs_total", "Responses in which a target asks for no requests for a time.")),
+		crashes:           f.NewCounter(counter("relay_target_crashes_total", "Targets that ended while they ran requests of this instance.")),
 		leavings:          f.NewCounter(counter("relay_target_leavings_total", "Responses in which a target states that it is leaving.")),
 		skippedMigrations: f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
 		dials:             f.NewCounterVec(counter("relay_dials_total", "Connections opened to targets."), []string{"ok"}),
@@ -221,6 +223,19 @@
 	addTarget(addRequest(events.TargetStatesLeaving.Log(m.log), r), "target", t).Send()
 }
 
+// maxLoggedLost is the number of lost requests that a log line about a crash names.
+const maxLoggedLost = 32
+
+// TargetCrashed implements relay.Observer.
+func (m *Relay) TargetCrashed(t *relay.Target, lost []relay.LostRequest) {
+	m.crashes.Inc()
+	list := zerolog.Arr()
+	for _, l := range lost[:min(len(lost), maxLoggedLost)] {
+		list.Dict(zerolog.Dict().Str("request", string(l.Request.Ask.Request)).Stringer("fingerprint", l.Request.Fingerprint()).Dur("in_progress", l.InProgress))
+	}
+	addTarget(events.TargetCrashed.Log(m.log), "target", t).Int64("born", t.Born).Int("requests", len(lost)).Array("lost", list).Send()
+}
+
 // StatementUnreadable implements relay.Observer.
 func (m *Relay) StatementUnreadable(r *relay.Request, t *relay.Target, err error) {
 	m.unreadable.Inc()
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -95,6 +95,7 @@
 	registry *registry.Registry
 	follower *registry.Follower
 	server   *http.Server
+	relay    *relay.Relay
 	leaving  atomic.Bool
 	work     conc.WaitGroup
 	ctx      context.Context
@@ -131,12 +132,12 @@
 	})
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
-	handler := relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
+	e.relay = relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
 		Retries: e.retries, LimitReports: e.limits, Observer: p.Observer,
 	})
 	e.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: metrics.ServerLog(p.Log),
 	}
 	return e
@@ -318,6 +319,7 @@
 		events.ProcessHardStop.Log(e.ports.Log).Err(err).Send()
 		err = e.server.Close()
 	}
+	e.relay.Stop()
 	e.retries.Wait()
 	e.limits.Wait()
 	e.cancel()
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -53,6 +53,7 @@
 	t := p.target
 	t.addRequest(0, 0)
 	defer t.removeRequest(0)
+	sentAt := time.Now()
 	x, outcome := r.send(ctx, req, p, Directive{}, why)
 	if x == nil {
 		return outcome, false
@@ -61,6 +62,9 @@
 	body, whole, err := readUpTo(x.Body, maxBufferedResponse)
 	if err != nil {
 		r.obs.Attempted(req, t, outcomeLost, err)
+		if ctx.Err() == nil {
+			r.crashes.responseLost(req, t, sentAt)
+		}
 		return outcomeLost, false
 	}
 	if x.Status >= http.StatusInternalServerError && whole && r.mayReplaceFailure(req) {
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -158,6 +158,8 @@
 	StatementUnreadable(r *Request, t *Target, err error)
 	// LimitedSend reports whether a request may be sent to a rate-limited target.
 	LimitedSend(r *Request, t *Target, limit targetlimit.Statement, v RetryVerdict)
+	// TargetCrashed reports that a target's process ended while it ran requests of this entry.
+	TargetCrashed(t *Target, lost []LostRequest)
 	// Attempted reports the outcome of one send.
 	Attempted(r *Request, t *Target, outcome string, err error)
 	// RetryGranted reports that the retry budget allowed another send; why is the reason for
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -55,11 +55,14 @@
 	costRanks    *costRanks
 	prefill      *prefillRates
 	returns      *returns
+	crashes      *crashMonitor
 }
 
 // New returns a Relay.
 func New(settings Settings, p Ports) *Relay {
 	return &Relay{
+		crashes: newCrashMonitor(p.Pool, p.Observer),
+
 		settings: settings, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
 		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, costRanks: newCostRanks(), prefill: newPrefillRates(), returns: newReturns(),
 	}
@@ -89,6 +92,9 @@
 	return min(spread, time.Until(req.Deadline)/patienceDivisor)
 }
 
+// Stop ends what outlives requests. No request may be in progress.
+func (r *Relay) Stop() { r.crashes.stop() }
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	caller := newCallerResponse(w, cmp.Or(r.settings.CallerStall, callerStallTimeout))
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -61,6 +61,7 @@
 func (nopObserver) Held(*Request, time.Duration)                                                 {}
 func (nopObserver) NoRoom(*Request, *Target, error)                                              {}
 func (nopObserver) Sent(*Request, *Target, string)                                               {}
+func (nopObserver) TargetCrashed(*Target, []LostRequest)                                         {}
 func (nopObserver) Attempted(*Request, *Target, string, error)                                   {}
 func (nopObserver) Copied(*Request, *Target, *Target, bool, time.Duration, error)                {}
 func (nopObserver) RetryGranted(*Request, string, RetryVerdict)                                  {}
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/routeconf"
 )
 
@@ -29,6 +31,9 @@
 	writer      *callerResponse
 	uri         string
 	body        []byte
+
+	fingerprintOnce sync.Once
+	fingerprint     quarantine.Fingerprint
 }
 
 // decision is what was decided on admission, from the configuration and from earlier requests.
@@ -77,6 +82,23 @@
 	}
 }
 
+// Fingerprint identifies the request among those that its customer sends again.
+func (req *Request) Fingerprint() quarantine.Fingerprint {
+	req.fingerprintOnce.Do(func() {
+		hr := req.httpRequest
+		req.fingerprint = quarantine.FingerprintOf(req.customerID(), hr.Host, hr.Method, req.uri, req.body)
+	})
+	return req.fingerprint
+}
+
+// customerID returns the customer's ID, empty on a public route.
+func (req *Request) customerID() api.CustomerID {
+	if req.Customer == nil {
+		return ""
+	}
+	return req.Customer.Name
+}
+
 // callerGone reports whether the caller has closed its connection.
 func (req *Request) callerGone() bool { return req.httpRequest.Context().Err() != nil }
 
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -40,9 +40,7 @@
 		}
 	}
 	d.Target = t.Target
-	if req.Customer != nil {
-		d.Customer = req.Customer.Name
-	}
+	d.Customer = req.customerID()
 	d.Remaining = time.Until(req.Deadline)
 	d.Urgency = urgency(req)
 	if err := r.check(t, p.use); err != nil {
@@ -51,6 +49,7 @@
 		return nil, outcomeHeldBack
 	}
 	r.obs.Sent(req, t, why)
+	sentAt := time.Now()
 	x, reply, err := r.exchange(ctx, req, t, p.use, t.newSendStart(false), &upstream.Request{
 		Method: req.httpRequest.Method,
 		URI:    req.uri,
@@ -69,6 +68,9 @@
 		req.sends++
 	}
 	r.obs.Attempted(req, t, outcome, err)
+	if outcome == outcomeLost && ctx.Err() == nil {
+		r.crashes.responseLost(req, t, sentAt)
+	}
 	if outcome != Answered && x != nil {
 		x.Close()
 		x = nil
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -258,6 +258,9 @@
 	}
 	l.target.recordFailure(time.Now())
 	s.relay.obs.Attempted(s.req, l.target, outcomeLost, end)
+	if l.x != nil {
+		s.relay.crashes.responseLost(s.req, l.target, l.sentAt)
+	}
 	cause := handoff.CauseLost
 	for {
 		s.req.Stream.Migrations++
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -130,6 +130,36 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), addr: addr, fresh: true}, nil
 }
 
+// Presence is what an attempt to connect to a target shows.
+type Presence uint8
+
+const (
+	// NoAnswer: nothing answered in time, or the attempt could not be made from here.
+	NoAnswer Presence = iota
+	// Refused: the target's machine answered that no process accepts connections at the address.
+	Refused
+	// Present: something answered in another way.
+	Present
+)
+
+// Probe opens a connection to addr within the given time, and returns what that shows. The
+// connection is kept for the next request.
+func (p *Pool) Probe(ctx context.Context, addr string, within time.Duration) Presence {
+	limited, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := p.dial(limited, addr)
+	switch {
+	case err == nil:
+		p.putIdle(c, p.idleTimeout, 0)
+		return Present
+	case errors.Is(err, unix.ECONNREFUSED):
+		return Refused
+	case errors.Is(err, unix.ECONNRESET):
+		return Present
+	}
+	return NoAnswer
+}
+
 // Reachable reports whether something answers at addr within the given time: it opens a
 // connection, which is kept for the next request. A target that refuses or resets the connection
 // is reachable. Reachable returns true if ctx ends first.
