--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +50,8 @@
 	// sent holds when callers sent their requests.
 	sent                       map[api.RequestID]time.Time
 	served, refused, otherwise int
+
+	crashLog
 }
 
 // simEntry is the slot of an entry process; each start of the process has a boot.
@@ -71,10 +75,14 @@
 type simTarget struct {
 	w      *world
 	record directory.Record
+
+	mu sync.Mutex
+	// ln and server are replaced when the target restarts after a crash.
 	ln     *pipeListener
 	server *http.Server
+	// crashes is closed when the target has crashed, and replaced when it restarts.
+	crashes chan struct{}
 
-	mu  sync.Mutex
 	rng *rand.Rand
 	// rejects is the share of requests that the target rejects, and backoffs the values that it
 	// sends with rejections. leaving is set while responses state that it is leaving.
@@ -158,18 +166,22 @@
 			continue
 		}
 		near, far := net.Pipe()
+		ln := target.listener()
 		select {
-		case target.ln.conns <- &bootConn{far, d.boot}:
+		case ln.conns <- &bootConn{far, d.boot}:
 			return near, nil
-		case <-target.ln.closed:
+		case <-ln.closed:
 		case <-ctx.Done():
+			_ = near.Close()
+			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
 		}
 		_ = near.Close()
 	}
-	return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 }
 
-// newWorld returns a world of targets and entries. Its routes are /once/, /look/ and /notes/.
+// newWorld returns a world of targets and entries. Its routes are /once/, /pair/, /look/ and
+// /notes/.
 func newWorld(t *testing.T, seed uint64, targets, entries int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), sent: make(map[api.RequestID]time.Time)}
 	w.group = &localPool{limits: enoughRetries, pool: retrybudget.NewPool()}
@@ -178,6 +190,7 @@
 		Version: 1,
 		Routes: []routeconf.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Timeout: 5 * time.Second, Kind: routeconf.KindOnce, MaxTargets: 1, Split: split},
+			{Name: "pair", Host: "h", Prefix: "/pair/", Timeout: 5 * time.Second, Kind: routeconf.KindIdempotent, MaxTargets: 2, Split: split},
 			{Name: "look", Host: "h", Prefix: "/look/", Timeout: 5 * time.Second, Kind: routeconf.KindIdempotent, MaxTargets: 3, Split: split},
 			{Name: "notes", Host: "h", Prefix: "/notes/", Timeout: 30 * time.Second, Kind: routeconf.KindStream, MaxTargets: 1, Generates: true, Objective: time.Second, Split: split},
 		},
@@ -202,15 +215,35 @@
 
 func (w *world) startTarget(i int) {
 	s := &simTarget{
-		w: w, rng: rand.New(rand.NewPCG(w.rng.Uint64(), 1)), ln: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})},
+		w: w, rng: rand.New(rand.NewPCG(w.rng.Uint64(), 1)),
 		asked: make(map[simLink][]*askedPeriod), left: make(map[simLink]time.Time), arrivals: make(map[int64]int), firstAfter: make(map[string]time.Time),
 	}
 	s.record = directory.Record{Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z", Slots: 8, Sequence: 1, Born: 1, State: directory.StateReady}
+	w.targets = append(w.targets, s)
+	s.serve()
+}
+
+// serve starts the target's process.
+func (s *simTarget) serve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ln, s.crashes = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, make(chan struct{})
 	s.server = &http.Server{Handler: s, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, bootKey{}, c.(*bootConn).boot)
 	}}
-	w.targets = append(w.targets, s)
-	go func() { _ = s.server.Serve(s.ln) }() // returns when stop closes the server
+	go func(server *http.Server, ln net.Listener) { _ = server.Serve(ln) }(s.server, s.ln) // returns when the server is closed
+}
+
+func (s *simTarget) name() api.TargetID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.Target
+}
+
+func (s *simTarget) listener() *pipeListener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ln
 }
 
 // start starts the entry process anew.
@@ -338,15 +371,16 @@
 
 // ServeHTTP implements http.Handler.
 func (s *simTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body) // incomplete if the caller has left
 	time.Sleep(s.oneWay())
+	defer s.beginRun(string(body))()
 	boot, _ := r.Context().Value(bootKey{}).(string)
 	link, backoff, leaving := s.arrive(boot, r)
 	if s.onArrival != nil {
 		s.onArrival()
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
-	w.Header().Set("Run", fmt.Sprintf("%s/%d", s.record.Target, link.born))
+	w.Header().Set("Run", fmt.Sprintf("%s/%d", s.name(), link.born))
 	if leaving {
 		w.Header().Set("Leaving", "1")
 	}
@@ -401,8 +435,13 @@
 
 // ask makes one caller's request and returns the response.
 func (e *simEntry) ask(ctx context.Context, id int64, path string) *httptest.ResponseRecorder {
+	return e.askFor(ctx, id, path, "a prompt")
+}
+
+// askFor is ask with a body.
+func (e *simEntry) askFor(ctx context.Context, id int64, path, body string) *httptest.ResponseRecorder {
 	b := e.current()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("a prompt"))
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
 	r.Host = "h"
 	r.Header.Set("Id", strconv.FormatInt(id, 10))
 	r.Header.Set("Most", "100")
@@ -437,10 +476,13 @@
 // stop ends all servers, so that no goroutine is left.
 func (w *world) stop() {
 	for _, s := range w.targets {
+		s.mu.Lock()
 		_ = s.ln.Close()
 		_ = s.server.Close()
+		s.mu.Unlock()
 	}
 	for _, e := range w.entries {
+		e.current().relay.Stop()
 		e.current().reports.Wait()
 		e.current().retries.Wait()
 	}
