A request that crashes the targets that run it is refused at all entries

Cause: an entry that loses an answer avoids the target, not the request; the fact is neither remembered nor passed on. Change: entries report the crash of a target (event 412) with the requests that were in progress there; the control group attributes crashes to requests (core/quarantine) and tells all entries at once. A request is quarantined after three crashes that can't be chance: its share of the target time in their span, against its share of the crashes. The crashes that one request explains are no evidence against others, and a run that ended well clears its request. All sends pass the check in outbound.go; requests in progress are ended. Without a leader an entry goes by its own reports. 503 with the time that is left, 502 if it may have run. almondctl quarantine list, lift; events 317, 318, 413.

--- a/cmd/almondctl/main.go
+++ b/cmd/almondctl/main.go
@@ -97,6 +97,7 @@
 	addStatus(c, app)
 	addDrain(c, app)
 	addZones(c, app)
+	addQuarantine(c, app)
 	addOrders(c, app)
 	addMembers(c, app)
 	addExplain(c, app)
--- a/core/api/error.go
+++ b/core/api/error.go
@@ -36,6 +36,9 @@
 	// StepTargetLimit is the step at which the control group is told the limit
 	// that a target states.
 	StepTargetLimit Step = "target_limit"
+	// StepQuarantine is the step at which the control group is told of a target's crash, or an
+	// operator allows a request again.
+	StepQuarantine Step = "quarantine"
 )
 
 // Error is the error type of this project. It holds where the error arose (Step,
--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -40,6 +40,7 @@
 	ReasonOutsideHomes       Reason = "outside_homes"
 	ReasonTargetLimit        Reason = "target_limit"
 	ReasonTargetBackoff      Reason = "target_backoff"
+	ReasonQuarantined        Reason = "quarantined"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadlineHopeless   Reason = "deadline_hopeless"
 	ReasonNeverFits          Reason = "never_fits"
@@ -105,6 +106,7 @@
 	ReasonOutsideHomes:       {503, typeServer, true},
 	ReasonTargetLimit:        {503, typeOverloaded, true},
 	ReasonTargetBackoff:      {503, typeOverloaded, true},
+	ReasonQuarantined:        {503, typeServer, true},
 	ReasonQueueFull:          {503, typeOverloaded, true},
 	ReasonDeadlineHopeless:   {503, typeOverloaded, true},
 	ReasonNeverFits:          {400, typeInvalid, false},
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -8,6 +8,7 @@
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/codec"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
 )
 
@@ -41,6 +42,9 @@
 	// Limits is missing in snapshots of releases without target limits, and before
 	// the first change to a limit.
 	Limits *TargetLimits `cbor:"12,keyasint,omitempty"`
+	// Quarantine is missing in snapshots of releases without quarantines, and before the first
+	// crash of a target.
+	Quarantine *quarantine.Image `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the encoded form of a command.
@@ -78,6 +82,9 @@
 	if limits := s.TargetLimits(); limits.Index > 0 {
 		img.Limits = &limits
 	}
+	if q := s.quarantines.Snapshot(); !q.Empty() {
+		img.Quarantine = &q
+	}
 	for _, m := range s.members {
 		img.Members = append(img.Members, m)
 	}
@@ -120,5 +127,8 @@
 	if img.Limits != nil {
 		s.restoreLimits(*img.Limits)
 	}
+	if img.Quarantine != nil {
+		s.quarantines = quarantine.Restore(*img.Quarantine, s.now)
+	}
 	return s, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,7 +1,7 @@
 // Package state is the replicated state machine of the control group. It holds
 // the fleet's configuration, claims, orders, drains, evacuations, shared retry
-// budget and target limits, and the information that members publish about
-// themselves.
+// budget, target limits and quarantined requests, and the information that members
+// publish about themselves.
 //
 // Apply is deterministic: it reads no clock and draws no random number. Time is
 // the replicated clock in milliseconds, which the leader stamps into each
@@ -16,6 +16,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
 )
 
@@ -70,6 +71,8 @@
 	Evacuation *Evacuation `cbor:"10,keyasint,omitempty"`
 	// Limit reports the limit that a target stated.
 	Limit *LimitStatement `cbor:"11,keyasint,omitempty"`
+	// Quarantine reports crashes of targets, and runs that ended well, or allows a request again.
+	Quarantine *quarantine.Command `cbor:"12,keyasint,omitempty"`
 }
 
 // Result is the outcome of one command. Reason is empty if the command took effect,
@@ -110,6 +113,8 @@
 	// change.
 	targetLimits map[api.TargetID]TargetLimit
 	limitsIndex  uint64
+	// quarantines attributes crashes of targets to requests.
+	quarantines *quarantine.Table
 }
 
 // New returns the state before the first command.
@@ -125,6 +130,7 @@
 		zones:   make(map[api.Zone]ZoneOrder),
 
 		targetLimits: make(map[api.TargetID]TargetLimit),
+		quarantines:  quarantine.NewTable(),
 	}
 }
 
@@ -161,6 +167,7 @@
 	s.now = max(s.now, c.Now)
 	s.claims.Expire(s.now)
 	s.orders.Expire(s.now)
+	s.quarantines.Expire(index, s.now)
 	return s.apply(index, &c)
 }
 
@@ -190,6 +197,8 @@
 		return s.evacuate(index, *c.Evacuation)
 	case c.Limit != nil:
 		return s.limit(index, *c.Limit)
+	case c.Quarantine != nil:
+		return s.quarantine(index, *c.Quarantine)
 	}
 	return Result{}
 }
--- a/node/control/call.go
+++ b/node/control/call.go
@@ -154,7 +154,7 @@
 	for c, n := first, 0; c != nil && n < maxBatch; c, n = m.nextCall(), n+1 {
 		switch {
 		case c.req.Command != nil:
-			if !m.answerRefusedRetry(c) && !m.answerKnownLimit(c) {
+			if !m.answerRefusedRetry(c) && !m.answerKnownLimit(c) && !m.answerKnownQuarantine(c) {
 				commands = append(commands, c)
 			}
 		case c.req.Read:
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/wire"
@@ -55,6 +56,9 @@
 	// first configuration. A list may be older than an earlier one, which its lower index
 	// shows. It may be nil.
 	OnLimits func(state.TargetLimits)
+	// OnQuarantine is called with the list of quarantined requests whenever it changes, like
+	// OnLimits. It may be nil.
+	OnQuarantine func(quarantine.List)
 	// Observer is notified of failed dials; it may be nil.
 	Observer ClientObserver
 	// Report returns the report that is sent about this process; it may be nil.
@@ -131,6 +135,9 @@
 	if opt.OnLimits == nil {
 		opt.OnLimits = func(state.TargetLimits) {}
 	}
+	if opt.OnQuarantine == nil {
+		opt.OnQuarantine = func(quarantine.List) {}
+	}
 	if opt.Observer == nil {
 		opt.Observer = noClientObserver{}
 	}
@@ -230,6 +237,8 @@
 		c.opt.OnEvacuated(m.Evacuated)
 	case *Limits:
 		c.opt.OnLimits(m.TargetLimits)
+	case *Quarantine:
+		c.opt.OnQuarantine(m.List)
 	case *Leader:
 		c.handleLeader(conn, m)
 	}
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -381,6 +381,7 @@
 	revision                    api.Revision
 	drainsIndex, evacuatedIndex uint64
 	limitsIndex, ordersVersion  uint64
+	quarantineIndex             uint64
 }
 
 func (m *Member) watchedVersions() watchedVersions {
@@ -390,6 +391,8 @@
 		evacuatedIndex: m.state.EvacuationIndex(),
 		limitsIndex:    m.state.LimitsIndex(),
 		ordersVersion:  m.state.Orders().Version(),
+
+		quarantineIndex: m.state.QuarantineIndex(),
 	}
 }
 
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/wire"
 )
@@ -24,6 +25,7 @@
 	kindOrders
 	kindEvacuated
 	kindLimits
+	kindQuarantine
 )
 
 // Peer carries one consensus message between two members.
@@ -186,6 +188,15 @@
 	state.TargetLimits
 }
 
+// Quarantine lists the requests that are refused because they crash targets, and those that may
+// soon be.
+type Quarantine struct {
+	quarantine.List
+}
+
+// Kind implements wire.Message.
+func (*Quarantine) Kind() wire.Kind { return kindQuarantine }
+
 // Kind implements wire.Message.
 func (*Limits) Kind() wire.Kind { return kindLimits }
 
@@ -216,5 +227,6 @@
 		wire.ProtoOf[Orders](),
 		wire.ProtoOf[Evacuated](),
 		wire.ProtoOf[Limits](),
+		wire.ProtoOf[Quarantine](),
 	}
 }
--- a/node/control/opapi/opapi.go
+++ b/node/control/opapi/opapi.go
@@ -19,6 +19,8 @@
 	PathOrders  = "/v1/orders"
 	PathMembers = "/v1/members"
 	PathClaims  = "/v1/claims"
+
+	PathQuarantine = "/v1/quarantine"
 )
 
 // Error is the body of every response whose status is not 200. Outcome "not_run"
@@ -149,6 +151,35 @@
 	Index     uint64   `json:"index,omitempty"`
 }
 
+// QuarantinedRequest is a request that crashes targets. Left is for how much longer it is refused;
+// zero if it is only suspected. Crashed lists the targets that ended while they ran it.
+type QuarantinedRequest struct {
+	Fingerprint string         `json:"fingerprint"`
+	Customer    api.CustomerID `json:"customer"`
+	URI         string         `json:"uri"`
+	BodyBytes   int            `json:"body_bytes"`
+	Left        Duration       `json:"left"`
+	Crashed     []string       `json:"crashed"`
+}
+
+// Duration is a time span in the form of time.Duration.String.
+type Duration struct{ time.Duration }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(b))
+	return err
+}
+
+// QuarantineLift asks that a request is allowed again.
+type QuarantineLift struct {
+	Fingerprint string `json:"fingerprint"`
+	Author      string `json:"author"`
+}
+
 // The membership changes of the control group.
 const (
 	MemberAdd     = "add"
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -47,6 +47,8 @@
 	app.Post(opapi.PathOrders, o.putOrder)
 	app.Get(opapi.PathZones, o.listZones)
 	app.Post(opapi.PathZones, o.putZone)
+	app.Get(opapi.PathQuarantine, o.listQuarantine)
+	app.Post(opapi.PathQuarantine, o.liftQuarantine)
 	app.Get(opapi.PathMembers, o.listMembers)
 	app.Post(opapi.PathMembers, o.putMember)
 	app.Get(opapi.PathClaims, o.findClaim)
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -167,12 +167,12 @@
 		return true
 	}
 	c := req.Command
-	return c != nil && (c.Config != nil || c.Drain != nil || c.Evacuation != nil || c.Member != nil || c.Order != nil && c.Order.ForOperators())
+	return c != nil && (c.Config != nil || c.Drain != nil || c.Evacuation != nil || c.Member != nil || c.Quarantine != nil && c.Quarantine.Lift != nil || c.Order != nil && c.Order.ForOperators())
 }
 
 // sendUpdates sends everything that the client watches, at once and whenever it
 // changes: the leader, the drains, the evacuated availability zones, the limits of
-// targets, the ready orders and the configuration. It never sends a revision at or
+// targets, the quarantined requests, the ready orders and the configuration. It never sends a revision at or
 // below one that was sent, so the client never gets an older configuration, even if
 // this member has just been reset to an older snapshot.
 func (s *session) sendUpdates(w Watch) {
@@ -181,7 +181,7 @@
 	var sentLeader *Leader
 	// These are the versions that were sent last.
 	drainsIndex := noDrainsSent
-	var evacuated, limitsIndex uint64
+	var evacuated, limitsIndex, quarantineIndex uint64
 	var ready []api.TargetID
 	for {
 		view, changed := s.server.member.watcherView()
@@ -203,6 +203,11 @@
 			limitsIndex = list.Index
 			_ = s.conn.Send(&Limits{list})
 		}
+		if view.quarantineIndex != quarantineIndex {
+			list := s.server.member.Quarantine()
+			quarantineIndex = list.Index
+			_ = s.conn.Send(&Quarantine{list})
+		}
 		if !slices.Equal(ready, view.ready) {
 			ready = view.ready
 			_ = s.conn.Send(&Orders{Ready: ready})
@@ -269,6 +274,8 @@
 	evacuated state.Evacuated
 	// limitsIndex is the log index of the last change to the limits of targets.
 	limitsIndex uint64
+	// quarantineIndex is the log index of the last change to the quarantined requests.
+	quarantineIndex uint64
 }
 
 // watcherView returns what watchers are sent, and a channel that is closed at the
@@ -286,6 +293,8 @@
 
 		evacuated:   m.state.Evacuated(),
 		limitsIndex: m.state.LimitsIndex(),
+
+		quarantineIndex: m.state.QuarantineIndex(),
 	}
 	return v, m.changed
 }
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -55,6 +55,8 @@
 	ColdStart            = Event{314, zerolog.InfoLevel, "decision whether a request may be sent to a cold target", "None: the granted field holds the decision."}
 	CopyDropped          = Event{315, zerolog.InfoLevel, "unused copy of a run freed", "None; with an error the engines keep its memory for some seconds."}
 	LimitedSend          = Event{316, zerolog.InfoLevel, "decision whether a request may be sent to a target that states a limit", "None: the granted field holds the decision."}
+	RequestQuarantined   = Event{317, zerolog.WarnLevel, "a request is refused from now on because it crashes targets", "Find the customer's request by its path and fingerprint, and what in it crashes the targets. almondctl quarantine lift allows it again."}
+	RequestUnquarantined = Event{318, zerolog.InfoLevel, "a request is no longer refused for crashes of targets", "None."}
 	TargetAnnounced      = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving        = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone           = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether the target's agent runs; requests on the target wait some time for the link to come back."}
@@ -68,6 +70,7 @@
 	TargetBackoff        = Event{410, zerolog.InfoLevel, "a target asks this instance to send it nothing for a time", "None: the target is overloaded. If it recurs, see whether its service has enough targets."}
 	TargetStatesLeaving  = Event{411, zerolog.InfoLevel, "a target states in a response that it is leaving", "None."}
 	TargetCrashed        = Event{412, zerolog.WarnLevel, "a target ended while it ran requests of this instance", "Look for a fingerprint that recurs in the lines of several targets: that request is likely to crash them."}
+	CrashNotReported     = Event{413, zerolog.WarnLevel, "the control group could not be told of a target's crash or of a run that ended well", "See whether the group has a leader. The instance itself takes the report into account."}
 	ControlStarted       = Event{500, zerolog.InfoLevel, "control member started", "None."}
 	ControlLeader        = Event{501, zerolog.InfoLevel, "control group has a leader", "None, unless it recurs: then look for a slow disk (almondseam_control_save_seconds) or a stalled network between members."}
 	ControlNoLeader      = Event{502, zerolog.WarnLevel, "control member knows no leader", "If it lasts, see with almondctl status which members are up; writes are refused until a majority is."}
@@ -91,8 +94,8 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend,
-		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined,
+		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -11,6 +11,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetload"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
@@ -85,21 +86,23 @@
 
 // RoutedEntry is a running entry process that routes to targets without agents.
 type RoutedEntry struct {
-	set      RoutedEntrySettings
-	ports    RoutedEntryPorts
-	live     atomic.Pointer[routeconf.Table]
-	client   *control.Client
-	retries  *relay.Retries
-	limits   *relay.LimitReports
-	targets  *relay.Targets
-	registry *registry.Registry
-	follower *registry.Follower
-	server   *http.Server
-	relay    *relay.Relay
-	leaving  atomic.Bool
-	work     conc.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	set     RoutedEntrySettings
+	ports   RoutedEntryPorts
+	live    atomic.Pointer[routeconf.Table]
+	client  *control.Client
+	retries *relay.Retries
+	limits  *relay.LimitReports
+	// quarantine holds the requests that are refused because they crash targets.
+	quarantine *relay.Quarantine
+	targets    *relay.Targets
+	registry   *registry.Registry
+	follower   *registry.Follower
+	server     *http.Server
+	relay      *relay.Relay
+	leaving    atomic.Bool
+	work       conc.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
 
 	mu   sync.Mutex
 	gate rollout.Gate[[]byte]
@@ -129,12 +132,15 @@
 		OnEvacuated: e.onEvacuated,
 		OnLimits:    e.onLimits,
 		Observer:    p.Metrics,
+
+		OnQuarantine: func(list quarantine.List) { e.quarantine.Update(list) },
 	})
+	e.quarantine = relay.NewQuarantine(e.client, p.Observer)
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
 	e.relay = relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Retries: e.retries, LimitReports: e.limits, Observer: p.Observer,
+		Retries: e.retries, LimitReports: e.limits, Quarantine: e.quarantine, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/node/relay/crash.go
+++ b/node/relay/crash.go
@@ -15,13 +15,17 @@
 	// close its connections before its listener.
 	crashProbes        = 2
 	crashProbeInterval = 100 * time.Millisecond
-	// crashCollectTime is how long responses that are lost with the first one are collected.
-	crashCollectTime = 20 * time.Millisecond
-	// crashRememberTime is how long a response that is lost later counts for the same crash: the
-	// loss is noticed when the response is read.
-	crashRememberTime = time.Second
+	// successorTime is how long after a lost response another process at the target's address shows
+	// that the target has ended, and successorInterval the interval at which that is looked up. Where
+	// something else accepts connections for the target, they are not refused.
+	successorTime     = 4 * time.Second
+	successorInterval = 500 * time.Millisecond
 )
 
+// crashCollectTimes are the times for which lost responses are collected before each report of the
+// same crash: most losses are noticed together, and some only when the response is read.
+var crashCollectTimes = []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second}
+
 // LostRequest is a request that was in progress at a target that crashed.
 type LostRequest struct {
 	Request *Request
@@ -33,8 +37,9 @@
 // response is also lost if a connection is reset while the target goes on, which is no crash. It
 // is safe for concurrent use.
 type crashMonitor struct {
-	pool   *upstream.Pool
-	obs    Observer
+	pool *upstream.Pool
+	// report is called with each crash, from several goroutines.
+	report func(t *Target, lost []LostRequest)
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   conc.WaitGroup
@@ -45,8 +50,8 @@
 	lost map[*Target][]LostRequest
 }
 
-func newCrashMonitor(pool *upstream.Pool, obs Observer) *crashMonitor {
-	m := &crashMonitor{pool: pool, obs: obs, lost: make(map[*Target][]LostRequest)}
+func newCrashMonitor(pool *upstream.Pool, report func(*Target, []LostRequest)) *crashMonitor {
+	m := &crashMonitor{pool: pool, report: report, lost: make(map[*Target][]LostRequest)}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
@@ -71,17 +76,16 @@
 	m.lost[t] = append(m.lost[t], LostRequest{Request: req, InProgress: time.Since(sentAt)})
 }
 
-// watch probes a target and reports its crash.
+// watch determines whether a target has crashed, and reports it.
 func (m *crashMonitor) watch(t *Target) {
-	crashed := m.hasCrashed(t)
-	until := time.Now().Add(crashRememberTime)
-	for last := false; !last; {
-		last = !crashed || m.ctx.Err() != nil || time.Now().After(until)
-		if !last {
-			sleep(m.ctx, crashCollectTime)
-		}
-		if lost := m.take(t, last); crashed && len(lost) > 0 {
-			m.obs.TargetCrashed(t, lost)
+	if !m.hasCrashed(t) {
+		m.take(t, true)
+		return
+	}
+	for i, d := range crashCollectTimes {
+		sleep(m.ctx, d)
+		if lost := m.take(t, i == len(crashCollectTimes)-1); len(lost) > 0 {
+			m.report(t, lost)
 		}
 	}
 }
@@ -114,5 +118,20 @@
 			return false
 		}
 	}
+	return m.isSucceeded(t)
+}
+
+// isSucceeded waits until another process is announced at the target's address, and returns false
+// if none is or if the target drains before.
+func (m *crashMonitor) isSucceeded(t *Target) bool {
+	for until := time.Now().Add(successorTime); time.Now().Before(until) && m.ctx.Err() == nil; {
+		if t.successor.Load() != nil {
+			return true
+		}
+		if t.isDraining() {
+			return false
+		}
+		sleep(m.ctx, successorInterval)
+	}
 	return false
 }
--- a/node/relay/crash_test.go
+++ b/node/relay/crash_test.go
@@ -14,25 +14,16 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// crashObserver keeps the crashes that are reported.
-type crashObserver struct {
-	nopObserver
-	crashes chan []LostRequest
-}
-
-// TargetCrashed implements Observer.
-func (o crashObserver) TargetCrashed(_ *Target, lost []LostRequest) { o.crashes <- lost }
-
 // TestOnlyEndedProcessesCountAsCrashed guards against requests being blamed for responses that
 // were lost for another reason than the end of the target's process.
 func TestOnlyEndedProcessesCountAsCrashed(t *testing.T) {
 	for name, test := range map[string]struct {
-		drains  bool
-		listens bool
-		crashed bool
+		drains, listens, succeeded bool
+		crashed                    bool
 	}{
 		"process ended":               {crashed: true},
 		"connection was reset":        {listens: true},
+		"another process took over":   {listens: true, succeeded: true, crashed: true},
 		"target drains and has ended": {drains: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -49,15 +40,18 @@
 			if test.drains {
 				target.drain()
 			}
-			obs := crashObserver{crashes: make(chan []LostRequest, 1)}
-			m := newCrashMonitor(upstream.NewPool(nopObserver{}), obs)
+			if test.succeeded {
+				targets.Update([]directory.Record{{Target: "u", Service: service, Address: ln.Addr().String(), Born: 2, State: directory.StateReady}})
+			}
+			crashes := make(chan []LostRequest, 1)
+			m := newCrashMonitor(upstream.NewPool(nopObserver{}), func(_ *Target, lost []LostRequest) { crashes <- lost })
 			req := requestOf("/x", "body")
 			m.responseLost(req, target, time.Now().Add(-time.Second))
 			m.work.Wait()
 			m.stop()
-			c.Assert(len(obs.crashes) == 1, qt.Equals, test.crashed)
+			c.Assert(len(crashes) == 1, qt.Equals, test.crashed)
 			if test.crashed {
-				lost := <-obs.crashes
+				lost := <-crashes
 				c.Assert(lost[0].Request, qt.Equals, req)
 				c.Assert(lost[0].InProgress >= time.Second, qt.IsTrue)
 			}
--- a/node/relay/crash_world_test.go
+++ b/node/relay/crash_world_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +17,8 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/quarantine"
+	"almondseam.dev/core/state"
 )
 
 // What the tests of crashing requests expect, as the users state it.
@@ -37,18 +41,81 @@
 type crashLog struct {
 	// crashesOn reports whether a target crashes when it runs a request with this body.
 	crashesOn func(body string) bool
+	// crashAfterEvents is the number of events that a stream which crashes its target sends before.
+	crashAfterEvents int
 
 	crashMu sync.Mutex
 	begun   map[string][]time.Time
 	crashed map[string][]time.Time
 }
 
-// beginRun records the start of a run, and lets the target crash if its body does that. The
-// function that it returns must be called at the end of the run.
-func (s *simTarget) beginRun(body string) func() {
+// simQuarantine is the control group's part of the quarantine. Reports and lists take some
+// milliseconds.
+type simQuarantine struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	state   *state.State
+	entries []*Quarantine
+	// leaderless makes all reports fail.
+	leaderless bool
+}
+
+// The times that a report takes to be replicated, and a list to reach an entry process.
+const (
+	simReplication = 4 * time.Millisecond
+	simDelivery    = 3 * time.Millisecond
+)
+
+func newSimQuarantine(t *testing.T) *simQuarantine {
+	return &simQuarantine{t: t, state: state.New(state.DefaultLimits())}
+}
+
+// join lets an entry process receive lists. A process that starts receives the current one.
+func (g *simQuarantine) join(q *Quarantine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.entries = append(g.entries, q)
+	q.Update(g.state.Quarantine())
+}
+
+func (g *simQuarantine) setLeaderless(l bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaderless = l
+}
+
+// ReportQuarantine implements QuarantineReporter.
+func (g *simQuarantine) ReportQuarantine(ctx context.Context, c quarantine.Command) error {
+	sleep(ctx, simReplication)
+	data, err := state.Encode(state.Command{Now: time.Now().UnixMilli(), Quarantine: &c})
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaderless {
+		return errors.New("no leader")
+	}
+	before := g.state.QuarantineIndex()
+	if r := g.state.Apply(g.state.Index()+1, data); r.Reason != "" {
+		g.t.Errorf("report refused: %s", r.Message)
+	}
+	if g.state.QuarantineIndex() == before {
+		return nil
+	}
+	list := g.state.Quarantine()
+	for _, q := range g.entries {
+		time.AfterFunc(simDelivery, func() { q.Update(list) })
+	}
+	return nil
+}
+
+// beginRun records the start of a run, and lets the target crash if its body does that.
+func (s *simTarget) beginRun(w http.ResponseWriter, r *http.Request, body string) {
 	l := &s.w.crashLog
 	if l.crashesOn == nil {
-		return func() {}
+		return
 	}
 	l.crashMu.Lock()
 	if l.begun == nil {
@@ -57,7 +124,11 @@
 	l.begun[body] = append(l.begun[body], time.Now())
 	l.crashMu.Unlock()
 	if !l.crashesOn(body) {
-		return func() {}
+		return
+	}
+	if from := lastEventNumber(r) + 1; l.crashAfterEvents > 0 && strings.HasPrefix(r.URL.Path, "/notes/") {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		writeEvents(w, from, from+l.crashAfterEvents-1)
 	}
 	time.Sleep(targetCrashTime)
 	if s.crash() {
@@ -199,6 +270,13 @@
 	return served, all
 }
 
+// failed returns the responses other than successes.
+func (c *callers) failed() []callerAnswer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.answers), func(a callerAnswer) bool { return a.status == http.StatusOK })
+}
+
 func sameBody(body string) func(int64) string { return func(int64) string { return body } }
 
 func ownBody(i int64) string { return "a body of its own: " + strconv.FormatInt(i, 10) }
@@ -288,7 +366,143 @@
 				t.Errorf("%s: %d of %d served", name, served, all)
 			}
 			t.Logf("%s: %d of %d served beside %d crashes", name, served, all, crashes)
+			for _, a := range k.failed() {
+				t.Logf("%s: not served: %d %s after %v", name, a.status, strings.TrimSpace(a.body), a.took)
+				if strings.Contains(a.body, string(api.ReasonQuarantined)) {
+					t.Errorf("%s: a request was refused for crashes of another cause", name)
+				}
+			}
 		}
 		w.stopAll()
 	})
 }
+
+// TestCrashingRequestIsRefusedDuringFaults guards against a crashing request that gets through
+// while the control group has no leader, or at entries that have just started.
+func TestCrashingRequestIsRefusedDuringFaults(t *testing.T) {
+	const entries, d, leaderBack = 4, 16 * time.Second, 8 * time.Second
+	for name, test := range map[string]struct {
+		leaderless, restarts bool
+		// maxRuns bounds the runs in all.
+		maxRuns int
+	}{
+		"entries restart in turn": {restarts: true, maxRuns: 12},
+		"no leader at first":      {leaderless: true, maxRuns: entries * 2 * crashAllowance},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 3, 12, entries)
+				w.crashesOn = isCrashBody
+				w.quarantine.setLeaderless(test.leaderless)
+				known := time.Now().Add(leaderBack)
+				time.AfterFunc(leaderBack, func() { w.quarantine.setLeaderless(false) })
+				bad := &callers{w: w, path: "/pair/bad", body: sameBody(crashBody), every: 100 * time.Millisecond}
+				others := &callers{w: w, path: "/pair/x", body: ownBody, every: time.Second / 160, random: rand.New(rand.NewPCG(3, 5))}
+				ctx, cancel := context.WithTimeout(context.Background(), d)
+				defer cancel()
+				var work sync.WaitGroup
+				work.Go(func() { others.run(d) })
+				work.Go(func() { bad.run(d) })
+				if test.restarts {
+					work.Go(func() { w.restartEntries(ctx, 700*time.Millisecond) })
+				}
+				work.Wait()
+				third, ok := w.thirdCrash(crashBody)
+				if !ok {
+					t.Fatal("the body has not crashed three targets")
+				}
+				if test.leaderless && known.After(third) {
+					third = known
+				}
+				if n := w.runsAfter(crashBody, third.Add(crashLatitude)); n > crashAllowance {
+					t.Errorf("%d runs began later than %v after the third crash", n, crashLatitude)
+				}
+				if n := w.runsAfter(crashBody, time.Time{}); n > test.maxRuns {
+					t.Errorf("%d runs, at most %d expected", n, test.maxRuns)
+				}
+				if served, all := others.served(third.Add(crashLatitude)); float64(served) < crashServedShare*float64(all) {
+					t.Errorf("%d of %d other requests served later than %v after the third crash", served, all, crashLatitude)
+				}
+				t.Logf("%d runs, %d crashes", w.runsAfter(crashBody, time.Time{}), len(w.crashed[crashBody]))
+				w.stopAll()
+			})
+		})
+	}
+}
+
+// restartEntries starts one entry process after the other anew until ctx ends. The requests of the
+// last process go on.
+func (w *world) restartEntries(ctx context.Context, every time.Duration) {
+	for i := 0; ; i++ {
+		sleep(ctx, every)
+		if ctx.Err() != nil {
+			return
+		}
+		e := w.entries[i%len(w.entries)]
+		e.start(fmt.Sprintf("%s/%d", e.current().name, i))
+	}
+}
+
+// TestSameBodyOfOthersIsServed guards against a quarantine that is wider than the request: other
+// requests of the same customer, and the same body on another path, are served.
+func TestSameBodyOfOthersIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 12, 4)
+		var crashing atomic.Bool
+		crashing.Store(true)
+		w.crashesOn = func(body string) bool { return crashing.Load() && isCrashBody(body) }
+		bad := &callers{w: w, path: "/pair/bad", body: sameBody(crashBody), every: 300 * time.Millisecond}
+		bad.run(4 * time.Second)
+		crashing.Store(false)
+		time.Sleep(targetDownTime)
+		for path, want := range map[string]int{
+			"/pair/bad":     http.StatusServiceUnavailable,
+			"/pair/bad?x=1": http.StatusOK,
+			"/pair/other":   http.StatusOK,
+			"/once/bad":     http.StatusOK,
+		} {
+			for _, e := range w.entries {
+				if got := e.askFor(context.Background(), nextID.Add(1), path, crashBody); got.Code != want {
+					t.Errorf("%s: %d %s", path, got.Code, got.Body)
+				}
+			}
+		}
+		for _, e := range w.entries {
+			if got := e.askFor(context.Background(), nextID.Add(1), "/pair/bad", crashBody+"."); got.Code != http.StatusOK {
+				t.Errorf("another body: %d %s", got.Code, got.Body)
+			}
+		}
+		for _, a := range bad.failed()[len(bad.failed())-3:] {
+			if after, err := strconv.ParseFloat(a.retryAfter, 64); a.status != http.StatusServiceUnavailable || err != nil || after < 60 || a.took > 10*time.Millisecond {
+				t.Errorf("a quarantined request got %+v", a)
+			}
+		}
+		w.stopAll()
+	})
+}
+
+// TestCrashingRequestOfEachKind guards against a way in which a run starts that passes the
+// quarantine: requests that run once, further targets, and streams that are cut in the middle and
+// continued from their standby copy.
+func TestCrashingRequestOfEachKind(t *testing.T) {
+	for _, path := range []string{"/once/bad", "/pair/bad", "/look/bad", "/notes/bad"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 5, 12, 4)
+				w.crashesOn = isCrashBody
+				w.crashAfterEvents = 2
+				bad := &callers{w: w, path: path, body: sameBody(crashBody), every: 300 * time.Millisecond}
+				bad.run(12 * time.Second)
+				third, ok := w.thirdCrash(crashBody)
+				if !ok {
+					t.Fatal("the body has not crashed three targets")
+				}
+				if n := w.runsAfter(crashBody, third.Add(crashLatitude)); n > crashAllowance {
+					t.Errorf("%d runs began later than %v after the third crash", n, crashLatitude)
+				}
+				t.Logf("%d runs, %d crashes", w.runsAfter(crashBody, time.Time{}), len(w.crashed[crashBody]))
+				w.stopAll()
+			})
+		})
+	}
+}
--- a/node/relay/outbound.go
+++ b/node/relay/outbound.go
@@ -48,10 +48,15 @@
 // target. Everything that an entry sends to a target passes through it, whether a caller's
 // request or a call about a run: a target counts all of it, and any response may state something.
 //
-// The target's condition is checked before a connection is opened and again before the first
+// The target's condition, and whether the request is quarantined, are checked before a connection is opened and again before the first
 // byte, because opening a connection takes up to upstream.DefaultDialTimeout.
 func (r *Relay) exchange(ctx context.Context, req *Request, t *Target, use targetstate.Use, start sendStart, out *upstream.Request) (*upstream.Exchange, Reply, error) {
-	check := func() error { return r.check(t, use) }
+	check := func() error {
+		if (!start.call || use == targetstate.UseNew) && r.quarantine.refuses(req) > 0 {
+			return errQuarantined
+		}
+		return r.check(t, use)
+	}
 	if err := check(); err != nil {
 		return nil, Reply{}, err
 	}
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -131,6 +131,7 @@
 		r.obs.Ended(req, x.Status, outcome)
 		panic(http.ErrAbortHandler)
 	}
+	r.quarantine.ended(req)
 	r.obs.Ended(req, x.Status, Answered)
 }
 
@@ -148,7 +149,7 @@
 
 // failNoTarget answers a request for which no target, or no further target, is available.
 func (r *Relay) failNoTarget(req *Request) {
-	if r.writeStoredFailure(req) {
+	if r.writeStoredFailure(req) || r.failQuarantined(req) {
 		return
 	}
 	if req.mayHaveRun {
@@ -177,7 +178,7 @@
 
 // failTimeout answers a request whose route timeout or whose caller's patience has expired.
 func (r *Relay) failTimeout(req *Request) {
-	if r.writeStoredFailure(req) {
+	if r.writeStoredFailure(req) || r.failQuarantined(req) {
 		return
 	}
 	if !req.mayHaveRun {
@@ -189,7 +190,7 @@
 
 // failExhausted answers a request that may not be sent to another target.
 func (r *Relay) failExhausted(req *Request, outcome string) {
-	if r.writeStoredFailure(req) {
+	if r.writeStoredFailure(req) || r.failQuarantined(req) {
 		return
 	}
 	if !req.mayHaveRun {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -38,7 +38,10 @@
 	Retries *Retries
 	// LimitReports reports the rate limits of targets to the control group.
 	LimitReports *LimitReports
-	Observer     Observer
+	// Quarantine holds the requests to refuse; if it is nil, the Relay goes by what it observes
+	// itself.
+	Quarantine *Quarantine
+	Observer   Observer
 }
 
 // Relay is the HTTP handler for callers' requests.
@@ -56,16 +59,27 @@
 	prefill      *prefillRates
 	returns      *returns
 	crashes      *crashMonitor
+	quarantine   *Quarantine
 }
 
 // New returns a Relay.
 func New(settings Settings, p Ports) *Relay {
-	return &Relay{
-		crashes: newCrashMonitor(p.Pool, p.Observer),
-
+	if p.Quarantine == nil {
+		p.Quarantine = NewQuarantine(nil, p.Observer)
+	}
+	r := &Relay{
 		settings: settings, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
 		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, costRanks: newCostRanks(), prefill: newPrefillRates(), returns: newReturns(),
+		quarantine: p.Quarantine,
 	}
+	r.crashes = newCrashMonitor(p.Pool, r.targetCrashed)
+	return r
+}
+
+// targetCrashed reports the crash of a target with the requests that were in progress there.
+func (r *Relay) targetCrashed(t *Target, lost []LostRequest) {
+	r.obs.TargetCrashed(t, lost)
+	r.quarantine.crashed(t, lost, len(r.targets.Of(t.Service)))
 }
 
 // Retry-After values for refused requests, used if no better value is known.
@@ -93,18 +107,24 @@
 }
 
 // Stop ends what outlives requests. No request may be in progress.
-func (r *Relay) Stop() { r.crashes.stop() }
+func (r *Relay) Stop() {
+	r.crashes.stop()
+	r.quarantine.Stop()
+}
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	caller := newCallerResponse(w, cmp.Or(r.settings.CallerStall, callerStallTimeout))
 	defer caller.release()
 	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
-	if !r.admit(req) {
+	if !r.admit(req) || r.refuseQuarantined(req) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(hr.Context(), req.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer r.quarantine.begin(req, end)()
 	caller.limit = req.Deadline.Add(writeGrace)
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/core/targetlimit"
@@ -62,6 +63,9 @@
 func (nopObserver) NoRoom(*Request, *Target, error)                                              {}
 func (nopObserver) Sent(*Request, *Target, string)                                               {}
 func (nopObserver) TargetCrashed(*Target, []LostRequest)                                         {}
+func (nopObserver) Quarantined(quarantine.Record, time.Duration)                                 {}
+func (nopObserver) Unquarantined(quarantine.Record)                                              {}
+func (nopObserver) QuarantineNotReported(quarantine.Command, error)                              {}
 func (nopObserver) Attempted(*Request, *Target, string, error)                                   {}
 func (nopObserver) Copied(*Request, *Target, *Target, bool, time.Duration, error)                {}
 func (nopObserver) RetryGranted(*Request, string, RetryVerdict)                                  {}
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -21,8 +21,10 @@
 	outcomeNotRun      = "not_run"   // the target states that it did not run the request
 	outcomeWrongTarget = "elsewhere" // another target has the address
 	outcomeLost        = "lost"      // the response was lost, and the request may have been run
-	outcomeNoMove      = "no_move"   // the run could not be moved there
-	outcomeFailed      = "failed"    // the target answered with an error of its own
+	// outcomeQuarantined: nothing was sent, because the request crashes targets.
+	outcomeQuarantined = "quarantined"
+	outcomeNoMove      = "no_move" // the run could not be moved there
+	outcomeFailed      = "failed"  // the target answered with an error of its own
 )
 
 // send sends the request once, under a permit, and classifies the result. It returns an
@@ -61,7 +63,7 @@
 		MaxIdle: r.maxIdleConns(t),
 	})
 	outcome := r.classify(ctx, req, t, reply, err)
-	if outcome == outcomeHeldBack {
+	if outcome == outcomeHeldBack || outcome == outcomeQuarantined {
 		r.releasePermit(p)
 	}
 	if mayHaveReadIt(outcome) {
@@ -105,6 +107,8 @@
 		return outcomeHeldBack
 	case errors.Is(err, errEvacuated):
 		return outcomeNotSent
+	case errors.Is(err, errQuarantined):
+		return outcomeQuarantined
 	case err != nil:
 		if ctx.Err() == nil {
 			t.recordFailure(time.Now())
@@ -152,12 +156,19 @@
 
 // mayHaveReadIt reports whether the target may have read the request after an outcome.
 func mayHaveReadIt(outcome string) bool {
-	return outcome != outcomeNotSent && outcome != outcomeWrongTarget && outcome != outcomeHeldBack
+	switch outcome {
+	case outcomeNotSent, outcomeWrongTarget, outcomeHeldBack, outcomeQuarantined:
+		return false
+	}
+	return true
 }
 
 // mayTryAnother reports whether the request may be sent to another target after an outcome:
 // never if it may have been run and must not be run twice.
 func (r *Relay) mayTryAnother(req *Request, outcome string) bool {
+	if outcome == outcomeQuarantined {
+		return false
+	}
 	if !mayHaveReadIt(outcome) {
 		return len(req.tried) < maxTargetTries
 	}
--- /dev/null
+++ b/node/relay/served.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"hash/maphash"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// servedTime is how long a run that ended well shows that its request does not crash targets.
+	servedTime = 10 * time.Second
+	// servedSlots is the number of requests remembered. Of two in the same slot the later one is.
+	servedSlots = 4096
+	// servedTimeBits is the number of low bits of a slot that hold the time, in seconds; the
+	// others hold the hash of the request.
+	servedTimeBits = 24
+	servedTimeMask = 1<<servedTimeBits - 1
+)
+
+// servedLog remembers which requests were served recently at this entry process. It is safe for
+// concurrent use.
+type servedLog struct {
+	seed  maphash.Seed
+	start time.Time
+	slots [servedSlots]atomic.Uint64
+}
+
+func newServedLog() *servedLog { return &servedLog{seed: maphash.MakeSeed(), start: time.Now()} }
+
+// add records that a run of a request has ended well.
+func (l *servedLog) add(req *Request, now time.Time) {
+	h := l.hash(req)
+	l.slots[h%servedSlots].Store(h&^servedTimeMask | l.seconds(now))
+}
+
+// has reports whether a run of the request has ended well within servedTime.
+func (l *servedLog) has(req *Request, now time.Time) bool {
+	h := l.hash(req)
+	slot := l.slots[h%servedSlots].Load()
+	age := (l.seconds(now) - slot) & servedTimeMask
+	return slot != 0 && slot&^servedTimeMask == h&^servedTimeMask && age <= uint64(servedTime/time.Second)
+}
+
+// seconds returns a time as a number of servedTimeBits bits, which is never zero at first.
+func (l *servedLog) seconds(now time.Time) uint64 {
+	return (uint64(now.Sub(l.start)/time.Second) + 1) & servedTimeMask
+}
+
+func (l *servedLog) hash(req *Request) uint64 {
+	var h maphash.Hash
+	h.SetSeed(l.seed)
+	hr := req.httpRequest
+	for _, field := range []string{string(req.customerID()), hr.Host, hr.Method, req.uri} {
+		_, _ = h.WriteString(field) // never fails
+		_ = h.WriteByte(0)
+	}
+	_, _ = h.Write(req.body)
+	return h.Sum64()
+}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -329,6 +329,7 @@
 		return
 	}
 	s.sendHeader(l)
+	s.relay.quarantine.ended(s.req)
 	s.relay.obs.Ended(s.req, http.StatusOK, Answered)
 }
 
@@ -351,11 +352,14 @@
 // abort ends a stream early. If the header has been sent, it closes the connection without the
 // last chunk, so that the response does not look complete.
 func (s *streamRun) abort(reason api.Reason) {
+	if s.relay.quarantine.refuses(s.req) > 0 {
+		reason = api.ReasonQuarantined
+	}
 	if s.headerSent {
 		s.relay.obs.Ended(s.req, http.StatusOK, string(reason))
 		panic(http.ErrAbortHandler)
 	}
-	if reason == api.ReasonTimeout {
+	if reason == api.ReasonTimeout || reason == api.ReasonQuarantined {
 		s.relay.failTimeout(s.req)
 		return
 	}
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -42,9 +42,11 @@
 	rng  *rand.Rand
 	live atomic.Pointer[routeconf.Table]
 	// group grants retries to all entries.
-	group   *localPool
-	targets []*simTarget
-	entries []*simEntry
+	group *localPool
+	// quarantine is the control group's part of the quarantine.
+	quarantine *simQuarantine
+	targets    []*simTarget
+	entries    []*simEntry
 
 	mu sync.Mutex
 	// sent holds when callers sent their requests.
@@ -64,11 +66,12 @@
 
 // simBoot is one entry process.
 type simBoot struct {
-	name    string
-	relay   *Relay
-	targets *Targets
-	reports *LimitReports
-	retries *Retries
+	name       string
+	relay      *Relay
+	targets    *Targets
+	reports    *LimitReports
+	retries    *Retries
+	quarantine *Quarantine
 }
 
 // simTarget is a target. Its fields change while it serves.
@@ -184,6 +187,7 @@
 // /notes/.
 func newWorld(t *testing.T, seed uint64, targets, entries int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), sent: make(map[api.RequestID]time.Time)}
+	w.quarantine = newSimQuarantine(t)
 	w.group = &localPool{limits: enoughRetries, pool: retrybudget.NewPool()}
 	split := []routeconf.Share{{Service: service, Weight: 1}}
 	table, err := routeconf.Compile(routeconf.Config{
@@ -253,10 +257,12 @@
 		b.targets.Update([]directory.Record{target.record})
 	}
 	b.targets.SetOthers(nil, len(e.w.entries)-1)
+	b.quarantine = NewQuarantine(e.w.quarantine, nopObserver{})
+	e.w.quarantine.join(b.quarantine)
 	d := &bootDialer{w: e.w, boot: name, rng: rand.New(rand.NewPCG(e.w.rng.Uint64(), 2))}
 	b.relay = New(Settings{Zone: "z"}, Ports{
 		Live: &e.w.live, Targets: b.targets, Pool: upstream.NewPoolWithDialer(nopObserver{}, d), Dialect: plainDialect{}, Engines: callingEngines{},
-		Retries: b.retries, LimitReports: b.reports, Observer: nopObserver{},
+		Retries: b.retries, LimitReports: b.reports, Quarantine: b.quarantine, Observer: nopObserver{},
 	})
 	e.mu.Lock()
 	e.boot = b
@@ -373,7 +379,7 @@
 func (s *simTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body) // incomplete if the caller has left
 	time.Sleep(s.oneWay())
-	defer s.beginRun(string(body))()
+	s.beginRun(w, r, string(body))
 	boot, _ := r.Context().Value(bootKey{}).(string)
 	link, backoff, leaving := s.arrive(boot, r)
 	if s.onArrival != nil {
