Soak: requests that crash their targets

Cause: no run of the soak had targets that crash because of what they run. Change: a service of six targets, two callers that send one such request each at random entries again and again, other callers of the same targets. Checked: at most 3 runs of such a request later than 3 s after its third crash, sent while the fleet is calm; at most 10 in all; the calm fleet serves all others. Half of the targets refuse connections while they are down, at the others something else accepts them.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +68,7 @@
 	retries  map[api.ServiceID][]time.Time
 	limits   limits
 	backoffs backoffs
+	crashes  crashes
 	// evacuations holds the periods in which a zone was evacuated; to is zero until a period
 	// ends.
 	evacuations []delayPeriod
@@ -80,7 +82,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), evacuated: make(map[api.Zone]time.Time), serviceByVersion: make(map[uint64]api.ServiceID), retries: make(map[api.ServiceID][]time.Time), limits: newLimits(), backoffs: newBackoffs()}
+	return &checker{calls: make(map[api.RequestID]*call), drained: make(map[api.TargetID]time.Time), evacuated: make(map[api.Zone]time.Time), serviceByVersion: make(map[uint64]api.ServiceID), retries: make(map[api.ServiceID][]time.Time), limits: newLimits(), backoffs: newBackoffs(), crashes: crashes{make(map[string][]crashRun)}}
 }
 
 // recordViolation records a violated guarantee. The caller must hold k.mu.
@@ -132,6 +134,7 @@
 	}
 	c.runs = append(c.runs, r)
 	k.recordArrival(c, r)
+	k.recordCrashRun(c, r)
 	k.limits.arrived[r.Target] = append(k.limits.arrived[r.Target], r.Began)
 	if len(c.runs) > 1 {
 		k.retries[r.Service] = append(k.retries[r.Service], r.Began)
@@ -210,7 +213,7 @@
 	defer k.mu.Unlock()
 	c := k.calls[id]
 	k.recordLeaving(c, a)
-	if k.calmAt(c.sent) && !k.restricted(c) {
+	if k.calmAt(c.sent) && !k.restricted(c) && !strings.HasPrefix(c.kind.path, crashPrefix) {
 		k.calmCalls++
 		if a.Status == 200 && a.Whole {
 			k.servedCalls++
@@ -336,9 +339,10 @@
 	k.checkBackoffs()
 	k.checkLeaving()
 	k.checkReleases()
+	k.checkCrashes()
 	violations := slices.Clone(k.violations)
 	if k.calmCalls > 0 && float64(k.servedCalls) < minSuccessRatio*float64(k.calmCalls) {
 		violations = append(violations, fmt.Sprintf("a calm fleet served %d of %d calls", k.servedCalls, k.calmCalls))
 	}
-	return fmt.Sprintf("%d calls, %d of %d served while calm, %d configurations accepted, %d released targets checked", len(k.calls), k.servedCalls, k.calmCalls, len(k.acked), k.checkedReleases), violations
+	return fmt.Sprintf("%d calls, %d of %d served while calm, %d configurations accepted, %d released targets checked, %d runs that crashed their target", len(k.calls), k.servedCalls, k.calmCalls, len(k.acked), k.checkedReleases, k.crashes.count()), violations
 }
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -242,12 +243,12 @@
 	return n.start()
 }
 
-// startTargets starts perService targets of each service.
-func startTargets(a addresses, f *fleet, services []api.ServiceID, perService int, check *checker) ([]*targetSlot, error) {
+// startTargets starts perService targets of each service. Their addresses begin with number from.
+func startTargets(a addresses, f *fleet, services []api.ServiceID, perService, from int, check *checker) ([]*targetSlot, error) {
 	var out []*targetSlot
 	for _, s := range services {
 		for range perService {
-			i := len(out)
+			i := from + len(out)
 			p := &targetSlot{service: s, zone: ownZone, listen: hostPort(a.listen(groupTarget, i), portTarget), advertised: hostPort(a.advertised(groupTarget, i), portTarget), control: f.operators(), onRun: check.Ran, onReject: check.Rejected}
 			if len(out)%perService > 0 {
 				p.zone = otherZone
@@ -275,6 +276,8 @@
 	onRun      func(standin.Run)
 	onReject   func(standin.Run, time.Duration)
 	forward    *forwarder
+	// crashes crashes the target, after a delay.
+	crashes func()
 
 	// busy is held while the target is replaced.
 	busy       sync.Mutex
@@ -294,11 +297,21 @@
 	t, err := standin.StartTarget(standin.TargetSettings{
 		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.advertised, Control: p.control,
 		Every: announceInterval, Work: targetWorkTime, Ran: p.onRun, Rejected: p.onReject,
+		Crashes: p.crashesOn,
 	})
 	p.target = t
 	return err
 }
 
+// crashesOn reports whether a request crashes the target, and lets it crash.
+func (p *targetSlot) crashesOn(path string) bool {
+	if !strings.HasPrefix(path, crashPrefix) {
+		return false
+	}
+	go p.crashes() // ends when the next target runs
+	return true
+}
+
 func (p *targetSlot) id() api.TargetID {
 	return api.TargetID(fmt.Sprintf("%s-%s-%d", p.service, p.advertised, p.generation))
 }
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -46,18 +46,23 @@
 	{path: "/change/x", changing: true, services: []api.ServiceID{serviceA, serviceB}},
 }
 
+// steadyKind is the kind of requests to targets that other requests crash.
+var steadyKind = requestKind{path: steadyPath, services: []api.ServiceID{serviceCrashing}}
+
 // configuration returns the configuration with the given version, and the service that its
 // changing route names: serviceA for an even turn, serviceB for an odd one.
 func configuration(version uint64, turn int) (standin.Configuration, api.ServiceID) {
 	changing := []api.ServiceID{serviceA, serviceB}[turn%2]
 	return standin.Configuration{
 		Version: version, Key: key, Timeout: routeTimeout,
-		Services: []api.ServiceID{serviceWriters, serviceA, serviceB},
+		Services: []api.ServiceID{serviceWriters, serviceA, serviceB, serviceCrashing},
 		Routes: []standin.Route{
 			{Name: "look", Host: host, Prefix: "/look/", Kind: standin.KindIdempotent, Service: serviceA, Targets: 2},
 			{Name: "book", Host: host, Prefix: "/book/", Kind: standin.KindOnce, Service: serviceA, Targets: 1},
 			{Name: "notes", Host: host, Prefix: "/notes/", Kind: standin.KindStream, Service: serviceWriters, Targets: 1},
 			{Name: "tags", Host: host, Prefix: "/tags/", Kind: standin.KindStream, Service: serviceWriters, Targets: 2, Resumable: true},
+			{Name: "steady", Host: host, Prefix: "/steady/", Kind: standin.KindIdempotent, Service: serviceCrashing, Targets: 2},
+			{Name: "crash", Host: host, Prefix: crashPrefix, Kind: standin.KindIdempotent, Service: serviceCrashing, Targets: 2},
 			{Name: "change", Host: host, Prefix: "/change/", Kind: standin.KindIdempotent, Service: changing, Targets: 2},
 		},
 	}, changing
@@ -68,6 +73,7 @@
 type callers struct {
 	entries []string
 	check   *checker
+	kinds   []requestKind
 	next    atomic.Int64
 }
 
@@ -77,20 +83,24 @@
 func (c *callers) run(ctx context.Context, rng *rand.Rand) {
 	caller := standin.NewCaller()
 	for ctx.Err() == nil {
-		kind := requestKinds[rng.IntN(len(requestKinds))]
-		id := api.RequestID(fmt.Sprintf("%016x", c.next.Add(1)))
-		entry := c.entries[rng.IntN(len(c.entries))]
-		c.check.Sent(id, kind, entry)
-		a := caller.Do(ctx, standin.Call{
-			Entry: entry, Host: host, Path: kind.path, Key: key, Request: id, Patience: callerTimeout,
-		})
-		if ctx.Err() == nil {
-			c.check.Answered(id, a)
-		}
+		c.call(ctx, caller, c.kinds[rng.IntN(len(c.kinds))], rng, "")
 		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(meanCallPause)))
 	}
 }
 
+// call makes one call to a random entry. An empty body stands for one of its own.
+func (c *callers) call(ctx context.Context, caller *standin.Caller, kind requestKind, rng *rand.Rand, body string) {
+	id := api.RequestID(fmt.Sprintf("%016x", c.next.Add(1)))
+	entry := c.entries[rng.IntN(len(c.entries))]
+	c.check.Sent(id, kind, entry)
+	a := caller.Do(ctx, standin.Call{
+		Entry: entry, Host: host, Path: kind.path, Key: key, Request: id, Body: body, Patience: callerTimeout,
+	})
+	if ctx.Err() == nil {
+		c.check.Answered(id, a)
+	}
+}
+
 // operators holds what the operators share. They change and read the configuration and
 // evacuate a zone through random control members. Changes by two operators may race.
 type operators struct {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,7 +37,9 @@
 	limits bool
 	// backoffs is set if targets reject requests and state that they are leaving.
 	backoffs bool
-	out      io.Writer
+	// crashes is set if some requests crash the targets that run them.
+	crashes bool
+	out     io.Writer
 }
 
 func main() {
@@ -55,6 +58,7 @@
 	app.Flag("calm", "Time without faults after each, counted from when the fleet has settled.").Default("5s").DurationVar(&set.calm)
 	app.Flag("limits", "Targets name limits.").Default("true").BoolVar(&set.limits)
 	app.Flag("backoffs", "Targets ask for times without requests, and state that they are leaving.").Default("true").BoolVar(&set.backoffs)
+	app.Flag("crashes", "Some requests crash the targets that run them.").Default("true").BoolVar(&set.crashes)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
 	// its addresses forever.
@@ -126,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	slots, err := startTargets(a, f, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, check)
+	slots, err := startTargets(a, f, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, check)
 	defer func() {
 		for _, p := range slots {
 			p.stop()
@@ -135,6 +139,18 @@
 	if err != nil {
 		return err
 	}
+	if config.crashes {
+		crashing, err := startCrashTargets(ctx, a, f, len(slots), check)
+		defer func() {
+			for _, p := range crashing {
+				p.busy.Lock() // waits for a replacement in progress
+				p.stop()
+			}
+		}()
+		if err != nil {
+			return err
+		}
+	}
 	ops := &operators{members: f.operators(), check: check}
 	if err := bootstrap(ctx, f, ops, rng); err != nil {
 		return err
@@ -180,7 +196,14 @@
 func runLoad(ctx context.Context, config settings, f *fleet, slots []*targetSlot, ops *operators, check *checker, rng *rand.Rand) {
 	ctx, cancel := context.WithCancel(ctx)
 	var work conc.WaitGroup
-	c := &callers{check: check}
+	c := &callers{check: check, kinds: requestKinds}
+	if config.crashes {
+		c.kinds = append(slices.Clone(requestKinds), steadyKind)
+		for i := range crashCallers {
+			own := rand.New(rand.NewPCG(config.seed, uint64(5000+i)))
+			work.Go(func() { c.sendCrashing(ctx, own, i) })
+		}
+	}
 	for _, n := range f.entries {
 		c.entries = append(c.entries, hostPort(n.config.Host, portCallers))
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -43,18 +43,20 @@
 		name             string
 		seed             uint64
 		limits, backoffs bool
+		crashes          bool
 	}{
-		{"any", 1, false, false},
+		{"any", 1, false, false, false},
 		// The response to an idempotent request was lost while the only other target was
 		// draining, and the caller was told that the request had not run.
-		{"refused though it may have run", 121, false, false},
-		{"targets name limits", 4, true, false},
-		{"targets ask for times without requests and leave", 6, false, true},
+		{"refused though it may have run", 121, false, false, false},
+		{"targets name limits", 4, true, false, false},
+		{"targets ask for times without requests and leave", 6, false, true, false},
+		{"requests crash targets", 8, false, false, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			set := shortRun(binary, filepath.Join(t.TempDir(), "run"), tt.seed)
-			set.limits, set.backoffs = tt.limits, tt.backoffs
+			set.limits, set.backoffs, set.crashes = tt.limits, tt.backoffs, tt.crashes
 			qt.New(t).Assert(runSeed(t.Context(), set), qt.IsNil)
 		})
 	}
