--- a/node/relay/quarantine.go
+++ b/node/relay/quarantine.go
@@ -289,6 +289,17 @@
 	return r, ok
 }
 
+// Refused returns the number of requests that are refused at present.
+func (q *Quarantine) Refused() int {
+	n, now := 0, time.Now()
+	for _, r := range q.view.Load().records {
+		if r.until.After(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // refuses returns for how much longer the request is refused, zero if it is not.
 func (q *Quarantine) refuses(req *Request) time.Duration {
 	r, ok := q.lookUp(req)
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -85,12 +85,20 @@
 // Fingerprint identifies the request among those that its customer sends again.
 func (req *Request) Fingerprint() quarantine.Fingerprint {
 	req.fingerprintOnce.Do(func() {
-		hr := req.httpRequest
-		req.fingerprint = quarantine.FingerprintOf(req.customerID(), hr.Host, hr.Method, req.uri, req.body)
+		req.fingerprint = quarantine.FingerprintOf(req.customerID(), req.routeHost(), req.httpRequest.Method, req.uri, req.body)
 	})
 	return req.fingerprint
 }
 
+// routeHost returns the host of the request's route. The Host field of the request may also hold the
+// address of one entry.
+func (req *Request) routeHost() string {
+	if req.Route == nil {
+		return ""
+	}
+	return req.Route.Host
+}
+
 // customerID returns the customer's ID, empty on a public route.
 func (req *Request) customerID() api.CustomerID {
 	if req.Customer == nil {
--- a/node/relay/served.go
+++ b/node/relay/served.go
@@ -49,8 +49,7 @@
 func (l *servedLog) hash(req *Request) uint64 {
 	var h maphash.Hash
 	h.SetSeed(l.seed)
-	hr := req.httpRequest
-	for _, field := range []string{string(req.customerID()), hr.Host, hr.Method, req.uri} {
+	for _, field := range []string{string(req.customerID()), req.routeHost(), req.httpRequest.Method, req.uri} {
 		_, _ = h.WriteString(field) // never fails
 		_ = h.WriteByte(0)
 	}
