Log attempts at control members that get no reply

Cause: a call's outcome unknown does not say which attempt got no reply, and why, so the hypotheses on the minority's outcome can't be told apart. Change: the client of the control group reports such attempts (event 507): the member, why (the reason of the link, timeout, call_ended) and after what time. No decision changes.

--- a/node/control/attempt.go
+++ b/node/control/attempt.go
@@ -110,18 +110,31 @@
 		probe := time.AfterFunc(probeDelay, func() { conn.Probe(probeTimeout) })
 		defer probe.Stop()
 	}
+	began := time.Now()
 	limit := time.NewTimer(attemptTimeout)
 	defer limit.Stop()
+	why := lostTimeout
 	select {
 	case r = <-ch:
-		return r, true
+		if r != nil {
+			return r, true
+		}
+		why = conn.CloseReason()
 	case <-limit.C:
 		conn.Close()
 	case <-ctx.Done():
+		why = lostCallEnded
 	}
+	c.opt.Observer.AttemptLost(string(conn.Peer().Instance), why, time.Since(began))
 	return nil, true
 }
 
+// Why an attempt got no reply, if its link was not closed; otherwise the reason is that of the link.
+const (
+	lostTimeout   = "timeout"    // the member did not reply within attemptTimeout
+	lostCallEnded = "call_ended" // the call ended first
+)
+
 func (c *Client) removeWaiting(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -66,18 +66,23 @@
 	ReportEvery time.Duration
 }
 
-// ClientObserver is notified of dials that fail. Established links are reported to
-// the observer in the link options. Its methods are called on one goroutine.
+// ClientObserver is notified of dials and attempts that fail. Established links are reported
+// to the observer in the link options.
 type ClientObserver interface {
 	// DialFailed is called for the first of several consecutive failures only,
-	// because a client retries several times a second.
+	// because a client retries several times a second. It is called on one goroutine.
 	DialFailed(addr string, err error)
+	// AttemptLost is called when an attempt of a call got no reply after a time, so that its effect
+	// is unknown. It may be called from several goroutines.
+	AttemptLost(member, why string, after time.Duration)
 }
 
 type noClientObserver struct{}
 
 func (noClientObserver) DialFailed(string, error) {}
 
+func (noClientObserver) AttemptLost(string, string, time.Duration) {}
+
 // Client connects a process, usually an entry, to the control group. It keeps one
 // link, to the leader if one is known. Run drives it; the other methods may be
 // called from several goroutines and retry until their context ends.
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -41,7 +41,10 @@
 	Pace         Pacer
 	Observer     Observer
 	LinkObserver link.Observer
-	Limits       state.Limits
+	// ClientObserver is notified of what the client that forwards operators' requests meets; it may
+	// be nil.
+	ClientObserver ClientObserver
+	Limits         state.Limits
 	// Retries is Options.Retries.
 	Retries retrybudget.Limits
 	// SnapshotEntries is Options.SnapshotEntries.
@@ -144,7 +147,7 @@
 	if s.Operator == nil && s.Join == nil {
 		return
 	}
-	r.executor = &executor{member: r.member, forward: NewClient(ClientOptions{Seeds: s.forwardSeeds(), AvoidAddr: s.ownAddr(), Link: opt})}
+	r.executor = &executor{member: r.member, forward: NewClient(ClientOptions{Seeds: s.forwardSeeds(), AvoidAddr: s.ownAddr(), Link: opt, Observer: s.ClientObserver})}
 	r.wg.Go(func() { r.executor.forward.Run(ctx) })
 	if s.Join != nil {
 		r.wg.Go(func() { keepJoined(ctx, r.executor, s.Join.Self) })
--- a/node/control/role_test.go
+++ b/node/control/role_test.go
@@ -69,6 +69,22 @@
 	return ln
 }
 
+// clientLog logs what the client of a member meets.
+type clientLog struct {
+	t  testing.TB
+	id consensus.MemberID
+}
+
+// DialFailed implements ClientObserver.
+func (l clientLog) DialFailed(addr string, err error) {
+	l.t.Logf("%s member %d: dial %s: %v", time.Now().Format("05.000"), l.id, addr, err)
+}
+
+// AttemptLost implements ClientObserver.
+func (l clientLog) AttemptLost(member, why string, after time.Duration) {
+	l.t.Logf("%s member %d: attempt at %s lost after %v: %s", time.Now().Format("05.000"), l.id, member, after, why)
+}
+
 func (g *roleGroup) start(id consensus.MemberID) {
 	g.t.Helper()
 	ln, op := listen(g.t, g.addrs[id]), listen(g.t, g.operators[id])
@@ -90,6 +106,8 @@
 		Key:          []byte(testKey),
 		Token:        testToken,
 		Limits:       state.DefaultLimits(),
+
+		ClientObserver: clientLog{g.t, id},
 	})
 	qt.Assert(g.t, err, qt.IsNil)
 	g.roles[id] = role
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -78,6 +78,7 @@
 	ControlStranger      = Event{504, zerolog.WarnLevel, "control member refused an unauthenticated or forbidden request", "Find who calls the operator interface with a wrong token, or which process asks for what only operators may."}
 	ControlFailed        = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save, check the disk before starting the member again. If the data directory is lost, replace the member by a new one (almondctl members add, promote, remove)."}
 	ControlMended        = Event{506, zerolog.InfoLevel, "automatic change of the control group's members proposed", "None, unless refused recurs: then see with the members' logs which of them are up."}
+	ControlAttemptLost   = Event{507, zerolog.InfoLevel, "an attempt of a call at a control member got no reply", "None, unless it recurs: why=timeout says that the member is slow, silence that it is cut off, local that this process left it."}
 	ConfigInForce        = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable       = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict       = Event{602, zerolog.ErrorLevel, "received different content for the revision already held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -96,7 +97,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported,
-		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
 	}
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -37,6 +37,8 @@
 	dropped       *prometheus.CounterVec
 	agentEnded    *prometheus.CounterVec
 	evacuated     prometheus.Gauge
+	// attemptsLost counts attempts of calls at control members that got no reply, by why.
+	attemptsLost *prometheus.CounterVec
 }
 
 // New returns a set with its own registry.
@@ -57,6 +59,7 @@
 		dropped:       f.NewCounterVec(counter("frames_dropped_total", "Frames that an entry did not take, by why."), []string{"why"}),
 		agentEnded:    f.NewCounterVec(counter("agent_requests_ended_total", "Requests that an agent took, by outcome."), []string{"outcome"}),
 	}
+	s.attemptsLost = f.NewCounterVec(counter("control_attempts_lost_total", "Attempts of calls at control members that got no reply, by why."), []string{"why"})
 	s.evacuated = f.NewGauge(gauge("zones_evacuated", "Availability zones whose targets get no new work from this entry."))
 	s.initSeries()
 	return s
@@ -99,6 +102,12 @@
 	events.LinkDialFailed.Log(s.log).Str("peer", addr).Err(err).Send()
 }
 
+// AttemptLost implements control.ClientObserver.
+func (s *Set) AttemptLost(member, why string, after time.Duration) {
+	s.attemptsLost.WithLabelValues(why).Inc()
+	events.ControlAttemptLost.Log(s.log).Str("peer", member).Str("why", why).Dur("after", after).Send()
+}
+
 // LinkClosed implements link.Observer.
 func (s *Set) LinkClosed(p link.Peer, why string) {
 	s.links.WithLabelValues(string(p.Role)).Dec()
--- a/node/process/control.go
+++ b/node/process/control.go
@@ -84,7 +84,9 @@
 		Pace:         loadPace,
 		Observer:     control.NewMetrics(m.Registry, log, store.ID()),
 		LinkObserver: m,
-		Limits:       state.DefaultLimits(),
+
+		ClientObserver: m,
+		Limits:         state.DefaultLimits(),
 	}
 	c.role, err = control.Start(c.roleSettings)
 	if err != nil {
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -62,17 +62,19 @@
 	log          *zerolog.Logger
 	observer     *control.Metrics
 	linkObserver link.Observer
-	registry     *registry.Registry
-	follower     *registry.Follower
-	role         atomic.Pointer[control.Role]
-	work         conc.WaitGroup
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// clientObserver is notified of what the client that forwards requests meets.
+	clientObserver control.ClientObserver
+	registry       *registry.Registry
+	follower       *registry.Follower
+	role           atomic.Pointer[control.Role]
+	work           conc.WaitGroup
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // NewRoutedControl creates a control member; Start runs it.
 func NewRoutedControl(set RoutedControlSettings, m *metrics.Set, log *zerolog.Logger) *RoutedControl {
-	c := &RoutedControl{set: set, log: log, linkObserver: m}
+	c := &RoutedControl{set: set, log: log, linkObserver: m, clientObserver: m}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.observer = control.NewMetrics(m.Registry, log, 0)
 	c.registry = registry.New(metrics.Directory{Log: log}, nil)
@@ -155,11 +157,13 @@
 		Validate:     c.set.Validate,
 		Observer:     c.observer,
 		LinkObserver: c.linkObserver,
-		Limits:       routedLimits(),
-		Retries:      c.set.Retries,
-		Join:         &control.Join{Seeds: c.set.Seeds, Self: c.set.Links},
-		Registry:     c.registry,
-		Silence:      routedLinkTimeout,
+
+		ClientObserver: c.clientObserver,
+		Limits:         routedLimits(),
+		Retries:        c.set.Retries,
+		Join:           &control.Join{Seeds: c.set.Seeds, Self: c.set.Links},
+		Registry:       c.registry,
+		Silence:        routedLinkTimeout,
 	})
 	if err != nil {
 		_ = ln.Close()
