--- a/node/control/client_test.go
+++ b/node/control/client_test.go
@@ -166,3 +166,42 @@
 	})
 	return ln.Addr().String()
 }
+
+// TestLinkIsNotClosedUnderAnAttempt guards against the outcome unknown for a request that no member
+// ran, because the client left the member for another, or for want of a leader, before its reply
+// arrived.
+func TestLinkIsNotClosedUnderAnAttempt(t *testing.T) {
+	for name, leader := range map[string]Leader{
+		"another member leads": {Addr: "127.0.0.1:1"},
+		"no leader":            {},
+		"no group":             {Groupless: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			start, stop := context.WithCancel(context.Background())
+			addr := serveScript(t, func(conn *link.Conn, m wire.Message) {
+				req, ok := m.(*Request)
+				if !ok {
+					return
+				}
+				_ = conn.Send(&leader)
+				stop()
+				time.Sleep(leaderlessTimeout + 300*time.Millisecond)
+				_ = conn.Send(&Reply{ID: req.ID, Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable})
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			client := NewClient(ClientOptions{
+				Seeds: []string{addr}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "control", Role: link.RoleControl}, nil),
+			})
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				client.Run(ctx)
+			}()
+			r := client.ExecWithin(start, ctx, Request{Command: &state.Command{}})
+			c.Check(r.Outcome, qt.Equals, api.OutcomeNotRun)
+			cancel()
+			<-ended
+		})
+	}
+}
