A link to a control member is not closed under an attempt

What the operator sees: a change sent to a member without a majority is refused as unknown, though it never left the member. Cause: the client leaves a member that knows no leader after 1.2 s, and one that names another at once, by closing the link. An attempt that waits on it then gets no reply, counts as sent, and makes the whole call unknown. Change: a link that is left takes no further attempts; the next one is dialled at once, and the old one is closed when its replies have arrived or its attempts have ended (2 s at most). Only replies are taken from it.

--- a/node/control/attempt.go
+++ b/node/control/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/node/link"
 )
 
 const (
@@ -99,10 +100,10 @@
 	conn := c.conn
 	c.seq++
 	req.ID = c.seq
-	c.waiting[req.ID] = ch
+	c.waiting[req.ID] = waitingAttempt{conn, ch}
 	probeTimeout := c.probes.timeout()
 	c.mu.Unlock()
-	defer c.removeWaiting(req.ID)
+	defer c.removeWaiting(req.ID, conn)
 	if conn == nil || conn.Send(&req) != nil {
 		return nil, false
 	}
@@ -135,10 +136,20 @@
 	lostCallEnded = "call_ended" // the call ended first
 )
 
-func (c *Client) removeWaiting(id uint64) {
+// waitingAttempt is an attempt that waits for its reply on a link.
+type waitingAttempt struct {
+	conn    *link.Conn
+	replies chan *Reply
+}
+
+// removeWaiting ends the wait for a reply. The last one to wait on a link that was left closes it.
+func (c *Client) removeWaiting(id uint64, conn *link.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiting, id)
+	if conn != nil && c.conn != conn && !c.awaitsReply(conn) {
+		conn.Close()
+	}
 }
 
 // unavailable returns the error for a request that was not completed.
--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"almondseam.dev/node/link"
 )
 
 const (
@@ -83,6 +85,32 @@
 // linkCloser is the part of a link that handleLeader uses.
 type linkCloser interface{ Close() }
 
+// leave ends the use of a link. If attempts on it wait for replies, the link is closed when these
+// have arrived or the attempts have ended: an attempt without a reply may have had an effect. c.mu
+// must be held.
+func (c *Client) leave(conn linkCloser) {
+	l, ok := conn.(*link.Conn)
+	if !ok || !c.awaitsReply(l) {
+		// Close takes no lock of Client, so it may be called with mu held.
+		conn.Close()
+		return
+	}
+	if c.conn == l {
+		c.release(l)
+		close(c.left)
+	}
+}
+
+// awaitsReply reports whether an attempt on the link waits for a reply. c.mu must be held.
+func (c *Client) awaitsReply(conn *link.Conn) bool {
+	for _, w := range c.waiting {
+		if w.conn == conn {
+			return true
+		}
+	}
+	return false
+}
+
 // handleLeader handles a member's statement about the leader. If another member is
 // the leader, the client closes this link and dials the leader. If the member knows
 // no leader, the client waits for leaderlessTimeout, since most elections are over by
@@ -103,12 +131,14 @@
 		c.followLeader(conn, m.Addr)
 	case m.Groupless:
 		c.failedAt[c.lastAddr] = time.Now()
-		conn.Close()
+		c.leave(conn)
 	default:
 		addr := c.lastAddr
 		c.leaderTimer = time.AfterFunc(leaderlessTimeout, func() {
-			c.markFailed(addr)
-			conn.Close()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.failedAt[addr] = time.Now()
+			c.leave(conn)
 		})
 	}
 }
@@ -126,26 +156,28 @@
 func (c *Client) redirect(conn linkCloser, addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if l, ok := conn.(*link.Conn); ok && c.conn != l {
+		return // the link was left already
+	}
 	c.followLeader(conn, addr)
 }
 
-// followLeader closes the link and makes the client dial the leader next. If the leader has
+// followLeader leaves the link and makes the client dial the leader next. If the leader has
 // failed a moment ago the client stays with this member for the rest of failedLeaderPause. c.mu
 // must be held.
 func (c *Client) followLeader(conn linkCloser, addr string) {
 	pause := c.leaderPause(addr, time.Now())
 	if pause == 0 {
 		c.nextAddr = addr
-		// Close takes no lock of Client, so it may be called with mu held.
-		conn.Close()
+		c.leave(conn)
 		return
 	}
 	c.stopLeaderTimer()
 	c.leaderTimer = time.AfterFunc(pause, func() {
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.nextAddr = addr
-		c.mu.Unlock()
-		conn.Close()
+		c.leave(conn)
 	})
 }
 
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -35,24 +35,23 @@
 	// OnMembers is called with the link addresses of the whole group whenever a
 	// member sends them; it may be nil.
 	OnMembers func(addrs []string)
-	// OnConfig is called with each newer revision, in ascending order, on the
-	// goroutine of Run. It must not block for long. Document is read-only.
+	// OnConfig is called with each newer revision, in ascending order. Like the other
+	// callbacks, it is called while no other is, and must not block for long. Document is
+	// read-only.
 	OnConfig func(revision api.Revision, document []byte)
 	// OnDrains is called with all targets that operators drain, whenever the list
-	// changes, on the same goroutine as OnConfig. It may be nil.
+	// changes. It may be nil.
 	OnDrains func(targets []state.Drain)
-	// OnEntries is called with all live entries, whenever they change, on the same
-	// goroutine as OnConfig. It may be nil.
+	// OnEntries is called with all live entries, whenever they change. It may be nil.
 	OnEntries func(list []wire.EntryInfo)
 	// OnOrders is called with the targets that have an order waiting and none in
-	// flight, whenever they change, on the same goroutine as OnConfig. It may be nil.
+	// flight, whenever they change. It may be nil.
 	OnOrders func(ready []api.TargetID)
-	// OnEvacuated is called with all evacuated availability zones whenever they change, on
-	// the same goroutine as OnConfig, and by HighestRevision on its caller's goroutine. A list
+	// OnEvacuated is called with all evacuated availability zones whenever they change, and
+	// by HighestRevision, then on its caller's goroutine and beside other callbacks. A list
 	// may be older than an earlier one, which its lower index shows. It may be nil.
 	OnEvacuated func(state.Evacuated)
-	// OnLimits is called with all limits that targets have stated whenever one changes, on the
-	// same goroutine as OnConfig. On a new link, limits known to the member come before the
+	// OnLimits is called with all limits that targets have stated whenever one changes. On a new link, limits known to the member come before the
 	// first configuration. A list may be older than an earlier one, which its lower index
 	// shows. It may be nil.
 	OnLimits func(state.TargetLimits)
@@ -89,23 +88,32 @@
 type Client struct {
 	opt ClientOptions
 
-	mu       sync.Mutex
-	conn     *link.Conn
-	up       chan struct{} // closed while a link is up
-	nextAddr string        // address to dial next, empty for any known one
-	lastAddr string        // address dialled last
-	members  []string      // addresses of the group, as told by a member
+	mu   sync.Mutex
+	conn *link.Conn
+	up   chan struct{} // closed while a link is up
+	// left is closed when the link is left while attempts on it still wait for replies. It is
+	// replaced with each link.
+	left     chan struct{}
+	nextAddr string   // address to dial next, empty for any known one
+	lastAddr string   // address dialled last
+	members  []string // addresses of the group, as told by a member
 	// failedAt is the time at which each address last failed.
 	failedAt map[string]time.Time
 	// leaderTimer closes the link to a member that knows no leader, or that names one which
 	// has just failed. It is nil on other links.
 	leaderTimer *time.Timer
 	seq         uint64
-	waiting     map[uint64]chan *Reply
+	waiting     map[uint64]waitingAttempt
+
+	// handling is held while a message other than a Reply is handled. A link that was left may
+	// still deliver some while the next link is up.
+	handling sync.Mutex
+	// leftLinks are the links that were left and wait for replies.
+	leftLinks conc.WaitGroup
 
 	// revision and document were delivered last. needWhole makes the next Watch
 	// ask for a whole document instead of a patch. drainsIndex is the log index of
-	// the last list of drains. Only the goroutine of Run uses these fields.
+	// the last list of drains. They are guarded by handling.
 	revision    api.Revision
 	document    []byte
 	needWhole   bool
@@ -150,7 +158,7 @@
 		opt.ReportEvery = defaultReportEvery
 	}
 	return &Client{
-		opt: opt, up: make(chan struct{}), waiting: make(map[uint64]chan *Reply), failedAt: make(map[string]time.Time),
+		opt: opt, up: make(chan struct{}), waiting: make(map[uint64]waitingAttempt), failedAt: make(map[string]time.Time),
 		patience: link.NewDialer(minDialTimeout, maxClientDialTimeout),
 	}
 }
@@ -158,6 +166,7 @@
 // Run dials members, and dials again whenever the link ends, until ctx is done.
 func (c *Client) Run(ctx context.Context) {
 	link.RunWithBackoff(ctx, retryMin, retryMax, func() bool { return c.runLink(ctx) })
+	c.leftLinks.Wait()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -169,7 +178,7 @@
 	}
 }
 
-// runLink dials one member and serves the link until it ends. It reports whether
+// runLink dials one member and serves the link until it ends or is left. It reports whether
 // the dial succeeded.
 func (c *Client) runLink(ctx context.Context) bool {
 	addr := c.nextAddress()
@@ -180,16 +189,28 @@
 		return false
 	}
 	c.dialFailing = false
-	c.attach(conn)
-	_ = conn.Send(&Watch{From: c.revision, Whole: c.needWhole})
-	var wg conc.WaitGroup
-	wg.Go(func() { c.reportLoop(ctx, conn) })
-	conn.Run(ctx, func(m wire.Message) { c.handle(conn, m) })
+	left := c.attach(conn)
+	c.handling.Lock()
+	watch := &Watch{From: c.revision, Whole: c.needWhole}
+	c.handling.Unlock()
+	_ = conn.Send(watch)
+	reporting, stopReports := context.WithCancel(ctx)
+	defer stopReports()
+	c.leftLinks.Go(func() { c.reportLoop(reporting, conn) })
+	ended := make(chan struct{})
+	c.leftLinks.Go(func() {
+		defer close(ended)
+		conn.Run(ctx, func(m wire.Message) { c.handle(conn, m) })
+		c.detach(conn)
+	})
+	select {
+	case <-ended:
+	case <-left:
+		return true
+	}
 	if conn.CloseReason() == link.CloseSilence {
 		c.markSilent(addr)
 	}
-	c.detach(conn)
-	wg.Wait()
 	return true
 }
 
@@ -203,33 +224,55 @@
 	c.opt.Observer.DialFailed(addr, err)
 }
 
-func (c *Client) attach(conn *link.Conn) {
+// attach makes conn the current link. It returns a channel that is closed when it is left.
+func (c *Client) attach(conn *link.Conn) (left <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn = conn
+	c.conn, c.left = conn, make(chan struct{})
 	close(c.up)
+	return c.left
 }
 
-// detach fails every call that waits for a reply on the link.
+// detach fails every attempt that waits for a reply on the link.
 func (c *Client) detach(conn *link.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.release(conn)
+	for id, w := range c.waiting {
+		if w.conn == conn {
+			delete(c.waiting, id)
+			close(w.replies)
+		}
+	}
+}
+
+// release ends the use of a link for further attempts. c.mu must be held.
+func (c *Client) release(conn *link.Conn) {
 	if c.conn != conn {
 		return
 	}
 	c.stopLeaderTimer() // it was for this link
 	c.conn = nil
 	c.up = make(chan struct{})
-	for id, ch := range c.waiting {
-		delete(c.waiting, id)
-		close(ch)
-	}
+}
+
+func (c *Client) isCurrent(conn *link.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn == conn
 }
 
 func (c *Client) handle(conn *link.Conn, m wire.Message) {
+	if r, ok := m.(*Reply); ok {
+		c.handleReply(conn, r)
+		return
+	}
+	c.handling.Lock()
+	defer c.handling.Unlock()
+	if !c.isCurrent(conn) {
+		return
+	}
 	switch m := m.(type) {
-	case *Reply:
-		c.handleReply(conn, m)
 	case *Update:
 		c.handleUpdate(conn, m)
 	case *Drains:
@@ -251,12 +294,12 @@
 
 func (c *Client) handleReply(conn *link.Conn, r *Reply) {
 	c.mu.Lock()
-	ch := c.waiting[r.ID]
+	w, ok := c.waiting[r.ID]
 	delete(c.waiting, r.ID)
 	c.probes.reset()
 	c.mu.Unlock()
-	if ch != nil {
-		ch <- r
+	if ok {
+		w.replies <- r
 	}
 	if r.Leader != "" {
 		c.redirect(conn, r.Leader)
