The quarantine of requests is a package of its own

Cause: entries whose targets have agents need it too; it was written for the relay's requests. Change: node/crash has the identity of a request, what was served, and the quarantine; the relay keeps the detection of crashes. Result: go test -race ./node/relay (crashes, streams, plain calls) and the process test pass. Conclusion: ready for the agents' path.

--- /dev/null
+++ b/node/crash/identity.go
@@ -0,0 +1,41 @@
+// Package crash keeps requests that crash the targets that run them from being sent on. An entry
+// reports the crashes that it observes to the control group, and refuses the requests that the
+// group attributes them to (core/quarantine).
+package crash
+
+import (
+	"sync"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/quarantine"
+)
+
+// Identity holds what makes two requests the same. It must not change.
+type Identity struct {
+	// Customer is empty if the request names none.
+	Customer api.CustomerID
+	// Host is the host of the request's route. The Host field of a request may also hold the
+	// address of one entry.
+	Host   string
+	Method string
+	// URI is the path with the query.
+	URI  string
+	Body []byte
+
+	once        sync.Once
+	fingerprint quarantine.Fingerprint
+}
+
+// Fingerprint returns the request's fingerprint. It is safe for concurrent use.
+func (i *Identity) Fingerprint() quarantine.Fingerprint {
+	i.once.Do(func() { i.fingerprint = quarantine.FingerprintOf(i.Customer, i.Host, i.Method, i.URI, i.Body) })
+	return i.fingerprint
+}
+
+// Lost is a request that was in progress at a target that crashed.
+type Lost struct {
+	*Identity
+	// InProgress is the time from sending the request to the loss of its response.
+	InProgress time.Duration
+}
--- a/node/relay/served.go
+++ b/node/crash/served.go
@@ -1,4 +1,4 @@
-package relay
+package crash
 
 import (
 	"hash/maphash"
@@ -28,14 +28,14 @@
 func newServedLog() *servedLog { return &servedLog{seed: maphash.MakeSeed(), start: time.Now()} }
 
 // add records that a run of a request has ended well.
-func (l *servedLog) add(req *Request, now time.Time) {
-	h := l.hash(req)
+func (l *servedLog) add(id *Identity, now time.Time) {
+	h := l.hash(id)
 	l.slots[h%servedSlots].Store(h&^servedTimeMask | l.seconds(now))
 }
 
 // has reports whether a run of the request has ended well within servedTime.
-func (l *servedLog) has(req *Request, now time.Time) bool {
-	h := l.hash(req)
+func (l *servedLog) has(id *Identity, now time.Time) bool {
+	h := l.hash(id)
 	slot := l.slots[h%servedSlots].Load()
 	age := (l.seconds(now) - slot) & servedTimeMask
 	return slot != 0 && slot&^servedTimeMask == h&^servedTimeMask && age <= uint64(servedTime/time.Second)
@@ -46,13 +46,13 @@
 	return (uint64(now.Sub(l.start)/time.Second) + 1) & servedTimeMask
 }
 
-func (l *servedLog) hash(req *Request) uint64 {
+func (l *servedLog) hash(id *Identity) uint64 {
 	var h maphash.Hash
 	h.SetSeed(l.seed)
-	for _, field := range []string{string(req.customerID()), req.routeHost(), req.httpRequest.Method, req.uri} {
+	for _, field := range []string{string(id.Customer), id.Host, id.Method, id.URI} {
 		_, _ = h.WriteString(field) // never fails
 		_ = h.WriteByte(0)
 	}
-	_, _ = h.Write(req.body)
+	_, _ = h.Write(id.Body)
 	return h.Sum64()
 }
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -17,6 +17,7 @@
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
@@ -93,7 +94,7 @@
 	retries *relay.Retries
 	limits  *relay.LimitReports
 	// quarantine holds the requests that are refused because they crash targets.
-	quarantine *relay.Quarantine
+	quarantine *crash.Quarantine
 	targets    *relay.Targets
 	registry   *registry.Registry
 	follower   *registry.Follower
@@ -135,7 +136,7 @@
 
 		OnQuarantine: func(list quarantine.List) { e.quarantine.Update(list) },
 	})
-	e.quarantine = relay.NewQuarantine(e.client, p.Observer)
+	e.quarantine = crash.NewQuarantine(e.client, p.Observer)
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
 	e.relay = relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions}, relay.Ports{
--- a/node/relay/crash_world_test.go
+++ b/node/relay/crash_world_test.go
@@ -19,6 +19,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/state"
+	"almondseam.dev/node/crash"
 )
 
 // What the tests of crashing requests expect, as the users state it.
@@ -56,7 +57,7 @@
 
 	mu      sync.Mutex
 	state   *state.State
-	entries []*Quarantine
+	entries []*crash.Quarantine
 	// leaderless makes all reports fail.
 	leaderless bool
 }
@@ -72,7 +73,7 @@
 }
 
 // join lets an entry process receive lists. A process that starts receives the current one.
-func (g *simQuarantine) join(q *Quarantine) {
+func (g *simQuarantine) join(q *crash.Quarantine) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.entries = append(g.entries, q)
@@ -85,7 +86,7 @@
 	g.leaderless = l
 }
 
-// ReportQuarantine implements QuarantineReporter.
+// ReportQuarantine implements crash.Reporter.
 func (g *simQuarantine) ReportQuarantine(ctx context.Context, c quarantine.Command) error {
 	sleep(ctx, simReplication)
 	data, err := state.Encode(state.Command{Now: time.Now().UnixMilli(), Quarantine: &c})
--- a/node/relay/outbound.go
+++ b/node/relay/outbound.go
@@ -8,6 +8,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/targetstate"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 )
 
@@ -52,8 +53,8 @@
 // byte, because opening a connection takes up to upstream.DefaultDialTimeout.
 func (r *Relay) exchange(ctx context.Context, req *Request, t *Target, use targetstate.Use, start sendStart, out *upstream.Request) (*upstream.Exchange, Reply, error) {
 	check := func() error {
-		if (!start.call || use == targetstate.UseNew) && r.quarantine.refuses(req) > 0 {
-			return errQuarantined
+		if (!start.call || use == targetstate.UseNew) && r.quarantine.Refuses(req.identity) > 0 {
+			return crash.ErrQuarantined
 		}
 		return r.check(t, use)
 	}
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -131,7 +131,7 @@
 		r.obs.Ended(req, x.Status, outcome)
 		panic(http.ErrAbortHandler)
 	}
-	r.quarantine.ended(req)
+	r.quarantine.Ended(req.identity)
 	r.obs.Ended(req, x.Status, Answered)
 }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -21,8 +21,8 @@
 	"time"
 
 	"almondseam.dev/core/api"
-	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/targetlimit"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 )
 
@@ -132,6 +132,8 @@
 // Observer is notified of events in the life of requests, for metrics and logs. Its methods are
 // called from many goroutines and must not block.
 type Observer interface {
+	crash.Observer
+
 	// Refused reports a request that was answered without having been run.
 	Refused(r *Request, status int, reason api.Reason)
 	// Held reports that a request waited at the entry for an engine with room.
@@ -161,14 +163,6 @@
 	LimitedSend(r *Request, t *Target, limit targetlimit.Statement, v RetryVerdict)
 	// TargetCrashed reports that a target's process ended while it ran requests of this entry.
 	TargetCrashed(t *Target, lost []LostRequest)
-	// Quarantined reports that a request is refused from now on, for the time left, because of the
-	// crashes in its record.
-	Quarantined(r quarantine.Record, left time.Duration)
-	// Unquarantined reports that a request is no longer refused.
-	Unquarantined(r quarantine.Record)
-	// QuarantineNotReported reports that the control group could not be told of a crash, or of runs
-	// that ended well.
-	QuarantineNotReported(c quarantine.Command, err error)
 	// Attempted reports the outcome of one send.
 	Attempted(r *Request, t *Target, outcome string, err error)
 	// RetryGranted reports that the retry budget allowed another send; why is the reason for
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 )
 
@@ -40,7 +42,7 @@
 	LimitReports *LimitReports
 	// Quarantine holds the requests to refuse; if it is nil, the Relay goes by what it observes
 	// itself.
-	Quarantine *Quarantine
+	Quarantine *crash.Quarantine
 	Observer   Observer
 }
 
@@ -59,13 +61,13 @@
 	prefill      *prefillRates
 	returns      *returns
 	crashes      *crashMonitor
-	quarantine   *Quarantine
+	quarantine   *crash.Quarantine
 }
 
 // New returns a Relay.
 func New(settings Settings, p Ports) *Relay {
 	if p.Quarantine == nil {
-		p.Quarantine = NewQuarantine(nil, p.Observer)
+		p.Quarantine = crash.NewQuarantine(nil, p.Observer)
 	}
 	r := &Relay{
 		settings: settings, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
@@ -79,7 +81,11 @@
 // targetCrashed reports the crash of a target with the requests that were in progress there.
 func (r *Relay) targetCrashed(t *Target, lost []LostRequest) {
 	r.obs.TargetCrashed(t, lost)
-	r.quarantine.crashed(t, lost, len(r.targets.Of(t.Service)))
+	list := make([]crash.Lost, len(lost))
+	for i, l := range lost {
+		list[i] = crash.Lost{Identity: l.Request.identity, InProgress: l.InProgress}
+	}
+	r.quarantine.Crashed(quarantine.Crash{Target: t.Target, Service: t.Service, Born: t.Born, Targets: len(r.targets.Of(t.Service))}, list)
 }
 
 // Retry-After values for refused requests, used if no better value is known.
@@ -124,7 +130,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer r.quarantine.begin(req, end)()
+	defer r.quarantine.Begin(req.identity, end)()
 	caller.limit = req.Deadline.Add(writeGrace)
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
@@ -170,7 +176,11 @@
 	req.Service = req.Route.Pick(rand.Float64())
 	req.tokens = expectedTokens(&req.Ask, 0)
 	req.costRank = r.costRanks.rank(req.Service, cost(&req.Ask, req.tokens))
-	return r.readBody(req, table.Config.Limits)
+	if !r.readBody(req, table.Config.Limits) {
+		return false
+	}
+	req.identity = &crash.Identity{Customer: req.customerID(), Host: req.Route.Host, Method: hr.Method, URI: req.uri, Body: req.body}
+	return true
 }
 
 const (
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -3,12 +3,12 @@
 import (
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/crash"
 )
 
 // Request is a caller's request in progress: what was received, what was decided by the
@@ -31,9 +31,6 @@
 	writer      *callerResponse
 	uri         string
 	body        []byte
-
-	fingerprintOnce sync.Once
-	fingerprint     quarantine.Fingerprint
 }
 
 // decision is what was decided on admission, from the configuration and from earlier requests.
@@ -46,6 +43,8 @@
 	Version uint64
 	// tokens is the KV cache, in tokens, that the request is expected to occupy at an engine.
 	tokens int
+	// identity is what the request has in common with others that are the same.
+	identity *crash.Identity
 	// costRank is the rank of the request's expected cost among the recent ones of its service,
 	// from 0 to 1.
 	costRank float64
@@ -82,22 +81,9 @@
 	}
 }
 
-// Fingerprint identifies the request among those that its customer sends again.
-func (req *Request) Fingerprint() quarantine.Fingerprint {
-	req.fingerprintOnce.Do(func() {
-		req.fingerprint = quarantine.FingerprintOf(req.customerID(), req.routeHost(), req.httpRequest.Method, req.uri, req.body)
-	})
-	return req.fingerprint
-}
-
-// routeHost returns the host of the request's route. The Host field of the request may also hold the
-// address of one entry.
-func (req *Request) routeHost() string {
-	if req.Route == nil {
-		return ""
-	}
-	return req.Route.Host
-}
+// Fingerprint identifies the request among those that its customer sends again. It must not be
+// called before the request has been admitted.
+func (req *Request) Fingerprint() quarantine.Fingerprint { return req.identity.Fingerprint() }
 
 // customerID returns the customer's ID, empty on a public route.
 func (req *Request) customerID() api.CustomerID {
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/retrybudget"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 )
 
@@ -107,7 +108,7 @@
 		return outcomeHeldBack
 	case errors.Is(err, errEvacuated):
 		return outcomeNotSent
-	case errors.Is(err, errQuarantined):
+	case errors.Is(err, crash.ErrQuarantined):
 		return outcomeQuarantined
 	case err != nil:
 		if ctx.Err() == nil {
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -329,7 +329,7 @@
 		return
 	}
 	s.sendHeader(l)
-	s.relay.quarantine.ended(s.req)
+	s.relay.quarantine.Ended(s.req.identity)
 	s.relay.obs.Ended(s.req, http.StatusOK, Answered)
 }
 
@@ -352,7 +352,7 @@
 // abort ends a stream early. If the header has been sent, it closes the connection without the
 // last chunk, so that the response does not look complete.
 func (s *streamRun) abort(reason api.Reason) {
-	if s.relay.quarantine.refuses(s.req) > 0 {
+	if s.relay.quarantine.Refuses(s.req.identity) > 0 {
 		reason = api.ReasonQuarantined
 	}
 	if s.headerSent {
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -21,6 +21,7 @@
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 )
 
@@ -71,7 +72,7 @@
 	targets    *Targets
 	reports    *LimitReports
 	retries    *Retries
-	quarantine *Quarantine
+	quarantine *crash.Quarantine
 }
 
 // simTarget is a target. Its fields change while it serves.
@@ -257,7 +258,7 @@
 		b.targets.Update([]directory.Record{target.record})
 	}
 	b.targets.SetOthers(nil, len(e.w.entries)-1)
-	b.quarantine = NewQuarantine(e.w.quarantine, nopObserver{})
+	b.quarantine = crash.NewQuarantine(e.w.quarantine, nopObserver{})
 	e.w.quarantine.join(b.quarantine)
 	d := &bootDialer{w: e.w, boot: name, rng: rand.New(rand.NewPCG(e.w.rng.Uint64(), 2))}
 	b.relay = New(Settings{Zone: "z"}, Ports{
