Entries whose targets have agents refuse crashing requests too

Change: an agent whose target's address refuses connections says in the request's end that the target has crashed, when, and for how long the run had been in progress; the entry reports that to the control group, refuses what is quarantined before each offer, and ends what waits at an agent. The same quarantine (node/crash), list and operator's commands as for routed traffic.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -127,7 +127,9 @@
 	replayTime    time.Duration
 	calls         int // plain calls in progress
 	leaving       bool
-	orders        orders
+	// crashedAt is when the last crash of the target was first observed.
+	crashedAt time.Time
+	orders    orders
 	// preemptions is the number of preemptions in the engine's last load report.
 	preemptions uint64
 }
--- a/node/agent/fake_test.go
+++ b/node/agent/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,6 +86,8 @@
 	load     TargetLoad
 	loadErr  error
 	backoff  time.Duration
+	// gone is set once the target's process has ended.
+	gone atomic.Bool
 }
 
 // Backoff implements Target.
@@ -124,6 +127,7 @@
 
 func (t *fakeTarget) Generate(ctx context.Context, w Work) (Answer, error) { return t.start(ctx, w) }
 func (t *fakeTarget) Call(ctx context.Context, w Work) (Answer, error)     { return t.start(ctx, w) }
+func (t *fakeTarget) Gone(context.Context) bool                            { return t.gone.Load() }
 func (t *fakeTarget) Capabilities() Capabilities                           { return Capabilities{} }
 func (t *fakeTarget) Load(context.Context) (TargetLoad, error) {
 	t.mu.Lock()
--- a/node/agent/ports.go
+++ b/node/agent/ports.go
@@ -68,6 +68,8 @@
 	// none. Until it ends every other method that sends something returns an error with
 	// the outcome not_run and the reason target_backoff, and sends nothing.
 	Backoff() time.Duration
+	// Gone reports whether the target's process has ended: its address refuses connections.
+	Gone(ctx context.Context) bool
 	// Capabilities returns the same value as long as the target runs.
 	Capabilities() Capabilities
 }
--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/wire"
@@ -18,10 +19,43 @@
 		Body:     s.offer.Body,
 		Priority: priority,
 	}
+	began := a.cfg.Clock()
+	run := a.runGeneration
 	if s.offer.Service != "" {
-		return a.runCall(ctx, s, w)
+		run = a.runCall
 	}
-	return a.runGeneration(ctx, s, w)
+	f := run(ctx, s, w)
+	if f.Reason == api.ReasonEngineDied {
+		f.Crash = a.observeCrash(began)
+	}
+	return f
+}
+
+const (
+	// crashProbeTimeout bounds the check whether the target's process has ended.
+	crashProbeTimeout = time.Second
+	// crashSpan is the time within which lost runs are due to the same crash.
+	crashSpan = time.Second
+)
+
+// observeCrash returns the crash with which a run that began at a time ended, nil if the target's
+// process goes on or is expected to end.
+func (a *Agent) observeCrash(began time.Time) *wire.Crash {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	lost := a.cfg.Clock()
+	if !a.target.Gone(ctx) {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return nil
+	}
+	if lost.Sub(a.crashedAt) > crashSpan {
+		a.crashedAt = lost
+	}
+	return &wire.Crash{At: a.crashedAt.UnixMilli(), InProgress: lost.Sub(began)}
 }
 
 func (a *Agent) runGeneration(ctx context.Context, s *session, w Work) *wire.Final {
--- a/node/crash/quarantine.go
+++ b/node/crash/quarantine.go
@@ -49,6 +49,12 @@
 	QuarantineNotReported(c quarantine.Command, err error)
 }
 
+type noObserver struct{}
+
+func (noObserver) Quarantined(quarantine.Record, time.Duration)    {}
+func (noObserver) Unquarantined(quarantine.Record)                 {}
+func (noObserver) QuarantineNotReported(quarantine.Command, error) {}
+
 // Quarantine holds the requests that this entry process refuses because they crash the targets
 // that run them. What all entry processes report is attributed to requests by the control group;
 // until its answer arrives, and while it has no leader, this entry goes by its own reports. A
@@ -102,9 +108,12 @@
 	until time.Time
 }
 
-// NewQuarantine returns an empty Quarantine that reports to a control group, and to no one if to is
-// nil.
+// NewQuarantine returns an empty Quarantine. It goes by what it is told itself if to is nil. obs may
+// be nil.
 func NewQuarantine(to Reporter, obs Observer) *Quarantine {
+	if obs == nil {
+		obs = noObserver{}
+	}
 	q := &Quarantine{
 		to: to, obs: obs, served: newServedLog(), own: quarantine.NewTable(), start: time.Now(),
 		reporting: make(map[quarantine.Fingerprint]struct{}), requests: make(map[*Identity]context.CancelCauseFunc),
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -74,6 +75,28 @@
 
 var _ agent.Target = (*Client)(nil)
 
+const (
+	// goneProbes is the number of connections that Gone tries, at the interval goneInterval: a
+	// process that ends may close its connections before its listener.
+	goneProbes   = 2
+	goneInterval = 100 * time.Millisecond
+)
+
+// Gone implements agent.Target.
+func (c *Client) Gone(ctx context.Context) bool {
+	for i := range goneProbes {
+		if i > 0 {
+			time.Sleep(goneInterval)
+		}
+		conn, err := c.dialer.DialContext(ctx, "tcp", c.cfg.Addr)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		_ = conn.Close()
+	}
+	return false
+}
+
 // Capabilities implements agent.Target.
 func (c *Client) Capabilities() agent.Capabilities { return c.cfg.Capabilities }
 
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -19,6 +19,7 @@
 	for n := api.Attempt(1); ; n++ {
 		err := e.attempt(ctx, a, r, n)
 		if err == nil {
+			e.quarantine.Ended(r.identity)
 			return End{Outcome: api.OutcomeCompleted}
 		}
 		failed := api.AsError(err)
@@ -26,7 +27,10 @@
 			return AsEnd(failed)
 		}
 		if ctx.Err() != nil {
-			return AsEnd(e.asCancelled(failed))
+			return AsEnd(e.asCancelled(ctx, r, failed))
+		}
+		if failed.Reason == api.ReasonQuarantined {
+			return AsEnd(failed)
 		}
 		if last != nil && failed.Reason == api.ReasonNoTarget {
 			// No target is left that has not failed this request already. The error
@@ -42,7 +46,7 @@
 		last = failed
 		e.obs.Retried(r, failed.Reason)
 		if !sleep(ctx, after) {
-			return AsEnd(e.asCancelled(failed))
+			return AsEnd(e.asCancelled(ctx, r, failed))
 		}
 	}
 }
@@ -67,14 +71,6 @@
 	return err.Outcome == api.OutcomeNotRun || r.Repeatable
 }
 
-// asCancelled returns err with the reason cancelled. The outcome is kept, because
-// not_run is proof that the request did not run.
-func (e *Entry) asCancelled(err *api.Error) *api.Error {
-	cancelled := *err
-	cancelled.Reason = api.ReasonCancelled
-	return &cancelled
-}
-
 // sleep waits for d. It returns false if ctx is done first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
@@ -93,6 +89,9 @@
 // attempt places the request once and follows it to its end. A nil error means that
 // it completed.
 func (e *Entry) attempt(ctx context.Context, a *Answer, r *Request, n api.Attempt) error {
+	if err := e.refuseQuarantined(r); err != nil {
+		return err
+	}
 	p, err := e.place(ctx, r, n)
 	if err != nil {
 		return err
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/routing"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
 )
@@ -56,6 +57,8 @@
 	// before the first SetOrders.
 	ready   atomic.Pointer[map[api.TargetID]bool]
 	orderer Orderer
+	// quarantine holds the requests that are refused because they crash targets.
+	quarantine *crash.Quarantine
 	// orderCtx ends the fetching of orders when it is done.
 	orderCtx context.Context
 	// lease is the lease that agents get for an order.
@@ -82,6 +85,7 @@
 		peers:      newPeers(),
 		dispatches: newDispatches(),
 		bids:       newBids(),
+		quarantine: crash.NewQuarantine(nil, nil),
 	}
 }
 
@@ -127,8 +131,10 @@
 func (e *Entry) Start(ctx context.Context, r *Request) *Answer {
 	a := newAnswer()
 	ctx, a.cancel = context.WithCancelCause(ctx)
+	r.identity = &crash.Identity{Customer: r.Size.Customer, Method: r.Method, URI: r.Path, Body: r.Body}
 	e.work.Go(func() {
 		defer a.cancel(nil)
+		defer e.quarantine.Begin(r.identity, a.cancel)()
 		end := e.drive(ctx, a, r)
 		e.obs.Ended(r, end)
 		a.finish(end)
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/wire"
 )
 
@@ -146,6 +147,9 @@
 	if m.Outcome == api.OutcomeCompleted {
 		return true, nil
 	}
+	if m.Crash != nil {
+		f.e.targetCrashed(f.d, m.Crash)
+	}
 	end := f.e.newError(f.d, api.StepEngine, m.Outcome, m.Reason, textError(m.Detail))
 	end.RetryAfter = m.RetryAfter
 	return true, end
@@ -219,7 +223,7 @@
 	switch cause := context.Cause(ctx); {
 	case errors.As(cause, &detached):
 		m.Hold = detached.hold
-	case errors.Is(cause, errCallerGone):
+	case errors.Is(cause, errCallerGone), errors.Is(cause, crash.ErrQuarantined):
 		m.Hold = 0
 	}
 	_ = f.d.currentLink().Send(m)
--- a/node/entry/placer.go
+++ b/node/entry/placer.go
@@ -48,6 +48,9 @@
 	return p.router.Choose(nil, q, now, rng)
 }
 
+// Size implements Placer.
+func (p *TablePlacer) Size(q routing.Query) int { return p.View().Size(q) }
+
 // Failed implements Placer.
 func (p *TablePlacer) Failed(id api.TargetID, retryAfter time.Duration, now time.Time) {
 	rng := p.rngs.Get().(*rand.Rand)
--- a/node/entry/ports.go
+++ b/node/entry/ports.go
@@ -10,6 +10,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/retry"
 	"almondseam.dev/core/routing"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/wire"
 )
 
@@ -30,6 +31,8 @@
 	Ended(id api.TargetID, tokens int, now time.Time)
 	Failed(id api.TargetID, retryAfter time.Duration, now time.Time)
 	Succeeded(id api.TargetID)
+	// Size returns the number of targets that serve the query's model or service.
+	Size(q routing.Query) int
 }
 
 // Retrier decides whether a failed attempt is followed by another. Its methods are
@@ -95,6 +98,9 @@
 	// its incarnation. An error whose outcome is completed ends the request as
 	// completed without a dispatch: the answer of an earlier run is already known.
 	Claimed func(t api.TargetID, inc api.Incarnation, n api.Attempt) error
+
+	// identity is what the request has in common with others that are the same.
+	identity *crash.Identity
 }
 
 // End describes how a request ended.
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -9,7 +9,6 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
-	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/relay"
@@ -21,6 +20,7 @@
 // Relay implements relay.Observer and upstream.Observer: it counts and logs how routed
 // requests proceed and end.
 type Relay struct {
+	*Quarantine
 	log               *zerolog.Logger
 	refusals          *prometheus.CounterVec
 	sends             *prometheus.CounterVec
@@ -48,10 +48,6 @@
 	backoffs       prometheus.Counter
 	leavings       prometheus.Counter
 	crashes        prometheus.Counter
-	// quarantines counts the requests that this instance began and ceased to refuse because they
-	// crash targets, unreportedCrashes reports about them that the control group has not received.
-	quarantines       *prometheus.CounterVec
-	unreportedCrashes prometheus.Counter
 }
 
 // latencyBuckets are the bounds in seconds of all histograms of the relay: from 5 ms,
@@ -62,6 +58,7 @@
 func NewRelay(s *Set) *Relay {
 	f := promauto.With(s.Registry)
 	r := &Relay{
+		Quarantine:        NewQuarantine(s),
 		log:               s.log,
 		refusals:          s.refusals,
 		sends:             f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
@@ -77,8 +74,6 @@
 		unstatedLimits:    f.NewCounter(counter("relay_target_limits_not_stated_total", "Limits of targets that the control group could not be told of.")),
 		unreadable:        f.NewCounter(counter("relay_target_statements_unreadable_total", "Targets whose responses began to state something about themselves that cannot be parsed.")),
 		backoffs:          f.NewCounter(counter("relay_target_backoffs_total", "Responses in which a target asks for no requests for a time.")),
-		quarantines:       f.NewCounterVec(counter("relay_quarantines_total", "Requests that this instance began or ceased to refuse because they crash targets."), []string{"change"}),
-		unreportedCrashes: f.NewCounter(counter("relay_crashes_not_reported_total", "Reports of crashes, or of runs that ended well, that the control group could not be told of.")),
 		crashes:           f.NewCounter(counter("relay_target_crashes_total", "Targets that ended while they ran requests of this instance.")),
 		leavings:          f.NewCounter(counter("relay_target_leavings_total", "Responses in which a target states that it is leaving.")),
 		skippedMigrations: f.NewCounterVec(counter("relay_migrations_skipped_total", "Migrations of streams that were skipped, by why."), []string{"why"}),
@@ -247,36 +242,6 @@
 	addTarget(events.TargetCrashed.Log(m.log), "target", t).Int64("born", t.Born).Int("requests", len(lost)).Array("lost", list).Send()
 }
 
-// Quarantined implements relay.Observer.
-func (m *Relay) Quarantined(r quarantine.Record, left time.Duration) {
-	m.quarantines.WithLabelValues("begun").Inc()
-	crashes := zerolog.Arr()
-	for _, run := range r.Runs {
-		crashes.Dict(zerolog.Dict().Str("target", string(run.Target)).Int64("born", run.Born).Int64("in_progress", run.InProgress))
-	}
-	addRecord(events.RequestQuarantined.Log(m.log), r).Dur("left", left).Int("times", r.Times).Array("crashes", crashes).Send()
-}
-
-// Unquarantined implements relay.Observer.
-func (m *Relay) Unquarantined(r quarantine.Record) {
-	m.quarantines.WithLabelValues("ended").Inc()
-	addRecord(events.RequestUnquarantined.Log(m.log), r).Send()
-}
-
-func addRecord(e *zerolog.Event, r quarantine.Record) *zerolog.Event {
-	return e.Stringer("fingerprint", r.Fingerprint).Str("customer", string(r.Customer)).Str("uri", r.URI).Int("body_bytes", r.BodyBytes)
-}
-
-// QuarantineNotReported implements relay.Observer.
-func (m *Relay) QuarantineNotReported(c quarantine.Command, err error) {
-	m.unreportedCrashes.Inc()
-	e := events.CrashNotReported.Log(m.log).Err(err).Int("served", len(c.Served))
-	if c.Crash != nil {
-		e = e.Str("target", string(c.Crash.Target)).Int64("born", c.Crash.Born).Int("requests", len(c.Crash.Lost))
-	}
-	e.Send()
-}
-
 // StatementUnreadable implements relay.Observer.
 func (m *Relay) StatementUnreadable(r *relay.Request, t *relay.Target, err error) {
 	m.unreadable.Inc()
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -8,8 +8,10 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
 	"almondseam.dev/node/rollout"
@@ -46,6 +48,7 @@
 	setEvacuated func([]api.Zone)
 	setEntries   func([]wire.EntryInfo)
 	setOrders    func([]api.TargetID)
+	quarantine   *crash.Quarantine
 	work         conc.WaitGroup
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -73,10 +76,14 @@
 		OnEvacuated: e.onEvacuated,
 		OnEntries:   func(list []wire.EntryInfo) { e.setEntries(list) },
 		OnOrders:    func(ready []api.TargetID) { e.setOrders(ready) },
+
+		OnQuarantine: func(list quarantine.List) { e.quarantine.Update(list) },
+
 		Observer:    m,
 		Report:      e.report,
 		ReportEvery: reportInterval,
 	})
+	e.quarantine = crash.NewQuarantine(e.client, metrics.NewQuarantine(m))
 	obs := rollout.NewMetrics(m.Registry, log)
 	e.hub = rollout.NewHub(rollout.HubOptions{Source: e.client, Observer: obs})
 	e.conf = rollout.NewEntry(rollout.EntryOptions{Zone: set.Zone, Live: e.live, Source: e.client, Hub: e.hub, Observer: obs})
@@ -109,6 +116,7 @@
 	e.SetEntriesHandler(to.SetEntries)
 	to.entry.SetOrderer(to.ordersCtx, e.client, order.DefaultLimits().Lease)
 	e.setOrders = to.entry.SetOrders
+	to.entry.SetQuarantine(e.quarantine)
 }
 
 // SetDrainHandler sets the function that receives the targets that operators drain.
@@ -161,6 +169,7 @@
 // Stop closes the connection to the control group. The entry must be drained first,
 // because it settles its last claims over this connection.
 func (e *EntryControl) Stop(context.Context) error {
+	e.quarantine.Stop()
 	e.cancel()
 	e.work.Wait()
 	return nil
--- a/node/wire/messages.go
+++ b/node/wire/messages.go
@@ -196,6 +196,17 @@
 	Reason     api.Reason       `cbor:"6,keyasint,omitempty"`
 	RetryAfter time.Duration    `cbor:"7,keyasint,omitempty"`
 	Detail     string           `cbor:"8,keyasint,omitempty"`
+	// Crash is set if the run ended because the target's process did.
+	Crash *Crash `cbor:"9,keyasint,omitempty"`
+}
+
+// Crash describes the end of a target's process as its agent observed it.
+type Crash struct {
+	// At is when the agent first observed it, in Unix milliseconds by the agent's clock. It is the
+	// same for all runs that ended with it.
+	At int64 `cbor:"1,keyasint"`
+	// InProgress is how long the run had been in progress.
+	InProgress time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Ack acknowledges all items below Offset, which frees their bytes in the agent's
