Tests of the quarantine at one entry; test files split, wording

Change: own reports while there is no leader and after it, a lagging member's list, bounded reports, served requests; BenchmarkEnded; the pipes of the tests' world and the refusals of crashing requests in files of their own; execWithin and crashThreeTimes for what stood twice. Comments say still runs, notified, apply. No decision changes.

--- a/core/api/error.go
+++ b/core/api/error.go
@@ -36,8 +36,8 @@
 	// StepTargetLimit is the step at which the control group is told the limit
 	// that a target states.
 	StepTargetLimit Step = "target_limit"
-	// StepQuarantine is the step at which the control group is told of a target's crash, or an
-	// operator allows a request again.
+	// StepQuarantine is the step at which a target's crash is reported to the control group, or
+	// an operator allows a request again.
 	StepQuarantine Step = "quarantine"
 )
 
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -210,7 +210,7 @@
 	slices.SortFunc(list, func(a, b Record) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 }
 
-// sameVerdicts reports whether two lists tell entry processes the same.
+// sameVerdicts reports whether two lists have the same effect at entry processes.
 func sameVerdicts(a, b []Record) bool {
 	return slices.EqualFunc(a, b, func(a, b Record) bool { return a.Fingerprint == b.Fingerprint && a.Until == b.Until })
 }
--- a/node/agent/crash_test.go
+++ b/node/agent/crash_test.go
@@ -8,9 +8,9 @@
 	"almondseam.dev/node/wire"
 )
 
-// TestFinalTellsOfACrash guards against requests that are blamed for an answer that was lost while
-// the target goes on, and against crashes that entries do not learn of.
-func TestFinalTellsOfACrash(t *testing.T) {
+// TestFinalStatesACrash guards against requests that are blamed for an answer that was lost while
+// the target still runs, and against crashes that entries are not notified of.
+func TestFinalStatesACrash(t *testing.T) {
 	for name, gone := range map[string]bool{"target ended": true, "connection lost": false} {
 		t.Run(name, func(t *testing.T) {
 			withHarness(t, Config{}, 8, func(b *harness) {
--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -39,7 +39,7 @@
 )
 
 // observeCrash returns the crash with which a run that began at a time ended, nil if the target's
-// process goes on or is expected to end.
+// process still runs or is expected to end.
 func (a *Agent) observeCrash(began time.Time) *wire.Crash {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
--- a/node/control/client_test.go
+++ b/node/control/client_test.go
@@ -93,6 +93,12 @@
 			_ = conn.Send(&Reply{ID: req.ID, Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable})
 		}
 	})
+	c.Assert(execWithin(start, addr).Outcome, qt.Equals, api.OutcomeNotRun)
+}
+
+// execWithin sends an empty command to the member at addr, with attempts until start ends, and
+// returns the reply.
+func execWithin(start context.Context, addr string) *Reply {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := NewClient(ClientOptions{
 		Seeds: []string{addr}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "control", Role: link.RoleControl}, nil),
@@ -102,10 +108,11 @@
 		defer close(ended)
 		client.Run(ctx)
 	}()
-	r := client.ExecWithin(start, ctx, Request{Command: &state.Command{}})
-	c.Assert(r.Outcome, qt.Equals, api.OutcomeNotRun)
-	cancel()
-	<-ended
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	return client.ExecWithin(start, ctx, Request{Command: &state.Command{}})
 }
 
 // TestRetryLeavesASilentLeader guards against entries that wait for a dead leader's answer until
@@ -189,19 +196,7 @@
 				time.Sleep(leaderlessTimeout + 300*time.Millisecond)
 				_ = conn.Send(&Reply{ID: req.ID, Outcome: api.OutcomeNotRun, Reason: api.ReasonControlUnavailable})
 			})
-			ctx, cancel := context.WithCancel(context.Background())
-			client := NewClient(ClientOptions{
-				Seeds: []string{addr}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "control", Role: link.RoleControl}, nil),
-			})
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				client.Run(ctx)
-			}()
-			r := client.ExecWithin(start, ctx, Request{Command: &state.Command{}})
-			c.Check(r.Outcome, qt.Equals, api.OutcomeNotRun)
-			cancel()
-			<-ended
+			c.Check(execWithin(start, addr).Outcome, qt.Equals, api.OutcomeNotRun)
 		})
 	}
 }
--- a/node/crash/quarantine.go
+++ b/node/crash/quarantine.go
@@ -28,7 +28,7 @@
 	maxPendingReports = 256
 	// reportRetryDelay is the delay after a report that failed.
 	reportRetryDelay = 50 * time.Millisecond
-	// ownGrace is how long this entry goes on by its own reports after the control group has
+	// ownGrace is how long this entry's own reports still apply after the control group has
 	// received the last one: the group's list arrives a little later than its reply.
 	ownGrace = 300 * time.Millisecond
 )
@@ -44,8 +44,7 @@
 	Quarantined(r quarantine.Record, left time.Duration)
 	// Unquarantined reports that a request is no longer refused.
 	Unquarantined(r quarantine.Record)
-	// QuarantineNotReported reports that the control group could not be told of a crash, or of runs
-	// that ended well.
+	// QuarantineNotReported reports that a report to the control group is lost.
 	QuarantineNotReported(c quarantine.Command, err error)
 }
 
@@ -57,7 +56,7 @@
 
 // Quarantine holds the requests that this entry process refuses because they crash the targets
 // that run them. What all entry processes report is attributed to requests by the control group;
-// until its answer arrives, and while it has no leader, this entry goes by its own reports. A
+// until its answer arrives, and while it has no leader, this entry's own reports apply as well. A
 // Quarantine is safe for concurrent use.
 type Quarantine struct {
 	to     Reporter
@@ -108,8 +107,8 @@
 	until time.Time
 }
 
-// NewQuarantine returns an empty Quarantine. It goes by what it is told itself if to is nil. obs may
-// be nil.
+// NewQuarantine returns an empty Quarantine. If to is nil, only its own reports apply. obs may be
+// nil.
 func NewQuarantine(to Reporter, obs Observer) *Quarantine {
 	if obs == nil {
 		obs = noObserver{}
@@ -241,9 +240,9 @@
 	q.change(func() {})
 }
 
-// goesByOwn reports whether the entry's own table applies: the control group's list may lack
+// ownApplies reports whether the entry's own table applies: the control group's list may lack
 // reports. The caller holds q.mu.
-func (q *Quarantine) goesByOwn(now time.Time) bool {
+func (q *Quarantine) ownApplies(now time.Time) bool {
 	return q.to == nil || len(q.pending) > 0 || now.Sub(q.reportedAt) < ownGrace
 }
 
@@ -255,7 +254,7 @@
 	before, now := q.view.Load(), time.Now()
 	next := &quarantineView{sizes: make(map[requestSize]struct{}), records: make(map[quarantine.Fingerprint]quarantineRecord)}
 	next.add(q.group, q.groupAt)
-	if q.goesByOwn(now) {
+	if q.ownApplies(now) {
 		own := q.own.List()
 		own.Now = q.ownClock()
 		next.add(own, now)
--- /dev/null
+++ b/node/crash/quarantine_test.go
@@ -0,0 +1,143 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/quarantine"
+	qt "github.com/frankban/quicktest"
+)
+
+// fakeGroup is a control group that can be without a leader.
+type fakeGroup struct {
+	mu         sync.Mutex
+	leaderless bool
+	reports    []quarantine.Command
+}
+
+// ReportQuarantine implements Reporter.
+func (g *fakeGroup) ReportQuarantine(_ context.Context, c quarantine.Command) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaderless {
+		return errors.New("no leader")
+	}
+	g.reports = append(g.reports, c)
+	return nil
+}
+
+func (g *fakeGroup) received() []quarantine.Command {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.reports)
+}
+
+func (g *fakeGroup) setLeaderless(l bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaderless = l
+}
+
+// lostReports counts the reports that are lost.
+type lostReports struct {
+	noObserver
+	n int
+}
+
+func (l *lostReports) QuarantineNotReported(quarantine.Command, error) { l.n++ }
+
+func identity(body string) *Identity {
+	return &Identity{Customer: "a", Host: "h", Method: "POST", URI: "/x", Body: []byte(body)}
+}
+
+// crashThrice lets a request crash three targets of twelve.
+func crashThrice(q *Quarantine, id *Identity) {
+	for i := range 3 {
+		time.Sleep(300 * time.Millisecond)
+		q.Crashed(quarantine.Crash{Target: api.TargetID(fmt.Sprint(i)), Service: "s", Targets: 12}, []Lost{{Identity: id, InProgress: 60 * time.Millisecond}})
+	}
+}
+
+// TestOwnReportsApplyUntilTheGroupHasThem guards against an entry that sends a crashing request on
+// while there is no leader, and against one that overrules the group afterwards.
+func TestOwnReportsApplyUntilTheGroupHasThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := &fakeGroup{leaderless: true}
+		q := NewQuarantine(g, nil)
+		bad := identity("bad")
+		crashThrice(q, bad)
+		c.Assert(q.Refuses(bad) > 0, qt.IsTrue)
+		c.Assert(q.Refuses(identity("other")), qt.Equals, time.Duration(0))
+		time.Sleep(time.Minute)
+		c.Assert(q.Refuses(bad) > 0, qt.IsTrue)
+		g.setLeaderless(false)
+		time.Sleep(time.Second)
+		c.Assert(g.received(), qt.HasLen, 3)
+		c.Assert(q.Refuses(bad), qt.Equals, time.Duration(0)) // the group does not list it
+
+		record := quarantine.Record{Fingerprint: bad.Fingerprint(), Customer: "a", BodyBytes: 3, Until: 61_000}
+		q.Update(quarantine.List{Index: 5, Now: 1000, Records: []quarantine.Record{record}})
+		c.Assert(q.Refuses(identity("bad")), qt.Equals, time.Minute)
+		q.Update(quarantine.List{Index: 4}) // of a member that lags
+		c.Assert(q.Refuses(bad) > 0, qt.IsTrue)
+		q.Update(quarantine.List{Index: 6})
+		c.Assert(q.Refuses(bad), qt.Equals, time.Duration(0))
+		q.Stop()
+	})
+}
+
+// TestWaitingReportsAreBounded guards against memory that grows while there is no leader.
+func TestWaitingReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lost := &lostReports{}
+		q := NewQuarantine(&fakeGroup{leaderless: true}, lost)
+		for i := range maxPendingReports + 10 {
+			q.Crashed(quarantine.Crash{Target: api.TargetID(fmt.Sprint(i))}, nil)
+		}
+		c.Assert(len(q.pending), qt.Equals, maxPendingReports)
+		c.Assert(lost.n, qt.Equals, 10)
+		q.Stop()
+	})
+}
+
+// TestServedRequestsAreNotReported guards against blaming a request that is served all the time, and
+// against one that is shielded for ever by a run long ago.
+func TestServedRequestsAreNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := &fakeGroup{}
+		q := NewQuarantine(g, nil)
+		often := identity("often")
+		q.Ended(often)
+		q.Crashed(quarantine.Crash{Target: "t"}, []Lost{{Identity: often}, {Identity: identity("other")}})
+		time.Sleep(time.Second)
+		c.Assert(g.received()[0].Crash.Lost, qt.HasLen, 1)
+		time.Sleep(2 * servedTime)
+		q.Crashed(quarantine.Crash{Target: "u"}, []Lost{{Identity: often}})
+		time.Sleep(time.Second)
+		c.Assert(g.received()[1].Crash.Lost, qt.HasLen, 1)
+		q.Stop()
+	})
+}
+
+// BenchmarkEnded measures what a served request costs, by the length of its body.
+func BenchmarkEnded(b *testing.B) {
+	for _, n := range []int{0, 1 << 10, 16 << 10, 1 << 20} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := NewQuarantine(nil, nil)
+			id := identity(string(make([]byte, n)))
+			for b.Loop() {
+				q.Ended(id)
+			}
+		})
+	}
+}
--- a/node/entry/quarantine.go
+++ b/node/entry/quarantine.go
@@ -26,7 +26,7 @@
 	return err
 }
 
-// asQuarantined returns err with the reason quarantined if ctx was cancelled for it, and otherwise
+// asCancelled returns err with the reason quarantined if ctx was cancelled for it, and otherwise
 // with the reason cancelled. The outcome is kept, because not_run is proof that the request did not
 // run.
 func (e *Entry) asCancelled(ctx context.Context, r *Request, err *api.Error) *api.Error {
--- a/node/entry/quarantine_test.go
+++ b/node/entry/quarantine_test.go
@@ -20,20 +20,25 @@
 	})
 }
 
+// crashThreeTimes sends a request that crashes the agent's target each time.
+func (h *harness) crashThreeTimes(a *fakeAgent) {
+	for range 3 {
+		ans := h.start(bookingRequest())
+		o := expect[*wire.Offer](a)
+		a.accept(o)
+		a.crashed(o)
+		h.c.Assert(readAll(ans).end.Outcome, qt.Equals, api.OutcomeUnknown)
+		time.Sleep(time.Second)
+	}
+}
+
 // TestCrashingRequestIsNotOfferedAgain guards against a request that crashes its target and is sent
 // on to one agent after the other.
 func TestCrashingRequestIsNotOfferedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		a := h.agent("t1", 1)
-		for range 3 {
-			ans := h.start(bookingRequest())
-			o := expect[*wire.Offer](a)
-			a.accept(o)
-			a.crashed(o)
-			h.c.Assert(readAll(ans).end.Outcome, qt.Equals, api.OutcomeUnknown)
-			time.Sleep(time.Second)
-		}
+		h.crashThreeTimes(a)
 		end := readAll(h.start(bookingRequest())).end
 		h.c.Assert(end.Reason, qt.Equals, api.ReasonQuarantined)
 		h.c.Assert(end.Outcome, qt.Equals, api.OutcomeNotRun)
@@ -60,14 +65,7 @@
 		queued := h.start(bookingRequest())
 		waiting := expect[*wire.Offer](a)
 		a.accept(waiting)
-		for range 3 {
-			ans := h.start(bookingRequest())
-			o := expect[*wire.Offer](a)
-			a.accept(o)
-			a.crashed(o)
-			h.c.Assert(readAll(ans).end.Outcome, qt.Equals, api.OutcomeUnknown)
-			time.Sleep(time.Second)
-		}
+		h.crashThreeTimes(a)
 		h.c.Assert(readAll(queued).end.Reason, qt.Equals, api.ReasonQuarantined)
 		for m := range drained(a) {
 			if c, ok := m.(*wire.Cancel); ok {
--- a/node/relay/crash.go
+++ b/node/relay/crash.go
@@ -34,7 +34,7 @@
 }
 
 // crashMonitor determines whether the process of a target whose response was lost has ended. A
-// response is also lost if a connection is reset while the target goes on, which is no crash. It
+// response is also lost if a connection is reset while the target still runs, which is no crash. It
 // is safe for concurrent use.
 type crashMonitor struct {
 	pool *upstream.Pool
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -8,12 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -117,73 +115,6 @@
 	got         int
 }
 
-// pipeListener accepts the pipes that dial opens.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// bootConn is the target's end of a connection from an entry process.
-type bootConn struct {
-	net.Conn
-	boot string
-}
-
-type bootKey struct{}
-
-// bootDialer opens the connections of one entry process, each after some time.
-type bootDialer struct {
-	w    *world
-	boot string
-	mu   sync.Mutex
-	rng  *rand.Rand
-}
-
-// DialContext implements upstream.Dialer.
-func (d *bootDialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	d.mu.Lock()
-	wait := time.Duration(d.rng.ExpFloat64() * float64(3*time.Millisecond))
-	if d.rng.IntN(20) == 0 {
-		wait = time.Duration(d.rng.Int64N(int64(upstream.DefaultDialTimeout)))
-	}
-	d.mu.Unlock()
-	sleep(ctx, wait)
-	for _, target := range d.w.targets {
-		if target.record.Address != address {
-			continue
-		}
-		near, far := net.Pipe()
-		ln := target.listener()
-		select {
-		case ln.conns <- &bootConn{far, d.boot}:
-			return near, nil
-		case <-ln.closed:
-		case <-ctx.Done():
-			_ = near.Close()
-			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
-		}
-		_ = near.Close()
-	}
-	return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-}
-
 // newWorld returns a world of targets and entries. Its routes are /once/, /pair/, /look/ and
 // /notes/.
 func newWorld(t *testing.T, seed uint64, targets, entries int) *world {
