A report of a crash is decodable and short whatever the path, and none holds up the others

Cause: found by reading: a report carries the path of each request as callers send it. Bytes that are no UTF-8 made the command impossible to decode, and the entry repeated the refused report for ever, before all later ones; 512 paths of 16 KB made one of 8 MB.

--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -37,13 +38,19 @@
 type Lost struct {
 	Fingerprint Fingerprint    `cbor:"1,keyasint"`
 	Customer    api.CustomerID `cbor:"2,keyasint,omitempty"`
-	// URI is the path with the query.
+	// URI is the path with the query, as ShortURI returns it.
 	URI       string `cbor:"3,keyasint,omitempty"`
 	BodyBytes int    `cbor:"4,keyasint,omitempty"`
 	// InProgress is how long the request had been in progress at the target, in milliseconds.
 	InProgress int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// ShortURI returns the start of a path with its query, without bytes that are no UTF-8: these cannot
+// be encoded.
+func ShortURI(uri string) string {
+	return strings.ToValidUTF8(uri[:min(len(uri), maxURI)], "?")
+}
+
 // Crash reports that the process of a target has ended. Reports of several entry processes on the
 // same crash complement each other.
 type Crash struct {
@@ -230,7 +237,7 @@
 		r := t.records[l.Fingerprint]
 		if r == nil {
 			t.makeRoom()
-			r = &Record{Fingerprint: l.Fingerprint, Customer: l.Customer, URI: l.URI[:min(len(l.URI), maxURI)], BodyBytes: l.BodyBytes}
+			r = &Record{Fingerprint: l.Fingerprint, Customer: l.Customer, URI: ShortURI(l.URI), BodyBytes: l.BodyBytes}
 			t.records[l.Fingerprint] = r
 		}
 		r.Service = c.Service
--- a/node/control/quarantine.go
+++ b/node/control/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -34,12 +35,16 @@
 }
 
 // ReportQuarantine reports a crash of a target, or runs that ended well, to the group. It may be
-// repeated. After an error it is unknown whether the group has recorded the report.
+// repeated. An error with the reason bad_request says that the group refuses the report; after any
+// other it is unknown whether the group has recorded it.
 func (c *Client) ReportQuarantine(ctx context.Context, q quarantine.Command) error {
 	r, _ := c.call(ctx, Request{Command: &state.Command{Quarantine: &q}})
-	if r.Outcome != api.OutcomeCompleted || r.Result == nil || r.Result.Reason != "" {
+	if r.Outcome != api.OutcomeCompleted || r.Result == nil {
 		return unavailable(api.StepQuarantine, r, api.OutcomeUnknown)
 	}
+	if r.Result.Reason != "" {
+		return api.NotRun(api.StepQuarantine, "", r.Result.Reason, errors.New(r.Result.Message))
+	}
 	return nil
 }
 
--- a/node/crash/quarantine.go
+++ b/node/crash/quarantine.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		c.Lost = append(c.Lost, quarantine.Lost{
-			Fingerprint: l.Fingerprint(), Customer: l.Customer, URI: l.URI, BodyBytes: len(l.Body), InProgress: l.InProgress.Milliseconds(),
+			Fingerprint: l.Fingerprint(), Customer: l.Customer, URI: quarantine.ShortURI(l.URI), BodyBytes: len(l.Body), InProgress: l.InProgress.Milliseconds(),
 		})
 	}
 	q.change(func() { q.report(quarantine.Command{Crash: &c}) })
@@ -217,7 +217,7 @@
 	q.pending = slices.Delete(q.pending, i, i+1)
 }
 
-// sendReports sends the pending reports, each until the control group has received it.
+// sendReports sends the pending reports, each until the control group has received or refused it.
 func (q *Quarantine) sendReports() {
 	for more := true; more && q.ctx.Err() == nil; {
 		q.mu.Lock()
@@ -226,12 +226,13 @@
 		ctx, cancel := context.WithTimeout(q.ctx, reportTimeout)
 		err := q.to.ReportQuarantine(ctx, c)
 		cancel()
-		if err != nil {
+		refused := api.AsError(err).Reason == api.ReasonBadRequest
+		if err != nil && !refused {
 			sleep(q.ctx, reportRetryDelay)
 			continue
 		}
 		q.mu.Lock()
-		q.forget(0, nil)
+		q.forget(0, err)
 		more = len(q.pending) > 0
 		q.reportedAt = time.Now()
 		q.mu.Unlock()
--- a/node/crash/quarantine_test.go
+++ b/node/crash/quarantine_test.go
@@ -29,6 +29,9 @@
 	if g.leaderless {
 		return errors.New("no leader")
 	}
+	if c.Crash != nil && c.Crash.Target == "" {
+		return api.NotRun(api.StepQuarantine, "", api.ReasonBadRequest, errors.New("no target"))
+	}
 	g.reports = append(g.reports, c)
 	return nil
 }
@@ -109,6 +112,22 @@
 	})
 }
 
+// TestRefusedReportDoesNotHoldUpOthers guards against a report that the group refuses, and that is
+// repeated for ever before all others.
+func TestRefusedReportDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g, lost := &fakeGroup{}, &lostReports{}
+		q := NewQuarantine(g, lost)
+		q.Crashed(quarantine.Crash{}, nil)
+		q.Crashed(quarantine.Crash{Target: "t"}, nil)
+		time.Sleep(time.Second)
+		c.Assert(g.received(), qt.HasLen, 1)
+		c.Assert(lost.n, qt.Equals, 1)
+		q.Stop()
+	})
+}
+
 // TestServedRequestsAreNotReported guards against blaming a request that is served all the time, and
 // against one that is shielded for ever by a run long ago.
 func TestServedRequestsAreNotReported(t *testing.T) {
