An entry counts a target only once it can be chosen

What callers see: a request refused as no_target by an entry that has just reported a target, and so that it is ready. Cause: an announcement puts the link into the table, from which readiness is told, before it tells the placer of the target. Change: the placer is told first, and once more after the link is in the table, as the end of the last link may have removed the target. TestCancel says why no first event comes.

--- a/contract/openai_test.go
+++ b/contract/openai_test.go
@@ -195,7 +195,8 @@
 	api := client(serve(t, standin.Options{Speed: 20}), key)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := api.Chat.Completions.NewStreaming(ctx, chatParams("notes"), withOutputTokens(5000))
-	c.Assert(s.Next(), qt.IsTrue)
+	first := s.Next()
+	c.Assert(first, qt.IsTrue, qt.Commentf("%v", s.Err()))
 	cancel()
 	for s.Next() {
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -247,7 +247,18 @@
 
 func (l *AgentLink) onAnnounce(m *wire.Announce) {
 	fresh := l.agent == nil || l.agent.inc != m.Incarnation || l.agent.target != m.Target
+	announced := routing.Target{
+		ID:          m.Target,
+		Incarnation: m.Incarnation,
+		Zone:        m.Zone,
+		Models:      m.Models,
+		Services:    m.Services,
+		Leaving:     m.Leaving,
+		Capacity:    m.Capacity,
+	}
 	if fresh {
+		// The link counts as a target from put on, so the placer must know the target before.
+		l.e.placer.Announce(announced)
 		l.agent = &peer{target: m.Target, inc: m.Incarnation, link: l.link, zone: m.Zone, links: m.Links}
 		l.e.peers.put(l.agent)
 		l.e.updatePace(l.link)
@@ -257,15 +268,8 @@
 		l.e.obs.TargetLeaving(l.agent.view())
 	}
 	l.agent.clock.Store(int64(m.Clock))
-	l.e.placer.Announce(routing.Target{
-		ID:          m.Target,
-		Incarnation: m.Incarnation,
-		Zone:        m.Zone,
-		Models:      m.Models,
-		Services:    m.Services,
-		Leaving:     m.Leaving,
-		Capacity:    m.Capacity,
-	})
+	// The end of the target's last link may have removed it from the placer before put.
+	l.e.placer.Announce(announced)
 	l.e.sendDrain(l.agent)
 	l.e.sendEntries(l.agent)
 	if p := l.agent; l.e.orderReady(p.target) {
