--- a/node/crash/quarantine_test.go
+++ b/node/crash/quarantine_test.go
@@ -97,6 +97,33 @@
 	})
 }
 
+// listOf returns a list in which a request is refused for a minute.
+func listOf(index uint64, id *Identity) quarantine.List {
+	r := quarantine.Record{Fingerprint: id.Fingerprint(), Customer: id.Customer, BodyBytes: len(id.Body), Until: 60_000}
+	return quarantine.List{Index: index, Records: []quarantine.Record{r}}
+}
+
+// TestRequestsInProgressAreEnded guards against runs of a crashing request that go on, or that wait
+// and are started, after the request is quarantined.
+func TestRequestsInProgressAreEnded(t *testing.T) {
+	c := qt.New(t)
+	q := NewQuarantine(nil, nil)
+	begin := func(body string) (context.Context, func()) {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		return ctx, q.Begin(identity(body), cancel)
+	}
+	bad, _ := begin("bad")
+	other, _ := begin("other")
+	left, remove := begin("bad")
+	remove()
+	q.Update(listOf(1, identity("bad")))
+	later, _ := begin("bad")
+	c.Assert(context.Cause(bad), qt.Equals, ErrQuarantined)
+	c.Assert(context.Cause(later), qt.Equals, ErrQuarantined)
+	c.Assert(other.Err(), qt.IsNil)
+	c.Assert(left.Err(), qt.IsNil)
+}
+
 // TestWaitingReportsAreBounded guards against memory that grows while there is no leader.
 func TestWaitingReportsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
