Soak: callers of crashing requests start once the entries are known

The callers that send crashing requests started before the list of entries was filled. A fault of the test, not of the program. Change: the list is filled first.

--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -197,6 +197,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var work conc.WaitGroup
 	c := &callers{check: check, kinds: requestKinds}
+	for _, n := range f.entries {
+		c.entries = append(c.entries, hostPort(n.config.Host, portCallers))
+	}
 	if config.crashes {
 		c.kinds = append(slices.Clone(requestKinds), steadyKind)
 		for i := range crashCallers {
@@ -204,9 +207,6 @@
 			work.Go(func() { c.sendCrashing(ctx, own, i) })
 		}
 	}
-	for _, n := range f.entries {
-		c.entries = append(c.entries, hostPort(n.config.Host, portCallers))
-	}
 	for i := range config.callers {
 		own := rand.New(rand.NewPCG(config.seed, uint64(1+i)))
 		work.Go(func() { c.run(ctx, own) })
