Log targets' software versions and the streams that requests take up

Change: the directory's record holds the version that a target announces: hashed over 64 bytes, empty if it is unknown, kept for a run that states its start, forgotten where statements contradict each other and no start tells the runs apart. Events 304, 305, 404 and the like name it; lines of a request name what it resumes and after which event. No decision changes. Result: go test ./core/directory ./platform ./node/relay passes.

--- a/core/api/ids.go
+++ b/core/api/ids.go
@@ -17,6 +17,10 @@
 // resumes an answer sends it again.
 type RequestID string
 
+// SoftwareVersion names the version of the software that a target runs, as the target states it. It
+// is empty if the version is unknown; two targets of unknown versions may run different software.
+type SoftwareVersion string
+
 // TargetID names one model engine or one back end of a service. The target, or
 // the agent beside it, announces this name.
 type TargetID string
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -60,6 +60,8 @@
 	// Cold is how much longer the target stays cold, that is, bears only a reduced rate of
 	// requests. It counts from the arrival of the record at this process.
 	Cold time.Duration `cbor:"9,keyasint,omitempty"`
+	// Software is the version of the target's software. A run does not change it.
+	Software api.SoftwareVersion `cbor:"10,keyasint,omitempty"`
 }
 
 // tombstoneTTL is how long a target that is gone is remembered, so that a delayed
@@ -110,7 +112,7 @@
 	if next.Sequence != known.Sequence {
 		return next.Sequence > known.Sequence
 	}
-	return next.State > known.State
+	return next.State > known.State || statesSoftware(next, known)
 }
 
 // Announce applies an announcement that a target makes to this process. It returns the
@@ -122,7 +124,10 @@
 		if e.record.State != StateGone && r.Sequence == e.record.Sequence {
 			e.lastHeard = now
 		}
-		return nil
+		return e.doubtSoftware(r)
+	}
+	if e != nil {
+		r = inheritSoftware(r, e.record)
 	}
 	// Others must also be told of a target that announced itself to another process
 	// before: that process would otherwise conclude that the target is missing.
@@ -178,7 +183,10 @@
 func (d *Directory) Merge(r Record, now time.Time) []Record {
 	e := d.targets[r.Target]
 	if e != nil && !supersedes(r, e.record) {
-		return nil
+		return e.doubtSoftware(r)
+	}
+	if e != nil {
+		r = inheritSoftware(r, e.record)
 	}
 	changed := e == nil || !equalForRouting(e.record, r) || e.extendsCold(r, now)
 	return d.store(r, now, false, changed)
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -99,11 +99,14 @@
 	if r.Route != nil {
 		e = e.Str("route", r.Route.Name).Str("service", string(r.Service))
 	}
+	if r.Ask.Resumes != "" || r.Ask.LastEvent != "" {
+		e = e.Str("resumes", string(r.Ask.Resumes)).Str("last_event", r.Ask.LastEvent)
+	}
 	return e
 }
 
 func addTarget(e *zerolog.Event, key string, t *relay.Target) *zerolog.Event {
-	return e.Str(key, string(t.Target)).Str(key+"_address", t.Address).Object(key+"_load", loggedLoad(t.Load()))
+	return e.Str(key, string(t.Target)).Str(key+"_address", t.Address).Str(key+"_software", string(t.SoftwareVersion())).Object(key+"_load", loggedLoad(t.Load()))
 }
 
 // loggedLoad encodes the load of a target for a log line: the load from all entry
@@ -318,7 +321,7 @@
 // Changed implements registry.Observer.
 func (d Directory) Changed(r directory.Record, source string) {
 	events.TargetChanged.Log(d.Log).Str("target", string(r.Target)).Str("service", string(r.Service)).
-		Str("address", r.Address).Str("state", r.State.String()).Int64("born", r.Born).Uint64("sequence", r.Sequence).
+		Str("address", r.Address).Str("software", string(r.Software)).Str("state", r.State.String()).Int64("born", r.Born).Uint64("sequence", r.Sequence).
 		Str("source", source).Send()
 }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -43,6 +43,9 @@
 	// LastEvent is the ID of the last event of an interrupted stream that the caller has
 	// received.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of the stream that the caller
+	// takes up; empty if the request begins a stream.
+	Resumes api.RequestID
 }
 
 // Directive holds the parameters that an entry sends to a target in the header of a request.
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -21,6 +21,8 @@
 	directory.Record
 	// status is what this entry knows of the target's condition, nil if nothing.
 	status atomic.Pointer[targetstate.Status]
+	// software is the version of the target's software as last stated, nil if it is unknown.
+	software atomic.Pointer[api.SoftwareVersion]
 	// successor is the target that was announced at this one's address after it, nil if none.
 	successor atomic.Pointer[Target]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
@@ -195,7 +197,7 @@
 // targetFor returns the target for a record. It keeps known, with its load, if the record
 // describes the same run of the target.
 func (t *Targets) targetFor(known *Target, r directory.Record) *Target {
-	if known == nil || known.Born != r.Born || known.Address != r.Address || known.Service != r.Service {
+	if known == nil || !known.isSameRun(r) {
 		next := &Target{Record: r, table: t, migrationSlot: make(chan struct{}, 1), aheadChanged: make(chan struct{}, 1)}
 		next.faults.answers = targetfault.NewRing(targetfault.LongWindow, time.Now())
 		if now := time.Now(); now.Sub(t.created) > startupTime {
@@ -211,12 +213,14 @@
 			t.succeed(next)
 		}
 		known = next
+		known.setSoftware(r.Software)
 		if sum, ok := t.others[r.Target]; ok {
 			known.setOthers(sum)
 			t.beginRun(known, sum.Load)
 		}
 		t.applyListedLimit(known)
 	}
+	known.stateSoftware(r)
 	now := time.Now()
 	if r.Cold > 0 {
 		known.update(func(s targetstate.Status) targetstate.Status { return s.Cool(now.Add(r.Cold)) })
