A stream is continued only at the software version that began it

What callers saw: narratives whose engine left or ended went on at an engine of another version within one answer. Change: core/origin says what may continue a stream: the version that brought its first event, or the same run where the version is unknown. A stream without an event may go anywhere. Test records state a version now; the world's targets answer 421 to what names another run, as the protocol says.

--- a/node/relay/candidates_bench_test.go
+++ b/node/relay/candidates_bench_test.go
@@ -15,7 +15,7 @@
 	targets := NewTargets()
 	var list []directory.Record
 	for i := range n {
-		list = append(list, directory.Record{Target: api.TargetID(string(rune('a'+i%26)) + time.Duration(i).String()), Service: service, Address: time.Duration(i).String(), Zone: "z", Sequence: 1, State: directory.StateReady})
+		list = append(list, directory.Record{Target: api.TargetID(string(rune('a'+i%26)) + time.Duration(i).String()), Service: service, Address: time.Duration(i).String(), Zone: "z", Sequence: 1, State: directory.StateReady, Software: "v1"})
 	}
 	targets.Update(list)
 	table, err := routeconf.Compile(routeconf.Config{Version: 1, Services: []routeconf.Service{{Name: service}},
--- a/node/relay/departures_test.go
+++ b/node/relay/departures_test.go
@@ -58,9 +58,9 @@
 					return
 				}
 				c.Assert(leaves, qt.IsNotNil)
-				short := *long
+				short := &Request{Ask: long.Ask, Arrived: long.Arrived, Deadline: long.Deadline, Stream: long.Stream, received: long.received, decision: long.decision}
 				short.Ask.LikelyTokens = 4
-				c.Assert(f.relay.leavesBeforeEnd(&short, &service, now), qt.IsNil)
+				c.Assert(f.relay.leavesBeforeEnd(short, &service, now), qt.IsNil)
 				for range 100 {
 					at := f.relay.pickTarget(long, "s", nil)
 					if age := now.Sub(at.since); !at.since.IsZero() && age > 14*time.Second {
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -343,7 +343,7 @@
 	}
 }
 
-// destination selects the engine to which the run is migrated, at random among all engines that
+// destination selects the engine to which the run at exclude[0] is migrated, at random among all engines that
 // have room and receive no other run, preferably of those that hold the stream's pause bound; nil
 // if there is none with room. Several entries migrate runs of the same engine at the same time; if
 // all chose the least loaded destination, their copies would wait for each other on its link until
@@ -357,7 +357,7 @@
 		Receiver: true, Overcommit: overcommit,
 	}
 	return choose(s.relay.targets.Of(s.req.Service), true, func(part []*Target) int {
-		return placement.Pick(s.relay.copyCandidates(s.req, part, exclude, now), need, rand.Float64)
+		return placement.Pick(s.relay.copyCandidates(s.req, exclude[0], part, exclude, now), need, rand.Float64)
 	})
 }
 
--- a/node/relay/moves_replay_test.go
+++ b/node/relay/moves_replay_test.go
@@ -115,7 +115,7 @@
 	}
 	for i := range movesEngines {
 		e := &movesEngine{record: directory.Record{
-			Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
+			Software: "v1", Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
 			Zone: zoneOf(i), Slots: 24, Sequence: 1, Born: 1, State: directory.StateReady,
 		}}
 		w.engines[e.record.Address], w.order = e, append(w.order, e)
--- a/node/relay/moves_test.go
+++ b/node/relay/moves_test.go
@@ -87,7 +87,7 @@
 }
 
 func (f *moveFixture) record(i int, state directory.State) directory.Record {
-	return directory.Record{Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z", Slots: 8, Born: 1, Sequence: uint64(state), State: state}
+	return directory.Record{Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Software: "v1", Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z", Slots: 8, Born: 1, Sequence: uint64(state), State: state}
 }
 
 func (f *moveFixture) target(i int) *Target {
--- a/node/relay/pace_test.go
+++ b/node/relay/pace_test.go
@@ -37,7 +37,7 @@
 func newPaceFixture(t testing.TB, engines int) *paceFixture {
 	f := &paceFixture{c: qt.New(t), targets: NewTargets(), now: time.Now(), route: &routeconf.Route{MaxPause: paceBound, Generates: true}}
 	for i := range engines {
-		f.targets.Update([]directory.Record{{Target: api.TargetID(fmt.Sprint("e", i)), Service: service, Address: fmt.Sprint("a", i), Slots: 24, Sequence: 1, Born: 1, State: directory.StateReady}})
+		f.targets.Update([]directory.Record{{Target: api.TargetID(fmt.Sprint("e", i)), Service: service, Address: fmt.Sprint("a", i), Slots: 24, Sequence: 1, Born: 1, State: directory.StateReady, Software: "v1"}})
 	}
 	s := &fixture{}
 	table, err := routeconf.Compile(routeconf.Config{Version: 1, Services: []routeconf.Service{{Name: service, Engine: &routeconf.Engine{CacheTokens: 10_000, TokensPerEvent: 4}}},
@@ -196,7 +196,7 @@
 func TestPaceOfEnginesThatThisEntryHasNotSeen(t *testing.T) {
 	f := newPaceFixture(t, 4)
 	f.learn(60)
-	f.targets.Update([]directory.Record{{Target: "new", Service: service, Address: "new", Slots: 24, Sequence: 1, Born: 1, State: directory.StateReady}})
+	f.targets.Update([]directory.Record{{Target: "new", Service: service, Address: "new", Slots: 24, Sequence: 1, Born: 1, State: directory.StateReady, Software: "v1"}})
 	list := f.targets.Of(service)
 	pauses := func() []placement.Candidate {
 		return f.relay.candidates(f.request(3000, paceBound), list, nil, f.now)
--- a/node/relay/place.go
+++ b/node/relay/place.go
@@ -89,11 +89,14 @@
 	return out
 }
 
-// copyCandidates describes targets to the placement of a copy of a run. Rate-limited targets
-// are the last choice: the run may be continued there only with a grant.
-func (r *Relay) copyCandidates(req *Request, list []*Target, exclude []*Target, now time.Time) []placement.Candidate {
+// copyCandidates describes targets to the placement of a copy of a run at the target from. A copy
+// is used only by the software that made it. Rate-limited targets are the last choice: the run may
+// be continued there only with a grant.
+func (r *Relay) copyCandidates(req *Request, from *Target, list []*Target, exclude []*Target, now time.Time) []placement.Candidate {
 	out := r.candidates(req, list, exclude, now)
+	made := from.origin()
 	for i, t := range list {
+		out[i].Excluded = out[i].Excluded || !made.Allows(t.origin())
 		out[i].Avoid = out[i].Avoid || t.limit().Limited
 	}
 	return out
@@ -111,9 +114,9 @@
 }
 
 // mayServe reports whether a target is in an availability zone and a region in which the request
-// may be served at present.
+// may be served at present, and runs the software that may continue the request's stream.
 func (r *Relay) mayServe(req *Request, t *Target) bool {
-	return !t.evacuated() && r.inAllowedRegion(req, t)
+	return !t.evacuated() && r.inAllowedRegion(req, t) && req.mayContinueAt(t)
 }
 
 // inAllowedRegion reports whether the target is in a region in which the request may be served.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -161,7 +161,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	r := directory.Record{Target: api.TargetID(name), Service: service, Address: server.Listener.Addr().String(), Zone: zone, Slots: 8, Sequence: 1, State: directory.StateReady}
+	r := directory.Record{Target: api.TargetID(name), Service: service, Address: server.Listener.Addr().String(), Zone: zone, Slots: 8, Sequence: 1, State: directory.StateReady, Software: "v1"}
 	s.targets.Update([]directory.Record{r})
 	return r
 }
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/origin"
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/crash"
@@ -60,6 +62,9 @@
 	failure *failure
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
+	// origin is the software that began the request's stream, nil before its first event. A
+	// migration reads it while the stream goes on.
+	origin atomic.Pointer[origin.Origin]
 }
 
 // StreamStats are statistics of one stream, for metrics and logs.
--- a/node/relay/sample_test.go
+++ b/node/relay/sample_test.go
@@ -14,7 +14,7 @@
 	targets := NewTargets()
 	var list []directory.Record
 	for i := range n {
-		list = append(list, directory.Record{Target: api.TargetID(time.Duration(i).String()), Service: service, Address: time.Duration(i).String(), Zone: "z", Slots: 8, Sequence: 1, State: directory.StateReady})
+		list = append(list, directory.Record{Target: api.TargetID(time.Duration(i).String()), Service: service, Address: time.Duration(i).String(), Zone: "z", Slots: 8, Sequence: 1, State: directory.StateReady, Software: "v1"})
 	}
 	targets.Update(list)
 	return targets.Of(service)
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -24,8 +24,11 @@
 	outcomeLost        = "lost"      // the response was lost, and the request may have been run
 	// outcomeQuarantined: nothing was sent, because the request crashes targets.
 	outcomeQuarantined = "quarantined"
-	outcomeNoMove      = "no_move" // the run could not be moved there
-	outcomeFailed      = "failed"  // the target answered with an error of its own
+	// outcomeOtherSoftware: nothing was sent, because the target may run other software than the one
+	// that began the request's stream.
+	outcomeOtherSoftware = "other_software"
+	outcomeNoMove        = "no_move" // the run could not be moved there
+	outcomeFailed        = "failed"  // the target answered with an error of its own
 )
 
 // send sends the request once, under a permit, and classifies the result. It returns an
@@ -37,6 +40,11 @@
 		r.obs.Attempted(req, t, outcomeNotSent, errEvacuated)
 		return nil, outcomeNotSent
 	}
+	if err := req.checkSoftware(t); err != nil {
+		r.releasePermit(p)
+		r.obs.Attempted(req, t, outcomeOtherSoftware, err)
+		return nil, outcomeOtherSoftware
+	}
 	if !p.valid(time.Now()) {
 		if _, ok := r.permit(ctx, req, t, p.use); !ok {
 			return nil, outcomeHeldBack
@@ -159,7 +167,7 @@
 // mayHaveReadIt reports whether the target may have read the request after an outcome.
 func mayHaveReadIt(outcome string) bool {
 	switch outcome {
-	case outcomeNotSent, outcomeWrongTarget, outcomeHeldBack, outcomeQuarantined:
+	case outcomeNotSent, outcomeWrongTarget, outcomeHeldBack, outcomeQuarantined, outcomeOtherSoftware:
 		return false
 	}
 	return true
@@ -195,9 +203,9 @@
 }
 
 // acquireResend acquires one retry for a request whose caller has received nothing yet. After
-// outcomeHeldBack none is needed, because nothing was sent.
+// outcomeHeldBack and outcomeOtherSoftware none is needed, because nothing was sent.
 func (r *Relay) acquireResend(ctx context.Context, req *Request, why string) bool {
-	if why == outcomeHeldBack {
+	if why == outcomeHeldBack || why == outcomeOtherSoftware {
 		return true
 	}
 	_, ok := r.acquireRetry(ctx, req, retrybudget.PurposeRetry, why)
--- a/node/relay/software.go
+++ b/node/relay/software.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"fmt"
+
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/origin"
 )
 
 // SoftwareVersion returns the version of the target's software, empty if it is unknown.
@@ -38,3 +41,55 @@
 		t.setSoftware("")
 	}
 }
+
+// origin returns the origin of the streams that the target begins.
+func (t *Target) origin() origin.Origin {
+	return origin.Of(t.Service, t.SoftwareVersion(), t.Target, t.Born)
+}
+
+// mayContinueAt reports whether the target runs the software that began the request's stream. A
+// stream without any event may be served by any target.
+func (req *Request) mayContinueAt(t *Target) bool {
+	o := req.origin.Load()
+	return o == nil || o.Allows(t.origin())
+}
+
+// OtherSoftwareError reports a stream that was not continued at a target, because the target may run
+// other software than the one that began the stream.
+type OtherSoftwareError struct {
+	Peer api.TargetID
+	// Began began the stream; Has is the target's.
+	Began, Has origin.Origin
+}
+
+// Error implements error.
+func (e *OtherSoftwareError) Error() string {
+	return fmt.Sprintf("continue a stream at %s: its software is %s, the stream began at %s", e.Peer, describe(e.Has), describe(e.Began))
+}
+
+func describe(o origin.Origin) string {
+	switch {
+	case o.Software != "":
+		return fmt.Sprintf("%s %q", o.Service, string(o.Software))
+	case o.Born != 0:
+		return fmt.Sprintf("%s of run %d of %s", o.Service, o.Born, o.Target)
+	}
+	return "unknown"
+}
+
+// checkSoftware returns an error if the request's stream must not be continued at the target.
+func (req *Request) checkSoftware(t *Target) error {
+	if req.mayContinueAt(t) {
+		return nil
+	}
+	return &OtherSoftwareError{Peer: t.Target, Began: *req.origin.Load(), Has: t.origin()}
+}
+
+// recordOrigin records the software that brought the stream's first event.
+func (s *streamRun) recordOrigin(l *leg) {
+	if s.req.origin.Load() != nil {
+		return
+	}
+	began := l.target.origin()
+	s.req.origin.Store(&began)
+}
--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -28,8 +28,12 @@
 // writeDraft writes a stream whose events name the software version of the run that made them.
 func (s *simTarget) writeDraft(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	software, crashes := s.record.Software, s.crashes
+	software, crashes, misdirected := s.record.Software, s.crashes, r.Header.Get("Target") != string(s.record.Target)
 	s.mu.Unlock()
+	if misdirected {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := lastEventNumber(r) + 1; i <= draftEvents; i++ {
 		select {
--- a/node/relay/standby.go
+++ b/node/relay/standby.go
@@ -31,7 +31,7 @@
 	}
 	now := time.Now()
 	return choose(s.relay.targets.Of(s.req.Service), false, func(part []*Target) int {
-		candidates := s.relay.copyCandidates(s.req, part, []*Target{t}, now)
+		candidates := s.relay.copyCandidates(s.req, t, part, []*Target{t}, now)
 		fill := handoff.StandbyFill(e.Moves, placement.MemoryUse(candidates))
 		if fill == 0 {
 			return -1
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -197,6 +197,7 @@
 		return nil
 	}
 	arrived := s.recordEvent(l)
+	s.recordOrigin(l)
 	s.sendHeader(l)
 	if _, err := s.req.writer.Write(ev.raw); err != nil {
 		return err
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -164,7 +164,7 @@
 		w: w, rng: rand.New(rand.NewPCG(w.rng.Uint64(), 1)),
 		asked: make(map[simLink][]*askedPeriod), left: make(map[simLink]time.Time), arrivals: make(map[int64]int), firstAfter: make(map[string]time.Time),
 	}
-	s.record = directory.Record{Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z", Slots: 8, Sequence: 1, Born: 1, State: directory.StateReady}
+	s.record = directory.Record{Target: api.TargetID(fmt.Sprintf("t-%d", i)), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z", Slots: 8, Sequence: 1, Born: 1, State: directory.StateReady, Software: "v1"}
 	w.targets = append(w.targets, s)
 	s.serve()
 }
