A stream that a caller takes up goes on at the version that began it

What callers saw: a stream that broke off with its engine or entry was continued, at any entry, by an engine of another version. Cause: a request that takes a stream up was served like a new one. Which software had begun the stream was known to one entry, and forgotten with the response. Change: entries tell three control members of each stream on a route with can_resume, before its caller gets the first event, and ask all members when a request takes up a stream that they don't know themselves (node/origins). Members keep it in memory until a minute after the request's deadline: no log, no leader. Entries tell a member again that they lost the link to. What isn't known is not guessed: 503 origin_unknown; a version that nothing serves any longer: 503 version_gone at once, so that the caller begins anew. A member states that it takes these messages, because a link ends at a message of an unknown kind.

--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -38,6 +38,8 @@
 	ReasonNoTarget           Reason = "no_target"
 	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonOutsideHomes       Reason = "outside_homes"
+	ReasonVersionGone        Reason = "version_gone"
+	ReasonOriginUnknown      Reason = "origin_unknown"
 	ReasonTargetLimit        Reason = "target_limit"
 	ReasonTargetBackoff      Reason = "target_backoff"
 	ReasonQuarantined        Reason = "quarantined"
@@ -104,6 +106,8 @@
 	ReasonNoTarget:           {503, typeServer, true},
 	ReasonZoneEvacuated:      {503, typeServer, true},
 	ReasonOutsideHomes:       {503, typeServer, true},
+	ReasonVersionGone:        {503, typeServer, true},
+	ReasonOriginUnknown:      {503, typeServer, true},
 	ReasonTargetLimit:        {503, typeOverloaded, true},
 	ReasonTargetBackoff:      {503, typeOverloaded, true},
 	ReasonQuarantined:        {503, typeServer, true},
--- a/core/routeconf/table.go
+++ b/core/routeconf/table.go
@@ -152,6 +152,11 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// SendsTo reports whether requests of the route may be sent to a service.
+func (r *Route) SendsTo(id api.ServiceID) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == id && s.Weight > 0 })
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -13,6 +13,7 @@
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/registry"
 	"almondseam.dev/node/wire"
 	"github.com/gofiber/fiber/v3"
@@ -55,6 +56,8 @@
 	// Registry holds the targets that announce themselves, for clients that subscribe
 	// to them; nil for none.
 	Registry *registry.Registry
+	// Origins keeps what entries tell of the streams that they begin; nil for nothing.
+	Origins *origins.Keeper
 	// Silence is the silence timeout of the links, zero for the default.
 	Silence time.Duration
 }
@@ -84,7 +87,7 @@
 }
 
 // Codec encodes and decodes the messages of control links.
-var Codec = wire.NewCodec(slices.Concat(Protos(), registry.Protos())...)
+var Codec = wire.NewCodec(slices.Concat(Protos(), registry.Protos(), origins.Protos())...)
 
 // LinkOptions returns the options of a control link for the process self.
 func LinkOptions(key []byte, self link.Peer, observer link.Observer) link.Options {
@@ -135,7 +138,7 @@
 
 func (r *Role) serve(ctx context.Context, s Settings, opt link.Options) {
 	r.sessions = NewServer(ctx, r.member, r.links)
-	r.sessions.registry = s.Registry
+	r.sessions.registry, r.sessions.origins = s.Registry, s.Origins
 	acceptor := link.NewAcceptor(opt, r.sessions.Serve)
 	r.server = &fasthttp.Server{Handler: acceptor.Handler}
 	r.listeners = append(r.listeners, s.Link)
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -10,6 +10,7 @@
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/registry"
 	"almondseam.dev/node/wire"
 	"github.com/sourcegraph/conc"
@@ -27,6 +28,9 @@
 	// registry holds the targets that announce themselves, for links that subscribe to
 	// them; nil in fleets whose targets have agents.
 	registry *registry.Registry
+	// origins keeps what entries tell of the streams that they begin; nil in fleets whose targets have
+	// agents.
+	origins *origins.Keeper
 	// mu guards lastUpdate, the update that was made last. Most clients need the same
 	// one.
 	mu         sync.Mutex
@@ -116,6 +120,14 @@
 		if s.server.registry != nil {
 			s.server.registry.Load(m.List)
 		}
+	case *origins.Tell:
+		if s.server.origins != nil {
+			s.server.origins.Told(m)
+		}
+	case *origins.Ask:
+		if s.server.origins != nil {
+			_ = s.conn.Send(s.server.origins.Answer(m)) // the entry asks again if the link has ended
+		}
 	}
 }
 
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -69,6 +69,11 @@
 	return s
 }
 
+// KeptOrigins registers the number of streams of which a member keeps the origin.
+func (s *Set) KeptOrigins(n func() int) {
+	promauto.With(s.Registry).NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "kept_origins", Help: "Streams of which this member keeps which software began them."}, func() float64 { return float64(n()) })
+}
+
 // BadPaces counts dropped paces of load reports.
 func (s *Set) BadPaces(n int) { s.badPaces.Add(float64(n)) }
 
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -9,6 +9,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/fleetload"
+	"almondseam.dev/core/origin"
 	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/relay"
@@ -50,6 +51,7 @@
 	backoffs       prometheus.Counter
 	leavings       prometheus.Counter
 	crashes        prometheus.Counter
+	origins        *prometheus.CounterVec
 	pace
 }
 
@@ -65,6 +67,7 @@
 		Faults:            NewFaults(s),
 		log:               s.log,
 		refusals:          s.refusals,
+		origins:           f.NewCounterVec(counter("relay_origins_total", "Streams taken up by callers, by from where it is known what began them, or unknown."), []string{"source"}),
 		sends:             f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
 		attempts:          f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
 		migrations:        f.NewCounterVec(counter("relay_migrations_total", "Streams that were continued at another engine, by how."), []string{"how"}),
@@ -147,6 +150,16 @@
 	addTarget(addRequest(events.RequestNoRoom.Log(m.log), r).AnErr("error", err), "target", t).Send()
 }
 
+// OriginFound implements relay.Observer.
+func (m *Relay) OriginFound(r *relay.Request, o origin.Origin, source string, took time.Duration, err error) {
+	if err != nil {
+		source = "unknown"
+	}
+	m.origins.WithLabelValues(source).Inc()
+	addRequest(events.StreamTakenUp.Log(m.log), r).Str("origin_service", string(o.Service)).Str("origin_software", string(o.Software)).
+		Str("origin_target", string(o.Target)).Int64("origin_born", o.Born).Str("source", source).Dur("took", took).Err(err).Send()
+}
+
 // Sent implements relay.Observer.
 func (m *Relay) Sent(r *relay.Request, t *relay.Target, why string) {
 	m.sends.WithLabelValues(why).Inc()
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -23,6 +23,7 @@
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/registry"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -65,6 +66,7 @@
 	// clientObserver is notified of what the client that forwards requests meets.
 	clientObserver control.ClientObserver
 	registry       *registry.Registry
+	origins        *origins.Keeper
 	follower       *registry.Follower
 	role           atomic.Pointer[control.Role]
 	work           conc.WaitGroup
@@ -78,6 +80,9 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.observer = control.NewMetrics(m.Registry, log, 0)
 	c.registry = registry.New(metrics.Directory{Log: log}, nil)
+	c.registry.SetKeepsOrigins()
+	c.origins = origins.NewKeeper()
+	m.KeptOrigins(c.origins.Len)
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleControl}, m)
 	opt.Silence = routedLinkTimeout
 	c.follower = registry.NewFollower(c.ctx, registry.FollowerOptions{
@@ -163,6 +168,7 @@
 		Retries:        c.set.Retries,
 		Join:           &control.Join{Seeds: c.set.Seeds, Self: c.set.Links},
 		Registry:       c.registry,
+		Origins:        c.origins,
 		Silence:        routedLinkTimeout,
 	})
 	if err != nil {
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -21,6 +21,7 @@
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
 	"almondseam.dev/node/metrics"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/registry"
 	"almondseam.dev/node/relay"
 	"almondseam.dev/node/upstream"
@@ -116,6 +117,7 @@
 	targets    *relay.Targets
 	registry   *registry.Registry
 	follower   *registry.Follower
+	origins    *origins.Client
 	server     *http.Server
 	relay      *relay.Relay
 	leaving    atomic.Bool
@@ -142,7 +144,8 @@
 	opt := control.LinkOptions(set.Key, link.Peer{Instance: set.Instance, Zone: set.Zone, Role: link.RoleEntry}, p.Metrics)
 	opt.Silence = routedLinkTimeout
 	e.registry = registry.New(metrics.Directory{Log: p.Log}, e.targets.Update)
-	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{Registry: e.registry, Link: opt, OnLoads: e.onLoads})
+	e.origins = origins.NewClient()
+	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{Registry: e.registry, Link: opt, OnLoads: e.onLoads, Origins: e.origins})
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:     set.Seeds,
 		Link:      opt,
@@ -160,7 +163,7 @@
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
 	e.relay = relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions, CallerMemory: callerMemory(set.MemoryLimit)}, relay.Ports{
 		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
-		Retries: e.retries, LimitReports: e.limits, Quarantine: e.quarantine, Observer: p.Observer,
+		Retries: e.retries, LimitReports: e.limits, Quarantine: e.quarantine, Origins: e.origins, Observer: p.Observer,
 	})
 	e.server = &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/fleetload"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/wire"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
@@ -40,6 +41,18 @@
 	// each other member the load reports that entries sent there. An entry receives all
 	// load reports from a single member, its home.
 	Member bool
+	// Origins is notified of the members that keep the origins of streams. It may be nil.
+	Origins OriginClient
+}
+
+// OriginClient is notified of the members that keep the origins of streams (package origins), and of
+// what they send. Its methods must not block.
+type OriginClient interface {
+	// Joined reports a link to a member, which replaces an earlier one to the same address.
+	Joined(addr string, s origins.Sender)
+	// Left reports that the link to a member has ended.
+	Left(addr string)
+	Answered(m *origins.Answer)
 }
 
 // Follower keeps a link to each of a changing set of members and merges the records
@@ -69,6 +82,8 @@
 	// peerCount is the number of other members from which this member receives load
 	// reports, as it last stated.
 	peerCount int
+	// keepsOrigins is set once OriginClient was notified of the member.
+	keepsOrigins bool
 }
 
 // Conn is an open link to a member.
@@ -136,7 +151,11 @@
 	case *Loads:
 		f.opt.OnLoads(m.List)
 	case *PeerCount:
-		f.peerCount(addr, m.Members)
+		f.peerCount(addr, m)
+	case *origins.Answer:
+		if f.opt.Origins != nil {
+			f.opt.Origins.Answered(m)
+		}
 	}
 }
 
@@ -163,6 +182,9 @@
 	if known := f.conns[addr]; known == nil || known.conn != conn {
 		return
 	}
+	if f.conns[addr].keepsOrigins {
+		f.opt.Origins.Left(addr)
+	}
 	delete(f.conns, addr)
 	if f.opt.Member {
 		f.opt.Registry.SetPeerCount(len(f.conns))
@@ -174,11 +196,17 @@
 }
 
 // peerCount handles a PeerCount message of the member at addr.
-func (f *Follower) peerCount(addr string, members int) {
+func (f *Follower) peerCount(addr string, m *PeerCount) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known := f.conns[addr]; known != nil {
-		known.peerCount = members
+	known := f.conns[addr]
+	if known == nil {
+		return
+	}
+	known.peerCount = m.Members
+	if m.KeepsOrigins && !known.keepsOrigins && f.opt.Origins != nil {
+		known.keepsOrigins = true
+		f.opt.Origins.Joined(addr, known.conn)
 	}
 }
 
--- a/node/registry/messages.go
+++ b/node/registry/messages.go
@@ -66,6 +66,9 @@
 // PeerCount states from how many other members the sending member receives load reports.
 type PeerCount struct {
 	Members int `cbor:"1,keyasint"`
+	// KeepsOrigins is set if the member takes the messages of package origins. A link to a member of
+	// an earlier version would end at the first of them.
+	KeepsOrigins bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind implements wire.Message.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -47,6 +47,8 @@
 	pendingEntryLoads loadQueue
 	// peerCount is the number of other members from which this one receives load reports.
 	peerCount int
+	// keepsOrigins is set if this member takes the messages of package origins.
+	keepsOrigins bool
 	// ownChanges and peerChanges hold the changed records that have not been sent to
 	// subscribers yet: those of targets that announce themselves to this process, and
 	// those that came from other processes.
@@ -167,7 +169,7 @@
 		_ = s.Send(&Records{List: r.dir.OwnRecords(time.Now())})
 	}
 	if !known {
-		_ = s.Send(&PeerCount{Members: r.peerCount})
+		_ = s.Send(r.peerCountMessage())
 	}
 }
 
@@ -180,12 +182,24 @@
 		return
 	}
 	r.peerCount = members
-	m := &PeerCount{Members: members}
+	m := r.peerCountMessage()
 	for s := range r.subscribers {
 		_ = s.Send(m)
 	}
 }
 
+// peerCountMessage returns what this member states of itself. r.mu must be held.
+func (r *Registry) peerCountMessage() *PeerCount {
+	return &PeerCount{Members: r.peerCount, KeepsOrigins: r.keepsOrigins}
+}
+
+// SetKeepsOrigins states to later subscribers that this member takes the messages of package origins.
+func (r *Registry) SetKeepsOrigins() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keepsOrigins = true
+}
+
 // Unsubscribe removes a subscriber.
 func (r *Registry) Unsubscribe(s Sender) {
 	r.mu.Lock()
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -170,6 +170,8 @@
 		return api.ReasonOutsideHomes, operatorRetryAfter
 	case r.targets.allEvacuated(req.Service):
 		return api.ReasonZoneEvacuated, operatorRetryAfter
+	case r.noneContinues(req):
+		return api.ReasonVersionGone, retryFresh
 	}
 	now := time.Now()
 	if wait, reason := r.unavailable(req, now); wait > 0 {
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/origin"
 	"almondseam.dev/core/targetlimit"
 	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
@@ -132,6 +133,16 @@
 	Reserve(ctx context.Context, at Peer, tokens int, ttl time.Duration) (string, error)
 }
 
+// Origins tells which software began a stream, also a stream that began at another entry process. It
+// is safe for concurrent use.
+type Origins interface {
+	// Began records which software began a stream, to be kept for the time ttl. It does not block.
+	Began(k origin.Key, o origin.Origin, ttl time.Duration)
+	// Find returns the origin of a stream and from where it is known. The error tells why it is not
+	// known.
+	Find(ctx context.Context, k origin.Key) (o origin.Origin, source string, err error)
+}
+
 // Observer is notified of events in the life of requests, for metrics and logs. Its methods are
 // called from many goroutines and must not block.
 type Observer interface {
@@ -144,6 +155,9 @@
 	Held(r *Request, waited time.Duration)
 	// NoRoom reports that an engine made no reservation for a request.
 	NoRoom(r *Request, t *Target, err error)
+	// OriginFound reports the origin of a stream that a request takes up, from where it is known and
+	// after which time, or why it is not known.
+	OriginFound(r *Request, o origin.Origin, source string, took time.Duration, err error)
 	// Sent reports that a request is sent to a target; why is the reason for this send.
 	Sent(r *Request, t *Target, why string)
 	// ColdStart reports whether a request may be sent to a cold target.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -16,6 +16,7 @@
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/crash"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/upstream"
 )
 
@@ -46,7 +47,10 @@
 	// Quarantine holds the requests to refuse; if it is nil, the Relay goes by what it observes
 	// itself.
 	Quarantine *crash.Quarantine
-	Observer   Observer
+	// Origins tells which software began a stream; if it is nil, streams can be taken up only at this
+	// entry.
+	Origins  Origins
+	Observer Observer
 }
 
 // Relay is the HTTP handler for callers' requests.
@@ -67,6 +71,7 @@
 	moves        *moveEstimates
 	crashes      *crashMonitor
 	quarantine   *crash.Quarantine
+	origins      Origins
 	callers      callerMemory
 }
 
@@ -75,11 +80,14 @@
 	if p.Quarantine == nil {
 		p.Quarantine = crash.NewQuarantine(nil, p.Observer)
 	}
+	if p.Origins == nil {
+		p.Origins = origins.NewClient()
+	}
 	r := &Relay{
 		settings: settings, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
 		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, costRanks: newCostRanks(), prefill: newPrefillRates(), returns: newReturns(),
 		paces: newPaces(), moves: newMoveEstimates(),
-		quarantine: p.Quarantine, callers: callerMemory{bound: settings.CallerMemory},
+		quarantine: p.Quarantine, origins: p.Origins, callers: callerMemory{bound: settings.CallerMemory},
 	}
 	r.crashes = newCrashMonitor(p.Pool, r.targetCrashed)
 	p.Targets.ObserveFaults(p.Observer)
@@ -140,6 +148,9 @@
 	defer end(nil)
 	defer r.quarantine.Begin(req.identity, end)()
 	caller.limit = req.Deadline.Add(writeGrace)
+	if !r.resolveOrigin(ctx, req) {
+		return
+	}
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
 		r.stream(ctx, req)
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
+	"almondseam.dev/core/origin"
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
@@ -59,6 +60,7 @@
 type nopObserver struct{ nopFaultObserver }
 
 func (nopObserver) Refused(*Request, int, api.Reason)                                            {}
+func (nopObserver) OriginFound(*Request, origin.Origin, string, time.Duration, error)            {}
 func (nopObserver) Held(*Request, time.Duration)                                                 {}
 func (nopObserver) NoRoom(*Request, *Target, error)                                              {}
 func (nopObserver) Sent(*Request, *Target, string)                                               {}
--- a/node/relay/software.go
+++ b/node/relay/software.go
@@ -1,11 +1,16 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net/http"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/directory"
 	"almondseam.dev/core/origin"
+	"almondseam.dev/core/routeconf"
 )
 
 // SoftwareVersion returns the version of the target's software, empty if it is unknown.
@@ -85,6 +90,66 @@
 	return &OtherSoftwareError{Peer: t.Target, Began: *req.origin.Load(), Has: t.origin()}
 }
 
+const (
+	// originKept is how long after the end of a request the origin of its stream is kept: callers take
+	// a stream up soon after it has broken off.
+	originKept = time.Minute
+	// retryFresh is the time after which a caller whose stream cannot be continued may begin anew.
+	retryFresh = 50 * time.Millisecond
+)
+
+// originTTL returns how long the origin of the request's stream is kept.
+func originTTL(req *Request) time.Duration { return time.Until(req.Deadline) + originKept }
+
+// errNotNamed reports a request that takes up a stream without naming what brought its first event.
+var errNotNamed = errors.New("the request does not name the one that began the stream")
+
+// resolveOrigin determines which software may serve a request that takes a stream up. If it returns
+// false, the request has been answered: it is refused if it is not known what began the stream, since
+// any choice of a target could join two versions.
+func (r *Relay) resolveOrigin(ctx context.Context, req *Request) bool {
+	if req.Route.Kind != routeconf.KindStream || req.Ask.Resumes == "" && req.Ask.LastEvent == "" {
+		return true
+	}
+	began := time.Now()
+	var o origin.Origin
+	var source string
+	err := errNotNamed
+	key := origin.KeyOf(req.customerID(), req.Ask.Resumes)
+	if req.Ask.Resumes != "" {
+		o, source, err = r.origins.Find(ctx, key)
+	}
+	r.obs.OriginFound(req, o, source, time.Since(began), err)
+	switch {
+	case err != nil && req.callerGone():
+		r.endCancelled(req)
+		return false
+	case err != nil:
+		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonOriginUnknown, retryFresh)
+	case !req.Route.SendsTo(o.Service):
+		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonVersionGone, retryFresh)
+	}
+	req.Service = o.Service
+	req.origin.Store(&o)
+	r.origins.Began(key, o, originTTL(req)) // the caller may take it up once more
+	return true
+}
+
+// noneContinues reports whether the request's stream has begun and no target that takes requests runs
+// the software that may continue it.
+func (r *Relay) noneContinues(req *Request) bool {
+	if req.origin.Load() == nil {
+		return false
+	}
+	list := r.targets.Of(req.Service)
+	for _, t := range list {
+		if req.mayContinueAt(t) && !t.isDraining() {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
 // recordOrigin records the software that brought the stream's first event.
 func (s *streamRun) recordOrigin(l *leg) {
 	if s.req.origin.Load() != nil {
@@ -92,4 +157,7 @@
 	}
 	began := l.target.origin()
 	s.req.origin.Store(&began)
+	if s.req.Route.Resumable && began.Known() {
+		s.relay.origins.Began(origin.KeyOf(s.req.customerID(), s.req.Ask.Request), began, originTTL(s.req))
+	}
 }
--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -185,6 +185,7 @@
 func (e *simEntry) kill(name string) {
 	old := e.current()
 	e.start(name)
+	e.w.members.leave(old.origins)
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
 	for _, cut := range e.w.connections[old] {
@@ -197,7 +198,7 @@
 	w := newWorld(t, seed, 12, 4)
 	for i, s := range w.targets {
 		s.mu.Lock()
-		s.record.Software, s.record.Sequence = api.SoftwareVersion(fmt.Sprintf("v%d", i%2+1)), 2
+		s.record.Software, s.record.Born = api.SoftwareVersion(fmt.Sprintf("v%d", i%2+1)), 2
 		r := s.record
 		s.mu.Unlock()
 		w.announce(r)
@@ -206,7 +207,7 @@
 }
 
 // disturbVersions lets a target crash each 0.7 s, sometimes to come back with other software, and now
-// and then a target drain or an entry be killed.
+// and then a target drain, an entry be killed or a member be started anew.
 func (w *world) disturbVersions(ctx context.Context, rng *rand.Rand) {
 	boots := 0
 	w.nextSoftware = func(v api.SoftwareVersion) api.SoftwareVersion {
@@ -227,6 +228,8 @@
 			s := w.targets[rng.IntN(len(w.targets))]
 			s.drain()
 			time.AfterFunc(2*time.Second, func() { s.crash() })
+		case 2:
+			w.members.restart(fmt.Sprintf("member-%d", boots%3))
 		}
 	}
 }
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -21,6 +21,7 @@
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/node/crash"
+	"almondseam.dev/node/origins"
 	"almondseam.dev/node/upstream"
 )
 
@@ -45,8 +46,10 @@
 	group *localPool
 	// quarantine is the control group's part of the quarantine.
 	quarantine *simQuarantine
-	targets    []*simTarget
-	entries    []*simEntry
+	// members keep the origins of streams.
+	members *simMembers
+	targets []*simTarget
+	entries []*simEntry
 
 	mu sync.Mutex
 	// sent holds when callers sent their requests.
@@ -76,6 +79,7 @@
 	reports    *LimitReports
 	retries    *Retries
 	quarantine *crash.Quarantine
+	origins    *origins.Client
 }
 
 // simTarget is a target. Its fields change while it serves.
@@ -127,7 +131,7 @@
 // /story/ and /notes/.
 func newWorld(t *testing.T, seed uint64, targets, entries int) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 0)), sent: make(map[api.RequestID]time.Time)}
-	w.quarantine = newSimQuarantine(t)
+	w.quarantine, w.members = newSimQuarantine(t), newSimMembers()
 	w.group = &localPool{limits: enoughRetries, pool: retrybudget.NewPool()}
 	split := []routeconf.Share{{Service: service, Weight: 1}}
 	table, err := routeconf.Compile(routeconf.Config{
@@ -201,10 +205,12 @@
 	b.targets.SetOthers(nil, len(e.w.entries)-1)
 	b.quarantine = crash.NewQuarantine(e.w.quarantine, nopObserver{})
 	e.w.quarantine.join(b.quarantine)
+	b.origins = origins.NewClient()
+	e.w.members.join(b.origins)
 	d := &bootDialer{w: e.w, boot: name, rng: rand.New(rand.NewPCG(e.w.rng.Uint64(), 2))}
 	b.relay = New(Settings{Zone: "z"}, Ports{
 		Live: &e.w.live, Targets: b.targets, Pool: upstream.NewPoolWithDialer(nopObserver{}, d), Dialect: plainDialect{}, Engines: callingEngines{},
-		Retries: b.retries, LimitReports: b.reports, Quarantine: b.quarantine, Observer: nopObserver{},
+		Retries: b.retries, LimitReports: b.reports, Quarantine: b.quarantine, Origins: b.origins, Observer: nopObserver{},
 	})
 	e.mu.Lock()
 	e.boot = b
