--- a/node/events/events.go
+++ b/node/events/events.go
@@ -58,8 +58,8 @@
 	RequestQuarantined   = Event{317, zerolog.WarnLevel, "a request is refused from now on because it crashes targets", "Find the customer's request by its path and fingerprint, and what in it crashes the targets. almondctl quarantine lift allows it again."}
 	RequestUnquarantined = Event{318, zerolog.InfoLevel, "a request is no longer refused for crashes of targets", "None."}
 	EnginePace           = Event{320, zerolog.InfoLevel, "an engine no longer holds the pause bound of its streams, or holds it again", "None, unless it recurs for the same engine: compare its machine with those of the others."}
-	StreamTakenUp        = Event{324, zerolog.InfoLevel, "a caller takes up a stream: which software began it", "None; with an error the request was refused: see whether the instance reaches the control members, and whether its caller names the right request."}
 	MigrationPaused      = Event{323, zerolog.InfoLevel, "a stream paused over its bound in a migration", "None, unless it recurs: waited_for and the times in the line say which part took long."}
+	StreamTakenUp        = Event{324, zerolog.InfoLevel, "a caller takes up a stream: which software began it", "None; with an error the request was refused: see whether the instance reaches the control members, and whether its caller names the right request."}
 	TargetAnnounced      = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving        = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone           = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether the target's agent runs; requests on the target wait some time for the link to come back."}
@@ -101,7 +101,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, StreamTakenUp, MigrationPaused,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported, TargetOut, TargetTrial, TargetReturning,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
