A stream goes on only at the run of a target that its entry knows

What callers would see: a target ends and starts again under its name with other software. Until its announcement arrives, entries take it for the run that they know, begin streams there under the wrong version, and continue streams there. Cause: requests name the target's ID, which a restarted target may keep; nothing in a response identifies the run. Change: before the first event of a continued stream is forwarded, the target is asked for the start of its run (event 325). It is asked after its response has begun to arrive: both runs started before, so that an equal start identifies the run. A new stream is asked for only where the target is in doubt: after a failure that this or, by the load reports, another entry has seen. If another run answers, the stream's origin is that run, which resolves to its version once it is announced; until then a request that takes it up is refused with Retry-After 0.7 s. A stream whose target is announced anew while it goes on has its origin revised, at the members too; one that breaks off between is of unknown origin.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -33,6 +33,17 @@
 // Known reports whether the origin identifies software.
 func (o Origin) Known() bool { return o.Software != "" || o.Born != 0 }
 
+// OfRun returns the origin of streams that begin at a run of a target whose software version is not
+// known yet.
+func OfRun(service api.ServiceID, target api.TargetID, born int64) Origin {
+	return Of(service, "", target, born)
+}
+
+// IsRun reports whether the origin is a given run of a target.
+func (o Origin) IsRun(target api.TargetID, born int64) bool {
+	return o.Software == "" && o.Born != 0 && o.Target == target && o.Born == born
+}
+
 // Allows reports whether a stream of this origin may be continued at a target whose own streams are
 // of the given origin.
 func (o Origin) Allows(target Origin) bool { return o.Known() && o == target }
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -30,12 +30,13 @@
 func NewTable(most int) *Table { return &Table{most: most, slots: make(map[int64]*slot)} }
 
 // Put stores the origin of a stream until a time. If another origin is known of the stream, neither
-// counts: the same request ID was used for two streams.
-func (t *Table) Put(k Key, o Origin, until, now time.Time) {
+// counts: the same request ID was used for two streams. With revised set, the new one counts: the
+// entry that stated the first one knows better.
+func (t *Table) Put(k Key, o Origin, revised bool, until, now time.Time) {
 	t.expire(now)
 	end := slotEnd(earlier(until, now.Add(maxAge)))
 	if at, known, ok := t.find(k); ok {
-		if known != o {
+		if known != o && (!revised || !known.Known()) {
 			o = Origin{}
 		}
 		delete(t.slots[at].streams, k)
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -52,6 +52,7 @@
 	leavings       prometheus.Counter
 	crashes        prometheus.Counter
 	origins        *prometheus.CounterVec
+	confirmed      *prometheus.CounterVec
 	pace
 }
 
@@ -68,6 +69,7 @@
 		log:               s.log,
 		refusals:          s.refusals,
 		origins:           f.NewCounterVec(counter("relay_origins_total", "Streams taken up by callers, by from where it is known what began them, or unknown."), []string{"source"}),
+		confirmed:         f.NewCounterVec(counter("relay_runs_confirmed_total", "Targets that were asked whether their run is the known one, by whether it is."), []string{"confirmed"}),
 		sends:             f.NewCounterVec(counter("relay_sends_total", "Requests sent to a target, by why."), []string{"why"}),
 		attempts:          f.NewCounterVec(counter("relay_attempts_total", "What sends came to."), []string{"outcome"}),
 		migrations:        f.NewCounterVec(counter("relay_migrations_total", "Streams that were continued at another engine, by how."), []string{"how"}),
@@ -160,6 +162,12 @@
 		Str("origin_target", string(o.Target)).Int64("origin_born", o.Born).Str("source", source).Dur("took", took).Err(err).Send()
 }
 
+// RunConfirmed implements relay.Observer.
+func (m *Relay) RunConfirmed(r *relay.Request, t *relay.Target, err error) {
+	m.confirmed.WithLabelValues(strconv.FormatBool(err == nil)).Inc()
+	addTarget(addRequest(events.RunConfirmed.Log(m.log), r), "target", t).Int64("born", t.Born).Err(err).Send()
+}
+
 // Sent implements relay.Observer.
 func (m *Relay) Sent(r *relay.Request, t *relay.Target, why string) {
 	m.sends.WithLabelValues(why).Inc()
--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -66,6 +66,8 @@
 type ownStream struct {
 	origin origin.Origin
 	until  time.Time
+	// revised is set if another origin was stated before.
+	revised bool
 	// told holds the members that were told of the stream on a link that is still open.
 	told []string
 }
@@ -138,12 +140,19 @@
 // is called before the caller gets the first event: what a caller has seen can then be taken up also if
 // this process ends at once.
 func (c *Client) Began(k origin.Key, o origin.Origin, ttl time.Duration) {
+	c.began(k, &ownStream{origin: o, until: time.Now().Add(ttl)})
+}
+
+// Revised replaces the origin of a stream that this entry has begun.
+func (c *Client) Revised(k origin.Key, o origin.Origin, ttl time.Duration) {
+	c.began(k, &ownStream{origin: o, until: time.Now().Add(ttl), revised: true})
+}
+
+func (c *Client) began(k origin.Key, stream *ownStream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	c.sweep(now)
-	stream := &ownStream{origin: o, until: now.Add(ttl)}
-	if known := c.own[k]; known != nil && known.origin != o {
+	c.sweep(time.Now())
+	if known := c.own[k]; known != nil && known.origin != stream.origin && !stream.revised {
 		stream.origin = origin.Origin{}
 	}
 	if len(c.own) < maxOwn {
@@ -168,7 +177,7 @@
 			*m = make(messages)
 		}
 		stream.told = append(stream.told, addr)
-		(*m)[addr] = append((*m)[addr], Stream{Key: k, Origin: stream.origin, TTL: time.Until(stream.until).Milliseconds()})
+		(*m)[addr] = append((*m)[addr], Stream{Key: k, Origin: stream.origin, TTL: time.Until(stream.until).Milliseconds(), Revised: stream.revised})
 	}
 }
 
--- a/node/origins/keeper.go
+++ b/node/origins/keeper.go
@@ -25,7 +25,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range m.List {
-		k.table.Put(s.Key, s.Origin, now.Add(time.Duration(s.TTL)*time.Millisecond), now)
+		k.table.Put(s.Key, s.Origin, s.Revised, now.Add(time.Duration(s.TTL)*time.Millisecond), now)
 	}
 }
 
--- a/node/origins/messages.go
+++ b/node/origins/messages.go
@@ -23,6 +23,8 @@
 	Origin origin.Origin `cbor:"2,keyasint"`
 	// TTL is the time in milliseconds for which the stream is to be kept.
 	TTL int64 `cbor:"3,keyasint"`
+	// Revised is set if the entry has stated another origin before, which was wrong.
+	Revised bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Tell states streams that have begun at an entry.
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -158,6 +158,8 @@
 
 type noEngines struct{}
 
+func (noEngines) Run(context.Context, relay.Peer) (int64, error) { return 0, nil }
+
 func (noEngines) Move(context.Context, relay.Peer, api.RequestID, string, bool) (relay.Copy, error) {
 	return relay.Copy{}, errors.New("no engines")
 }
--- a/node/relay/backoff_test.go
+++ b/node/relay/backoff_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -85,6 +86,16 @@
 }
 
 // Drop implements Engines.
+func (callingEngines) Run(ctx context.Context, at Peer) (int64, error) {
+	x, err := at.Do(ctx, &upstream.Request{Method: http.MethodGet, URI: "/run", Host: at.Address(), Header: http.Header{}})
+	if err != nil {
+		return 0, err
+	}
+	defer x.Close()
+	_, born, _ := strings.Cut(x.Header.Get("Run"), "/")
+	return strconv.ParseInt(born, 10, 64)
+}
+
 func (callingEngines) Drop(ctx context.Context, at Peer, _ string) error {
 	_, err := call(ctx, at, "/drop")
 	return err
--- a/node/relay/crash_world_test.go
+++ b/node/relay/crash_world_test.go
@@ -162,15 +162,21 @@
 	gone.State = directory.StateGone
 	s.record.Born++
 	s.record.Sequence, s.record.State, s.leaving = 1, directory.StateReady, false
-	s.record.Target = api.TargetID(fmt.Sprintf("t-%s-%d", s.record.Address, s.record.Born))
+	if !s.w.keepNames {
+		s.record.Target = api.TargetID(fmt.Sprintf("t-%s-%d", s.record.Address, s.record.Born))
+	}
 	if s.w.nextSoftware != nil {
 		s.record.Software = s.w.nextSoftware(s.record.Software)
 	}
 	next := s.record
 	s.mu.Unlock()
 	s.serve()
-	s.w.announce(gone)
-	s.w.announce(next)
+	time.AfterFunc(s.w.announceDelay, func() {
+		if !s.w.keepNames {
+			s.w.announce(gone)
+		}
+		s.w.announce(next)
+	})
 }
 
 // stopAll is stop after the targets that are down have started again.
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	// hasEvents is set after the first event: from then on the run would be migrated if its
 	// engine drained. stays is set while it is not, because it ends in time.
 	hasEvents, stays bool
+	// beganStream is set if the leg brought the stream's first event, confirmed once it is known which
+	// run of the target serves it, and revised once a later run was announced and taken into account.
+	// They are used by the goroutine that forwards events.
+	beganStream, confirmed, revised bool
 
 	// sentAt is when the request was sent. queuedTokens is the number of prompt tokens that the
 	// engine then had to process, including the request's own.
@@ -67,10 +72,30 @@
 	l.x = x
 	if x == nil {
 		l.end()
+		return l, outcome
+	}
+	if d.CopyFrom.ID != "" || s.req.origin.Load() != nil {
+		return l, s.confirmLeg(l)
 	}
 	return l, outcome
 }
 
+// confirmLeg ends a leg that continues a stream, unless its target confirms its run. It returns the
+// outcome of the send.
+func (s *streamRun) confirmLeg(l *leg) string {
+	err := s.relay.confirmRun(l.ctx, s.req, l.target)
+	if err == nil {
+		return Answered
+	}
+	l.end()
+	l.x = nil
+	var other *OtherRunError
+	if errors.As(err, &other) {
+		return outcomeWrongTarget
+	}
+	return outcomeLost
+}
+
 // unread returns the number of prompt tokens that an engine has to process: none if it
 // continues from a copy of the run.
 func (s *streamRun) unread(d Directive) int {
--- a/node/relay/moves_replay_test.go
+++ b/node/relay/moves_replay_test.go
@@ -399,3 +399,6 @@
 		}
 	})
 }
+
+// Run implements Engines. No engine of the replay starts anew.
+func (movesEngineCalls) Run(context.Context, Peer) (int64, error) { return 1, nil }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -125,6 +125,9 @@
 	// run is ended first. It returns the copy from which the run can be continued. For a stopped
 	// run it returns a copy even with an error: the engine at then keeps the KV cache.
 	Move(ctx context.Context, at Peer, run api.RequestID, to string, stop bool) (Copy, error)
+	// Run returns the start of the run of the target at, in Unix milliseconds of the target's clock;
+	// zero if it states none.
+	Run(ctx context.Context, at Peer) (born int64, err error)
 	// Drop frees a copy at the engine at. If that engine made the copy, it is freed at the
 	// receiving engine too.
 	Drop(ctx context.Context, at Peer, id string) error
@@ -138,6 +141,8 @@
 type Origins interface {
 	// Began records which software began a stream, to be kept for the time ttl. It does not block.
 	Began(k origin.Key, o origin.Origin, ttl time.Duration)
+	// Revised replaces the origin of a stream that this process has begun.
+	Revised(k origin.Key, o origin.Origin, ttl time.Duration)
 	// Find returns the origin of a stream and from where it is known. The error tells why it is not
 	// known.
 	Find(ctx context.Context, k origin.Key) (o origin.Origin, source string, err error)
@@ -158,6 +163,9 @@
 	// OriginFound reports the origin of a stream that a request takes up, from where it is known and
 	// after which time, or why it is not known.
 	OriginFound(r *Request, o origin.Origin, source string, took time.Duration, err error)
+	// RunConfirmed reports that a target was asked whether its run is the known one, because a stream
+	// is continued there; err is nil if it is.
+	RunConfirmed(r *Request, t *Target, err error)
 	// Sent reports that a request is sent to a target; why is the reason for this send.
 	Sent(r *Request, t *Target, why string)
 	// ColdStart reports whether a request may be sent to a cold target.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -61,6 +61,7 @@
 
 func (nopObserver) Refused(*Request, int, api.Reason)                                            {}
 func (nopObserver) OriginFound(*Request, origin.Origin, string, time.Duration, error)            {}
+func (nopObserver) RunConfirmed(*Request, *Target, error)                                        {}
 func (nopObserver) Held(*Request, time.Duration)                                                 {}
 func (nopObserver) NoRoom(*Request, *Target, error)                                              {}
 func (nopObserver) Sent(*Request, *Target, string)                                               {}
@@ -99,6 +100,9 @@
 // Drop implements Engines.
 func (copyFunc) Drop(context.Context, Peer, string) error { return nil }
 
+// Run implements Engines.
+func (copyFunc) Run(context.Context, Peer) (int64, error) { return 1, nil }
+
 // Reserve implements Engines. It always succeeds.
 func (copyFunc) Reserve(context.Context, Peer, int, time.Duration) (string, error) {
 	return "all", nil
--- a/node/relay/software.go
+++ b/node/relay/software.go
@@ -119,6 +119,8 @@
 	if req.Ask.Resumes != "" {
 		o, source, err = r.origins.Find(ctx, key)
 	}
+	found := o
+	o = r.targets.resolve(found)
 	r.obs.OriginFound(req, o, source, time.Since(began), err)
 	switch {
 	case err != nil && req.callerGone():
@@ -126,12 +128,15 @@
 		return false
 	case err != nil:
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonOriginUnknown, retryFresh)
+	case o.Software == "" && !r.targets.knowsRun(o):
+		// The run has not announced itself here yet, or has ended before it did.
+		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonOriginUnknown, retryNoTarget)
 	case !req.Route.SendsTo(o.Service):
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonVersionGone, retryFresh)
 	}
 	req.Service = o.Service
 	req.origin.Store(&o)
-	r.origins.Began(key, o, originTTL(req)) // the caller may take it up once more
+	r.origins.Began(key, found, originTTL(req)) // the caller may take it up once more
 	return true
 }
 
@@ -149,15 +154,3 @@
 	}
 	return len(list) > 0
 }
-
-// recordOrigin records the software that brought the stream's first event.
-func (s *streamRun) recordOrigin(l *leg) {
-	if s.req.origin.Load() != nil {
-		return
-	}
-	began := l.target.origin()
-	s.req.origin.Store(&began)
-	if s.req.Route.Resumable && began.Known() {
-		s.relay.origins.Began(origin.KeyOf(s.req.customerID(), s.req.Ask.Request), began, originTTL(s.req))
-	}
-}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -286,6 +286,7 @@
 		return nextLeg
 	}
 	s.recordEngineEnd(l)
+	s.settleOrigin(l)
 	l.target.recordFailure(time.Now())
 	s.relay.obs.Attempted(s.req, l.target, outcomeLost, end)
 	if l.x != nil {
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -23,6 +23,9 @@
 	status atomic.Pointer[targetstate.Status]
 	// software is the version of the target's software as last stated, nil if it is unknown.
 	software atomic.Pointer[api.SoftwareVersion]
+	// doubted is set after a failure that this or another entry has seen, because the target may have
+	// ended and started again, until it confirms its run.
+	doubted atomic.Bool
 	// successor is the target that was announced at this one's address after it, nil if none.
 	successor atomic.Pointer[Target]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
@@ -459,7 +462,9 @@
 }
 
 func (t *Target) setOthers(sum fleetload.Sum) {
-	t.others.Store(&sum.Load)
+	if was := t.others.Swap(&sum.Load); sum.Load.Failed > 0 && (was == nil || sum.Load.Failed > was.Failed) {
+		t.doubted.Store(true)
+	}
 	next := reportedBacklog{Backlog: sum.Ahead, since: time.Now()}
 	if old := t.ahead.Load(); old != nil && old.Runs == next.Runs {
 		next.since = old.since
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -59,6 +59,10 @@
 	crashLog
 	// connections holds what cuts the callers' connections to each entry process.
 	connections map[*simBoot]map[*int]func()
+	// keepNames lets targets that start anew keep their IDs, and announceDelay is the time after
+	// which they announce themselves.
+	keepNames     bool
+	announceDelay time.Duration
 	// nextSoftware returns the software version of a target's next run, nil if it stays the same.
 	nextSoftware func(api.SoftwareVersion) api.SoftwareVersion
 }
