Soak: callers take up broken streams of targets with two software versions

All events of a stream, over all calls, must be of one version; calls that take one up must go on half as often as new ones begin. The stand-in states its version and its run.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -42,6 +42,10 @@
 	sent    time.Time
 	runs    []standin.Run
 	refused bool
+	// after is the number of the event after which the call takes a stream up, software the version
+	// that began the stream; empty before its first event.
+	after    int
+	software string
 }
 
 // checker records what callers, targets and operators observe and checks it against the
@@ -70,6 +74,7 @@
 	backoffs backoffs
 	crashes  crashes
 	faults   faults
+	streams  streams
 	// evacuations holds the periods in which a zone was evacuated; to is zero until a period
 	// ends.
 	evacuations []delayPeriod
@@ -92,6 +97,7 @@
 		limits:           newLimits(),
 		backoffs:         newBackoffs(),
 		crashes:          crashes{make(map[string][]crashRun)},
+		streams:          streams{software: make(map[api.TargetID]string)},
 	}
 }
 
@@ -223,7 +229,10 @@
 	defer k.mu.Unlock()
 	c := k.calls[id]
 	k.recordLeaving(c, a)
-	if k.calmAt(c.sent) && !k.restricted(c) && !strings.HasPrefix(c.kind.path, crashPrefix) {
+	if c.kind.resumable {
+		k.countStream(c, a)
+	}
+	if k.calmAt(c.sent) && !c.kind.resumable && !k.restricted(c) && !strings.HasPrefix(c.kind.path, crashPrefix) {
 		k.calmCalls++
 		if a.Status == 200 && a.Whole {
 			k.servedCalls++
@@ -261,20 +270,22 @@
 // run; a resumable stream may continue on another target. The caller must hold k.mu.
 func (k *checker) checkEvents(id api.RequestID, c *call, a standin.Answer) {
 	for i, e := range a.Events {
+		number := c.after + i + 1
 		switch {
-		case e.Number != i+1:
-			k.recordViolation("%s: event %d came as number %d", id, i+1, e.Number)
+		case e.Number != number:
+			k.recordViolation("%s: event %d came as number %d", id, number, e.Number)
 			return
 		case e.Request != id || !ranAt(c, e.Target):
-			k.recordViolation("%s: event %d is of %q by %q", id, i+1, e.Request, e.Target)
+			k.recordViolation("%s: event %d is of %q by %q", id, number, e.Request, e.Target)
 			return
 		case c.kind.atMostOnce && e.Target != a.Events[0].Target:
-			k.recordViolation("%s: event %d is of another run", id, i+1)
+			k.recordViolation("%s: event %d is of another run", id, number)
 			return
 		}
 	}
-	if a.Whole && len(a.Events) != c.kind.events {
-		k.recordViolation("%s looks whole with %d of %d events", id, len(a.Events), c.kind.events)
+	k.checkSoftware(id, c, a)
+	if a.Whole && c.after+len(a.Events) != c.kind.events {
+		k.recordViolation("%s looks whole with %d of %d events", id, c.after+len(a.Events), c.kind.events)
 	}
 }
 
@@ -355,9 +366,10 @@
 	k.checkReleases()
 	k.checkCrashes()
 	k.checkFaults()
+	k.checkStreams()
 	violations := slices.Clone(k.violations)
 	if k.calmCalls > 0 && float64(k.servedCalls) < minSuccessRatio*float64(k.calmCalls) {
 		violations = append(violations, fmt.Sprintf("a calm fleet served %d of %d calls", k.servedCalls, k.calmCalls))
 	}
-	return fmt.Sprintf("%d calls, %d of %d served while calm, %d configurations accepted, %d released targets checked, %d runs that crashed their target, %d faults of targets checked, %d at-most-once calls lost in them", len(k.calls), k.servedCalls, k.calmCalls, len(k.acked), k.checkedReleases, k.crashes.count(), k.faults.checked, k.faults.lostOnce), violations
+	return fmt.Sprintf("%d calls, %d of %d served while calm, %d configurations accepted, %d released targets checked, %d runs that crashed their target, %d faults of targets checked, %d at-most-once calls lost in them, %d of %d calls that take a stream up went on", len(k.calls), k.servedCalls, k.calmCalls, len(k.acked), k.checkedReleases, k.crashes.count(), k.faults.checked, k.faults.lostOnce, k.streams.goneOn, k.streams.takenUp), violations
 }
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -207,3 +207,41 @@
 		c.Assert(len(seen) > 0, qt.Equals, broken, qt.Commentf("%v", seen))
 	}
 }
+
+// TestCheckerNoticesTwoSoftwareVersions guards against a check that accepts a stream continued at another
+// software version, in one answer or by a call that takes it up.
+func TestCheckerNoticesTwoSoftwareVersions(t *testing.T) {
+	event := func(number int, request api.RequestID, target api.TargetID) standin.Event {
+		return standin.Event{Number: number, Request: request, Target: target}
+	}
+	for _, tt := range []struct {
+		name     string
+		first    []standin.Event
+		then     []standin.Event
+		violated bool
+	}{
+		{"one version", []standin.Event{event(1, "a", "x1"), event(2, "a", "y1")}, []standin.Event{event(3, "b", "y1")}, false},
+		{"two in one answer", []standin.Event{event(1, "a", "x1"), event(2, "a", "z2")}, nil, true},
+		{"two in two calls", []standin.Event{event(1, "a", "x1")}, []standin.Event{event(2, "b", "z2")}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k := newChecker()
+			k.Started("x1", "v1")
+			k.Started("y1", "v1")
+			k.Started("z2", "v2")
+			k.Sent("a", draftKind, "e")
+			for _, target := range []api.TargetID{"x1", "y1", "z2"} {
+				k.Ran(standin.Run{Request: "a", Target: target, Service: serviceDrafts, Zone: ownZone, Began: time.Now()})
+			}
+			k.Answered("a", standin.Answer{Status: 200, Events: tt.first})
+			if tt.then != nil {
+				k.TakenUp("b", draftKind, "e", tt.first[len(tt.first)-1])
+				for _, target := range []api.TargetID{"y1", "z2"} {
+					k.Ran(standin.Run{Request: "b", Target: target, Service: serviceDrafts, Zone: ownZone, Began: time.Now()})
+				}
+				k.Answered("b", standin.Answer{Status: 200, Events: tt.then})
+			}
+			qt.Assert(t, len(k.violations) > 0, qt.Equals, tt.violated, qt.Commentf("%v", k.violations))
+		})
+	}
+}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -250,7 +250,7 @@
 		for range perService {
 			i := from + len(out)
 			p := &targetSlot{
-				service: s, zone: ownZone, control: f.operators(), onRun: check.Ran, onReject: check.Rejected,
+				service: s, zone: ownZone, control: f.operators(), onRun: check.Ran, onReject: check.Rejected, onStart: check.Started, number: i,
 				listen:     hostPort(a.listen(groupTarget, i), portTarget),
 				advertised: hostPort(a.advertised(groupTarget, i), portTarget),
 			}
@@ -282,7 +282,11 @@
 	control    []string
 	onRun      func(standin.Run)
 	onReject   func(standin.Run, time.Duration)
-	forward    *forwarder
+	// onStart is called with each target that starts and its software version; nil for nothing.
+	onStart func(api.TargetID, string)
+	// number is the number of the address among all targets.
+	number  int
+	forward *forwarder
 	// crashes crashes the target, after a delay.
 	crashes func()
 	// fails returns how the target fails a request; nil if it fails none.
@@ -303,10 +307,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.generation++
+	software := p.software()
+	if p.onStart != nil {
+		p.onStart(p.id(), software)
+	}
 	t, err := standin.StartTarget(standin.TargetSettings{
 		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.advertised, Control: p.control,
 		Every: announceInterval, Work: targetWorkTime, Ran: p.onRun, Rejected: p.onReject,
-		Crashes: p.crashesOn, Fails: p.fails,
+		Crashes: p.crashesOn, Fails: p.fails, Software: software,
 	})
 	p.target = t
 	return err
@@ -321,6 +329,16 @@
 	return true
 }
 
+// software returns the software version of the target's present generation. Where callers take streams
+// up, neighbours differ, and an address changes its version now and then.
+func (p *targetSlot) software() string {
+	if p.service != serviceDrafts {
+		return "v1"
+	}
+	const generationsPerVersion = 3
+	return fmt.Sprintf("v%d", 1+(p.number+p.generation/generationsPerVersion)%2)
+}
+
 func (p *targetSlot) id() api.TargetID {
 	return api.TargetID(fmt.Sprintf("%s-%s-%d", p.service, p.advertised, p.generation))
 }
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -20,6 +20,8 @@
 	events int
 	// changing is set if the service of the route may differ between configuration versions.
 	changing bool
+	// resumable is set if a caller may take up a stream that has broken off.
+	resumable bool
 	// services lists the services that may serve the request.
 	services []api.ServiceID
 }
@@ -36,6 +38,7 @@
 	serviceWriters = api.ServiceID("writers")
 	serviceA       = api.ServiceID("app-a")
 	serviceB       = api.ServiceID("app-b")
+	serviceDrafts  = api.ServiceID("drafts")
 )
 
 var requestKinds = []requestKind{
@@ -55,12 +58,13 @@
 	changing := []api.ServiceID{serviceA, serviceB}[turn%2]
 	return standin.Configuration{
 		Version: version, Key: key, Timeout: routeTimeout,
-		Services: []api.ServiceID{serviceWriters, serviceA, serviceB, serviceCrashing, serviceFaulty},
+		Services: []api.ServiceID{serviceWriters, serviceA, serviceB, serviceCrashing, serviceFaulty, serviceDrafts},
 		Routes: []standin.Route{
 			{Name: "look", Host: host, Prefix: "/look/", Kind: standin.KindIdempotent, Service: serviceA, Targets: 2},
 			{Name: "book", Host: host, Prefix: "/book/", Kind: standin.KindOnce, Service: serviceA, Targets: 1},
 			{Name: "notes", Host: host, Prefix: "/notes/", Kind: standin.KindStream, Service: serviceWriters, Targets: 1},
 			{Name: "tags", Host: host, Prefix: "/tags/", Kind: standin.KindStream, Service: serviceWriters, Targets: 2, Resumable: true},
+			{Name: "drafts", Host: host, Prefix: "/drafts/", Kind: standin.KindStream, Service: serviceDrafts, Targets: 3, Resumable: true},
 			{Name: "steady", Host: host, Prefix: "/steady/", Kind: standin.KindIdempotent, Service: serviceCrashing, Targets: 2},
 			{Name: "crash", Host: host, Prefix: crashPrefix, Kind: standin.KindIdempotent, Service: serviceCrashing, Targets: 2},
 			{Name: "probe", Host: host, Prefix: "/probe/", Kind: standin.KindIdempotent, Service: serviceFaulty, Targets: 2},
@@ -77,6 +81,8 @@
 	check   *checker
 	kinds   []requestKind
 	next    atomic.Int64
+	// ids numbers the requests; callers of the same fleet share it.
+	ids *atomic.Int64
 }
 
 // meanCallPause is the mean pause of a caller between two calls.
@@ -92,15 +98,23 @@
 
 // call makes one call to a random entry. An empty body stands for one of its own.
 func (c *callers) call(ctx context.Context, caller *standin.Caller, kind requestKind, rng *rand.Rand, body string) {
-	id := api.RequestID(fmt.Sprintf("%016x", c.next.Add(1)))
+	id := c.nextID()
 	entry := c.entries[rng.IntN(len(c.entries))]
 	c.check.Sent(id, kind, entry)
 	a := caller.Do(ctx, standin.Call{
 		Entry: entry, Host: host, Path: kind.path, Key: key, Request: id, Body: body, Patience: callerTimeout,
 	})
-	if ctx.Err() == nil {
-		c.check.Answered(id, a)
+	if ctx.Err() != nil {
+		return
 	}
+	c.check.Answered(id, a)
+	if kind.resumable && !a.Whole && len(a.Events) > 0 {
+		c.takeUp(ctx, caller, kind, rng, id, a)
+	}
+}
+
+func (c *callers) nextID() api.RequestID {
+	return api.RequestID(fmt.Sprintf("%016x", c.ids.Add(1)))
 }
 
 // operators holds what the operators share. They change and read the configuration and
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -41,7 +41,9 @@
 	crashes bool
 	// faulty is set if targets fail requests while they announce themselves as ready.
 	faulty bool
-	out    io.Writer
+	// streams is set if callers take up broken streams of targets with two software versions.
+	streams bool
+	out     io.Writer
 }
 
 func main() {
@@ -61,6 +63,7 @@
 	app.Flag("limits", "Targets name limits.").Default("true").BoolVar(&set.limits)
 	app.Flag("backoffs", "Targets ask for times without requests, and state that they are leaving.").Default("true").BoolVar(&set.backoffs)
 	app.Flag("crashes", "Some requests crash the targets that run them.").Default("true").BoolVar(&set.crashes)
+	app.Flag("streams", "Callers take up broken streams of targets with two software versions.").Default("true").BoolVar(&set.streams)
 	app.Flag("faulty", "Targets reset connections or answer with errors, for all entries or one.").Default("true").BoolVar(&set.faulty)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
@@ -167,14 +170,30 @@
 			return err
 		}
 	}
+	var drafts []*targetSlot
+	if config.streams {
+		drafts, err = startTargets(a, f, []api.ServiceID{serviceDrafts}, draftTargets, len(slots)+crashTargets+faultyTargets, check)
+		defer func() {
+			for _, p := range drafts {
+				p.busy.Lock() // waits for a replacement in progress
+				p.stop()
+			}
+		}()
+		if err != nil {
+			return err
+		}
+	}
 	if err := bootstrap(ctx, f, ops, rng); err != nil {
 		return err
 	}
-	runLoad(ctx, config, f, slots, faulty, ops, check, rng)
+	runLoad(ctx, config, f, slots, faulty, drafts, ops, check, rng)
 	summary, broken := check.evaluate()
 	if config.backoffs && ctx.Err() == nil && check.checkedReleases == 0 {
 		broken = append(broken, "no released target was checked")
 	}
+	if config.streams && ctx.Err() == nil && check.streams.takenUp < minTakenUp {
+		broken = append(broken, fmt.Sprintf("only %d calls took a stream up", check.streams.takenUp))
+	}
 	if config.faulty && ctx.Err() == nil && check.faults.checked == 0 {
 		broken = append(broken, "no faulty target was checked")
 	}
@@ -211,10 +230,11 @@
 // runLoad runs callers and operators while the injector alternates between fault phases and
 // calm phases. If targets reject requests, the run ends with a time in which nothing keeps
 // requests away from any target.
-func runLoad(ctx context.Context, config settings, f *fleet, slots, faulty []*targetSlot, ops *operators, check *checker, rng *rand.Rand) {
+func runLoad(ctx context.Context, config settings, f *fleet, slots, faulty, drafts []*targetSlot, ops *operators, check *checker, rng *rand.Rand) {
 	ctx, cancel := context.WithCancel(ctx)
 	var work conc.WaitGroup
 	c := &callers{check: check, kinds: requestKinds}
+	c.ids = &c.next
 	for _, n := range f.entries {
 		c.entries = append(c.entries, hostPort(n.config.Host, portCallers))
 	}
@@ -225,6 +245,15 @@
 			work.Go(func() { c.sendCrashing(ctx, own, i) })
 		}
 	}
+	if config.streams {
+		streaming := &callers{check: check, kinds: []requestKind{draftKind}, entries: c.entries, ids: &c.next}
+		for i := range draftCallers {
+			own := rand.New(rand.NewPCG(config.seed, uint64(7000+i)))
+			work.Go(func() { streaming.run(ctx, own) })
+		}
+		own := rand.New(rand.NewPCG(config.seed, 8000))
+		work.Go(func() { loseTargets(ctx, drafts, check, own) })
+	}
 	if config.faulty {
 		c.kinds = append(slices.Clone(c.kinds), faultyKinds...)
 	}
