Soak: the share of streams that go on counts as the users' rule does

Change: a call that takes a stream up counts if two targets of its version serve when it is sent, and none counts while a zone is evacuated. Both versions have targets in both zones.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -46,6 +46,8 @@
 	// that began the stream; empty before its first event.
 	after    int
 	software string
+	// counts is set if two targets of that version served when the call was sent.
+	counts bool
 }
 
 // checker records what callers, targets and operators observe and checks it against the
@@ -97,7 +99,7 @@
 		limits:           newLimits(),
 		backoffs:         newBackoffs(),
 		crashes:          crashes{make(map[string][]crashRun)},
-		streams:          streams{software: make(map[api.TargetID]string)},
+		streams:          streams{software: make(map[api.TargetID]string), stopped: make(map[api.TargetID]bool)},
 	}
 }
 
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -260,6 +260,9 @@
 			if len(out)%perService > 0 && s != serviceFaulty {
 				p.zone = otherZone
 			}
+			if s == serviceDrafts && len(out)%4 < 2 {
+				p.zone = ownZone // both versions in both zones
+			}
 			out = append(out, p)
 			var err error
 			if p.forward, err = newForwarder(p.advertised, p.listen); err != nil {
@@ -283,7 +286,7 @@
 	onRun      func(standin.Run)
 	onReject   func(standin.Run, time.Duration)
 	// onStart is called with each target that starts and its software version; nil for nothing.
-	onStart func(api.TargetID, string)
+	onStart func(api.TargetID, api.ServiceID, string)
 	// number is the number of the address among all targets.
 	number  int
 	forward *forwarder
@@ -309,7 +312,7 @@
 	p.generation++
 	software := p.software()
 	if p.onStart != nil {
-		p.onStart(p.id(), software)
+		p.onStart(p.id(), p.service, software)
 	}
 	t, err := standin.StartTarget(standin.TargetSettings{
 		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.advertised, Control: p.control,
