--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -33,6 +33,13 @@
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
+// PartFingerprint returns the fingerprint of a prompt's part, as the targets of a service read it. It
+// depends on nothing else that a request holds. It differs from that of any request, whose first
+// field is a customer's ID.
+func PartFingerprint(service api.ServiceID, part string) Fingerprint {
+	return FingerprintOf("\x00part", string(service), part, "", nil)
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/node/crash/identity.go
+++ b/node/crash/identity.go
@@ -22,6 +22,10 @@
 	// URI is the path with the query.
 	URI  string
 	Body []byte
+	// Service is the service that the request is sent to, and Parts the parts that its prompt shares
+	// with others.
+	Service api.ServiceID
+	Parts   []string
 
 	once        sync.Once
 	fingerprint quarantine.Fingerprint
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -259,15 +259,20 @@
 	addTarget(addRequest(events.TargetStatesLeaving.Log(m.log), r), "target", t).Send()
 }
 
-// maxLoggedLost is the number of lost requests that a log line about a crash names.
-const maxLoggedLost = 32
+// maxLoggedLost is the number of lost requests that a log line about a crash names, maxLoggedParts
+// the number of parts of each request's prompt.
+const (
+	maxLoggedLost  = 32
+	maxLoggedParts = 8
+)
 
 // TargetCrashed implements relay.Observer.
 func (m *Relay) TargetCrashed(t *relay.Target, lost []relay.LostRequest) {
 	m.crashes.Inc()
 	list := zerolog.Arr()
 	for _, l := range lost[:min(len(lost), maxLoggedLost)] {
-		list.Dict(zerolog.Dict().Str("request", string(l.Request.Ask.Request)).Stringer("fingerprint", l.Request.Fingerprint()).Dur("in_progress", l.InProgress))
+		list.Dict(zerolog.Dict().Str("request", string(l.Request.Ask.Request)).Stringer("fingerprint", l.Request.Fingerprint()).
+			Strs("parts", l.Request.Ask.Parts[:min(len(l.Request.Ask.Parts), maxLoggedParts)]).Dur("in_progress", l.InProgress))
 	}
 	addTarget(events.TargetCrashed.Log(m.log), "target", t).Int64("born", t.Born).Int("requests", len(lost)).Array("lost", list).Send()
 }
--- a/node/relay/crash_world_test.go
+++ b/node/relay/crash_world_test.go
@@ -214,7 +214,9 @@
 	w    *world
 	path string
 	// body returns the body of the request with a number.
-	body  func(i int64) string
+	body func(i int64) string
+	// parts returns the parts of the prompt of the request with a number; nil for none.
+	parts func(i int64) string
 	every time.Duration
 	// together is the number of requests that are sent at once, to different entries.
 	together int
@@ -257,7 +259,11 @@
 
 func (c *callers) ask(e *simEntry, n int64) {
 	sent := time.Now()
-	r := e.askFor(context.Background(), n, c.path, c.body(n))
+	var header []string
+	if c.parts != nil {
+		header = []string{"Parts", c.parts(n)}
+	}
+	r := e.askFor(context.Background(), n, c.path, c.body(n), header...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answers = append(c.answers, callerAnswer{sent, time.Since(sent), r.Code, r.Header().Get("Retry-After"), r.Body.String()})
@@ -292,3 +298,18 @@
 func ownBody(i int64) string { return "a body of its own: " + strconv.FormatInt(i, 10) }
 
 func isCrashBody(body string) bool { return strings.HasPrefix(body, crashBody) }
+
+func sortTimes(list []time.Time) {
+	slices.SortFunc(list, func(a, b time.Time) int { return a.Compare(b) })
+}
+
+// after returns how many times of a sorted list are after a time.
+func after(list []time.Time, at time.Time) int {
+	n := 0
+	for _, t := range list {
+		if t.After(at) {
+			n++
+		}
+	}
+	return n
+}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -47,6 +47,9 @@
 	// Resumes is the ID of the request that brought the first event of the stream that the caller
 	// takes up; empty if the request begins a stream.
 	Resumes api.RequestID
+	// Parts holds the IDs of the parts that the prompt shares with other prompts, in their order. The
+	// last part of a prompt, which belongs to the request itself, is not among them.
+	Parts []string
 }
 
 // Directive holds the parameters that an entry sends to a target in the header of a request.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -198,7 +198,7 @@
 	if !r.readBody(req, table.Config.Limits) {
 		return false
 	}
-	req.identity = &crash.Identity{Customer: req.customerID(), Host: req.Route.Host, Method: hr.Method, URI: req.uri, Body: req.body}
+	req.identity = &crash.Identity{Customer: req.customerID(), Host: req.Route.Host, Method: hr.Method, URI: req.uri, Body: req.body, Service: req.Service, Parts: req.Ask.Parts}
 	return true
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -33,7 +33,11 @@
 		return Ask{}, errors.New("bad")
 	}
 	most, _ := strconv.Atoi(h.Get("Most"))
-	return Ask{Request: api.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: api.RequestID(h.Get("Resumes")), MaxTokens: most, Patience: 20 * time.Second}, nil
+	var parts []string
+	if v := h.Get("Parts"); v != "" {
+		parts = strings.Split(v, ",")
+	}
+	return Ask{Request: api.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: api.RequestID(h.Get("Resumes")), Parts: parts, MaxTokens: most, Patience: 20 * time.Second}, nil
 }
 
 func (plainDialect) Direct(h http.Header, d Directive) {
