A prompt's part that crashes targets is refused at all entries

What callers saw: engines ended one after the other under requests of which no two were alike; sound requests broke off with them. Cause: the quarantine knew whole requests. Each of the bad ones needed three crashes of its own, and nothing joined them. Class: what is known of a request was known by a key that was too narrow. Change: the parts of prompts are suspects of the same attribution (core/quarantine), reported with each crash, and refused at each send. What clears one: a run on it that ended or wrote its answer for a second, which entries remember for ten seconds and tell the group. A part goes before a request that met as many crashes. Parts that were in progress at the same crashes are refused only together. A part in progress at many targets meets crashes by chance. TestPartsInProgressAtCrashesAreServed: no request refused, as before. go test ./core/quarantine ./core/state ./node/crash and the crash tests of ./node/relay pass.

--- a/cmd/almondctl/quarantine.go
+++ b/cmd/almondctl/quarantine.go
@@ -28,9 +28,9 @@
 	if err := c.call(http.MethodGet, opapi.PathQuarantine, nil, nil, &list); err != nil {
 		return err
 	}
-	t := &table{head: []string{"FINGERPRINT", "CUSTOMER", "REQUEST", "BODY BYTES", "REFUSED FOR", "CRASHED"}}
+	t := &table{head: []string{"FINGERPRINT", "CUSTOMER", "REQUEST", "PART", "BODY BYTES", "REFUSED FOR", "CRASHED"}}
 	for _, r := range list {
-		t.add(r.Fingerprint, string(r.Customer), r.URI, r.BodyBytes, r.Left.String(), strings.Join(r.Crashed, " "))
+		t.add(r.Fingerprint, string(r.Customer), r.URI, r.Part, r.BodyBytes, r.Left.String(), strings.Join(r.Crashed, " "))
 	}
 	return c.print(list, t)
 }
--- a/core/quarantine/attribute.go
+++ b/core/quarantine/attribute.go
@@ -12,6 +12,9 @@
 // most of them, and for the shortest time, is taken first, and its crashes are then no evidence
 // against others. What remains must be improbable: a long stream, or any request while targets
 // crash often, meets several crashes by chance.
+//
+// Parts of prompts are suspects like requests. A part goes before a request that was in progress at
+// as many crashes: all requests with it are explained by it, but not it by one of them.
 func (t *Table) attribute() {
 	explained := make(map[crashID]struct{})
 	for _, r := range t.suspects() {
@@ -22,7 +25,7 @@
 		culprit := len(open) >= t.needed(r)
 		switch {
 		case r.Quarantined() && !culprit:
-			r.Until = 0
+			r.Until, r.With = 0, nil
 			r.Times--
 		case !r.Quarantined() && culprit:
 			if culprit = t.needed(r) < minCrashes || t.improbable(r, open, explained); culprit {
@@ -33,12 +36,41 @@
 		if !culprit {
 			continue
 		}
+		if r.IsPart() {
+			r.With = t.inseparable(r)
+		}
 		for _, run := range r.Runs {
 			explained[run.id()] = struct{}{}
 		}
 	}
 }
 
+// inseparable returns the other parts that were in progress at the same crashes as a part, in the order
+// of fingerprints.
+func (t *Table) inseparable(r *Record) []Fingerprint {
+	var with []Fingerprint
+	for f, other := range t.records {
+		if other != r && other.IsPart() && sameCrashes(r.Runs, other.Runs) {
+			with = append(with, f)
+		}
+	}
+	slices.SortFunc(with, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return with
+}
+
+// sameCrashes reports whether two lists of runs, in the order of the crashes, are of the same crashes.
+func sameCrashes(a, b []Run) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, run := range a {
+		if !slices.ContainsFunc(b, func(other Run) bool { return run.id() == other.id() }) {
+			return false
+		}
+	}
+	return true
+}
+
 // suspects returns the records with enough crashes for a quarantine, in the order in which crashes
 // are attributed to them.
 func (t *Table) suspects() []*Record {
@@ -51,6 +83,7 @@
 	slices.SortFunc(list, func(a, b *Record) int {
 		return cmp.Or(
 			cmp.Compare(len(b.Runs), len(a.Runs)),
+			compareTrueFirst(a.IsPart(), b.IsPart()),
 			cmp.Compare(a.inProgress(a.Runs), b.inProgress(b.Runs)),
 			bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]),
 		)
@@ -58,6 +91,16 @@
 	return list
 }
 
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // improbable reports whether the runs of a request met as many crashes as they did other than by
 // chance: while it was in progress at a small share of the targets, a large share of all crashes
 // met it.
@@ -74,6 +117,6 @@
 		total++
 		targets = max(targets, c.Targets)
 	}
-	share := float64(r.inProgress(runs)) / float64((to-from)*int64(targets))
+	share := max(float64(r.inProgress(runs))/float64((to-from)*int64(targets)), r.spread(runs))
 	return chance(len(runs), max(total, len(runs)), share) < maxChance
 }
--- a/core/quarantine/image.go
+++ b/core/quarantine/image.go
@@ -32,9 +32,7 @@
 func (t *Table) Snapshot() Image {
 	img := Image{Index: t.index, Crashes: slices.Clone(t.crashes)}
 	for _, r := range t.records {
-		c := *r
-		c.Runs = slices.Clone(r.Runs)
-		img.Records = append(img.Records, c)
+		img.Records = append(img.Records, r.clone())
 	}
 	sortRecords(img.Records)
 	return img
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -28,6 +28,12 @@
 	maxSuspects = 4096
 	maxRuns     = 16
 	maxURI      = 200
+	// maxPart is the number of bytes kept of a part's ID.
+	maxPart = 64
+	// MaxParts is the maximum number of parts in the report of one crash.
+	MaxParts = 512
+	// maxShare bounds Run.Share: a part that crashes all targets is in progress at all of them.
+	maxShare = 500
 	// MaxLost is the maximum number of requests in the report of one crash.
 	MaxLost = 512
 )
@@ -111,9 +117,7 @@
 	var out []Record
 	for _, r := range t.records {
 		if r.Quarantined() || len(r.Runs) >= t.needed(r)-1 {
-			c := *r
-			c.Runs = slices.Clone(r.Runs)
-			out = append(out, c)
+			out = append(out, r.clone())
 		}
 	}
 	sortRecords(out)
@@ -122,7 +126,9 @@
 
 // sameVerdicts reports whether two lists have the same effect at entry processes.
 func sameVerdicts(a, b []Record) bool {
-	return slices.EqualFunc(a, b, func(a, b Record) bool { return a.Fingerprint == b.Fingerprint && a.Until == b.Until })
+	return slices.EqualFunc(a, b, func(a, b Record) bool {
+		return a.Fingerprint == b.Fingerprint && a.Until == b.Until && slices.Equal(a.With, b.With)
+	})
 }
 
 // needed returns the number of crashes from which on a request may be quarantined, or stays so.
@@ -146,6 +152,25 @@
 		r.Service = c.Service
 		r.addRun(Run{Target: c.Target, Born: c.Born, At: at, InProgress: max(l.InProgress, 1)})
 	}
+	for _, l := range c.Parts[:min(len(c.Parts), MaxParts)] {
+		t.addPart(c, l, at)
+	}
+}
+
+// addPart adds a crash to the record of a part that was in progress.
+func (t *Table) addPart(c Crash, l LostPart, at int64) {
+	if l.Part == "" {
+		return
+	}
+	r := t.records[l.Fingerprint]
+	if r == nil {
+		t.makeRoom()
+		r = &Record{Fingerprint: l.Fingerprint, Customer: l.Customer, Part: ShortPart(l.Part)}
+		t.records[l.Fingerprint] = r
+	}
+	r.Service = c.Service
+	share := int64(max(l.Spread, 1)) * 1000 / int64(max(c.Targets, 1))
+	r.addRun(Run{Target: c.Target, Born: c.Born, At: at, InProgress: max(l.InProgress, 1), Share: min(share, maxShare)})
 }
 
 // crashTime returns when a crash was first reported, and keeps it if that is now.
@@ -163,26 +188,33 @@
 	return t.now
 }
 
-// makeRoom deletes a record if the table is full: of the customer with the most records, so that
-// no customer can displace those of another, the one whose last crash is the oldest, quarantined
-// ones last.
+// makeRoom deletes records if the table is full: of the customer with the most records, so that no
+// customer can displace those of another, those whose last crash is the oldest, quarantined ones
+// last. It deletes several at once, because finding them takes a look at all records.
 func (t *Table) makeRoom() {
 	if len(t.records) < maxSuspects {
 		return
 	}
 	count := make(map[api.CustomerID]int)
+	list := make([]*Record, 0, len(t.records))
 	for _, r := range t.records {
 		count[r.Customer]++
+		list = append(list, r)
 	}
-	var victim *Record
-	for _, r := range t.records {
-		if victim == nil || forgottenBefore(r, victim, count) {
-			victim = r
+	slices.SortFunc(list, func(a, b *Record) int {
+		if forgottenBefore(a, b, count) {
+			return -1
 		}
+		return 1
+	})
+	for _, r := range list[:maxSuspects/roomDivisor] {
+		delete(t.records, r.Fingerprint)
 	}
-	delete(t.records, victim.Fingerprint)
 }
 
+// roomDivisor is the fraction of the records, 1/32, that makeRoom deletes.
+const roomDivisor = 32
+
 // forgottenBefore reports whether record a is deleted before b if the table is full; count holds
 // the number of records of each customer.
 func forgottenBefore(a, b *Record, count map[api.CustomerID]int) bool {
--- a/core/state/quarantine.go
+++ b/core/state/quarantine.go
@@ -10,7 +10,7 @@
 
 // quarantine applies a command about requests that crash targets.
 func (s *State) quarantine(index uint64, c quarantine.Command) Result {
-	if c.Crash != nil && (c.Crash.Target == "" || len(c.Crash.Target) > maxTargetName || len(c.Crash.Lost) > quarantine.MaxLost) || len(c.Served) > maxServed {
+	if c.Crash != nil && (c.Crash.Target == "" || len(c.Crash.Target) > maxTargetName || len(c.Crash.Lost) > quarantine.MaxLost || len(c.Crash.Parts) > quarantine.MaxParts) || len(c.Served) > maxServed {
 		return Result{Reason: api.ReasonBadRequest, Message: "the report names no target, or too much"}
 	}
 	s.quarantines.Apply(index, s.now, c)
--- a/node/control/opapi/opapi.go
+++ b/node/control/opapi/opapi.go
@@ -160,6 +160,10 @@
 	BodyBytes   int            `json:"body_bytes"`
 	Left        Duration       `json:"left"`
 	Crashed     []string       `json:"crashed"`
+	// Part is the ID of a part of prompts, if requests with that part are refused; With holds the
+	// fingerprints of the parts that a request must have too to be refused.
+	Part string   `json:"part,omitempty"`
+	With []string `json:"with,omitempty"`
 }
 
 // Duration is a time span in the form of time.Duration.String.
--- a/node/control/quarantine.go
+++ b/node/control/quarantine.go
@@ -53,7 +53,10 @@
 	known := o.member.Quarantine()
 	list := []opapi.QuarantinedRequest{}
 	for _, r := range known.Records {
-		q := opapi.QuarantinedRequest{Fingerprint: r.Fingerprint.String(), Customer: r.Customer, URI: r.URI, BodyBytes: r.BodyBytes}
+		q := opapi.QuarantinedRequest{Fingerprint: r.Fingerprint.String(), Customer: r.Customer, URI: r.URI, BodyBytes: r.BodyBytes, Part: r.Part}
+		for _, with := range r.With {
+			q.With = append(q.With, with.String())
+		}
 		if r.Quarantined() {
 			q.Left.Duration = time.Duration(max(r.Until-known.Now, 0)) * time.Millisecond
 		}
--- a/node/crash/identity.go
+++ b/node/crash/identity.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -29,8 +30,27 @@
 
 	once        sync.Once
 	fingerprint quarantine.Fingerprint
+	partsOnce   sync.Once
+	parts       []quarantine.Fingerprint
+	// target is the target to which the request was sent last, nil before.
+	target atomic.Pointer[api.TargetID]
 }
 
+// PartFingerprints returns the fingerprints of the parts, in their order. It is safe for concurrent
+// use. The result must not be modified.
+func (i *Identity) PartFingerprints() []quarantine.Fingerprint {
+	i.partsOnce.Do(func() {
+		i.parts = make([]quarantine.Fingerprint, len(i.Parts))
+		for n, part := range i.Parts {
+			i.parts[n] = quarantine.PartFingerprint(i.Service, part)
+		}
+	})
+	return i.parts
+}
+
+// SentTo records the target to which the request is sent.
+func (i *Identity) SentTo(t api.TargetID) { i.target.Store(&t) }
+
 // Fingerprint returns the request's fingerprint. It is safe for concurrent use.
 func (i *Identity) Fingerprint() quarantine.Fingerprint {
 	i.once.Do(func() { i.fingerprint = quarantine.FingerprintOf(i.Customer, i.Host, i.Method, i.URI, i.Body) })
--- a/node/crash/quarantine.go
+++ b/node/crash/quarantine.go
@@ -62,10 +62,12 @@
 	to     Reporter
 	obs    Observer
 	served *servedLog
-	view   atomic.Pointer[quarantineView]
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   conc.WaitGroup
+	// servedParts remembers the parts on which a run has written an answer.
+	servedParts *servedLog
+	view        atomic.Pointer[quarantineView]
+	ctx         context.Context
+	cancel      context.CancelFunc
+	work        conc.WaitGroup
 
 	mu sync.Mutex
 	// own attributes this entry's reports; its clock counts milliseconds since start.
@@ -91,8 +93,10 @@
 type quarantineView struct {
 	// sizes holds the customers and body lengths of the records: other requests need not be
 	// hashed.
-	sizes   map[requestSize]struct{}
-	records map[quarantine.Fingerprint]quarantineRecord
+	sizes map[requestSize]struct{}
+	// hasParts is set if a record is of a part: only then the parts of requests need be hashed.
+	hasParts bool
+	records  map[quarantine.Fingerprint]quarantineRecord
 }
 
 type requestSize struct {
@@ -114,7 +118,7 @@
 		obs = noObserver{}
 	}
 	q := &Quarantine{
-		to: to, obs: obs, served: newServedLog(), own: quarantine.NewTable(), start: time.Now(),
+		to: to, obs: obs, served: newServedLog(), servedParts: newServedLog(), own: quarantine.NewTable(), start: time.Now(),
 		reporting: make(map[quarantine.Fingerprint]struct{}), requests: make(map[*Identity]context.CancelCauseFunc),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -141,6 +145,7 @@
 			}
 		}
 		q.group, q.groupAt = list, time.Now()
+		q.reportServedParts(list.Records)
 	})
 }
 
@@ -161,12 +166,14 @@
 			Fingerprint: l.Fingerprint(), Customer: l.Customer, URI: quarantine.ShortURI(l.URI), BodyBytes: len(l.Body), InProgress: l.InProgress.Milliseconds(),
 		})
 	}
+	c.Parts = q.lostParts(lost, now)
 	q.change(func() { q.report(quarantine.Command{Crash: &c}) })
 }
 
 // Ended records that a run of a request has ended well, and reports that if it is suspected.
 func (q *Quarantine) Ended(id *Identity) {
 	q.served.add(id, time.Now())
+	q.Wrote(id)
 	r, ok := q.lookUp(id)
 	if !ok {
 		return
@@ -278,6 +285,10 @@
 			continue
 		}
 		v.records[r.Fingerprint] = record
+		if r.IsPart() {
+			v.hasParts = true
+			continue
+		}
 		v.sizes[requestSize{r.Customer, r.BodyBytes}] = struct{}{}
 	}
 }
@@ -325,11 +336,11 @@
 
 // Refuses returns for how much longer the request is refused, zero if it is not.
 func (q *Quarantine) Refuses(id *Identity) time.Duration {
-	r, ok := q.lookUp(id)
-	if !ok {
-		return 0
+	left := q.refusesParts(id)
+	if r, ok := q.lookUp(id); ok {
+		left = max(left, time.Until(r.until))
 	}
-	return max(0, time.Until(r.until))
+	return left
 }
 
 // Begin registers a request in progress, which end ends if it is refused. The function that it
--- a/node/crash/served.go
+++ b/node/crash/served.go
@@ -1,9 +1,12 @@
 package crash
 
 import (
+	"encoding/binary"
 	"hash/maphash"
 	"sync/atomic"
 	"time"
+
+	"almondseam.dev/core/quarantine"
 )
 
 const (
@@ -28,14 +31,26 @@
 func newServedLog() *servedLog { return &servedLog{seed: maphash.MakeSeed(), start: time.Now()} }
 
 // add records that a run of a request has ended well.
-func (l *servedLog) add(id *Identity, now time.Time) {
-	h := l.hash(id)
+func (l *servedLog) add(id *Identity, now time.Time) { l.set(l.hash(id), now) }
+
+// addPart records that a run has written an answer on a part of its prompt.
+func (l *servedLog) addPart(f quarantine.Fingerprint, now time.Time) {
+	l.set(binary.BigEndian.Uint64(f[:8]), now)
+}
+
+func (l *servedLog) set(h uint64, now time.Time) {
 	l.slots[h%servedSlots].Store(h&^servedTimeMask | l.seconds(now))
 }
 
 // has reports whether a run of the request has ended well within servedTime.
-func (l *servedLog) has(id *Identity, now time.Time) bool {
-	h := l.hash(id)
+func (l *servedLog) has(id *Identity, now time.Time) bool { return l.isSet(l.hash(id), now) }
+
+// hasPart reports whether a run has written an answer on the part within servedTime.
+func (l *servedLog) hasPart(f quarantine.Fingerprint, now time.Time) bool {
+	return l.isSet(binary.BigEndian.Uint64(f[:8]), now)
+}
+
+func (l *servedLog) isSet(h uint64, now time.Time) bool {
 	slot := l.slots[h%servedSlots].Load()
 	age := (l.seconds(now) - slot) & servedTimeMask
 	return slot != 0 && slot&^servedTimeMask == h&^servedTimeMask && age <= uint64(servedTime/time.Second)
--- a/node/metrics/quarantine.go
+++ b/node/metrics/quarantine.go
@@ -47,7 +47,8 @@
 }
 
 func addRecord(e *zerolog.Event, r quarantine.Record) *zerolog.Event {
-	return e.Stringer("fingerprint", r.Fingerprint).Str("customer", string(r.Customer)).Str("uri", r.URI).Int("body_bytes", r.BodyBytes)
+	return e.Stringer("fingerprint", r.Fingerprint).Str("customer", string(r.Customer)).Str("uri", r.URI).Int("body_bytes", r.BodyBytes).
+		Str("part", r.Part).Int("with", len(r.With))
 }
 
 // QuarantineNotReported implements crash.Observer.
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -24,6 +24,10 @@
 	// hasEvents is set after the first event: from then on the run would be migrated if its
 	// engine drained. stays is set while it is not, because it ends in time.
 	hasEvents, stays bool
+	// firstEventAt is when the leg brought its first event; writes is set once that is writingTime ago.
+	// Both are used by the goroutine that forwards events.
+	firstEventAt time.Time
+	writes       bool
 	// beganStream is set if the leg brought the stream's first event, confirmed once it is known which
 	// run of the target serves it, and revised once a later run was announced and taken into account.
 	// They are used by the goroutine that forwards events.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -139,18 +139,24 @@
 	caller := newCallerResponse(w, &r.callers, cmp.Or(r.settings.CallerStall, callerStallTimeout))
 	defer caller.release()
 	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
-	if !r.admit(req) || r.refuseQuarantined(req) {
+	if !r.admit(req) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(hr.Context(), req.Deadline)
 	defer cancel()
+	if !r.resolveOrigin(ctx, req) {
+		return
+	}
+	req.identity = &crash.Identity{
+		Customer: req.customerID(), Host: req.Route.Host, Method: hr.Method, URI: req.uri, Body: req.body, Service: req.Service, Parts: req.Ask.Parts,
+	}
+	if r.refuseQuarantined(req) {
+		return
+	}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer r.quarantine.Begin(req.identity, end)()
 	caller.limit = req.Deadline.Add(writeGrace)
-	if !r.resolveOrigin(ctx, req) {
-		return
-	}
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
 		r.stream(ctx, req)
@@ -198,7 +204,6 @@
 	if !r.readBody(req, table.Config.Limits) {
 		return false
 	}
-	req.identity = &crash.Identity{Customer: req.customerID(), Host: req.Route.Host, Method: hr.Method, URI: req.uri, Body: req.body, Service: req.Service, Parts: req.Ask.Parts}
 	return true
 }
 
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -87,7 +87,7 @@
 }
 
 // Fingerprint identifies the request among those that its customer sends again. It must not be
-// called before the request has been admitted.
+// called before the request has been admitted and its stream's origin is resolved.
 func (req *Request) Fingerprint() quarantine.Fingerprint { return req.identity.Fingerprint() }
 
 // customerID returns the customer's ID, empty on a public route.
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -60,6 +60,7 @@
 		return nil, outcomeHeldBack
 	}
 	r.obs.Sent(req, t, why)
+	req.identity.SentTo(t.Target)
 	sentAt := time.Now()
 	x, reply, err := r.exchange(ctx, req, t, p.use, t.newSendStart(false), &upstream.Request{
 		Method: req.httpRequest.Method,
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -198,6 +198,7 @@
 	}
 	arrived := s.recordEvent(l)
 	s.recordOrigin(l)
+	s.recordWriting(l, arrived)
 	s.sendHeader(l)
 	if _, err := s.req.writer.Write(ev.raw); err != nil {
 		return err
@@ -210,6 +211,21 @@
 	return err
 }
 
+// writingTime is for how long an engine must write an answer to show that no part of its prompt crashes
+// engines that begin to write.
+const writingTime = time.Second
+
+// recordWriting records once that the leg's engine has written the answer for writingTime.
+func (s *streamRun) recordWriting(l *leg, now time.Time) {
+	switch {
+	case l.firstEventAt.IsZero():
+		l.firstEventAt = now
+	case !l.writes && now.Sub(l.firstEventAt) >= writingTime:
+		l.writes = true
+		s.relay.quarantine.Wrote(s.req.identity)
+	}
+}
+
 // sendHeader sends the caller the header of the engine's response, unless one was sent before.
 func (s *streamRun) sendHeader(l *leg) {
 	if s.headerSent {
