--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -68,6 +68,11 @@
 	app.Flag("parts", "Some prompts hold a part that crashes the targets that run them.").Default("true").BoolVar(&set.parts)
 	app.Flag("streams", "Callers take up broken streams of targets with two software versions.").Default("true").BoolVar(&set.streams)
 	app.Flag("faulty", "Targets reset connections or answer with errors, for all entries or one.").Default("true").BoolVar(&set.faulty)
+	run := runSeed
+	app.Flag("rush", "Instead of faults, one entry with a part of a processor gets more connections than it can serve.").Action(func(*kingpin.ParseContext) error {
+		run = runRush
+		return nil
+	}).Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
 	// its addresses forever.
@@ -79,11 +84,11 @@
 		if ctx.Err() != nil {
 			break
 		}
-		run := set
-		run.seed += uint64(i)
-		run.dir = filepath.Join(base, fmt.Sprintf("seed-%d", run.seed))
-		if err := runSeed(ctx, run); err != nil {
-			fmt.Fprintf(set.out, "seed %d FAILED\n%v\n", run.seed, err)
+		one := set
+		one.seed += uint64(i)
+		one.dir = filepath.Join(base, fmt.Sprintf("seed-%d", one.seed))
+		if err := run(ctx, one); err != nil {
+			fmt.Fprintf(set.out, "seed %d FAILED\n%v\n", one.seed, err)
 			failed++
 		}
 	}
--- a/node/relay/crash_parts_test.go
+++ b/node/relay/crash_parts_test.go
@@ -60,8 +60,6 @@
 	entries  int
 	// leaderless is set if the control group has no leader, and restarts if entries are killed.
 	leaderless, restarts bool
-	// soundAlso holds the parts of further sound requests.
-	soundAlso func(int64) string
 }
 
 // TestPartThatCrashesTargetsIsRefused guards against a part of prompts that crashes one target after
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -201,10 +201,7 @@
 	req.Service = req.Route.Pick(rand.Float64())
 	req.tokens = expectedTokens(&req.Ask, 0)
 	req.costRank = r.costRanks.rank(req.Service, cost(&req.Ask, req.tokens))
-	if !r.readBody(req, table.Config.Limits) {
-		return false
-	}
-	return true
+	return r.readBody(req, table.Config.Limits)
 }
 
 const (
