A request goes before a part that met as many crashes

Cause: at an equal number of crashes the part was taken first. Change: the request is. Where the part is the cause, the next request with it makes the part meet one more crash than each of its requests.

--- a/core/quarantine/attribute.go
+++ b/core/quarantine/attribute.go
@@ -13,8 +13,9 @@
 // against others. What remains must be improbable: a long stream, or any request while targets
 // crash often, meets several crashes by chance.
 //
-// Parts of prompts are suspects like requests. A part goes before a request that was in progress at
-// as many crashes: all requests with it are explained by it, but not it by one of them.
+// Parts of prompts are suspects like requests. A request goes before a part that was in progress at as
+// many crashes, because other requests with the part are not known to crash targets. The part meets
+// more crashes than each of its requests if it causes them.
 func (t *Table) attribute() {
 	explained := make(map[crashID]struct{})
 	for _, r := range t.suspects() {
@@ -83,7 +84,7 @@
 	slices.SortFunc(list, func(a, b *Record) int {
 		return cmp.Or(
 			cmp.Compare(len(b.Runs), len(a.Runs)),
-			compareTrueFirst(a.IsPart(), b.IsPart()),
+			compareTrueFirst(!a.IsPart(), !b.IsPart()),
 			cmp.Compare(a.inProgress(a.Runs), b.inProgress(b.Runs)),
 			bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]),
 		)
