--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -125,34 +125,56 @@
 // configuration and all entries are ready.
 const bootstrapTimeout = 30 * time.Second
 
-// runSeed runs one seed, or the part of it until ctx ends. The error lists every violated
-// guarantee, or says why the fleet failed to start.
-func runSeed(ctx context.Context, config settings) error {
+// site is what every run has: the system, its usual targets, and the checker.
+type site struct {
+	addresses addresses
+	reserved  net.Listener
+	fleet     *fleet
+	slots     []*targetSlot
+	check     *checker
+}
+
+// startSite starts a site. It must be stopped also after an error.
+func startSite(config settings) (*site, error) {
+	s := &site{check: newChecker()}
 	if err := os.MkdirAll(config.dir, 0o755); err != nil {
-		return err
+		return s, err
 	}
-	check := newChecker()
-	rng := rand.New(rand.NewPCG(config.seed, 0))
 	n, ln, err := reserveNet(config.seed)
 	if err != nil {
-		return err
+		return s, err
 	}
-	defer ln.Close()
-	a := addresses{n}
-	f, err := startFleet(config.dir, config.binary, a, config.controls, config.entries, check.Unwell)
-	defer f.stop()
+	s.addresses, s.reserved = addresses{n}, ln
+	s.fleet, err = startFleet(config.dir, config.binary, s.addresses, config.controls, config.entries, s.check.Unwell)
 	if err != nil {
-		return err
+		return s, err
 	}
-	slots, err := startTargets(a, f, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, check)
-	defer func() {
-		for _, p := range slots {
-			p.stop()
-		}
-	}()
+	s.slots, err = startTargets(s.addresses, s.fleet, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, s.check)
+	return s, err
+}
+
+func (s *site) stop() {
+	for _, p := range s.slots {
+		p.stop()
+	}
+	if s.fleet != nil {
+		s.fleet.stop()
+	}
+	if s.reserved != nil {
+		_ = s.reserved.Close() // only reserves the addresses
+	}
+}
+
+// runSeed runs one seed, or the part of it until ctx ends. The error lists every violated
+// guarantee, or says why the fleet failed to start.
+func runSeed(ctx context.Context, config settings) error {
+	rng := rand.New(rand.NewPCG(config.seed, 0))
+	s, err := startSite(config)
+	defer s.stop()
 	if err != nil {
 		return err
 	}
+	a, f, slots, check := s.addresses, s.fleet, s.slots, s.check
 	if config.crashes || config.parts {
 		crashing, err := startCrashTargets(ctx, a, f, len(slots), check)
 		defer func() {
--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -19,7 +19,6 @@
 	"time"
 	"unsafe"
 
-	"almondseam.dev/core/api"
 	"github.com/sourcegraph/conc"
 )
 
@@ -52,32 +51,14 @@
 // runRush gives one entry, which shares a processor with busy processes, more new connections than it
 // can serve. It is started by hand: its figures depend on the machine.
 func runRush(ctx context.Context, config settings) error {
-	check := newChecker()
-	n, ln, err := reserveNet(config.seed)
+	config.dir, config.entries = filepath.Join(config.dir, "rush"), 2
+	s, err := startSite(config)
+	defer s.stop()
 	if err != nil {
 		return err
 	}
-	defer ln.Close()
-	config.dir = filepath.Join(config.dir, "rush")
-	if err := os.MkdirAll(config.dir, 0o755); err != nil {
-		return err
-	}
-	a := addresses{n}
-	f, err := startFleet(config.dir, config.binary, a, config.controls, 2, check.Unwell)
-	defer f.stop()
-	if err != nil {
-		return err
-	}
-	slots, err := startTargets(a, f, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, check)
-	defer func() {
-		for _, p := range slots {
-			p.stop()
-		}
-	}()
-	if err != nil {
-		return err
-	}
-	ops := &operators{members: f.operators(), check: check}
+	f := s.fleet
+	ops := &operators{members: f.operators(), check: s.check}
 	if err := bootstrap(ctx, f, ops, rand.New(rand.NewPCG(config.seed, 1))); err != nil {
 		return err
 	}
