Wording of the report of streams; requests on connections of their own are written by the stand-in

Names and comments only in the product: streams are reported to members (Report, Store), as reports of loads and crashes are.

--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -19,6 +19,8 @@
 	"time"
 	"unsafe"
 
+	"almondseam.dev/core/api"
+	"almondseam.dev/platform/standin"
 	"github.com/sourcegraph/conc"
 )
 
@@ -48,8 +50,8 @@
 		c.asked.Load(), c.served.Load(), c.failed.Load(), c.unread.Load(), c.refused.Load(), c.unanswered.Load())
 }
 
-// runRush gives one entry, which shares a processor with busy processes, more new connections than it
-// can serve. It is started by hand: its figures depend on the machine.
+// runRush opens more connections to one entry, which shares a processor with busy processes, than the
+// entry can serve. It is started by hand: its figures depend on the machine.
 func runRush(ctx context.Context, config settings) error {
 	config.dir, config.entries = filepath.Join(config.dir, "rush"), 2
 	s, err := startSite(config)
@@ -117,8 +119,8 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(rushPatience)) // never fails on an open connection
-	_, err = fmt.Fprintf(conn, "POST /look/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody",
-		host, id, rushPatience.Milliseconds(), key)
+	call := standin.Call{Entry: entry, Host: host, Path: "/look/x", Key: key, Request: api.RequestID(id), Patience: rushPatience}
+	err = call.Write(conn)
 	if err != nil {
 		c.unread.Add(1)
 		return
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -56,7 +56,7 @@
 	// Registry holds the targets that announce themselves, for clients that subscribe
 	// to them; nil for none.
 	Registry *registry.Registry
-	// Origins keeps what entries tell of the streams that they begin; nil for nothing.
+	// Origins keeps the origins of streams that entries report; nil for none.
 	Origins *origins.Keeper
 	// Silence is the silence timeout of the links, zero for the default.
 	Silence time.Duration
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -28,7 +28,7 @@
 	// registry holds the targets that announce themselves, for links that subscribe to
 	// them; nil in fleets whose targets have agents.
 	registry *registry.Registry
-	// origins keeps what entries tell of the streams that they begin; nil in fleets whose targets have
+	// origins keeps the origins of streams that entries report; nil in fleets whose targets have
 	// agents.
 	origins *origins.Keeper
 	// mu guards lastUpdate, the update that was made last. Most clients need the same
@@ -120,9 +120,9 @@
 		if s.server.registry != nil {
 			s.server.registry.Load(m.List)
 		}
-	case *origins.Tell:
+	case *origins.Report:
 		if s.server.origins != nil {
-			s.server.origins.Told(m)
+			s.server.origins.Store(m)
 		}
 	case *origins.Ask:
 		if s.server.origins != nil {
--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -14,17 +14,18 @@
 )
 
 const (
-	// copies is the number of members that are told of each stream. What they know is lost if the
-	// entry and all of them end within the time for which a stream is kept.
+	// copies is the number of members to which each stream is reported. Its origin is lost if the
+	// entry and all of them end within the time for which it is kept.
 	copies = 3
 	// askTimeout bounds a question. Members answer from memory.
 	askTimeout = 400 * time.Millisecond
-	// askAgain is the delay after which members that do not know a stream are asked once more: what
-	// tells them may be under way.
+	// askAgain is the delay after which members that do not know a stream are asked once more: the
+	// report of it may be in transit.
 	askAgain = 60 * time.Millisecond
-	// maxTold bounds the streams in one message.
-	maxTold = 1000
-	// maxOwn bounds the streams of this entry that it keeps, to tell members that connect later.
+	// maxReported bounds the streams in one message.
+	maxReported = 1000
+	// maxOwn bounds the streams of this entry that it keeps, to report them to members that connect
+	// later.
 	maxOwn = 1 << 16
 )
 
@@ -68,8 +69,8 @@
 	until  time.Time
 	// revised is set if another origin was stated before.
 	revised bool
-	// told holds the members that were told of the stream on a link that is still open.
-	told []string
+	// reported holds the members to which the stream was reported on a link that is still open.
+	reported []string
 }
 
 // ask is a question that waits for answers.
@@ -97,14 +98,14 @@
 	sweepInterval = time.Second
 )
 
-// Joined adds a member that keeps origins, or replaces the link to it. The member is told of the
-// streams of which it is to keep a copy.
+// Joined adds a member that keeps origins, or replaces the link to it. The streams of
+// which the member is to keep a copy are reported to it.
 func (c *Client) Joined(addr string, s Sender) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(addr)
 	c.members[addr] = s
-	c.tellAgain()
+	c.reportAgain()
 }
 
 // Left removes a member whose link has ended. Other members get the copies that it held.
@@ -112,12 +113,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(addr)
-	c.tellAgain()
+	c.reportAgain()
 }
 
-// tellAgain tells members of the own streams of which they are to keep a copy since the members have
+// reportAgain reports own streams to the members that are to keep a copy since the members have
 // changed. The caller holds c.mu.
-func (c *Client) tellAgain() {
+func (c *Client) reportAgain() {
 	now := time.Now()
 	var m messages
 	for k, stream := range c.own {
@@ -132,7 +133,7 @@
 func (c *Client) forget(addr string) {
 	delete(c.members, addr)
 	for _, stream := range c.own {
-		stream.told = slices.DeleteFunc(stream.told, func(a string) bool { return a == addr })
+		stream.reported = slices.DeleteFunc(stream.reported, func(a string) bool { return a == addr })
 	}
 }
 
@@ -163,20 +164,20 @@
 	c.send(m)
 }
 
-// messages holds streams to be told, by member.
+// messages holds streams to be reported, by member.
 type messages map[string][]Stream
 
-// queue adds a stream to the messages to those members that are to keep it and were not told. The
+// queue adds a stream to the messages to those members that are to keep it and have no report of it. The
 // caller holds c.mu.
 func (c *Client) queue(m *messages, k origin.Key, stream *ownStream) {
 	for _, addr := range c.keepers(k) {
-		if slices.Contains(stream.told, addr) {
+		if slices.Contains(stream.reported, addr) {
 			continue
 		}
 		if *m == nil {
 			*m = make(messages)
 		}
-		stream.told = append(stream.told, addr)
+		stream.reported = append(stream.reported, addr)
 		(*m)[addr] = append((*m)[addr], Stream{Key: k, Origin: stream.origin, TTL: time.Until(stream.until).Milliseconds(), Revised: stream.revised})
 	}
 }
@@ -184,8 +185,8 @@
 // send sends messages. The caller holds c.mu.
 func (c *Client) send(m messages) {
 	for addr, list := range m {
-		for part := range slices.Chunk(list, maxTold) {
-			_ = c.members[addr].Send(&Tell{List: part}) // fails only on a link that has ended: Joined tells the member on the next one
+		for part := range slices.Chunk(list, maxReported) {
+			_ = c.members[addr].Send(&Report{List: part}) // fails only on a link that has ended: Joined reports them on the next one
 		}
 	}
 }
--- a/node/origins/client_test.go
+++ b/node/origins/client_test.go
@@ -27,8 +27,8 @@
 	}
 	time.AfterFunc(time.Millisecond, func() {
 		switch m := m.(type) {
-		case *Tell:
-			l.to.Told(m)
+		case *Report:
+			l.to.Store(m)
 		case *Ask:
 			a := l.to.Answer(m)
 			time.AfterFunc(time.Millisecond, func() { l.client.Answered(a) })
@@ -192,8 +192,8 @@
 	})
 }
 
-// TestStreamsInTransit guards against refusing a stream that is taken up before members have been told
-// of it.
+// TestStreamsInTransit guards against refusing a stream that is taken up before members have the
+// report.
 func TestStreamsInTransit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3)
--- a/node/origins/keeper.go
+++ b/node/origins/keeper.go
@@ -10,7 +10,7 @@
 // maxKept bounds the streams that one member keeps.
 const maxKept = 1 << 20
 
-// Keeper is a member's part: it keeps the origins that entries tell it. It is safe for concurrent use.
+// Keeper is a member's part: it keeps the origins that entries report. It is safe for concurrent use.
 type Keeper struct {
 	mu    sync.Mutex
 	table *origin.Table
@@ -19,8 +19,8 @@
 // NewKeeper returns an empty Keeper.
 func NewKeeper() *Keeper { return &Keeper{table: origin.NewTable(maxKept)} }
 
-// Told keeps the streams of a message.
-func (k *Keeper) Told(m *Tell) {
+// Store stores the streams of a report.
+func (k *Keeper) Store(m *Report) {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/node/origins/messages.go
+++ b/node/origins/messages.go
@@ -1,7 +1,7 @@
 // Package origins lets any entry process learn which software began a stream, also if the entry that
-// began it has ended. Each entry tells a few control members of the streams that it begins, and asks
-// the members when a caller takes up a stream that it did not begin. Members keep what they are told
-// in memory, without the replicated log, so that it needs no leader.
+// began it has ended. Each entry reports the streams that it begins to a few control members, and asks the members when a
+// caller takes up a stream that it did not begin. Members keep the reports in memory, without the
+// replicated log, so that no leader is needed.
 package origins
 
 import (
@@ -12,7 +12,7 @@
 // The kinds of the package's messages. Their numbers must differ from those of packages control and
 // registry, whose messages share the links.
 const (
-	kindTell wire.Kind = iota + 112
+	kindReport wire.Kind = iota + 112
 	kindAsk
 	kindAnswer
 )
@@ -27,8 +27,8 @@
 	Revised bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Tell states streams that have begun at an entry.
-type Tell struct {
+// Report states streams that have begun at an entry.
+type Report struct {
 	List []Stream `cbor:"1,keyasint"`
 }
 
@@ -47,7 +47,7 @@
 }
 
 // Kind implements wire.Message.
-func (*Tell) Kind() wire.Kind { return kindTell }
+func (*Report) Kind() wire.Kind { return kindReport }
 
 // Kind implements wire.Message.
 func (*Ask) Kind() wire.Kind { return kindAsk }
@@ -57,5 +57,5 @@
 
 // Protos returns the prototypes of the package's messages.
 func Protos() []wire.Proto {
-	return []wire.Proto{wire.ProtoOf[Tell](), wire.ProtoOf[Ask](), wire.ProtoOf[Answer]()}
+	return []wire.Proto{wire.ProtoOf[Report](), wire.ProtoOf[Ask](), wire.ProtoOf[Answer]()}
 }
--- a/node/relay/origins_world_test.go
+++ b/node/relay/origins_world_test.go
@@ -84,8 +84,8 @@
 	}
 	time.AfterFunc(simOriginDelay, func() {
 		switch m := m.(type) {
-		case *origins.Tell:
-			to.Told(m)
+		case *origins.Report:
+			to.Store(m)
 		case *origins.Ask:
 			a := to.Answer(m)
 			time.AfterFunc(simOriginDelay, func() { l.client.Answered(a) })
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -139,14 +139,14 @@
 	Reserve(ctx context.Context, at Peer, tokens int, ttl time.Duration) (string, error)
 }
 
-// Origins tells which software began a stream, also a stream that began at another entry process. It
-// is safe for concurrent use.
+// Origins stores and finds which software began a stream, also a stream that began at another entry
+// process. It is safe for concurrent use.
 type Origins interface {
 	// Began records which software began a stream, to be kept for the time ttl. It does not block.
 	Began(k origin.Key, o origin.Origin, ttl time.Duration)
 	// Revised replaces the origin of a stream that this process has begun.
 	Revised(k origin.Key, o origin.Origin, ttl time.Duration)
-	// Find returns the origin of a stream and from where it is known. The error tells why it is not
+	// Find returns the origin of a stream and from where it is known. The error says why it is not
 	// known.
 	Find(ctx context.Context, k origin.Key) (o origin.Origin, source string, err error)
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -47,7 +47,7 @@
 	// Quarantine holds the requests to refuse; if it is nil, the Relay goes by what it observes
 	// itself.
 	Quarantine *crash.Quarantine
-	// Origins tells which software began a stream; if it is nil, streams can be taken up only at this
+	// Origins finds which software began a stream; if it is nil, streams can be taken up only at this
 	// entry.
 	Origins  Origins
 	Observer Observer
