--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -221,7 +221,7 @@
 	if config.backoffs && ctx.Err() == nil && check.checkedReleases == 0 {
 		broken = append(broken, "no released target was checked")
 	}
-	if config.streams && ctx.Err() == nil && check.streams.takenUp == 0 {
+	if config.streams && ctx.Err() == nil && check.streams.takeUps == 0 {
 		broken = append(broken, "no call that takes a stream up was checked")
 	}
 	if config.faulty && ctx.Err() == nil && check.faults.checked == 0 {
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -31,8 +31,9 @@
 	software map[api.TargetID]string
 	stopped  map[api.TargetID]bool
 	// asked counts the calls of draftKind that begin a stream, begun those that brought an event;
-	// takenUp and goneOn count the calls that take a stream up.
-	asked, begun, takenUp, goneOn int
+	// takenUp and goneOn count the calls that take a stream up, takeUps those of which the share does
+	// not count too.
+	asked, begun, takenUp, goneOn, takeUps int
 }
 
 // Started records the software version of a target of draftKind.
@@ -149,6 +150,9 @@
 	if c.after > 0 {
 		all, good = &s.takenUp, &s.goneOn
 	}
+	if c.after > 0 {
+		s.takeUps++
+	}
 	if c.after > 0 && !c.counts || k.evacuatedBetween(c.sent, time.Now()) {
 		return
 	}
