The backoff's tests give their request an identity

An admitted request always has one. Change: the fixture's request has an identity; its checks are the same. Result: go test ./node/relay passes (49 s).

--- a/node/relay/backoff_test.go
+++ b/node/relay/backoff_test.go
@@ -19,6 +19,7 @@
 	"almondseam.dev/core/retrybudget"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/core/targetstate"
+	"almondseam.dev/node/crash"
 	"almondseam.dev/node/upstream"
 	qt "github.com/frankban/quicktest"
 )
@@ -162,7 +163,7 @@
 	})
 	hr, err := http.NewRequest(http.MethodPost, s.url+"/a/x", nil)
 	s.c.Assert(err, qt.IsNil)
-	req = &Request{Deadline: time.Now().Add(time.Minute), received: received{httpRequest: hr, uri: "/a/x"}, decision: decision{Service: service, Route: &s.live.Load().Config.Routes[0]}}
+	req = &Request{Deadline: time.Now().Add(time.Minute), received: received{httpRequest: hr, uri: "/a/x"}, decision: decision{Service: service, Route: &s.live.Load().Config.Routes[0], identity: &crash.Identity{}}}
 	return r, s.targets.Of(service)[0], req, arrived
 }
 
