--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,19 +221,19 @@
 // disturbVersions lets a target crash each 0.7 s, sometimes to come back with other software, and now
 // and then a target drain, an entry be killed or a member be started anew.
 func (w *world) disturbVersions(ctx context.Context, rng *rand.Rand) {
-	boots := 0
+	var turns atomic.Int64 // a target that starts anew reads it
 	w.nextSoftware = func(v api.SoftwareVersion) api.SoftwareVersion {
 		switch {
 		case w.keepNames && v == "v2":
 			return "v1"
-		case w.keepNames || v == "v1" && boots%3 == 0:
+		case w.keepNames || v == "v1" && turns.Load()%3 == 0:
 			return "v2"
 		}
 		return v
 	}
 	for ctx.Err() == nil {
 		sleep(ctx, 700*time.Millisecond)
-		boots++
+		boots := turns.Add(1)
 		w.targets[rng.IntN(len(w.targets))].crash()
 		switch rng.IntN(6) {
 		case 0:
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -203,7 +203,10 @@
 func (e *simEntry) start(name string) {
 	b := &simBoot{name: name, targets: NewTargets(), reports: NewLimitReports(newLocalGroup(), nopObserver{}), retries: NewRetries(enoughRetries, e.w.group)}
 	for _, target := range e.w.targets {
-		b.targets.Update([]directory.Record{target.record})
+		target.mu.Lock()
+		record := target.record
+		target.mu.Unlock()
+		b.targets.Update([]directory.Record{record})
 	}
 	b.targets.SetOthers(nil, len(e.w.entries)-1)
 	b.quarantine = crash.NewQuarantine(e.w.quarantine, nopObserver{})
