--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -25,8 +25,6 @@
 	draftInterval = 50 * time.Millisecond
 	// draftReturn is the time after which a caller takes up a stream that has broken off.
 	draftReturn = 30 * time.Millisecond
-	// mixedAllowed is the number of streams of two software versions that the users' rule bears.
-	mixedAllowed = 2
 )
 
 // writeDraft writes a stream whose events name the software version of the run that made them.
@@ -71,11 +69,11 @@
 	path string
 	// takeUps is how often the stream is taken up at the most.
 	takeUps int
-	// targetsKeepNames lets targets start again under their IDs, with other software, and announce
-	// themselves late.
-	targetsKeepNames bool
-	figures          *draftFigures
-	rng              *rand.Rand
+	// announceLate is the time after which targets announce themselves that start again under their
+	// IDs, with other software; zero if they change their IDs.
+	announceLate time.Duration
+	figures      *draftFigures
+	rng          *rand.Rand
 	// first is the request that brought the first event, last the number of the last event.
 	first    int64
 	last     int
@@ -306,7 +304,19 @@
 	for seed := range uint64(4) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4, targetsKeepNames: true})
+				playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4, announceLate: 500 * time.Millisecond})
+			})
+		})
+	}
+}
+
+// TestLateAnnouncementsDoNotJoinVersions guards against the same where announcements arrive a whole
+// interval late.
+func TestLateAnnouncementsDoNotJoinVersions(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4, announceLate: 1200 * time.Millisecond})
 			})
 		})
 	}
@@ -315,10 +325,7 @@
 // playVersions lets callers like the given one read streams for a time, under faults.
 func playVersions(t *testing.T, seed uint64, like draftCaller) {
 	w := newVersionWorld(t, seed)
-	w.keepNames = like.targetsKeepNames
-	if w.keepNames {
-		w.announceDelay = 500 * time.Millisecond
-	}
+	w.keepNames, w.announceDelay = like.announceLate > 0, like.announceLate
 	ctx, stop := context.WithTimeout(context.Background(), 40*time.Second)
 	defer stop()
 	figures := &draftFigures{}
@@ -337,11 +344,7 @@
 	w.stopAll()
 	f := figures
 	t.Logf("begun %d of %d, gone on %d of %d, mixed %d, refused late %d", f.begun, f.asked, f.goneOn, f.takenUp, len(f.mixed), f.refusedLate)
-	allowed := 0
-	if w.keepNames {
-		allowed = mixedAllowed
-	}
-	if len(f.mixed) > allowed {
+	if len(f.mixed) > 0 {
 		t.Errorf("%d streams hold events of two software versions: %s", len(f.mixed), f.mixed[0])
 	}
 	if begun, goneOn := float64(f.begun)/float64(f.asked), float64(f.goneOn)/float64(f.takenUp); goneOn < begun/2 {
