Review: a stopping entry cuts requests that wait for room

A request for a stream that an entry takes within two seconds after SIGTERM waits for room at full engines for longer than the entry runs. Its connection is closed without an answer when the entry exits.

--- a/review/standin/platform/cases.go
+++ b/review/standin/platform/cases.go
@@ -144,92 +144,141 @@
 
 const (
 	graceBound = 8 * time.Second
-	// The clients of lateRequest connect while the balancer still sends new connections, at most two
-	// checks after the signal, and send their request within header_timeout_ms (3,000).
-	connectAfter = 1200 * time.Millisecond
-	sendAfter    = 3500 * time.Millisecond
-	// lateEvents take 4.6 s.
-	lateEvents  = 46
-	lateClients = 5
-	// lateWindow is until when the signal counts as planned work: 1 s after grace_s.
+	// lateWindow is until when SIGTERM counts as planned work: 1 s after grace_s.
 	lateWindow = graceBound + time.Second
+	lostBound  = 200 * time.Millisecond
+	// checkEvery is the interval of the balancer's checks. The second miss ends the rotation.
+	checkEvery = time.Second
+	// sendAfter is when the clients connect and send, before the balancer's second check.
+	sendAfter   = 1850 * time.Millisecond
+	lateClients = 5
+	// engineSlots is the number of requests that an engine runs at once. The streams that fill the
+	// engines have fillEvents events and take 27 s.
+	engineSlots = 4
+	engineCount = 2
+	fillEvents  = 270
+	lateEvents  = 20
 )
 
-// streamResult is what the client of a stream saw.
+// streamResult is what the client of a stream saw, with times since the signal.
 type streamResult struct {
-	id       string
-	sent     time.Duration
-	ended    time.Duration
-	status   int
-	events   int
-	complete bool
-	err      error
+	id          string
+	sent, ended time.Duration
+	status      int
+	events      int
+	complete    bool
+	err         error
 }
 
-// lateRequest checks that an entry which was told to stop does not cut off the stream of a request that
-// it has taken.
-func lateRequest(s *setup) (bool, error) {
-	workers, c, err := startApp(s)
+// stopAtFull checks that an entry which is told to stop answers the requests that it has taken while
+// they wait for room at the engines.
+func stopAtFull(s *setup) (bool, error) {
+	engines, err := startEngines(s)
 	if err != nil {
 		return false, err
 	}
-	entry := s.fleet.fronts[0]
+	defer func() {
+		for _, e := range engines {
+			e.worker.end()
+		}
+	}()
+	entry, other := s.fleet.fronts[0], s.fleet.fronts[1]
+	var work sync.WaitGroup
+	for range engineCount * engineSlots {
+		work.Go(func() { s.stream(other, time.Now(), fillEvents) })
+	}
+	time.Sleep(5 * time.Second)
+	for _, e := range engines {
+		s.rec.say("%s runs %d of %d requests", e.id, e.runningNow(), engineSlots)
+		if e.runningNow() < engineSlots {
+			return false, fmt.Errorf("%s is not full", e.id)
+		}
+	}
+	if !ready(entry) {
+		return false, fmt.Errorf("%s is not ready", entry.name)
+	}
 	began := time.Now()
 	if s.trouble {
 		if err := entry.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			return false, err
 		}
-		s.rec.say("SIGTERM to %s", entry.name)
+		s.rec.say("SIGTERM to %s, just after the balancer's check found it ready", entry.name)
 	}
+	time.Sleep(time.Until(began.Add(checkEvery)))
+	s.rec.say("the balancer's next check: ready %v; after one miss the entry is still in rotation", ready(entry))
 	results := make([]streamResult, lateClients)
-	var work sync.WaitGroup
+	var late sync.WaitGroup
 	for i := range results {
-		work.Go(func() { results[i] = s.lateStream(entry, began) })
+		late.Go(func() {
+			time.Sleep(time.Until(began.Add(sendAfter)))
+			results[i] = s.stream(entry, began, lateEvents)
+		})
 	}
+	late.Wait()
 	time.Sleep(time.Until(began.Add(graceBound)))
 	if s.trouble && entry.running() {
 		s.rec.say("%s still runs after grace_s and is killed", entry.name)
 		entry.kill()
 	}
-	work.Wait()
-	c.stop()
-	for _, w := range workers {
-		w.end()
-	}
 	broken := 0
 	for _, r := range results {
 		ran := 0
-		for _, w := range workers {
-			ran += w.ran(r.id)
+		for _, e := range engines {
+			ran += e.ran(r.id)
 		}
-		s.rec.say("stream %s: sent %.2f s after the signal, ended at %.2f s, status %d, %d of %d events, complete %v, passed on to %d workers, %v",
-			r.id, r.sent.Seconds(), r.ended.Seconds(), r.status, r.events, lateEvents, r.complete, ran, r.err)
-		if ran > 0 && !r.complete && r.ended < lateWindow {
+		s.rec.say("request %s: sent at %.2f s, ended at %.2f s after the signal, status %d, complete %v, run by %d engines, %v", r.id, r.sent.Seconds(), r.ended.Seconds(), r.status, r.complete, ran, r.err)
+		if !r.complete && r.ended < lateWindow && (ran > 0 || r.ended-r.sent > lostBound) {
 			broken++
 		}
 	}
-	s.rec.say("requests sent later than 3 s after the signal, passed on and cut: %d of %d", broken, len(results))
+	s.rec.say("requests read as a whole whose connection ended without an answer: %d of %d", broken, len(results))
 	return broken > 0, nil
 }
 
-// lateStream opens a connection and sends the request for a stream on it a little later.
-func (s *setup) lateStream(entry *machine, began time.Time) (r streamResult) {
+func startEngines(s *setup) ([]*engine, error) {
+	var engines []*engine
+	for i := range engineCount {
+		e, err := startEngine(s.fleet, s.rec, fmt.Sprintf("i-02d9e6b%d", i), engineName, zones[i], engineSlots)
+		if err != nil {
+			return nil, err
+		}
+		engines = append(engines, e)
+	}
+	if err := s.fleet.startAll(desiredState(7)); err != nil {
+		return nil, err
+	}
+	if err := s.fleet.awaitReady(); err != nil {
+		return nil, err
+	}
+	s.rec.say("started: three control machines, %d entries, %d engines", len(s.fleet.fronts), len(engines))
+	time.Sleep(6 * time.Second)
+	return engines, nil
+}
+
+func (e *engine) runningNow() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// stream sends a request for a stream on a new connection and reads the answer.
+func (s *setup) stream(entry *machine, began time.Time, events int) (r streamResult) {
 	r.id = fmt.Sprintf("%016x", rand.Uint64())
-	time.Sleep(time.Until(began.Add(connectAfter)))
+	defer func() {
+		r.ended = time.Since(began)
+		s.rec.add("client id=%s entry=%s status=%d events=%d of %d complete=%v err=%v", r.id, entry.name, r.status, r.events, events, r.complete, r.err)
+	}()
 	conn, err := net.DialTimeout("tcp", net.JoinHostPort(entry.ip, portFront), time.Second)
 	if err != nil {
 		r.err = err
 		return r
 	}
 	defer conn.Close()
-	time.Sleep(time.Until(began.Add(sendAfter)))
 	r.sent = time.Since(began)
-	defer func() { r.ended = time.Since(began) }()
+	s.rec.add("client POST %s%d id=%s entry=%s", pathNotes, events, r.id, entry.name)
 	_ = conn.SetDeadline(time.Now().Add(39 * time.Second))
-	_, err = fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: 39000\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", pathNotes, lateEvents, host, r.id, key)
-	s.rec.add("client POST %s id=%s entry=%s sent", pathNotes, r.id, entry.name)
-	if err != nil {
-		r.err = err
+	_, r.err = fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 1460,1000\r\nX-Prompt-Prefix: 5c1e07a2:800,%s:660\r\nX-Deadline-Remaining: 39000\r\nAuthorization: Bearer %s\r\nContent-Length: 5\r\n\r\nnotes", pathNotes, events, host, r.id, r.id[:8], key)
+	if r.err != nil {
 		return r
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -241,7 +290,7 @@
 	r.status = resp.StatusCode
 	b, err := io.ReadAll(resp.Body)
 	r.events, r.err = strings.Count(string(b), "id: "), err
-	// A refusal of the entry's own is a complete answer too.
-	r.complete = err == nil && (r.events == lateEvents || r.status/100 != 2)
+	// A refusal is a complete answer too.
+	r.complete = err == nil && (r.events == events || r.status/100 != 2)
 	return r
 }
--- a/review/standin/platform/main.go
+++ b/review/standin/platform/main.go
@@ -33,7 +33,7 @@
 var cases = map[string]func(*setup) (bool, error){
 	"malformed-report": malformedReport,
 	"stray-answer":     strayAnswer,
-	"late-request":     lateRequest,
+	"stop-at-full":     stopAtFull,
 }
 
 func main() {
@@ -102,9 +102,15 @@
 	host    = "ficu95.example"
 	key     = "xd9dnn2ctnfzs989anu6"
 	appName = "wuno96b"
+	// appSlots is the number of requests that a worker of the application service runs at once.
+	appSlots   = 6
+	engineName = "huvo11a"
+	// engineTokens is the memory of an engine.
+	engineTokens = 34226
 )
 
-// desiredState returns a desired state with a route of each kind, all to one service.
+// desiredState returns a desired state with routes of kinds unsafe and safe to the application service and one of
+// kind streaming to the engines.
 func desiredState(version int) []byte {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
@@ -114,11 +120,19 @@
 	}
 	notes := route("r-notes", pathNotes, "streaming", 1)
 	notes["timeout_ms"], notes["target_latency_ms"], notes["priority"], notes["gap_target_ms"] = 39000, 1800, 1, 180
+	notes["service"], notes["sticky"] = engineName, true
 	b, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes":  []any{route("r-booking", "/pule252/", "unsafe", 1), route("r-lookup", "/puxa403/", "safe", 2), notes},
 		"services": []any{
 			map[string]any{"name": appName, "health_path": "/health", "connection_limit": 110, "protocol": "h1", "tls": false},
+			map[string]any{
+				"name": engineName, "health_path": "/health", "connection_limit": 252, "protocol": "h1", "tls": false,
+				"engine": map[string]any{
+					"slots": engineSlots, "kv_tokens": engineTokens, "kv_bytes": 163840, "link_mbps": 24000.0, "moves": false, "backups": false,
+					"stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
+				},
+			},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []string{key}, "priority": 1}},
--- a/review/standin/platform/worker.go
+++ b/review/standin/platform/worker.go
@@ -26,14 +26,17 @@
 // connection, announces itself and echoes the attempt id.
 type worker struct {
 	id, service, zone, address string
+	slots                      int
 	work                       time.Duration
-	rec                        *record
-	controls                   []*machine
-	born                       int64
-	sequence                   atomic.Uint64
-	state                      atomic.Value
-	ln                         net.Listener
-	done                       chan struct{}
+	// serveConn serves the requests of a connection until it ends.
+	serveConn func(net.Conn)
+	rec       *record
+	controls  []*machine
+	born      int64
+	sequence  atomic.Uint64
+	state     atomic.Value
+	ln        net.Listener
+	done      chan struct{}
 
 	// extra returns the bytes that the worker sends on a connection after the complete response to the
 	// request with this number, at the point where the next response is expected; nil for none.
@@ -46,21 +49,34 @@
 }
 
 func startWorker(f *fleet, rec *record, id, service, zone string, work time.Duration) (*worker, error) {
+	w, err := newWorker(f, rec, id, service, zone, appSlots)
+	if err != nil {
+		return nil, err
+	}
+	w.work = work
+	w.serveConn = w.serve
+	w.run()
+	return w, nil
+}
+
+// newWorker prepares a worker. It serves and announces itself from run on.
+func newWorker(f *fleet, rec *record, id, service, zone string, slots int) (*worker, error) {
 	ip, err := f.freeAddress(portWorker)
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		id: id, service: service, zone: zone, address: net.JoinHostPort(ip, portWorker), work: work, rec: rec, controls: f.controls,
+		id: id, service: service, zone: zone, address: net.JoinHostPort(ip, portWorker), slots: slots, rec: rec, controls: f.controls,
 		born: time.Now().UnixMilli(), done: make(chan struct{}), conns: make(map[net.Conn]struct{}),
 	}
 	w.state.Store("ready")
-	if w.ln, err = net.Listen("tcp", w.address); err != nil {
-		return nil, err
-	}
+	w.ln, err = net.Listen("tcp", w.address)
+	return w, err
+}
+
+func (w *worker) run() {
 	go w.accept()
 	go w.beats()
-	return w, nil
 }
 
 func (w *worker) setExtra(f func(n uint64) []byte) { w.extra.Store(&f) }
@@ -74,17 +90,17 @@
 		w.mu.Lock()
 		w.conns[c] = struct{}{}
 		w.mu.Unlock()
-		go w.serve(c)
+		go func() {
+			w.serveConn(c)
+			_ = c.Close()
+			w.mu.Lock()
+			delete(w.conns, c)
+			w.mu.Unlock()
+		}()
 	}
 }
 
 func (w *worker) serve(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		w.mu.Lock()
-		delete(w.conns, c)
-		w.mu.Unlock()
-	}()
 	r := bufio.NewReader(c)
 	var late []byte
 	for {
@@ -226,7 +242,7 @@
 // beat is a status report with all the fields that the pages list.
 func (w *worker) beat() []byte {
 	b, _ := json.Marshal(map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 6, "state": w.state.Load(),
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state.Load(),
 		"cold_remaining_ms": 0, "sequence": w.sequence.Add(1), "born": w.born,
 	})
 	return b
