Review: a stream runs again after a 500 of the engine that took it up

A stream that must not run twice is moved from a reclaimed engine. The engine that takes it up begins to run it and answers 500. The entry takes that for a lost connection and has the request run by a third engine, from the copy of the second one's run.

--- a/review/standin/platform/cases.go
+++ b/review/standin/platform/cases.go
@@ -19,6 +19,8 @@
 	pathLookup  = "/puxa403/2f"
 	// pathNotes is the prefix of the streaming route; the number of events follows.
 	pathNotes = "/lohu930/"
+	// pathTags is that of the route whose streams may be resumed.
+	pathTags = "/pufi791/"
 	// eventPause is the time between two events of a stream.
 	eventPause = 100 * time.Millisecond
 	// workTime is how long the application service works on a request.
@@ -167,13 +169,15 @@
 	status      int
 	events      int
 	complete    bool
-	err         error
+	// made says how many events each software version made.
+	made []string
+	err  error
 }
 
 // stopAtFull checks that an entry which is told to stop answers the requests that it has taken while
 // they wait for room at the engines.
 func stopAtFull(s *setup) (bool, error) {
-	engines, err := startEngines(s)
+	engines, err := startEngines(s, engineCount, engineSlots)
 	if err != nil {
 		return false, err
 	}
@@ -235,16 +239,19 @@
 	return broken > 0, nil
 }
 
-func startEngines(s *setup) ([]*engine, error) {
+func startEngines(s *setup, count, slots int) ([]*engine, error) {
 	var engines []*engine
-	for i := range engineCount {
-		e, err := startEngine(s.fleet, s.rec, fmt.Sprintf("i-02d9e6b%d", i), engineName, zones[i], engineSlots)
+	peers := make(map[string]*engine)
+	for i := range count {
+		e, err := startEngine(s.fleet, s.rec, fmt.Sprintf("i-02d9e6b%d", i), engineName, zones[i%len(zones)], slots)
 		if err != nil {
 			return nil, err
 		}
+		e.peers = peers
+		peers[e.address] = e
 		engines = append(engines, e)
 	}
-	if err := s.fleet.startAll(desiredState(7)); err != nil {
+	if err := s.fleet.startAll(desiredStateWith(7, slots)); err != nil {
 		return nil, err
 	}
 	if err := s.fleet.awaitReady(); err != nil {
@@ -262,7 +269,12 @@
 }
 
 // stream sends a request for a stream on a new connection and reads the answer.
-func (s *setup) stream(entry *machine, began time.Time, events int) (r streamResult) {
+func (s *setup) stream(entry *machine, began time.Time, events int) streamResult {
+	return s.streamOf(entry, pathNotes, began, events)
+}
+
+// streamOf is stream for a route.
+func (s *setup) streamOf(entry *machine, path string, began time.Time, events int) (r streamResult) {
 	r.id = fmt.Sprintf("%016x", rand.Uint64())
 	defer func() {
 		r.ended = time.Since(began)
@@ -275,9 +287,9 @@
 	}
 	defer conn.Close()
 	r.sent = time.Since(began)
-	s.rec.add("client POST %s%d id=%s entry=%s", pathNotes, events, r.id, entry.name)
+	s.rec.add("client POST %s%d id=%s entry=%s", path, events, r.id, entry.name)
 	_ = conn.SetDeadline(time.Now().Add(39 * time.Second))
-	_, r.err = fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 1460,1000\r\nX-Prompt-Prefix: 5c1e07a2:800,%s:660\r\nX-Deadline-Remaining: 39000\r\nAuthorization: Bearer %s\r\nContent-Length: 5\r\n\r\nnotes", pathNotes, events, host, r.id, r.id[:8], key)
+	_, r.err = fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Counts: 1460,1000\r\nX-Prompt-Prefix: 5c1e07a2:800,%s:660\r\nX-Deadline-Remaining: 39000\r\nAuthorization: Bearer %s\r\nContent-Length: 5\r\n\r\nnotes", path, events, host, r.id, r.id[:8], key)
 	if r.err != nil {
 		return r
 	}
@@ -290,7 +302,157 @@
 	r.status = resp.StatusCode
 	b, err := io.ReadAll(resp.Body)
 	r.events, r.err = strings.Count(string(b), "id: "), err
+	for _, version := range []string{"v1", "v2"} {
+		if n := strings.Count(string(b), " "+version+"\n"); n > 0 {
+			r.made = append(r.made, fmt.Sprintf("%d by %s", n, version))
+		}
+	}
 	// A refusal is a complete answer too.
 	r.complete = err == nil && (r.events == events || r.status/100 != 2)
 	return r
 }
+
+const (
+	// tagEvents take 4 s. The worker that starts again serves for crashAfter, its first status report
+	// arrives reportLate after its start.
+	tagEvents  = 40
+	tagClients = 16
+	crashAfter = 1500 * time.Millisecond
+	reportLate = 2500 * time.Millisecond
+	// mostMixed is the number of streams that may hold events of two versions.
+	mostMixed = 2
+)
+
+// versionMix checks that a stream which a worker of one software version has begun is not continued by
+// one of another version.
+func versionMix(s *setup) (bool, error) {
+	workers, c, err := startApp(s)
+	if err != nil {
+		return false, err
+	}
+	c.stop()
+	defer func() {
+		for _, w := range workers {
+			w.end()
+		}
+	}()
+	w := workers[0]
+	if s.trouble {
+		next, err := w.restart("v2", reportLate)
+		if err != nil {
+			return false, err
+		}
+		w = next
+		s.rec.say("%s, idle, starts again with software v2; its first status report arrives %v later", w.id, reportLate)
+	}
+	began := time.Now()
+	results := make([]streamResult, tagClients)
+	var work sync.WaitGroup
+	for i := range results {
+		work.Go(func() {
+			time.Sleep(200 * time.Millisecond)
+			results[i] = s.streamOf(s.fleet.fronts[i%len(s.fleet.fronts)], pathTags, began, tagEvents)
+		})
+	}
+	if s.trouble {
+		time.Sleep(time.Until(began.Add(crashAfter)))
+		again, err := w.restart("v2", reportLate)
+		if err != nil {
+			return false, err
+		}
+		w = again
+		s.rec.say("%s crashes and starts again", w.id)
+	}
+	work.Wait()
+	w.end()
+	mixed := 0
+	for _, r := range results {
+		if len(r.made) > 1 {
+			mixed++
+		}
+		s.rec.say("stream %s: status %d, %d of %d events, complete %v, made %v, %v", r.id, r.status, r.events, tagEvents, r.complete, r.made, r.err)
+	}
+	s.rec.say("streams with events of two software versions in one answer: %d of %d", mixed, len(results))
+	return mixed > mostMixed, nil
+}
+
+const (
+	moveEngines = 6
+	moveSlots   = 24
+	// moveStreams of moveEvents events, 12 s each, run when an engine is reclaimed. They and the copies of
+	// their memory fill two thirds of the engines.
+	moveStreams = 40
+	moveEvents  = 120
+	// errorPercent and reclaimAfter are the doses of srv_grey and scale_in (spot) on the site's days.
+	errorPercent = 45
+	reclaimAfter = 1800 * time.Millisecond
+)
+
+// errorAfterMove checks that a stream which must not run twice isn't run again after the engine that
+// it was moved to has begun to run it and answered 500.
+func errorAfterMove(s *setup) (bool, error) {
+	engines, err := startEngines(s, moveEngines, moveSlots)
+	if err != nil {
+		return false, err
+	}
+	defer func() {
+		for _, e := range engines {
+			e.worker.end()
+		}
+	}()
+	began := time.Now()
+	results := make([]streamResult, moveStreams)
+	var work sync.WaitGroup
+	for i := range results {
+		work.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			results[i] = s.streamOf(s.fleet.fronts[i%len(s.fleet.fronts)], pathNotes, began, moveEvents)
+		})
+	}
+	time.Sleep(4 * time.Second)
+	if s.trouble {
+		for _, e := range engines {
+			e.fail(errorPercent)
+		}
+		s.rec.say("the engines answer 500 to %d in 100 of the requests that they begin", errorPercent)
+	}
+	gone := engines[0]
+	s.rec.say("%s, which runs %d streams, reports draining", gone.id, gone.runningNow())
+	if _, ok := gone.drain(); !ok {
+		return false, fmt.Errorf("no control machine acknowledged that %s drains", gone.id)
+	}
+	time.Sleep(reclaimAfter)
+	gone.worker.end()
+	s.rec.say("%s is gone", gone.id)
+	time.Sleep(4 * time.Second)
+	for _, e := range engines {
+		e.fail(0)
+	}
+	work.Wait()
+	twice := 0
+	for _, r := range results {
+		if first, second := ranAgain(engines, r.id); first != "" {
+			twice++
+			s.rec.say("request %s: %s began to run it and answered 500, then %s ran it; its client got %d of %d events, complete %v", r.id, first, second, r.events, moveEvents, r.complete)
+		}
+	}
+	s.rec.say("requests of a route that isn't idempotent that ran again: %d of %d", twice, len(results))
+	return twice > 0, nil
+}
+
+// ranAgain returns the engine that answered 500 to a request that it had begun, and one that began to
+// run the request later; empty if there are none.
+func ranAgain(engines []*engine, id string) (first, second string) {
+	for _, e := range engines {
+		failed, ok := e.at(e.failed, id)
+		if !ok {
+			continue
+		}
+		for _, other := range engines {
+			if at, ok := other.at(other.began, id); ok && other != e && at.After(failed) {
+				return e.id, other.id
+			}
+		}
+	}
+	return "", ""
+}
--- a/review/standin/platform/main.go
+++ b/review/standin/platform/main.go
@@ -34,6 +34,8 @@
 	"malformed-report": malformedReport,
 	"stray-answer":     strayAnswer,
 	"stop-at-full":     stopAtFull,
+	"version-mix":      versionMix,
+	"error-after-move": errorAfterMove,
 }
 
 func main() {
@@ -109,9 +111,12 @@
 	engineTokens = 34226
 )
 
-// desiredState returns a desired state with routes of kinds unsafe and safe to the application service and one of
-// kind streaming to the engines.
-func desiredState(version int) []byte {
+// desiredState returns a desired state with routes of kinds unsafe, safe and streaming (one that may be resumed) to
+// the application service, and one of kind streaming to the engines.
+func desiredState(version int) []byte { return desiredStateWith(version, engineSlots) }
+
+// desiredStateWith is desiredState for engines that run the given number of requests at once.
+func desiredStateWith(version, slots int) []byte {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 800, "target_latency_ms": 150, "priority": 2,
@@ -121,15 +126,17 @@
 	notes := route("r-notes", pathNotes, "streaming", 1)
 	notes["timeout_ms"], notes["target_latency_ms"], notes["priority"], notes["gap_target_ms"] = 39000, 1800, 1, 180
 	notes["service"], notes["sticky"] = engineName, true
+	tags := route("r-tags", pathTags, "streaming", 2)
+	tags["timeout_ms"], tags["target_latency_ms"], tags["priority"], tags["gap_target_ms"], tags["can_resume"] = 6000, 1500, 0, 180, true
 	b, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes":  []any{route("r-booking", "/pule252/", "unsafe", 1), route("r-lookup", "/puxa403/", "safe", 2), notes},
+		"routes":  []any{route("r-booking", "/pule252/", "unsafe", 1), route("r-lookup", "/puxa403/", "safe", 2), notes, tags},
 		"services": []any{
 			map[string]any{"name": appName, "health_path": "/health", "connection_limit": 110, "protocol": "h1", "tls": false},
 			map[string]any{
 				"name": engineName, "health_path": "/health", "connection_limit": 252, "protocol": "h1", "tls": false,
 				"engine": map[string]any{
-					"slots": engineSlots, "kv_tokens": engineTokens, "kv_bytes": 163840, "link_mbps": 24000.0, "moves": false, "backups": false,
+					"slots": slots, "kv_tokens": engineTokens, "kv_bytes": 163840, "link_mbps": 24000.0, "moves": false, "backups": true,
 					"stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 				},
 			},
--- a/review/standin/platform/worker.go
+++ b/review/standin/platform/worker.go
@@ -27,7 +27,11 @@
 type worker struct {
 	id, service, zone, address string
 	slots                      int
-	work                       time.Duration
+	// software is the version of the worker's software, reportsLate the time by which its status
+	// reports arrive late.
+	software    string
+	reportsLate time.Duration
+	work        time.Duration
 	// serveConn serves the requests of a connection until it ends.
 	serveConn func(net.Conn)
 	rec       *record
@@ -66,7 +70,7 @@
 		return nil, err
 	}
 	w := &worker{
-		id: id, service: service, zone: zone, address: net.JoinHostPort(ip, portWorker), slots: slots, rec: rec, controls: f.controls,
+		id: id, service: service, zone: zone, address: net.JoinHostPort(ip, portWorker), slots: slots, software: "v1", rec: rec, controls: f.controls,
 		born: time.Now().UnixMilli(), done: make(chan struct{}), conns: make(map[net.Conn]struct{}),
 	}
 	w.state.Store("ready")
@@ -120,7 +124,8 @@
 			late = nil
 		}
 		if n, ok := eventCount(req); ok && req.Header.Get("X-Attempt-Id") != "" && !w.mismatch(req) {
-			if !w.stream(c, req.Header.Get("X-Attempt-Id"), n) {
+			after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // 0 without the header
+			if !w.stream(c, req.Header.Get("X-Attempt-Id"), after, n) {
 				return
 			}
 			continue
@@ -166,6 +171,9 @@
 // eventCount returns the number of events that a request of the streaming route asks for.
 func eventCount(req *http.Request) (int, bool) {
 	rest, ok := strings.CutPrefix(req.URL.Path, pathNotes)
+	if !ok {
+		rest, ok = strings.CutPrefix(req.URL.Path, pathTags)
+	}
 	if !ok {
 		return 0, false
 	}
@@ -173,16 +181,17 @@
 	return n, err == nil
 }
 
-// stream runs a request whose answer is a stream of events. It returns false if the connection has ended.
-func (w *worker) stream(c net.Conn, id string, events int) bool {
+// stream runs a request whose answer is a stream of events, from the one after the given event on. It returns false if the connection has ended.
+func (w *worker) stream(c net.Conn, id string, after, events int) bool {
 	w.reached(id, pathNotes, true)
+	w.rec.add("runs worker=%s software=%s id=%s after event %d", w.id, w.software, id, after)
 	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: " + sealFor(id, w.id) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
-	for i := 1; i <= events; i++ {
+	for i := after + 1; i <= events; i++ {
 		time.Sleep(eventPause)
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, id)
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, id, w.software)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			w.rec.add("cut worker=%s id=%s after event %d of %d", w.id, id, i-1, events)
 			return false
@@ -242,13 +251,17 @@
 // beat is a status report with all the fields that the pages list.
 func (w *worker) beat() []byte {
 	b, _ := json.Marshal(map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state.Load(),
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.software, "slots": w.slots, "state": w.state.Load(),
 		"cold_remaining_ms": 0, "sequence": w.sequence.Add(1), "born": w.born,
 	})
 	return b
 }
 
 func (w *worker) beats() {
+	select {
+	case <-time.After(w.reportsLate):
+	case <-w.done:
+	}
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
 	for n := 0; ; n++ {
@@ -301,6 +314,24 @@
 	w.end()
 }
 
+// restart ends the worker as a crash does and starts it again at once, at its address and under its
+// identifier, with other software. Its status reports arrive late.
+func (w *worker) restart(software string, late time.Duration) (*worker, error) {
+	w.end()
+	next := &worker{
+		id: w.id, service: w.service, zone: w.zone, address: w.address, slots: w.slots, work: w.work, rec: w.rec, controls: w.controls,
+		software: software, reportsLate: late, born: time.Now().UnixMilli(), done: make(chan struct{}), conns: make(map[net.Conn]struct{}),
+	}
+	next.state.Store("ready")
+	next.serveConn = next.serve
+	var err error
+	if next.ln, err = net.Listen("tcp", next.address); err != nil {
+		return nil, err
+	}
+	next.run()
+	return next, nil
+}
+
 func (w *worker) end() {
 	select {
 	case <-w.done:
