--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -189,6 +190,13 @@
 	return nil
 }
 
+// pid returns the ID of the process that was started last.
+func (n *node) pid() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.Process.Pid
+}
+
 // watch waits for the process to exit and reports an unexpected exit to onFailure.
 func (n *node) watch(cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
@@ -290,6 +298,8 @@
 	// number is the number of the address among all targets.
 	number  int
 	forward *forwarder
+	// work is the time for a request and before each event, targetWorkTime if it is zero.
+	work time.Duration
 	// crashes crashes the target, after a delay.
 	crashes func()
 	// fails returns how the target fails a request; nil if it fails none.
@@ -316,7 +326,7 @@
 	}
 	t, err := standin.StartTarget(standin.TargetSettings{
 		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.advertised, Control: p.control,
-		Every: announceInterval, Work: targetWorkTime, Ran: p.onRun, Rejected: p.onReject,
+		Every: announceInterval, Work: cmp.Or(p.work, targetWorkTime), Ran: p.onRun, Rejected: p.onReject,
 		Crashes: p.crashesOn, Fails: p.fails, Software: software,
 	})
 	p.target = t
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -45,6 +45,7 @@
 	parts bool
 	// streams is set if callers take up broken streams of targets with two software versions.
 	streams bool
+	rush    rushSettings
 	out     io.Writer
 }
 
@@ -73,6 +74,16 @@
 		run = runRush
 		return nil
 	}).Bool()
+	app.Flag("rush-share", "Part of a processor that each entry has; 0: the one with most connections shares a processor with busy processes.").Default("0").Float64Var(&set.rush.quota.share)
+	app.Flag("rush-period", "Period in which an entry uses that part.").Default("100ms").DurationVar(&set.rush.quota.period)
+	app.Flag("rush-rate", "Requests a second before and after.").Default("60").Float64Var(&set.rush.rate)
+	app.Flag("rush-factor", "Multiple of that while most connections go to one entry.").Default("4").Float64Var(&set.rush.factor)
+	app.Flag("rush-streams", "Share of the requests that are streams.").Default("0.15").Float64Var(&set.rush.streams)
+	app.Flag("rush-body", "Bytes of a body; 0 for a short one.").Default("0").IntVar(&set.rush.body)
+	app.Flag("rush-reuse", "Requests on each connection.").Default("1").IntVar(&set.rush.reuse)
+	app.Flag("rush-again", "Callers come back at once if their connection is closed unread.").BoolVar(&set.rush.again)
+	app.Flag("rush-turns", "A second entry gets most connections after the first.").BoolVar(&set.rush.turns)
+	app.Flag("rush-stop", "The entry is told to stop meanwhile.").BoolVar(&set.rush.stop)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
 	// its addresses forever.
@@ -125,7 +136,7 @@
 // configuration and all entries are ready.
 const bootstrapTimeout = 30 * time.Second
 
-// site is what every run has: the system, its usual targets, and the checker.
+// site is what every run has: the system, its targets, and the checker.
 type site struct {
 	addresses addresses
 	reserved  net.Listener
@@ -146,10 +157,6 @@
 	}
 	s.addresses, s.reserved = addresses{n}, ln
 	s.fleet, err = startFleet(config.dir, config.binary, s.addresses, config.controls, config.entries, s.check.Unwell)
-	if err != nil {
-		return s, err
-	}
-	s.slots, err = startTargets(s.addresses, s.fleet, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, s.check)
 	return s, err
 }
 
@@ -174,6 +181,10 @@
 	if err != nil {
 		return err
 	}
+	s.slots, err = startTargets(s.addresses, s.fleet, []api.ServiceID{serviceWriters, serviceA, serviceB}, 2, 0, s.check)
+	if err != nil {
+		return err
+	}
 	a, f, slots, check := s.addresses, s.fleet, s.slots, s.check
 	if config.crashes || config.parts {
 		crashing, err := startCrashTargets(ctx, a, f, len(slots), check)
