The turnaround of the processor is measured and logged while connections arrive

Callers saw requests that were read and not answered, with the limit of connections open. The only measure was the shortest first read of a window, which is logged nowhere.

The limit itself is not changed.

--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -81,6 +81,7 @@
 	entries []string
 	next    atomic.Int64
 	body    string
+	sockets socketTable
 
 	mu sync.Mutex
 	// ran holds when each request began to run at a target, left when its caller left.
@@ -327,7 +328,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.recordLeft(call.Request)
-		into.countUnanswered(conn)
+		into.countUnanswered(&r.sockets, conn)
 	case err != nil && resp == nil:
 		into.unread.Add(1)
 		return false, false
@@ -361,8 +362,8 @@
 	}
 }
 
-func (c *rushCounts) countUnanswered(conn net.Conn) {
-	state, ok := serverSocket(conn)
+func (c *rushCounts) countUnanswered(sockets *socketTable, conn net.Conn) {
+	state, ok := sockets.serverSocket(conn)
 	switch {
 	case ok && !state.accepted:
 		c.unaccepted.Add(1)
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -13,6 +13,7 @@
 	"almondseam.dev/node/entry"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
+	"almondseam.dev/node/overload"
 	"almondseam.dev/node/wire"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -38,6 +39,7 @@
 	agentEnded    *prometheus.CounterVec
 	evacuated     prometheus.Gauge
 	unread        prometheus.Counter
+	turnaround    prometheus.Histogram
 	badPaces      prometheus.Counter
 	loadsDropped  prometheus.Counter
 	// attemptsLost counts attempts of calls at control members that got no reply, by why.
@@ -66,11 +68,28 @@
 	s.badPaces = f.NewCounter(counter("load_paces_dropped_total", "Paces of engines in load reports of other entries that no entry can have observed."))
 	s.loadsDropped = f.NewCounter(counter("relay_loads_dropped_total", "Loads that other entries reported and that cannot be true."))
 	s.unread = f.NewCounter(counter("connections_closed_unread_total", "Connections of callers that were closed unread, because the instance had no processor time for them."))
+	s.turnaround = f.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "processor_turnaround_seconds", Buckets: turnaroundBuckets,
+		Help: "How long something that is ready waits behind all other work of the process, measured while new connections arrive.",
+	})
 	s.evacuated = f.NewGauge(gauge("zones_evacuated", "Availability zones whose targets get no new work from this entry."))
 	s.initSeries()
 	return s
 }
 
+// turnaroundBuckets are bounds in seconds: from 1 ms, each twice the one before, to about 2 s.
+var turnaroundBuckets = prometheus.ExponentialBuckets(0.001, 2, 12)
+
+// Turnaround implements overload.Observer.
+func (s *Set) Turnaround(d time.Duration) { s.turnaround.Observe(d.Seconds()) }
+
+// ProcessorBusy implements overload.Observer.
+func (s *Set) ProcessorBusy(turnarounds, firstReads overload.Times) {
+	events.ProcessorBusy.Log(s.log).Int("measured", turnarounds.Number).
+		Dur("shortest", turnarounds.Shortest).Dur("mean", turnarounds.Mean()).Dur("longest", turnarounds.Longest).
+		Int("first_reads", firstReads.Number).Dur("first_read_shortest", firstReads.Shortest).Dur("first_read_mean", firstReads.Mean()).Send()
+}
+
 // ConnectionsClosed implements overload.Observer.
 func (s *Set) ConnectionsClosed(n int, share float64) {
 	s.unread.Add(float64(n))
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -181,13 +181,22 @@
 	e.work.Go(e.publishLoop)
 	e.work.Go(e.reportLoads)
 	e.work.Go(func() {
-		if err := e.server.Serve(overload.New(e.set.Callers, e.ports.Metrics)); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.serve(); !errors.Is(err, http.ErrServerClosed) {
 			events.ProcessFailed.Log(e.ports.Log).Err(err).Send()
 		}
 	})
 	events.ProcessStarted.Log(e.ports.Log).Str("role", string(link.RoleEntry)).Str("callers", e.set.Callers.Addr().String()).Send()
 }
 
+// serve serves callers until the server is shut down.
+func (e *RoutedEntry) serve() error {
+	ln, err := overload.New(e.set.Callers, e.ports.Metrics)
+	if err != nil {
+		return err
+	}
+	return e.server.Serve(ln)
+}
+
 // confirmRetryDelay is the delay after a failed query to the majority.
 const confirmRetryDelay = 100 * time.Millisecond
 
