A new connection is read only once the processor has turned around

Callers saw requests that were read and not answered. Cause: the limit judged by the shortest first read of 50 ms, and a goroutine that has just been started runs before hundreds of older ones; in one such window the share of accepted connections opened again. It knew nothing of what waits to be accepted, or behind what was accepted.

Class: a limit that measures at one place what waits at another, and corrects a rate by it. Now nothing is corrected: one connection is admitted, and the next only when a byte through a pipe, written at that moment, has come back behind everything that was ready. So new connections get what accepted work leaves, however processor time comes. Connections are accepted at once, the newest is read first, and those that waited 250 ms are closed unread.

--- a/core/overload/processor_test.go
+++ b/core/overload/processor_test.go
@@ -125,15 +125,19 @@
 			p.ready = p.ready[1:]
 			do()
 		default:
-			p.poll()
+			p.poll(until)
 		}
 	}
 }
 
-// poll makes ready what has happened outside, or waits for it.
-func (p *processor) poll() {
+// poll makes ready what has happened outside, or waits for it until a time.
+func (p *processor) poll(until time.Time) {
 	const batch = 128
-	if len(p.network) > 0 && p.network[0].at.After(p.now) {
+	if len(p.network) == 0 || p.network[0].at.After(until) {
+		p.now = until
+		return
+	}
+	if p.network[0].at.After(p.now) {
 		p.now = p.network[0].at
 	}
 	for range batch {
--- a/core/overload/rush_test.go
+++ b/core/overload/rush_test.go
@@ -16,6 +16,7 @@
 	costAnswer = 300 * time.Microsecond
 	costRead   = 30 * time.Microsecond
 	costEvent  = 60 * time.Microsecond
+	costProbe  = 5 * time.Microsecond
 )
 
 // What callers and targets do.
@@ -215,19 +216,29 @@
 	factor  float64
 	streams float64
 	reuse   int
+	// part is the part of a processor, for cases whose requests are all alike and cost what is known.
+	part float64
 }
 
 var rushCases = []rushCase{
-	{name: "short periods, bookings", supply: func() supply { return &quota{part: time.Millisecond, period: 20 * time.Millisecond} }, calm: 30, factor: 8},
+	{name: "short periods, bookings", supply: func() supply { return &quota{part: time.Millisecond, period: 20 * time.Millisecond} }, calm: 30, factor: 8, part: 0.05},
 	{name: "short periods, streams", supply: func() supply { return &quota{part: 2 * time.Millisecond, period: 20 * time.Millisecond} }, calm: 20, factor: 8, streams: 0.15},
-	{name: "long periods, bookings", supply: func() supply { return &quota{part: 5 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 30, factor: 8},
+	{name: "long periods, bookings", supply: func() supply { return &quota{part: 5 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 30, factor: 8, part: 0.05},
 	{name: "long periods, streams", supply: func() supply { return &quota{part: 10 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 20, factor: 8, streams: 0.15},
-	{name: "long periods, a small part", supply: func() supply { return &quota{part: 3 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 15, factor: 6},
+	{name: "long periods, a small part", supply: func() supply { return &quota{part: 3 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 15, factor: 6, part: 0.03},
 	{name: "long periods, connections reused", supply: func() supply { return &quota{part: 10 * time.Millisecond, period: 100 * time.Millisecond} }, calm: 10, factor: 8, reuse: 5},
-	{name: "even share, bookings", supply: func() supply { return &evenShare{slice: 3 * time.Millisecond, neighbours: 6} }, calm: 80, factor: 10},
+	{name: "even share, bookings", supply: func() supply { return &evenShare{slice: 3 * time.Millisecond, neighbours: 6} }, calm: 80, factor: 10, part: 1.0 / 7},
+	{name: "whole processor, twice", supply: wholeProcessor, calm: 500, factor: 4, part: 1},
+	{name: "whole processor, three times", supply: wholeProcessor, calm: 500, factor: 6, part: 1},
+	{name: "whole processor, ten times", supply: wholeProcessor, calm: 500, factor: 20, part: 1},
 	{name: "even share, streams", supply: func() supply { return &evenShare{slice: 3 * time.Millisecond, neighbours: 6} }, calm: 20, factor: 8, streams: 0.15},
 }
 
+func wholeProcessor() supply { return &quota{part: time.Second, period: time.Second} }
+
+// usedWell is the least part of its processor time that an instance spends on requests that are served.
+const usedWell = 0.6
+
 // TestRushOfConnections guards against an instance that reads requests which it cannot answer in time
 // while it gets several times its usual connections, however its processor time comes.
 func TestRushOfConnections(t *testing.T) {
@@ -242,18 +253,76 @@
 			qt.Assert(t, calm.unread+calm.left, qt.Equals, 0)
 			qt.Assert(t, float64(rush.served) >= servedOfRead*float64(rush.asked-rush.unread), qt.IsTrue)
 			qt.Assert(t, rush.served >= without.served, qt.IsTrue)
+			if tc.part > 0 {
+				spent := time.Duration(rush.served) * (costStart + costAnswer)
+				qt.Assert(t, spent.Seconds() >= usedWell*tc.part*countTime.Seconds(), qt.IsTrue)
+			}
 			qt.Assert(t, rush.ranLate, qt.Equals, 0)
 			qt.Assert(t, after.unread+after.left, qt.Equals, 0)
 		})
 	}
 }
 
+// TestNothingIsClosedWithoutOverload guards against closing connections after a pause of the process, in
+// a burst that it has the time for, and of a caller that comes alone.
+func TestNothingIsClosedWithoutOverload(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// pause is how long the process stands still, burst how many connections come at once.
+		pause time.Duration
+		burst int
+		part  time.Duration
+	}{
+		{name: "alone", burst: 1, part: 3 * time.Millisecond},
+		{name: "after a pause", pause: 3 * time.Second, burst: 5, part: 3 * time.Millisecond},
+		{name: "a burst at a small part", burst: 8, part: 5 * time.Millisecond},
+		{name: "a burst at a whole processor", burst: 200, part: 100 * time.Millisecond},
+		{name: "a burst after a pause", pause: 500 * time.Millisecond, burst: 200, part: 100 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newEntry(rushCase{supply: func() supply { return &quota{part: tc.part, period: 100 * time.Millisecond} }})
+			for range 3 {
+				e.load(10, time.Second)
+				for range tc.burst {
+					e.connect(e.now)
+				}
+				e.use(0)
+				e.now = e.now.Add(tc.pause)
+			}
+			e.load(10, 5*time.Second)
+			e.run(e.now.Add(plainPatience))
+			qt.Assert(t, e.counted.unread, qt.Equals, 0)
+			qt.Assert(t, e.counted.served+e.counted.left, qt.Equals, e.counted.asked)
+			if tc.pause < plainPatience {
+				qt.Assert(t, e.counted.left, qt.Equals, 0)
+			}
+		})
+	}
+}
+
+// TestWaitingConnectionsAreBounded guards against memory that fills with connections while the process
+// reads none.
+func TestWaitingConnectionsAreBounded(t *testing.T) {
+	var g Gate[int]
+	now := time.Unix(0, 0)
+	closed := 0
+	for i := range 10 * maxWaiting {
+		closed += len(g.Arrive(i, now))
+	}
+	qt.Assert(t, g.Waiting(), qt.Equals, maxWaiting)
+	qt.Assert(t, closed, qt.Equals, 9*maxWaiting)
+	c, ok := g.Next()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, c, qt.Equals, 10*maxWaiting-1)
+}
+
 // rush returns what came of the requests before, in and after a time of many connections.
 func (e *entry) rush(tc rushCase) (calm, rush, after *count) {
 	e.load(tc.calm, settleTime)
 	calm = e.countFrom()
 	e.load(tc.calm, countTime)
 	e.countFrom()
+	e.load(tc.calm, MaxWait) // what counts as calm has ended before the rush
 	e.load(tc.calm*tc.factor, settleTime)
 	rush = e.countFrom()
 	e.load(tc.calm*tc.factor, countTime)
@@ -272,27 +341,48 @@
 func (l *noLimit) accepted(c *connection)               { l.serve(c) }
 func (l *noLimit) firstRead(*connection, time.Duration) {}
 
-// controlled is the limit by a Controller.
-type controlled struct {
+// gated is the limit by a Gate.
+type gated struct {
 	*entry
-	control *Controller
+	gate Gate[*connection]
 }
 
-func (l *controlled) accepted(c *connection) {
-	if !l.control.Admit(l.now) {
-		l.closeUnread(c)
+func (l *gated) accepted(c *connection) {
+	l.closeAll(l.gate.Arrive(c, l.now))
+	l.after(MaxWait, func() { l.closeAll(l.gate.Expire(l.now)) })
+	l.next()
+}
+
+func (l *gated) next() {
+	c, ok := l.gate.Next()
+	if !ok {
 		return
 	}
+	l.use(costProbe)
+	l.after(0, func() {
+		l.use(costProbe)
+		l.gate.Turned()
+		l.next()
+	})
 	l.serve(c)
 }
 
-func (l *controlled) firstRead(_ *connection, waited time.Duration) { l.control.Waited(waited, l.now) }
+func (l *gated) firstRead(*connection, time.Duration) {
+	l.gate.FirstRead()
+	l.next()
+}
+
+func (l *gated) closeAll(list []*connection) {
+	for _, c := range list {
+		l.closeUnread(c)
+	}
+}
 
 func newEntry(tc rushCase) *entry {
 	e := &entry{
 		processor: &processor{now: time.Unix(1000, 0), supply: tc.supply()},
 		rng:       rand.New(rand.NewPCG(1, 2)), streams: tc.streams, reuse: tc.reuse, counted: &count{},
 	}
-	e.limit = &controlled{e, New()}
+	e.limit = &gated{entry: e}
 	return e
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -84,16 +84,16 @@
 func (s *Set) Turnaround(d time.Duration) { s.turnaround.Observe(d.Seconds()) }
 
 // ProcessorBusy implements overload.Observer.
-func (s *Set) ProcessorBusy(turnarounds, firstReads overload.Times) {
+func (s *Set) ProcessorBusy(turnarounds, waits overload.Times) {
 	events.ProcessorBusy.Log(s.log).Int("measured", turnarounds.Number).
 		Dur("shortest", turnarounds.Shortest).Dur("mean", turnarounds.Mean()).Dur("longest", turnarounds.Longest).
-		Int("first_reads", firstReads.Number).Dur("first_read_shortest", firstReads.Shortest).Dur("first_read_mean", firstReads.Mean()).Send()
+		Int("admitted", waits.Number).Dur("waited_mean", waits.Mean()).Dur("waited_longest", waits.Longest).Send()
 }
 
 // ConnectionsClosed implements overload.Observer.
-func (s *Set) ConnectionsClosed(n int, share float64) {
+func (s *Set) ConnectionsClosed(n, waiting int) {
 	s.unread.Add(float64(n))
-	events.ConnectionsClosed.Log(s.log).Int("closed", n).Float64("share", share).Send()
+	events.ConnectionsClosed.Log(s.log).Int("closed", n).Int("waiting", waiting).Send()
 }
 
 // KeptOrigins registers the number of streams of which a member keeps the origin.
--- a/node/overload/listener.go
+++ b/node/overload/listener.go
@@ -1,5 +1,5 @@
-// Package overload closes new connections unread while the process has no time for them; see
-// core/overload.
+// Package overload lets an instance read new connections only as fast as it has processor time for
+// them; see core/overload.
 package overload
 
 import (
@@ -8,138 +8,191 @@
 	"time"
 
 	"almondseam.dev/core/overload"
+	"github.com/sourcegraph/conc"
 )
 
-// Observer is notified of what a Listener decides. Its methods must not block.
+// Observer is notified of what a Listener measures and decides. Its methods must not block.
 type Observer interface {
-	// ConnectionsClosed reports how many connections were closed unread since the last call, and the
-	// share of new connections that is accepted now. It is called once a second at the most.
-	ConnectionsClosed(n int, share float64)
+	// ConnectionsClosed reports how many connections were closed unread since the last call, and how
+	// many wait now. It is called once a second at the most.
+	ConnectionsClosed(n, waiting int)
 	// Turnaround reports how long something that was ready waited behind all other work of the
 	// process.
 	Turnaround(d time.Duration)
 	// ProcessorBusy reports that the mean turnaround of the last second was long, with the shortest
-	// and the longest, and the same of the times from the acceptance of connections to their first
-	// reads. It is called once a second at the most.
-	ProcessorBusy(turnarounds, firstReads Times)
+	// and the longest, and the same of the times for which connections waited to be read. It is
+	// called once a second at the most.
+	ProcessorBusy(turnarounds, waits Times)
 }
 
 const (
 	// reportInterval is the least time between two reports.
 	reportInterval = time.Second
-	// probeInterval is the least time between two measurements of the turnaround.
-	probeInterval = 20 * time.Millisecond
+	// busyTurnaround is the mean turnaround that is reported.
+	busyTurnaround = 25 * time.Millisecond
 )
 
-// Listener is a net.Listener that closes some connections unread under overload. It is safe for
-// concurrent use.
-type Listener struct {
-	net.Listener
-	obs Observer
-
-	mu      sync.Mutex
-	control *overload.Controller
-	closed  int
-	// reported is when the observer was last called.
-	reported time.Time
-
-	prober *prober
-	// probed is when the last measurement began; turnarounds and waits are what was measured since
-	// busyReported.
-	probed             time.Time
-	busyReported       time.Time
-	turnarounds, waits Times
+// turns measures when the processor has turned around.
+type turns interface {
+	// start begins a measurement, at whose end the function is called that the measurer was made
+	// with. A measurement that is in progress goes on.
+	start(now time.Time)
+	close()
 }
 
-// Times summarizes measured times.
-type Times struct {
-	Number                 int
-	Shortest, Longest, Sum time.Duration
+// Listener is a net.Listener that accepts connections at once, and returns them from Accept when the
+// process has time to read them. It closes those that wait too long. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	obs   Observer
+	turns turns
+	work  conc.WaitGroup
+	// admitted holds the connection that is to be read next; failed passes errors on to Accept. done is
+	// closed by Close.
+	admitted chan net.Conn
+	failed   chan error
+	done     chan struct{}
+	stop     sync.Once
+
+	mu   sync.Mutex
+	gate overload.Gate[*conn]
+	// expiry closes connections that wait too long.
+	expiry *time.Timer
+	report report
 }
 
-// Mean returns the mean, zero if there is no time.
-func (t *Times) Mean() time.Duration {
-	if t.Number == 0 {
-		return 0
+// New returns a Listener around ln. It accepts connections until Close.
+func New(ln net.Listener, obs Observer) (*Listener, error) {
+	l := newListener(ln, obs)
+	p, err := newProber(l.turned)
+	if err != nil {
+		return nil, err
 	}
-	return t.Sum / time.Duration(t.Number)
+	l.run(p)
+	return l, nil
 }
 
-func (t *Times) add(d time.Duration) {
-	if t.Number == 0 || d < t.Shortest {
-		t.Shortest = d
-	}
-	t.Longest = max(t.Longest, d)
-	t.Sum += d
-	t.Number++
+func newListener(ln net.Listener, obs Observer) *Listener {
+	return &Listener{Listener: ln, obs: obs, admitted: make(chan net.Conn, 1), failed: make(chan error), done: make(chan struct{})}
 }
 
-// New returns a Listener around ln.
-func New(ln net.Listener, obs Observer) (*Listener, error) {
-	l := &Listener{Listener: ln, obs: obs, control: overload.New()}
-	var err error
-	l.prober, err = newProber(l.turnedAround)
-	return l, err
+func (l *Listener) run(t turns) {
+	l.turns = t
+	l.expiry = time.AfterFunc(overload.MaxWait, l.expire)
+	l.work.Go(l.acceptAll)
 }
 
-// Close implements net.Listener.
-func (l *Listener) Close() error {
-	l.prober.close()
-	return l.Listener.Close()
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.admitted:
+		return c, nil
+	case err := <-l.failed:
+		return nil, err
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
 }
 
-func (l *Listener) turnedAround(d time.Duration, now time.Time) {
-	l.obs.Turnaround(d)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.turnarounds.add(d)
-	if now.Sub(l.busyReported) < reportInterval {
-		return
-	}
-	if l.turnarounds.Mean() > overload.Target {
-		l.obs.ProcessorBusy(l.turnarounds, l.waits)
-	}
-	l.busyReported, l.turnarounds, l.waits = now, Times{}, Times{}
+// Close implements net.Listener. It closes the connections that wait.
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	l.stop.Do(func() {
+		close(l.done)
+		l.work.Wait()
+		l.turns.close()
+		l.expiry.Stop()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		closeAll(l.gate.Clear())
+		select {
+		case c := <-l.admitted:
+			_ = c.Close() // unread
+		default:
+		}
+	})
+	return err
 }
 
-// Accept implements net.Listener.
-func (l *Listener) Accept() (net.Conn, error) {
+// acceptAll accepts connections until the listener is closed.
+func (l *Listener) acceptAll() {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
+		if err == nil {
+			l.arrive(c)
+			continue
 		}
-		now := time.Now()
-		if l.admit(now) {
-			return &conn{Conn: c, listener: l, accepted: now}, nil
+		select {
+		case l.failed <- err: // the server waits before it calls Accept again
+		case <-l.done:
+			return
 		}
-		_ = c.Close() // the caller sees that its request was not read
 	}
 }
 
-func (l *Listener) admit(now time.Time) bool {
+func (l *Listener) arrive(c net.Conn) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.probed) >= probeInterval {
-		l.probed = now
-		l.prober.start(now)
-	}
-	admitted := l.control.Admit(now)
-	if !admitted {
-		l.closed++
+	l.closeUnread(l.gate.Arrive(&conn{Conn: c, listener: l, accepted: now}, now), now)
+	l.next(now)
+	if _, waits := l.gate.Oldest(); waits && l.gate.Waiting() == 1 {
+		l.expiry.Reset(overload.MaxWait)
 	}
-	if l.closed > 0 && now.Sub(l.reported) >= reportInterval {
-		l.obs.ConnectionsClosed(l.closed, l.control.Share())
-		l.closed, l.reported = 0, now
+}
+
+// next admits a connection if there is time for it. The caller must hold l.mu.
+func (l *Listener) next(now time.Time) {
+	c, ok := l.gate.Next()
+	if !ok {
+		return
 	}
-	return admitted
+	l.report.waits.add(now.Sub(c.accepted))
+	l.turns.start(now)
+	l.admitted <- c // has room: the connection before is being read
+}
+
+// turned is called when the processor has turned around.
+func (l *Listener) turned(d time.Duration, now time.Time) {
+	l.obs.Turnaround(d)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.turnarounds.add(d)
+	l.reportBusy(now)
+	l.gate.Turned()
+	l.next(now)
 }
 
-func (l *Listener) waited(d time.Duration, now time.Time) {
+// firstRead is called when an admitted connection is first read, or closed.
+func (l *Listener) firstRead() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.control.Waited(d, now)
-	l.waits.add(d)
+	l.gate.FirstRead()
+	l.next(time.Now())
+}
+
+func (l *Listener) expire() {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeUnread(l.gate.Expire(now), now)
+	if oldest, waits := l.gate.Oldest(); waits {
+		l.expiry.Reset(overload.MaxWait - now.Sub(oldest))
+	}
+}
+
+// closeUnread closes connections. Their callers see that their requests were not read. The caller must
+// hold l.mu.
+func (l *Listener) closeUnread(list []*conn, now time.Time) {
+	closeAll(list)
+	l.report.closed += len(list)
+	l.reportClosed(now)
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		_ = c.Conn.Close() // unread
+	}
 }
 
 // conn reports when its connection is first read.
@@ -152,9 +205,12 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	c.once.Do(func() {
-		now := time.Now()
-		c.listener.waited(now.Sub(c.accepted), now)
-	})
+	c.once.Do(c.listener.firstRead)
 	return c.Conn.Read(b)
 }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(c.listener.firstRead)
+	return c.Conn.Close()
+}
