Events of a stream that arrived together are written together

Callers saw streams end at their time limit, and bookings unanswered behind them, at an entry with most new connections. Cause: each event cost a write of its own, so that streams which were accepted within milliseconds needed more processor time for seconds than there was, the more the further behind. Class: work that does not get cheaper while it waits.

Now an event is sent with those that have already arrived behind it; an event is never held back for one that has not. TestEventsThatArrivedTogetherAreWrittenTogether: one chunk for five events, five before.

--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// hasNext reports whether next returns an event without waiting for the target.
+func (e *eventReader) hasNext() bool {
+	rest, _ := e.r.Peek(e.r.Buffered()) // no more than is buffered
+	return bytes.Contains(rest, []byte("\n\n")) || bytes.Contains(rest, []byte("\n\r\n"))
+}
+
 // line appends the next line, with its line ending, to e.buf.
 func (e *eventReader) line() error {
 	for {
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -27,6 +27,8 @@
 	// tokenEstimate is the KV cache that the stream is expected to occupy, in tokens. The
 	// migration's goroutine reads it too.
 	tokenEstimate atomic.Int64
+	// unflushed is set while written events have not been sent.
+	unflushed bool
 	// headerSent is set once the caller has been sent the response's header.
 	headerSent bool
 	// passedThrough is set if the engine's response was not an event stream and was forwarded.
@@ -122,7 +124,7 @@
 		}
 		l.setBacklogOnce() // travels with the report that the prompt has been processed
 		s.relay.prefill.record(s.req.Service, l.finishPrefill)
-		if err := s.forward(l, ev); err != nil {
+		if err := s.forward(l, ev, events.hasNext()); err != nil {
 			return err
 		}
 		if s.req.Stream.Events%recountEvents == 0 {
@@ -187,14 +189,16 @@
 	return cause == handoff.CauseLost || !l.standby.isDraining()
 }
 
-// forward sends one event to the caller, unless the caller already has it.
+// forward sends one event to the caller, unless the caller already has it. If more events have arrived,
+// it is written together with them: the slower the process gets processor time, the more events arrive
+// in between, and the less each of them costs.
 //
 // Events are numbered without gaps. An engine that continues after the last event may repeat
 // it, so after a migration every event whose number is not above that of the last forwarded one
 // is a repetition.
-func (s *streamRun) forward(l *leg, ev event) error {
+func (s *streamRun) forward(l *leg, ev event, more bool) error {
 	if s.req.Stream.Migrations > 0 && !isAfter(ev.id, s.lastEventID) {
-		return nil
+		return s.flushUnless(more)
 	}
 	arrived := s.recordEvent(l)
 	s.recordOrigin(l)
@@ -203,14 +207,24 @@
 	if _, err := s.req.writer.Write(ev.raw); err != nil {
 		return err
 	}
+	s.unflushed = true
 	if len(ev.id) > 0 {
 		s.setLastEvent(string(ev.id))
 	}
-	err := s.flush()
+	err := s.flushUnless(more)
 	l.gaps.forwarded(arrived, s.req.Route.MaxPause)
 	return err
 }
 
+// flushUnless sends what has been written, unless more follows at once.
+func (s *streamRun) flushUnless(more bool) error {
+	if more || !s.unflushed {
+		return nil
+	}
+	s.unflushed = false
+	return s.flush()
+}
+
 // writingTime is for how long an engine must write an answer to show that no part of its prompt crashes
 // engines that begin to write.
 const writingTime = time.Second
