A process runs as many threads as it gets processor time for

Callers saw requests unanswered, and connections waiting unread for over a second, at an entry with 0.03 to 0.05 of a processor on a machine with five. Cause: the runtime runs a thread for each processor; under a quota these use it up in looking for work while one of them holds it. Class: the limit is on processor time, and the runtime sees processors.

The number of threads now follows the processor time that the process gets while work or connections wait, and grows again when nearly all of the threads' time is used (core/overload.Threads). Where one processor is seen, nothing changes.

--- a/bench/soak/quota.go
+++ b/bench/soak/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"syscall"
 	"time"
 	"unsafe"
@@ -18,44 +19,48 @@
 // quotaPoll is how often the processor time of a running process is read.
 const quotaPoll = 100 * time.Microsecond
 
-// apply limits a process until the function that it returns is called.
-func (q quota) apply(n *node) (release func(), err error) {
+// apply limits a process until the function that it returns is called, which returns the longest time
+// for which the process was suspended.
+func (q quota) apply(n *node) (release func() time.Duration, err error) {
 	pid := n.pid()
 	used, err := processorTime(pid)
 	if err != nil {
-		return func() {}, err
+		return func() time.Duration { return 0 }, err
 	}
-	done, ended := make(chan struct{}), make(chan struct{})
+	done, longest := make(chan struct{}), make(chan time.Duration)
 	go func() {
-		defer close(ended)
-		defer func() { _ = syscall.Kill(pid, syscall.SIGCONT) }() // it may have ended
-		q.enforce(pid, used, done)
+		runtime.LockOSThread() // wakes up sooner
+		span := q.enforce(pid, used, done)
+		_ = syscall.Kill(pid, syscall.SIGCONT) // it may have ended
+		longest <- span
 	}()
-	return func() { close(done); <-ended }, nil
+	return func() time.Duration { close(done); return <-longest }, nil
 }
 
 // enforce suspends and resumes a process until done is closed or the process ends. What the process
 // uses beyond its part is taken off the next one.
-func (q quota) enforce(pid int, used time.Duration, done <-chan struct{}) {
+func (q quota) enforce(pid int, used time.Duration, done <-chan struct{}) (longest time.Duration) {
 	part := time.Duration(q.share * float64(q.period))
 	limit, suspended := used+part, false
+	var since time.Time
 	for periodEnd := time.Now().Add(q.period); ; {
 		select {
 		case <-done:
-			return
+			return longest
 		default:
 		}
 		now, err := processorTime(pid)
 		if err != nil {
-			return // the process has ended
+			return longest // the process has ended
 		}
 		switch {
 		case now >= limit && !suspended:
 			_ = syscall.Kill(pid, syscall.SIGSTOP)
-			suspended = true
+			suspended, since = true, time.Now()
 		case now < limit && suspended:
 			_ = syscall.Kill(pid, syscall.SIGCONT)
 			suspended = false
+			longest = max(longest, time.Since(since))
 		}
 		if suspended {
 			time.Sleep(time.Until(periodEnd))
--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -110,7 +110,7 @@
 		r.entries = append(r.entries, n.config.Callers)
 	}
 	sleep(ctx, 2*time.Second) // all entries know the targets
-	release, err := r.limitProcessors(s.fleet.entries)
+	release, err := r.limitProcessors(config.out, s.fleet.entries)
 	defer release()
 	if err != nil {
 		return err
@@ -171,14 +171,16 @@
 }
 
 // limitProcessors applies the quota to all entries, or puts busy processes beside the first.
-func (r *rushRun) limitProcessors(entries []*node) (release func(), err error) {
+func (r *rushRun) limitProcessors(out io.Writer, entries []*node) (release func(), err error) {
 	if r.set.quota.share == 0 {
 		return squeeze(entries[0])
 	}
-	var releases []func()
+	var releases []func() time.Duration
 	release = func() {
-		for _, f := range releases {
-			f()
+		for i, f := range releases {
+			if longest := f(); i == 0 {
+				fmt.Fprintf(out, "the entry was suspended for %v at the longest\n", longest.Round(time.Millisecond))
+			}
 		}
 	}
 	for _, n := range entries {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -90,6 +90,16 @@
 		Int("admitted", waits.Number).Dur("waited_mean", waits.Mean()).Dur("waited_longest", waits.Longest).Send()
 }
 
+// ThreadsAdapted implements overload.Observer.
+func (s *Set) ThreadsAdapted(before, now int, used, elapsed time.Duration) {
+	events.ThreadsAdapted.Log(s.log).Int("before", before).Int("now", now).Dur("used", used).Dur("elapsed", elapsed).Send()
+}
+
+// ThreadsNotAdapted implements overload.Observer.
+func (s *Set) ThreadsNotAdapted(err error) {
+	events.ThreadsAdapted.Log(s.log).Err(err).Send()
+}
+
 // ConnectionsClosed implements overload.Observer.
 func (s *Set) ConnectionsClosed(n, waiting int) {
 	s.unread.Add(float64(n))
--- a/node/overload/listener.go
+++ b/node/overload/listener.go
@@ -23,6 +23,10 @@
 	// and the longest, and the same of the times for which connections waited to be read. It is
 	// called once a second at the most.
 	ProcessorBusy(turnarounds, waits Times)
+	// ThreadsAdapted reports that the process runs another number of threads, and the processor time
+	// that it used in the time before. ThreadsNotAdapted reports that this time is not known.
+	ThreadsAdapted(before, now int, used, elapsed time.Duration)
+	ThreadsNotAdapted(err error)
 }
 
 const (
@@ -57,8 +61,9 @@
 	mu   sync.Mutex
 	gate overload.Gate[*conn]
 	// expiry closes connections that wait too long.
-	expiry *time.Timer
-	report report
+	expiry  *time.Timer
+	report  report
+	threads *threads
 }
 
 // New returns a Listener around ln. It accepts connections until Close.
@@ -73,7 +78,7 @@
 }
 
 func newListener(ln net.Listener, obs Observer) *Listener {
-	return &Listener{Listener: ln, obs: obs, admitted: make(chan net.Conn, 1), failed: make(chan error), done: make(chan struct{})}
+	return &Listener{Listener: ln, obs: obs, admitted: make(chan net.Conn, 1), failed: make(chan error), done: make(chan struct{}), threads: newThreads(obs)}
 }
 
 func (l *Listener) run(t turns) {
@@ -186,6 +191,7 @@
 func (l *Listener) closeUnread(list []*conn, now time.Time) {
 	closeAll(list)
 	l.report.closed += len(list)
+	l.report.expired = l.report.expired || len(list) > 0
 	l.reportClosed(now)
 }
 
--- a/node/overload/listener_test.go
+++ b/node/overload/listener_test.go
@@ -97,6 +97,9 @@
 	r.busy++
 }
 
+func (r *recorder) ThreadsAdapted(int, int, time.Duration, time.Duration) {}
+func (r *recorder) ThreadsNotAdapted(error)                               {}
+
 type fixture struct {
 	fake  *fakeListener
 	turns *fakeTurns
--- a/node/overload/report.go
+++ b/node/overload/report.go
@@ -10,6 +10,8 @@
 	// turnarounds and waits were measured since busyAt.
 	turnarounds, waits Times
 	busyAt             time.Time
+	// expired is set if connections waited too long since busyAt.
+	expired bool
 }
 
 // Times summarizes measured times.
@@ -45,14 +47,16 @@
 	r.closed, r.closedAt = 0, now
 }
 
-// reportBusy reports long turnarounds. The caller must hold l.mu.
+// reportBusy reports long turnarounds, and adapts the threads to them. The caller must hold l.mu.
 func (l *Listener) reportBusy(now time.Time) {
 	r := &l.report
 	if now.Sub(r.busyAt) < reportInterval {
 		return
 	}
-	if r.turnarounds.Mean() > busyTurnaround {
+	busy := r.turnarounds.Mean() > busyTurnaround
+	if busy {
 		l.obs.ProcessorBusy(r.turnarounds, r.waits)
 	}
-	r.turnarounds, r.waits, r.busyAt = Times{}, Times{}, now
+	l.threads.adapt(busy || r.expired, now)
+	r.turnarounds, r.waits, r.busyAt, r.expired = Times{}, Times{}, now, false
 }
