Requests that wait for room are refused when the instance is told to stop

Callers saw a stream that had waited for room closed without an answer (LOST), when its entry exited. Cause: the wait for room, up to six seconds, knew nothing of the stop; a request that came seconds after SIGTERM waited beyond the grace period. Class: waits that outlive their process. Of the others at an entry, grants (300 ms), the first configuration and targets (1.2 s) and a stream's backoff (2 s) end in time by their own bounds.

Those that wait now, and later ones, are refused at once as shutting_down, not run, with a short Retry-After.

--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -362,8 +362,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.set.Grace-stopMargin)
 	defer cancel()
 	// A caller's connection is closed after its next response, so that the caller connects
-	// to another entry.
-	e.server.SetKeepAlivesEnabled(false)
+	// to another entry. Idle ones stay open until Shutdown: closing them all now would cut off
+	// those whose next request has just arrived.
+	e.relay.Drain()
 	time.Sleep(min(balancerDelay, e.set.Grace/balancerDelayDivisor))
 	err := e.server.Shutdown(ctx)
 	if err != nil {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -58,6 +58,8 @@
 	stall time.Duration
 	// stalled is set once a write has timed out.
 	stalled bool
+	// close reports whether the connection is to be closed after the response; nil for never.
+	close func() bool
 }
 
 func newCallerResponse(w http.ResponseWriter, memory *callerMemory, stall time.Duration) *callerResponse {
@@ -67,6 +69,14 @@
 // Unwrap returns the server's writer, for http.ResponseController.
 func (w *callerResponse) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader implements http.ResponseWriter.
+func (w *callerResponse) WriteHeader(status int) {
+	if w.close != nil && w.close() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write implements io.Writer.
 func (w *callerResponse) Write(b []byte) (int, error) {
 	occupied := w.begin(cap(b))
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -166,6 +166,8 @@
 // noTargetReason returns why no target is available, and the Retry-After value for it.
 func (r *Relay) noTargetReason(req *Request) (api.Reason, time.Duration) {
 	switch {
+	case r.isDraining():
+		return api.ReasonShuttingDown, retryElsewhere
 	case r.noneInAllowedRegion(req):
 		return api.ReasonOutsideHomes, operatorRetryAfter
 	case r.targets.allEvacuated(req.Service):
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,9 @@
 	quarantine   *crash.Quarantine
 	origins      Origins
 	callers      callerMemory
+	// draining is closed when the instance is told to stop.
+	draining   chan struct{}
+	startDrain sync.Once
 }
 
 // New returns a Relay.
@@ -88,6 +92,7 @@
 		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, costRanks: newCostRanks(), prefill: newPrefillRates(), returns: newReturns(),
 		paces: newPaces(), moves: newMoveEstimates(),
 		quarantine: p.Quarantine, origins: p.Origins, callers: callerMemory{bound: settings.CallerMemory},
+		draining: make(chan struct{}),
 	}
 	r.crashes = newCrashMonitor(p.Pool, r.targetCrashed)
 	p.Targets.ObserveFaults(p.Observer)
@@ -116,6 +121,8 @@
 	// it end, which takes some seconds. The random part keeps callers that were refused
 	// together from retrying together.
 	retryRoom = 2 * time.Second
+	// retryElsewhere: other instances serve the request at once.
+	retryElsewhere = 50 * time.Millisecond
 )
 
 // retryAfter returns the time after which there is likely to be room for the request.
@@ -128,6 +135,20 @@
 	return min(spread, time.Until(req.Deadline)/patienceDivisor)
 }
 
+// Drain lets no request wait for room any more: those that wait are refused, so that their callers are
+// served by other instances, and would not be cut off when this one exits. Responses ask callers to close
+// their connections.
+func (r *Relay) Drain() { r.startDrain.Do(func() { close(r.draining) }) }
+
+func (r *Relay) isDraining() bool {
+	select {
+	case <-r.draining:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop ends what outlives requests. No request may be in progress.
 func (r *Relay) Stop() {
 	r.crashes.stop()
@@ -138,6 +159,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	caller := newCallerResponse(w, &r.callers, cmp.Or(r.settings.CallerStall, callerStallTimeout))
 	defer caller.release()
+	caller.close = r.isDraining
 	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
 	if !r.admit(req) {
 		return
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -122,6 +122,7 @@
 	targets *Targets
 	live    atomic.Pointer[routeconf.Table]
 	url     string
+	relay   *Relay
 	group   *localPool
 }
 
@@ -153,7 +154,7 @@
 		Live: &s.live, Targets: s.targets, Pool: upstream.NewPool(nopObserver{}), Dialect: plainDialect{}, Engines: engines,
 		Retries: NewRetries(limits, s.group), LimitReports: NewLimitReports(newLocalGroup(), nopObserver{}), Observer: nopObserver{},
 	})
-	s.url = s.serve(r)
+	s.relay, s.url = r, s.serve(r)
 	return s
 }
 
--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -74,7 +74,9 @@
 		if r.pickTarget(req, req.Service, req.tried) == nil {
 			return nil // no engine may be used at all
 		}
-		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(roomPollInterval)))
+		if !r.pause(ctx, time.Duration((0.5+rand.Float64())*float64(roomPollInterval))) {
+			break
+		}
 		at = r.tryReserve(ctx, req, look%looksPerThorough == 0)
 	}
 	r.obs.Held(req, time.Since(began))
@@ -178,6 +180,19 @@
 	})
 }
 
+// pause waits for a time, or until ctx ends. It returns false, at once, if this instance drains.
+func (r *Relay) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.draining:
+		return false
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return !r.isDraining()
+}
+
 // sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
