A success needs the target's seal, and is no answer without it

Cause: a response without an ID was taken for the answer to the request in progress, so that bytes which a faulty target writes after a response became the answer to the next request. Class: what cannot be attributed is attributed to whoever waits.

Now a success without ID and seal is skipped, and its connection not used again; the answer that follows is taken. If none follows, or the request's own success has no seal, the answer is lost: an idempotent request is repeated, another gets 502 at once, as it may have run. It holds where all sends pass (outbound.go): plain requests, streams, continuations and migrations. Calls of engines answer without seals and are decoded strictly.

--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -334,7 +334,7 @@
 	case err != nil && resp == nil:
 		into.unread.Add(1)
 		return false, false
-	case err != nil || resp.StatusCode != http.StatusOK || resp.Header.Get("X-Response-Seal") == "":
+	case err != nil || resp.StatusCode != http.StatusOK || !standin.IsSealed(resp.Header, call.Request):
 		into.failed.Add(1)
 	default:
 		into.served.Add(1)
--- a/node/relay/outbound.go
+++ b/node/relay/outbound.go
@@ -67,6 +67,10 @@
 		return nil, Reply{}, err
 	}
 	reply := r.dialect.Reply(x.Status, x.Header)
+	if !start.call && isSuccess(x.Status) && !reply.Sealed {
+		x.Close()
+		return nil, Reply{}, errUnsealed
+	}
 	r.applyStatements(req, t, reply, start)
 	return x, reply, nil
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -82,6 +82,8 @@
 	Request api.RequestID
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
+	// Sealed is set if the response carries the seal that a target adds to each answer.
+	Sealed bool
 	// WrongTarget is set if another target has the address.
 	WrongTarget bool
 	// Limited is set if the target announces a rate limit, and Limit is that limit: the
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -56,7 +56,7 @@
 	return Reply{
 		Backoff: backoff, Leaving: h.Get("Leaving") != "",
 		Request: api.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", WrongTarget: status == http.StatusMisdirectedRequest,
-		Limited: err == nil, Limit: limit,
+		Limited: err == nil, Limit: limit, Sealed: h.Get("Unsealed") == "",
 	}
 }
 
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -68,7 +69,7 @@
 		Host:   req.httpRequest.Host,
 		Header: r.upstreamHeader(req, d),
 		Body:   req.body,
-		Match:  func(h http.Header) bool { return r.ownsResponse(req, h) },
+		Match:  func(status int, h http.Header) bool { return r.ownsResponse(req, status, h) },
 
 		MaxIdle: r.maxIdleConns(t),
 	})
@@ -104,12 +105,22 @@
 	return max(int(idleConnShare*float64(accepts))/r.targets.EntryCount(), 1)
 }
 
-// ownsResponse reports whether a response belongs to the request: targets echo the request ID.
-func (r *Relay) ownsResponse(req *Request, h http.Header) bool {
-	got := r.dialect.Reply(http.StatusOK, h).Request
-	return got == "" || got == req.Ask.Request
+// ownsResponse reports whether a response belongs to the request: targets echo the request ID. A success
+// without an ID is no target's answer to any request, unless it is sealed.
+func (r *Relay) ownsResponse(req *Request, status int, h http.Header) bool {
+	reply := r.dialect.Reply(status, h)
+	if reply.Request == "" {
+		return !isSuccess(status) || reply.Sealed
+	}
+	return reply.Request == req.Ask.Request
 }
 
+func isSuccess(status int) bool { return status/100 == http.StatusOK/100 }
+
+// errUnsealed reports a success without the target's seal: the request may have run, and its answer is
+// lost.
+var errUnsealed = fmt.Errorf("%w: the success has no seal", upstream.ErrLost)
+
 // classify determines the outcome of a send, and updates the target and the request
 // accordingly.
 func (r *Relay) classify(ctx context.Context, req *Request, t *Target, reply Reply, err error) string {
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -20,9 +20,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Match reports from the header of a response whether it belongs to this request. If
+	// Match reports from the status and header of a response whether it belongs to this request. If
 	// Match is nil, the first response is taken.
-	Match func(http.Header) bool
+	Match func(status int, h http.Header) bool
 	// Admit is called once a connection is open, immediately before the first byte is written.
 	// If it returns an error, nothing is sent, and Do returns that error together with
 	// ErrNotSent. If it is nil, every request is sent.
@@ -57,6 +57,8 @@
 	written    chan error
 	complete   bool
 	maxIdle    int
+	// hadStray is set if a response to no request was skipped. More bytes of that kind may follow.
+	hadStray bool
 }
 
 // Do sends a request and reads the header of its response. ctx applies to the whole
@@ -138,11 +140,12 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if req.Match == nil || req.Match(resp.Header) {
+		if req.Match == nil || req.Match(resp.StatusCode, resp.Header) {
 			x.resp, x.Status, x.Header = resp, resp.StatusCode, resp.Header
 			return nil
 		}
 		stray++
+		x.hadStray = true
 		if stray > maxStrayResponses {
 			return errors.New("too many responses to other requests")
 		}
@@ -163,12 +166,12 @@
 	return n, err
 }
 
-// Close ends the exchange. It returns the connection to the pool only if the response was read
-// to its end, the request was written completely, ctx was not done, and the target keeps the
+// Close ends the exchange. It returns the connection to the pool only if it brought no response to no
+// request, the response was read to its end, the request was written completely, ctx was not done, and the target keeps the
 // connection open.
 func (x *Exchange) Close() {
 	live := x.stopCancel()
-	if !live || !x.complete || !x.requestWritten() || x.resp.Close || x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+	if !live || x.hadStray || !x.complete || !x.requestWritten() || x.resp.Close || x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
 		_ = x.conn.Close() // not reusable
 		return
 	}
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -44,7 +44,7 @@
 func newGetRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Id": {id}},
-		Match: func(h http.Header) bool { return h.Get("Id") == id },
+		Match: func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
 
