A report of another writer replaces nothing that a target said of itself

Callers' requests reached a worker for six seconds after its report of draining was acknowledged (DRAIN). Cause: a report with fields missing, under the worker's name and with a higher sequence of its writer's own, took the place of the worker's reports; the later ones were acknowledged and ignored. Class: sequences of different writers compared.

A record that states no start of its run never replaces one that does, within a member and between them. A deregistration names the target by its path and holds as before.

TestReportOfAnotherWriterHidesNothing fails without it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -97,8 +97,10 @@
 // supersedes reports whether next replaces known, another record of the same target.
 //
 // An announcement may arrive after its sender has restarted under the same name, so a later run
-// always wins. Within a run, or if the start of either run is not stated, a record of a target
-// that is gone wins, then the higher sequence, then the later state.
+// always wins. Within a run, or if the start of the known run is not stated, a record of a target
+// that is gone wins, then the higher sequence, then the later state. A target that states the start of
+// its run always states it: a record without it is not that target's own, and its sequence is counted by
+// another writer.
 func supersedes(next, known Record) bool {
 	if next.Born != known.Born && next.Born != 0 && known.Born != 0 {
 		return next.Born > known.Born
@@ -109,6 +111,9 @@
 	if next.State == StateGone {
 		return true
 	}
+	if next.Born == 0 && known.Born != 0 {
+		return false
+	}
 	if next.Sequence != known.Sequence {
 		return next.Sequence > known.Sequence
 	}
