A configuration that no member can accept is refused for good

An operator was answered 503 for a desired state above 1 MiB, at each member, without end, and nothing said why (Acks). Cause: Put returned the outcome without its reason, so that a refusal for size looked like a missing leader. Class: a final refusal answered as a passing one.

--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -281,20 +281,37 @@
 	return t.CheckRegions(slices.Collect(maps.Values(c.set.Regions)))
 }
 
-// Put proposes an operator's document. If the group decided on the proposal but did
-// not accept it, Put returns api.OutcomeNotRun.
-func (c *RoutedControl) Put(ctx context.Context, version uint64, document []byte) api.Outcome {
+// Put proposes an operator's document. It returns nil only if the document is accepted. An error with
+// api.ReasonTooLarge holds at each member.
+func (c *RoutedControl) Put(ctx context.Context, version uint64, document []byte) error {
+	err := c.put(ctx, version, document)
+	line := events.ConfigPut.Log(c.log).Uint64("version", version).Int("bytes", len(document))
+	outcome := api.OutcomeCompleted
+	if err != nil {
+		e := api.AsError(err)
+		outcome = e.Outcome
+		line = line.Str("reason", string(e.Reason)).AnErr("message", e.Err)
+	}
+	line.Str("outcome", string(outcome)).Send()
+	return err
+}
+
+func (c *RoutedControl) put(ctx context.Context, version uint64, document []byte) error {
 	role := c.role.Load()
 	if role == nil {
-		return api.OutcomeNotRun
+		return api.NotRun(api.StepConfig, "", api.ReasonControlUnavailable, control.ErrStopped)
 	}
 	r := role.Exec(ctx, control.Request{Command: &state.Command{Config: &state.ConfigPut{Version: version, Document: document}}})
-	outcome := r.Outcome
-	if outcome == api.OutcomeCompleted && (r.Result == nil || r.Result.Config == nil || !r.Result.Config.Accepted) {
-		outcome = api.OutcomeNotRun
+	if r.Outcome != api.OutcomeCompleted {
+		return &api.Error{Step: api.StepConfig, Outcome: r.Outcome, Reason: r.Reason, Err: errors.New(r.Message)}
+	}
+	if r.Result == nil || r.Result.Config == nil {
+		return &api.Error{Step: api.StepConfig, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: errors.New("the reply has no result")}
 	}
-	events.ConfigPut.Log(c.log).Uint64("version", version).Str("outcome", string(outcome)).Str("reason", string(r.Reason)).Str("message", r.Message).Send()
-	return outcome
+	if d := r.Result.Config; !d.Accepted {
+		return api.NotRun(api.StepConfig, "", d.Reason, errors.New(d.Message))
+	}
+	return nil
 }
 
 // Evacuate proposes that targets in an availability zone get no new requests or, if
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -87,10 +87,22 @@
 
 func (g *routedGroup) put(i int, version uint64) {
 	until(func() bool {
-		return g.members[i].Put(context.Background(), version, document(version)) == api.OutcomeCompleted
+		return g.members[i].Put(context.Background(), version, document(version)) == nil
 	})
 }
 
+// TestTooLargeConfigurationIsRefusedForGood guards against an operator who is told again and again to try a
+// document elsewhere that no member can accept.
+func TestTooLargeConfigurationIsRefusedForGood(t *testing.T) {
+	g := newRoutedGroup(t, 3)
+	g.put(0, 1)
+	for i := range g.members {
+		err := g.members[i].Put(context.Background(), 2, make([]byte, 2<<20))
+		g.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonTooLarge)
+		g.c.Assert(api.AsError(err).Outcome, qt.Equals, api.OutcomeNotRun)
+	}
+}
+
 func document(version uint64) []byte { return binary.BigEndian.AppendUint64(nil, version) }
 
 func (g *routedGroup) waitForDocument(i int, version uint64) {
@@ -153,7 +165,7 @@
 func (headerDialect) Direct(http.Header, relay.Directive) {}
 func (headerDialect) Reply(_ int, h http.Header) relay.Reply {
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return relay.Reply{Limited: err == nil, Limit: limit}
+	return relay.Reply{Sealed: true, Limited: err == nil, Limit: limit}
 }
 
 type noEngines struct{}
