Streams go on at targets that have no page for their run

Callers that took up a broken stream were refused, and streams were not continued, wherever the targets have no report page: no run could be confirmed, for all services. Class: proof demanded of one who cannot give it, in place of what is known otherwise.

One that states its run is judged as before; no answer proves nothing.

Open: a target without the page that starts again under its ID with other software, without a failure seen and announced later than 4 s, could join two versions.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -84,6 +84,8 @@
 	addresses addresses
 	control   []*node
 	entries   []*node
+	// noReports is set if the fleet's targets have no page on which they state their runs.
+	noReports bool
 }
 
 func startFleet(dir, binary string, a addresses, controls, entries int, onFailure func(string)) (*fleet, error) {
@@ -258,7 +260,7 @@
 		for range perService {
 			i := from + len(out)
 			p := &targetSlot{
-				service: s, zone: ownZone, control: f.operators(), onRun: check.Ran, onReject: check.Rejected, onStart: check.Started, number: i,
+				service: s, zone: ownZone, control: f.operators(), onRun: check.Ran, onReject: check.Rejected, onStart: check.Started, number: i, noReport: f.noReports,
 				listen:     hostPort(a.listen(groupTarget, i), portTarget),
 				advertised: hostPort(a.advertised(groupTarget, i), portTarget),
 			}
@@ -293,6 +295,8 @@
 	control    []string
 	onRun      func(standin.Run)
 	onReject   func(standin.Run, time.Duration)
+	// noReport is set if the targets have no page on which they state their runs.
+	noReport bool
 	// onStart is called with each target that starts and its software version; nil for nothing.
 	onStart func(api.TargetID, api.ServiceID, string)
 	// number is the number of the address among all targets.
@@ -327,7 +331,7 @@
 	t, err := standin.StartTarget(standin.TargetSettings{
 		ID: p.id(), Service: p.service, Zone: p.zone, Listen: p.listen, Announced: p.advertised, Control: p.control,
 		Every: announceInterval, Work: cmp.Or(p.work, targetWorkTime), Ran: p.onRun, Rejected: p.onReject,
-		Crashes: p.crashesOn, Fails: p.fails, Software: software,
+		Crashes: p.crashesOn, Fails: p.fails, Software: software, NoReport: p.noReport,
 	})
 	p.target = t
 	return err
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -45,8 +45,10 @@
 	parts bool
 	// streams is set if callers take up broken streams of targets with two software versions.
 	streams bool
-	rush    rushSettings
-	out     io.Writer
+	// noReports is set if targets have no page on which they state their runs.
+	noReports bool
+	rush      rushSettings
+	out       io.Writer
 }
 
 func main() {
@@ -69,6 +71,7 @@
 	app.Flag("parts", "Some prompts hold a part that crashes the targets that run them.").Default("true").BoolVar(&set.parts)
 	app.Flag("streams", "Callers take up broken streams of targets with two software versions.").Default("true").BoolVar(&set.streams)
 	app.Flag("faulty", "Targets reset connections or answer with errors, for all entries or one.").Default("true").BoolVar(&set.faulty)
+	app.Flag("no-reports", "Targets have no page on which they state their runs.").BoolVar(&set.noReports)
 	run := runSeed
 	app.Flag("rush", "Instead of faults, one entry with a part of a processor gets more connections than it can serve.").Action(func(*kingpin.ParseContext) error {
 		run = runRush
@@ -157,6 +160,7 @@
 	}
 	s.addresses, s.reserved = addresses{n}, ln
 	s.fleet, err = startFleet(config.dir, config.binary, s.addresses, config.controls, config.entries, s.check.Unwell)
+	s.fleet.noReports = config.noReports
 	return s, err
 }
 
--- a/node/relay/confirm.go
+++ b/node/relay/confirm.go
@@ -16,8 +16,14 @@
 	// calls.
 	confirmTimeout = 300 * time.Millisecond
 	confirmTries   = 2
+	// announceDelay is the longest time from a failure of a target, if the target has ended and started
+	// again, to the announcement of its new run.
+	announceDelay = 4 * time.Second
 )
 
+// ErrNoRunStated reports a target that has no page on which it states the start of its run.
+var ErrNoRunStated = errors.New("the target does not state its run")
+
 // OtherRunError reports that another run of a target answers than the one that this entry knows.
 type OtherRunError struct {
 	Peer api.TargetID
@@ -36,7 +42,8 @@
 //
 // The run that made the response had started before the target states the start of its run here, and
 // not before the run that this entry knows, so that an equal start identifies it. A target whose runs
-// are not told apart is not asked.
+// are not told apart is not asked. One that does not state its run is in the run that was announced last,
+// unless it has failed so recently that another announcement may follow.
 func (r *Relay) confirmRun(ctx context.Context, req *Request, t *Target) error {
 	if t.Born == 0 {
 		return nil
@@ -47,10 +54,13 @@
 		within, cancel := context.WithTimeout(ctx, confirmTimeout)
 		born, err = r.engines.Run(within, r.peer(req, t, targetstate.UseHeld))
 		cancel()
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, ErrNoRunStated) {
 			break
 		}
 	}
+	if errors.Is(err, ErrNoRunStated) && t.successorByName() == nil && !t.failedSince(time.Now().Add(-announceDelay)) {
+		born, err = t.Born, nil
+	}
 	if err == nil && born != t.Born {
 		err = &OtherRunError{Peer: t.Target, Want: t.Born, Got: born}
 		t.drain() // the known run has ended, and the other one has not been announced
@@ -59,6 +69,15 @@
 	return err
 }
 
+// doubt records a failure that this or another entry has seen.
+func (t *Target) doubt(now time.Time) {
+	t.failedAt.Store(now.UnixNano())
+	t.doubted.Store(true)
+}
+
+// failedSince reports whether a failure of the target was seen after a time.
+func (t *Target) failedSince(then time.Time) bool { return t.failedAt.Load() > then.UnixNano() }
+
 // successorByName returns the later run of the target under the same ID, nil if none is announced.
 func (t *Target) successorByName() *Target {
 	if next := t.successor.Load(); next != nil && next.Target == t.Target {
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -26,6 +26,8 @@
 	// doubted is set after a failure that this or another entry has seen, because the target may have
 	// ended and started again, until it confirms its run.
 	doubted atomic.Bool
+	// failedAt is when the last such failure was seen, in Unix nanoseconds; zero for none.
+	failedAt atomic.Int64
 	// successor is the target that was announced at this one's address after it, nil if none.
 	successor atomic.Pointer[Target]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
@@ -463,7 +465,7 @@
 
 func (t *Target) setOthers(sum fleetload.Sum) {
 	if was := t.others.Swap(&sum.Load); sum.Load.Failed > 0 && (was == nil || sum.Load.Failed > was.Failed) {
-		t.doubted.Store(true)
+		t.doubt(time.Now())
 	}
 	next := reportedBacklog{Backlog: sum.Ahead, since: time.Now()}
 	if old := t.ahead.Load(); old != nil && old.Runs == next.Runs {
