TestRefusedRunDoesNotHoldUpOthers asks while the engines are asked

Cause, from the code: the migration runs in a goroutine of its own, and may have been refused by all engines before the test looks; the product sets the backlog before that goroutine starts and did not change.

--- a/node/relay/moves_test.go
+++ b/node/relay/moves_test.go
@@ -150,9 +150,15 @@
 func TestRefusedRunDoesNotHoldUpOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		f := newMoveFixture(t, 3, func(string, string, bool) (Copy, error) { return Copy{}, ErrNoRoom })
+		asked := make(chan struct{})
+		f := newMoveFixture(t, 3, func(string, string, bool) (Copy, error) {
+			<-asked
+			return Copy{}, ErrNoRoom
+		})
 		f.migrate()
+		synctest.Wait()
 		c.Assert(f.target(0).ownLoad().MovingRuns, qt.Equals, 1)
+		close(asked)
 		time.Sleep(handoff.Notice / 2)
 		c.Assert(f.target(0).ownLoad().MovingRuns, qt.Equals, 0)
 		c.Assert(f.target(0).ownLoad().Moving, qt.Equals, 3000)
