Bodies of requests in progress occupy bounded memory

Cause: bodies were read as they came and held whole, and again in the buffer of the request to the target. Class: accepted without a bound, as the connections were.

The head of the request to a target no longer reserves room for the body.

--- a/bench/soak/rush.go
+++ b/bench/soak/rush.go
@@ -43,7 +43,7 @@
 	again bool
 	// turns is set if the load moves to a second entry half-way.
 	turns bool
-	// stop is set if the entry is told to stop under the load.
+	// stop is set if the entry receives SIGTERM under the load.
 	stop bool
 }
 
@@ -82,6 +82,8 @@
 	next    atomic.Int64
 	body    string
 	sockets socketTable
+	// readinessChecks and notReady are those of the first entry.
+	readinessChecks, notReady int
 
 	mu sync.Mutex
 	// ran holds when each request began to run at a target, left when its caller left.
@@ -220,8 +222,11 @@
 	time   time.Duration
 	settle time.Duration
 
-	// used is the processor time that the first entry used.
-	used time.Duration
+	// used is the processor time that the first entry used, memory the most memory it occupied so far, in
+	// kilobytes, and files the descriptors it has open at the end.
+	used   time.Duration
+	memory string
+	files  int
 
 	here, others rushCounts
 	settling     rushCounts
@@ -236,7 +241,10 @@
 		phases = append(phases, &phase{name: "rush", rate: high, time: rushTime, settle: rushSettle})
 	}
 	phases = append(phases, &phase{name: "after", rate: r.set.rate, to: -1, time: rushCalm, settle: rushRecovery})
-	var work conc.WaitGroup
+	var work, watch conc.WaitGroup
+	watched, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	watch.Go(func() { r.watchReadiness(watched, f.entries[0].config.Ready) })
 	pid := f.entries[0].pid()
 	for i, p := range phases {
 		if r.set.stop && i == 1 {
@@ -246,11 +254,38 @@
 		r.load(ctx, p, &work)
 		after, _ := processorTime(pid)
 		p.used = max(after-before, 0)
+		p.memory, p.files = occupied(pid)
 	}
 	work.Wait()
+	stopWatch()
+	watch.Wait()
 	return r.verdict(config, phases)
 }
 
+// occupied returns the most memory that a process has occupied, and how many files it has open.
+func occupied(pid int) (memory string, files int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return "not running", 0
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	memory, _, _ = strings.Cut(strings.TrimSpace(rest), "\n")
+	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // it may have ended since
+	return memory, len(list)
+}
+
+// watchReadiness counts the checks of an entry's readiness until ctx ends, and those that failed.
+func (r *rushRun) watchReadiness(ctx context.Context, address string) {
+	op := standin.NewOperator()
+	for ctx.Err() == nil {
+		r.readinessChecks++
+		if !op.Ready(ctx, address) {
+			r.notReady++
+		}
+		sleep(ctx, time.Second)
+	}
+}
+
 // load sends requests for the time of a phase.
 func (r *rushRun) load(ctx context.Context, p *phase, work *conc.WaitGroup) {
 	tick := time.NewTicker(rushTick)
@@ -380,7 +415,7 @@
 func (r *rushRun) verdict(config settings, phases []*phase) error {
 	var failed error
 	for _, p := range phases {
-		fmt.Fprintf(config.out, "%s, entry (%.3f of a processor): %s\n%s, others: %s\n", p.name, p.used.Seconds()/p.time.Seconds(), &p.here, p.name, &p.others)
+		fmt.Fprintf(config.out, "%s, entry (%.3f of a processor, %s at the most, %d files): %s\n%s, others: %s\n", p.name, p.used.Seconds()/p.time.Seconds(), p.memory, p.files, &p.here, p.name, &p.others)
 		for _, c := range []*rushCounts{&p.here, &p.others} {
 			if float64(c.served.Load()) < rushShare*float64(c.read()) {
 				failed = errors.Join(failed, fmt.Errorf("%s: %d of %d requests were served that were read", p.name, c.served.Load(), c.read()))
@@ -390,6 +425,7 @@
 			failed = errors.Join(failed, fmt.Errorf("%s: %d connections were closed unread", p.name, closed))
 		}
 	}
+	fmt.Fprintf(config.out, "the entry was not ready in %d of %d checks\n", r.notReady, r.readinessChecks)
 	ran, late := r.ranLate()
 	fmt.Fprintf(config.out, "callers left %d, of these %d run, %d later than %v after that\n", len(r.left), ran, late, rushLeft)
 	if late > 0 {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -30,6 +30,8 @@
 	bound int64
 	// occupied is the memory of all callers to whom bytes are being written.
 	occupied atomic.Int64
+	// bodies is the memory of the bodies of all requests in progress.
+	bodies atomic.Int64
 }
 
 // stallTimeout returns how long a write that begins now may take: all of longest while at most
--- a/node/relay/drain_test.go
+++ b/node/relay/drain_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestWaitingRequestIsRefusedWhenTheInstanceDrains guards against requests that wait for room at an instance
-// which is told to stop, until it exits and their connections break without an answer.
+// that drains, until it exits and their connections break without an answer.
 func TestWaitingRequestIsRefusedWhenTheInstanceDrains(t *testing.T) {
 	engines := &reservingEngines{copyFunc: noCopies, room: map[string]bool{}}
 	s := newFixture(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1, Generates: true, Objective: 5 * time.Second}, engines)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -74,7 +74,7 @@
 	quarantine   *crash.Quarantine
 	origins      Origins
 	callers      callerMemory
-	// draining is closed when the instance is told to stop.
+	// draining is closed when the instance begins to drain.
 	draining   chan struct{}
 	startDrain sync.Once
 }
@@ -159,6 +159,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	caller := newCallerResponse(w, &r.callers, cmp.Or(r.settings.CallerStall, callerStallTimeout))
 	defer caller.release()
+	defer func() { r.callers.releaseBody(caller.requestBytes) }()
 	caller.close = r.isDraining
 	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
 	if !r.admit(req) {
@@ -290,11 +291,14 @@
 	hr := req.httpRequest
 	body := io.Reader(hr.Body)
 	if limits.BodyBytes > 0 {
+		if hr.ContentLength > int64(limits.BodyBytes) {
+			return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
+		}
 		body = http.MaxBytesReader(req.writer.ResponseWriter, hr.Body, int64(limits.BodyBytes))
 	}
 	control := http.NewResponseController(req.writer)
 	_ = control.SetReadDeadline(req.Deadline)
-	b, err := io.ReadAll(body)
+	b, err := r.callers.readBody(body, hr.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		req.body, req.writer.requestBytes = b, cap(b)
@@ -305,6 +309,9 @@
 		return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
 	}
 	req.writer.Header().Set("Connection", "close")
+	if errors.Is(err, errBodyMemory) {
+		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonQueueFull, retryBusy)
+	}
 	return r.refuse(req, http.StatusRequestTimeout, api.ReasonTimeout, 0)
 }
 
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -110,7 +110,7 @@
 
 func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(req.Body))
+	b.Grow(1024)
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.URI)
