--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -86,7 +86,7 @@
 	app.Flag("rush-reuse", "Requests on each connection.").Default("1").IntVar(&set.rush.reuse)
 	app.Flag("rush-again", "Callers come back at once if their connection is closed unread.").BoolVar(&set.rush.again)
 	app.Flag("rush-turns", "A second entry gets most connections after the first.").BoolVar(&set.rush.turns)
-	app.Flag("rush-stop", "The entry is told to stop meanwhile.").BoolVar(&set.rush.stop)
+	app.Flag("rush-stop", "The entry receives SIGTERM meanwhile.").BoolVar(&set.rush.stop)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
 	// its addresses forever.
--- a/core/overload/processor_test.go
+++ b/core/overload/processor_test.go
@@ -24,7 +24,7 @@
 	done(now time.Time, cost time.Duration) time.Time
 }
 
-// quota gives part of each period, and nothing in its rest.
+// quota is a part of each period; the process is suspended for the rest.
 type quota struct {
 	part, period time.Duration
 	end          time.Time
@@ -49,7 +49,7 @@
 	}
 }
 
-// evenShare gives a slice of time in turn with neighbours that always have work. A process that has
+// evenShare is a slice of time in turn with neighbours that always have work. A process that has
 // not used its slice is served at once.
 type evenShare struct {
 	slice      time.Duration
--- a/core/overload/threads.go
+++ b/core/overload/threads.go
@@ -11,8 +11,7 @@
 // Threads returns how many threads a process should run at once, out of most. It runs present ones, had work
 // waiting for the processor during elapsed if busy is set, and used that much processor time.
 //
-// Threads beyond the processor time that a process gets compete with each other for it: while one of them
-// holds work, another uses up the time in looking for some.
+// Under a quota, idle threads use up processor time in looking for work that a suspended one holds.
 func Threads(present, most int, busy bool, used, elapsed time.Duration) int {
 	if elapsed <= 0 {
 		return present
--- a/node/overload/listener.go
+++ b/node/overload/listener.go
@@ -39,7 +39,7 @@
 // turns measures when the processor has turned around.
 type turns interface {
 	// start begins a measurement, at whose end the function is called that the measurer was made
-	// with. A measurement that is in progress goes on.
+	// with. It changes nothing while a measurement is in progress.
 	start(now time.Time)
 	close()
 }
--- a/node/overload/prober.go
+++ b/node/overload/prober.go
@@ -4,6 +4,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // prober measures how long something that becomes ready waits behind all other work of the process:
@@ -13,7 +15,7 @@
 	read, write *os.File
 	// done is called with each measurement, from one goroutine.
 	done func(turnaround time.Duration, now time.Time)
-	work sync.WaitGroup
+	work conc.WaitGroup
 
 	mu sync.Mutex
 	// began is when the present measurement began, zero for none.
@@ -26,8 +28,7 @@
 		return nil, err
 	}
 	p := &prober{read: r, write: w, done: done}
-	p.work.Add(1)
-	go p.loop()
+	p.work.Go(p.loop)
 	return p, nil
 }
 
@@ -43,7 +44,6 @@
 }
 
 func (p *prober) loop() {
-	defer p.work.Done()
 	for b := make([]byte, 1); ; {
 		if _, err := p.read.Read(b); err != nil {
 			return // closed
--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -91,8 +91,8 @@
 	})
 }
 
-// TestTooLargeConfigurationIsRefusedForGood guards against an operator who is told again and again to try a
-// document elsewhere that no member can accept.
+// TestTooLargeConfigurationIsRefusedForGood guards against answering an operator with a passing error for a
+// document that no member can accept.
 func TestTooLargeConfigurationIsRefusedForGood(t *testing.T) {
 	g := newRoutedGroup(t, 3)
 	g.put(0, 1)
