The time of a target's last failure keeps its monotonic clock reading

A step of the clock would have let a stream go on at a target that had just failed, or kept it from one for as long as the step.

--- a/node/relay/confirm.go
+++ b/node/relay/confirm.go
@@ -71,12 +71,15 @@
 
 // doubt records a failure that this or another entry has seen.
 func (t *Target) doubt(now time.Time) {
-	t.failedAt.Store(now.UnixNano())
+	t.failedAt.Store(&now)
 	t.doubted.Store(true)
 }
 
 // failedSince reports whether a failure of the target was seen after a time.
-func (t *Target) failedSince(then time.Time) bool { return t.failedAt.Load() > then.UnixNano() }
+func (t *Target) failedSince(then time.Time) bool {
+	at := t.failedAt.Load()
+	return at != nil && at.After(then)
+}
 
 // successorByName returns the later run of the target under the same ID, nil if none is announced.
 func (t *Target) successorByName() *Target {
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -26,8 +26,8 @@
 	// doubted is set after a failure that this or another entry has seen, because the target may have
 	// ended and started again, until it confirms its run.
 	doubted atomic.Bool
-	// failedAt is when the last such failure was seen, in Unix nanoseconds; zero for none.
-	failedAt atomic.Int64
+	// failedAt is when the last such failure was seen, nil for none.
+	failedAt atomic.Pointer[time.Time]
 	// successor is the target that was announced at this one's address after it, nil if none.
 	successor atomic.Pointer[Target]
 	// removed marks a target that no list may contain any longer; it is guarded by the table's
