What is not the caller's answer must end, by its size and in time

Callers got no answer until they left, although their request may be repeated and other targets were free, where a target sends bytes without an end: a header line, no HTTP, a response to another request, its own failure. Cause: the entry waited for the end of whatever a target sends. Class: a wait whose end only the other side decides, for something that is of no use to the caller.

Now the head with all that comes before it, the body of a response to another request, the body of a failure and one event of a stream have bounds in size and, from their first byte, in time; idle connections on which bytes arrive are closed within a second. What a sealed success brings is the answer and has no bound; a failure that states its length is passed on whole. Responses in memory count with the bodies of requests.

TestSlowResponsesAreWhole and TestLongFailuresAreWhole keep sound responses whole.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -52,8 +52,9 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	memory  *callerMemory
-	// requestBytes is the size of the request's body, which is kept for another attempt.
-	requestBytes int
+	// requestBytes is the memory of the request's body, which is kept for another attempt, responseBytes
+	// that of the responses that were read for it.
+	requestBytes, responseBytes int
 	// limit is the time after which nothing may be written, zero while it is unknown.
 	limit time.Time
 	// stall is the longest time that a write may take.
--- a/node/relay/fault_sends.go
+++ b/node/relay/fault_sends.go
@@ -58,11 +58,12 @@
 	if l.x.Status < http.StatusInternalServerError || !s.relay.mayReplaceFailure(s.req) {
 		return false
 	}
-	body, whole, err := readUpTo(l.x.Body, maxBufferedResponse)
-	if err != nil || !whole {
-		return false
+	body, _, err := s.relay.readResponse(s.ctx, s.req, l.x)
+	if err == nil {
+		s.req.failure = &failure{status: l.x.Status, header: l.x.Header, body: body}
+	} else {
+		s.relay.obs.Attempted(s.req, l.target, outcomeLost, err)
 	}
-	s.req.failure = &failure{status: l.x.Status, header: l.x.Header, body: body}
 	l.end()
 	return true
 }
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -12,11 +12,6 @@
 	"almondseam.dev/node/upstream"
 )
 
-// maxBufferedResponse is the size in bytes below which a response is read completely before any
-// of it is sent to the caller. A larger response is streamed; if it breaks off, the caller's
-// connection is aborted.
-const maxBufferedResponse = 256 << 10
-
 // plain serves a request whose response is a single body.
 func (r *Relay) plain(ctx context.Context, req *Request) {
 	r.countFirstSend(req)
@@ -59,7 +54,7 @@
 		return outcome, false
 	}
 	defer x.Close()
-	body, whole, err := readUpTo(x.Body, maxBufferedResponse)
+	body, whole, err := r.readResponse(ctx, req, x)
 	if x.Status < http.StatusInternalServerError {
 		r.recordRead(ctx, req, p, sentAt, err)
 	}
@@ -92,16 +87,6 @@
 		len(r.targets.Of(req.Service)) > 1 && time.Until(req.Deadline) > 0
 }
 
-// readUpTo reads at most limit bytes of a body; whole reports that the body is shorter than
-// limit.
-func readUpTo(from io.Reader, limit int64) (b []byte, whole bool, err error) {
-	b, err = io.ReadAll(io.LimitReader(from, limit))
-	if err != nil || int64(len(b)) == limit {
-		return b, false, err
-	}
-	return b, true, nil
-}
-
 // writeStoredFailure forwards the stored error response, if there is one.
 func (r *Relay) writeStoredFailure(req *Request) bool {
 	if req.failure == nil {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -162,7 +162,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	caller := newCallerResponse(w, &r.callers, cmp.Or(r.settings.CallerStall, callerStallTimeout))
 	defer caller.release()
-	defer func() { r.callers.releaseBody(caller.requestBytes) }()
+	defer func() { r.callers.releaseBody(caller.requestBytes + caller.responseBytes) }()
 	caller.close = r.isDraining
 	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
 	if !r.admit(req) {
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -37,7 +37,11 @@
 	if v := h.Get("Parts"); v != "" {
 		parts = strings.Split(v, ",")
 	}
-	return Ask{Request: api.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: api.RequestID(h.Get("Resumes")), Parts: parts, MaxTokens: most, Patience: 20 * time.Second}, nil
+	patience := 20 * time.Second
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		patience = time.Duration(ms) * time.Millisecond
+	}
+	return Ask{Request: api.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: api.RequestID(h.Get("Resumes")), Parts: parts, MaxTokens: most, Patience: patience}, nil
 }
 
 func (plainDialect) Direct(h http.Header, d Directive) {
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -109,7 +109,8 @@
 	if !l.isStream() {
 		return s.passThrough(l)
 	}
-	events := newEventReader(l.x.Body)
+	events := newEventReader(l.x.Body, &s.relay.callers, l.x.Abort)
+	defer events.close()
 	silence := s.watchSilence(l)
 	defer silence.arrived()
 	for {
@@ -296,7 +297,7 @@
 	if s.headerSent {
 		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a request that continues a stream")
 	}
-	body, whole, err := readUpTo(l.x.Body, maxBufferedResponse)
+	body, whole, err := s.relay.readResponse(s.ctx, s.req, l.x)
 	if err != nil {
 		return err
 	}
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +41,29 @@
 // it gives its connection up.
 const maxStrayResponses = 2
 
+const (
+	// maxHead bounds the bytes of the head of a response, with those of all responses before it.
+	maxHead = 16 << 10
+	// maxStrayBody bounds the body of a response to another request, in bytes.
+	maxStrayBody = 256 << 10
+	// maxHeadTime is the longest time from the first byte of a response to the end of its head.
+	maxHeadTime = 3 * time.Second
+	// headTimeDivisor bounds that time to this fraction, 1/headTimeDivisor, of the time that the request
+	// has left, so that the rest suffices for another target.
+	headTimeDivisor = 4
+)
+
+// ErrNoResponse reports bytes of a target that are not a response to the request.
+var ErrNoResponse = errors.New("the target sent bytes that are no response")
+
+// headTime returns the time from the first byte of a response within which its head must end.
+func (x *Exchange) headTime() time.Duration {
+	if until, ok := x.ctx.Deadline(); ok {
+		return min(maxHeadTime, time.Until(until)/headTimeDivisor)
+	}
+	return maxHeadTime
+}
+
 // keepAliveMargin is subtracted from the target's Keep-Alive timeout, so that the target does
 // not close an idle connection while the next request is being sent on it.
 const keepAliveMargin = time.Second
@@ -56,9 +80,12 @@
 	// response, and another error if the response is cut off. A response without a length
 	// or chunks counts as complete when the target closes the connection without a reset.
 	Body io.Reader
+	// Length is the length of the body in bytes that the head states, negative if it states none.
+	Length int64
 	// Opening is when the connection was opened.
 	Opening Opening
 
+	ctx        context.Context
 	pool       *Pool
 	conn       *conn
 	resp       *http.Response
@@ -68,6 +95,8 @@
 	maxIdle    int
 	// hadStray is set if a response to no request was skipped. More bytes of that kind may follow.
 	hadStray bool
+	// headExpired is set if the head did not end in time.
+	headExpired atomic.Bool
 }
 
 // Do sends a request and reads the header of its response. ctx applies to the whole
@@ -87,7 +116,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
-	x := &Exchange{Opening: c.opening, pool: p, conn: c, maxIdle: req.MaxIdle}
+	x := &Exchange{Opening: c.opening, ctx: ctx, pool: p, conn: c, maxIdle: req.MaxIdle}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.send(req)
 	if err := x.readHead(req); err != nil {
@@ -143,7 +172,29 @@
 
 // readHead reads the response header. It skips interim responses, and up to maxStrayResponses
 // responses that do not match the request.
+//
+// A target may work on the request for any time before its first byte. From then on, what comes before
+// the body must end, by its size and in headTime: such bytes are not the response's content, and a target
+// that sends them without an end would occupy this process until its caller leaves.
 func (x *Exchange) readHead(req *Request) error {
+	if err := x.conn.awaitStatusLine(); err != nil {
+		return err
+	}
+	x.conn.limit.begin(maxHead)
+	defer x.conn.limit.end()
+	timer := time.AfterFunc(x.headTime(), func() {
+		x.headExpired.Store(true)
+		_ = x.conn.Close()
+	})
+	defer timer.Stop()
+	err := x.readResponses(req)
+	if err != nil && x.headExpired.Load() {
+		return fmt.Errorf("%w: its head does not end in time: %w", ErrNoResponse, err)
+	}
+	return err
+}
+
+func (x *Exchange) readResponses(req *Request) error {
 	for stray := 0; ; {
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
 		if err != nil {
@@ -153,18 +204,32 @@
 			continue
 		}
 		if req.Match == nil || req.Match(resp.StatusCode, resp.Header) {
-			x.resp, x.Status, x.Header = resp, resp.StatusCode, resp.Header
+			x.resp, x.Status, x.Header, x.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 			return nil
 		}
 		stray++
 		x.hadStray = true
 		if stray > maxStrayResponses {
-			return errors.New("too many responses to other requests")
+			return fmt.Errorf("%w: too many responses to other requests", ErrNoResponse)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		x.conn.limit.suspend()
+		if err := skipBody(resp.Body); err != nil {
 			return err
 		}
+		x.conn.limit.resume()
+	}
+}
+
+// skipBody reads the body of a response to another request.
+func skipBody(b io.Reader) error {
+	n, err := io.CopyN(io.Discard, b, maxStrayBody+1)
+	if n > maxStrayBody {
+		return fmt.Errorf("%w: a response to another request does not end", ErrNoResponse)
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
+	return err
 }
 
 // body reads the response body and records in the exchange when it has reached its end.
@@ -190,6 +255,9 @@
 	x.pool.putIdle(x.conn, x.keepAliveTimeout(), x.maxIdle)
 }
 
+// Abort closes the connection, so that a read of the body fails. It may be called while the body is read.
+func (x *Exchange) Abort() { _ = x.conn.Close() }
+
 // requestWritten reports whether the request was written completely. A target that responded
 // early may still expect the rest of the body, and would take the next request for it.
 func (x *Exchange) requestWritten() bool {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,8 +63,14 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used last
+	// sweeping is set while a sweep is due.
+	sweeping bool
 }
 
+// sweepInterval is the interval at which idle connections are looked at. A target may send bytes on them
+// without an end, which would occupy memory until the next request.
+const sweepInterval = time.Second
+
 // NewPool returns an empty pool that opens TCP connections.
 func NewPool(obs Observer) *Pool {
 	return NewPoolWithDialer(obs, &net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1})
@@ -81,8 +88,10 @@
 // conn is one connection to a target, used by one request at a time.
 type conn struct {
 	net.Conn
-	r    *bufio.Reader
-	addr string
+	r *bufio.Reader
+	// limit is what r reads from.
+	limit *limitedReader
+	addr  string
 	// fresh is set until the connection is reused.
 	fresh   bool
 	opening Opening
@@ -132,8 +141,9 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	setUserTimeout(nc)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize), addr: addr, fresh: true, opening: Opening{Began: began, Ended: time.Now()}}, nil
+	setOptions(nc)
+	limit := &limitedReader{from: nc}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(limit, readBufferSize), limit: limit, addr: addr, fresh: true, opening: Opening{Began: began, Ended: time.Now()}}, nil
 }
 
 // Presence is what an attempt to connect to a target shows.
@@ -203,6 +213,36 @@
 		list = list[1:]
 	}
 	p.idle[c.addr] = append(list, c)
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the idle connections that have expired or on which the target has sent something, and
+// those that it has closed.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for addr, list := range p.idle {
+		kept := slices.DeleteFunc(list, func(c *conn) bool {
+			if now.Before(c.expires) && c.usable() {
+				return false
+			}
+			_ = c.Close() // no request is in flight on it
+			return true
+		})
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = kept
+		}
+	}
+	p.sweeping = len(p.idle) > 0
+	if p.sweeping {
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
 }
 
 // putBack returns a connection on which nothing was sent.
@@ -275,7 +315,7 @@
 	return err == nil && empty
 }
 
-func setUserTimeout(nc net.Conn) {
+func setOptions(nc net.Conn) {
 	sc, ok := nc.(*net.TCPConn)
 	if !ok {
 		return
