--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -195,11 +195,16 @@
 }
 
 func startObservedEntry(g *routedGroup, observe func(*metrics.Relay) relay.Observer) (*RoutedEntry, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.c.Assert(err, qt.IsNil)
+	return startEntryAt(g, ln, observe)
+}
+
+// startEntryAt starts an entry that serves callers at ln.
+func startEntryAt(g *routedGroup, ln net.Listener, observe func(*metrics.Relay) relay.Observer) (*RoutedEntry, string) {
 	log := zerolog.Nop()
 	set := metrics.New(&log)
 	observer := metrics.NewRelay(set)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	g.c.Assert(err, qt.IsNil)
 	entry := NewRoutedEntry(RoutedEntrySettings{
 		Instance: "front-0", Zone: "z", Key: []byte("a key of the tests"), Callers: ln, Seeds: g.links,
 		Retries: retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
