Only streams need a connection from after their target's run was known

Cause: since every request to a target avoided connections that were opened before its run was known, plain requests too, which are never continued. It costs them connections at the start of a run and proves nothing. Change: only streams that may be continued, and questions for the run, ask for such connections.

--- a/node/relay/outbound.go
+++ b/node/relay/outbound.go
@@ -62,9 +62,6 @@
 		return nil, Reply{}, err
 	}
 	out.Admit = check
-	if out.OpenedSince.Before(t.runs.known) {
-		out.OpenedSince = t.runs.known
-	}
 	x, err := r.pool.Do(ctx, t.Address, out)
 	if err != nil {
 		return nil, Reply{}, err
--- a/node/relay/runs.go
+++ b/node/relay/runs.go
@@ -73,7 +73,9 @@
 	other int64
 }
 
-func (p *runProof) begin(known time.Time) { p.known, p.proof = known, origin.NewProof(known) }
+func (p *runProof) begin(known time.Time) {
+	p.known, p.wanted, p.proof = known, known, origin.NewProof(known)
+}
 
 // covers reports whether a connection leads to the run, and whether the target states its run.
 func (p *runProof) covers(o upstream.Opening) (covered, unstated bool) {
@@ -279,7 +281,7 @@
 	defer cancel()
 	var o upstream.Opening
 	p := r.peer(req, t, targetstate.UseHeld)
-	p.openedSince, p.opening = t.runs.latestWanted(), &o
+	p.openedSince, p.opening = t.runs.latestWanted(), &o // not before the run was known
 	born, err := r.engines.Run(ctx, p)
 	if err == nil && born != t.Born {
 		err = &OtherRunError{Peer: t.Target, Want: t.Born, Got: born}
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -74,6 +74,10 @@
 		r.obs.Attempted(req, t, outcomeHeldBack, err)
 		return nil, outcomeHeldBack
 	}
+	var since time.Time
+	if r.mayGoOn(req, d) {
+		since = t.runs.known // an older connection may lead to another run
+	}
 	r.obs.Sent(req, t, why)
 	req.identity.SentTo(t.Target)
 	sentAt := time.Now()
@@ -86,11 +90,12 @@
 		Match:  func(status int, h http.Header) bool { return r.ownsResponse(req, status, h) },
 		Opened: func(o upstream.Opening) {
 			p.opening = o
-			if r.mayGoOn(req, d) {
+			if !since.IsZero() {
 				r.proveRun(req, t, o)
 			}
 		},
-		MaxIdle: r.maxIdleConns(t),
+		OpenedSince: since,
+		MaxIdle:     r.maxIdleConns(t),
 	})
 	outcome := r.classify(ctx, req, t, reply, err)
 	if outcome == outcomeHeldBack || outcome == outcomeQuarantined {
