A response may be long in coming after an interim one

Now the time is counted for each response from its own first byte, and only the size of all heads together is bounded.

TestSlowResponsesAreWhole lets 4 s pass after an interim response: fails before (no response in time), passes now.

--- a/node/upstream/endless_test.go
+++ b/node/upstream/endless_test.go
@@ -86,7 +86,8 @@
 			return
 		}
 		time.Sleep(maxHeadTime / 2)
-		fmt.Fprint(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		fmt.Fprint(conn, "HTTP/1.1 102 Processing\r\n\r\n")
+		time.Sleep(maxHeadTime + time.Second)
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", pieces<<17)
 		for range pieces {
 			_, _ = io.WriteString(conn, strings.Repeat("x", 1<<17))
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -46,7 +46,8 @@
 	maxHead = 16 << 10
 	// maxStrayBody bounds the body of a response to another request, in bytes.
 	maxStrayBody = 256 << 10
-	// maxHeadTime is the longest time from the first byte of a response to the end of its head.
+	// maxHeadTime is the longest time from the first byte of a response to the end of its head, or to its
+	// own end if it is not the one to the request.
 	maxHeadTime = 3 * time.Second
 	// headTimeDivisor bounds that time to this fraction, 1/headTimeDivisor, of the time that the request
 	// has left, so that the rest suffices for another target.
@@ -93,10 +94,9 @@
 	written    chan error
 	complete   bool
 	maxIdle    int
-	// hadStray is set if a response to no request was skipped. More bytes of that kind may follow.
-	hadStray bool
-	// headExpired is set if the head did not end in time.
-	headExpired atomic.Bool
+	// strays counts the responses to other requests, or to none, that were skipped. More bytes of that kind
+	// may follow.
+	strays int
 }
 
 // Do sends a request and reads the header of its response. ctx applies to the whole
@@ -173,51 +173,55 @@
 // readHead reads the response header. It skips interim responses, and up to maxStrayResponses
 // responses that do not match the request.
 //
-// A target may work on the request for any time before its first byte. From then on, what comes before
-// the body must end, by its size and in headTime: such bytes are not the response's content, and a target
-// that sends them without an end would occupy this process until its caller leaves.
+// A target may work on the request for any time before the first byte of each of them. What it then sends
+// must end, by its size and in headTime, unless it is the response's body: such bytes are no answer, and
+// without an end they would occupy this process until its caller leaves.
 func (x *Exchange) readHead(req *Request) error {
-	if err := x.conn.awaitStatusLine(); err != nil {
-		return err
-	}
 	x.conn.limit.begin(maxHead)
 	defer x.conn.limit.end()
-	timer := time.AfterFunc(x.headTime(), func() {
-		x.headExpired.Store(true)
-		_ = x.conn.Close()
-	})
-	defer timer.Stop()
-	err := x.readResponses(req)
-	if err != nil && x.headExpired.Load() {
-		return fmt.Errorf("%w: its head does not end in time: %w", ErrNoResponse, err)
-	}
-	return err
-}
-
-func (x *Exchange) readResponses(req *Request) error {
-	for stray := 0; ; {
-		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
-		if err != nil {
+	for {
+		if err := x.conn.awaitStatusLine(); err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		if req.Match == nil || req.Match(resp.StatusCode, resp.Header) {
-			x.resp, x.Status, x.Header, x.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
-			return nil
+		found, err := x.readResponse(req)
+		if found || err != nil {
+			return err
 		}
-		stray++
-		x.hadStray = true
-		if stray > maxStrayResponses {
+		if x.strays > maxStrayResponses {
 			return fmt.Errorf("%w: too many responses to other requests", ErrNoResponse)
 		}
-		x.conn.limit.suspend()
-		if err := skipBody(resp.Body); err != nil {
-			return err
+	}
+}
+
+// readResponse reads the head of one response. If that is not the one to the request, it is skipped, and
+// found is false.
+func (x *Exchange) readResponse(req *Request) (found bool, err error) {
+	var expired atomic.Bool
+	timer := time.AfterFunc(x.headTime(), func() {
+		expired.Store(true)
+		_ = x.conn.Close()
+	})
+	defer func() {
+		timer.Stop()
+		if err != nil && expired.Load() {
+			err = fmt.Errorf("%w: it does not end in time: %w", ErrNoResponse, err)
 		}
-		x.conn.limit.resume()
+	}()
+	resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
+	if err != nil {
+		return false, err
+	}
+	if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		return false, nil
+	}
+	if req.Match == nil || req.Match(resp.StatusCode, resp.Header) {
+		x.resp, x.Status, x.Header, x.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
+		return true, nil
 	}
+	x.strays++
+	x.conn.limit.suspend()
+	defer x.conn.limit.resume()
+	return false, skipBody(resp.Body)
 }
 
 // skipBody reads the body of a response to another request.
@@ -248,7 +252,7 @@
 // connection open.
 func (x *Exchange) Close() {
 	live := x.stopCancel()
-	if !live || x.hadStray || !x.complete || !x.requestWritten() || x.resp.Close || x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+	if !live || x.strays > 0 || !x.complete || !x.requestWritten() || x.resp.Close || x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
 		_ = x.conn.Close() // not reusable
 		return
 	}
