--- a/node/process/routed_stop_test.go
+++ b/node/process/routed_stop_test.go
@@ -54,9 +54,8 @@
 	return c.Conn.Close()
 }
 
-// TestStopClosesNoConnectionUnderARequest guards against an entry that is told to stop and closes kept
-// connections whose next request has just arrived: the request is sent to a target, and its caller gets
-// nothing. A second signal, and requests that arrive while the balancer has not noticed, change nothing.
+// TestStopClosesNoConnectionUnderARequest guards against a stopping entry that closes kept connections
+// whose next request has just arrived: the request is sent to a target, and its response is lost. A second signal, and requests that arrive while the balancer has not noticed, change nothing.
 func TestStopClosesNoConnectionUnderARequest(t *testing.T) {
 	g := newRoutedGroup(t, 1)
 	g.members[0].Announce(directory.Record{
--- a/node/relay/endless_test.go
+++ b/node/relay/endless_test.go
@@ -54,7 +54,7 @@
 
 // TestBytesWithoutEndHoldNoRequest guards against a target that sends bytes without an end which are no
 // answer: a request that may be repeated must be answered by another target well within its time, any
-// other one must be told the truth, and the connection must be closed.
+// other one must fail without a promise, and the connection must be closed.
 func TestBytesWithoutEndHoldNoRequest(t *testing.T) {
 	const patience = 12 * time.Second
 	for _, tt := range endless {
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -29,9 +29,9 @@
 // readResponse reads a response into memory until it ends or is to be streamed; whole reports that it has
 // ended.
 //
-// The body of a success is the caller's answer, however long it is and takes. That of a failure answers
-// nothing: unless its length is known and no other target may be tried, it must end by its size and in
-// time, so that another target has the rest of the request's time.
+// The body of a success is the caller's answer and has no bound. That of a failure must end by its size
+// and in time, so that another target has the rest of the request's time; if no other target may be
+// tried, only one without a stated length must.
 func (r *Relay) readResponse(ctx context.Context, req *Request, x *upstream.Exchange) (body []byte, whole bool, err error) {
 	limit := maxBufferedResponse
 	mustEnd := x.Length < 0 || x.Status >= http.StatusInternalServerError && r.mayReplaceFailure(req)
--- a/node/relay/runs.go
+++ b/node/relay/runs.go
@@ -84,9 +84,9 @@
 	return p.proof.Covers(origin.Opening(o)), p.unstated
 }
 
-// want records that a question is needed on a connection that is opened from a time on. It returns the
-// channel that is closed once a question has been answered or given up, nil if no answer can tell, and
-// whether a question must be started.
+// want records that a question is needed on a connection that is opened from a time on. It returns a
+// channel that is closed after the next question, nil if no answer identifies the run, and whether a
+// question must be started.
 func (p *runProof) want(since time.Time) (answered <-chan struct{}, start bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,8 +150,8 @@
 	q.work.Wait()
 }
 
-// isRun reports whether a connection to a target leads to the run that this entry knows. A target whose
-// runs are not told apart has one.
+// isRun reports whether a connection to a target leads to the run that this entry knows. A target that
+// does not state the starts of its runs is taken to have one.
 func (r *Relay) isRun(t *Target, o upstream.Opening) bool {
 	if t.Born == 0 {
 		return true
@@ -179,7 +179,7 @@
 }
 
 // proveRun begins to find out whether a connection to a target leads to the run that this entry knows.
-// The channel that it returns is closed at the next answer; it is nil if no answer can tell.
+// The channel that it returns is closed after the next question; it is nil if no answer identifies the run.
 func (r *Relay) proveRun(req *Request, t *Target, o upstream.Opening) <-chan struct{} {
 	if t.Born == 0 {
 		return nil
--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -359,8 +359,8 @@
 	return figures
 }
 
-// check checks that no stream holds events of two versions, and that of the streams taken up at least
-// the given share of that of new ones goes on.
+// check checks that no stream holds events of two versions, and that the streams taken up are continued
+// at least at the given share of the rate at which new ones begin.
 func (f *draftFigures) check(t *testing.T, share float64) {
 	t.Helper()
 	t.Logf("begun %d of %d, gone on %d of %d, finished %d, mixed %d, refused late %d", f.begun, f.asked, f.goneOn, f.takenUp, f.finished, len(f.mixed), f.refusedLate)
--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -19,7 +19,7 @@
 // end lifts the limit.
 func (l *limitedReader) end() { l.limited = false }
 
-// suspend lifts the limit until resume, which goes on with what was left.
+// suspend lifts the limit until resume, which applies the rest of it.
 func (l *limitedReader) suspend() { l.limited = false }
 
 func (l *limitedReader) resume() { l.limited = true }
