--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -88,7 +88,7 @@
 // confirmLeg ends a leg that continues a stream, unless its target confirms its run. It returns the
 // outcome of the send.
 func (s *streamRun) confirmLeg(l *leg) string {
-	ctx, cancel := context.WithDeadline(l.ctx, s.resumeDeadline())
+	ctx, cancel := context.WithTimeout(l.ctx, maxResumePause)
 	defer cancel()
 	if err := s.relay.confirmRun(ctx, s.req, l.target, l.opening); err != nil {
 		s.relay.obs.Attempted(s.req, l.target, outcomeUnknownRun, err)
--- a/node/relay/software_runs_test.go
+++ b/node/relay/software_runs_test.go
@@ -65,6 +65,7 @@
 	} {
 		for _, takeUps := range []int{0, 4} {
 			t.Run(fmt.Sprintf("%s/%d", tt.name, takeUps), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					w := newVersionWorld(t, 1)
 					w.downTime, w.announceDelay, w.keepNames, w.clocksGoBack = tt.down, tt.late, tt.keepNames, tt.goBack
@@ -107,6 +108,7 @@
 	const perSecond, seconds = 300, 4
 	for _, page := range []string{"stated", "silent"} {
 		t.Run(page, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				w := newWorld(t, 1, 1, 1)
--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -290,6 +290,7 @@
 	for _, path := range []string{"/draft/x", "/story/x"} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprint(path, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { playVersions(t, seed, draftCaller{path: path}) })
 			})
 		}
@@ -302,6 +303,7 @@
 func TestStreamsTakenUpKeepTheirSoftwareVersion(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4}) })
 		})
 	}
@@ -312,6 +314,7 @@
 func TestRestartedTargetsDoNotContinueStreams(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4, announceLate: 500 * time.Millisecond})
 			})
@@ -324,6 +327,7 @@
 func TestLateAnnouncementsDoNotJoinVersions(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				playVersions(t, seed, draftCaller{path: "/draft/x", takeUps: 4, announceLate: 1200 * time.Millisecond})
 			})
