--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -52,6 +52,12 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+func (p *Pool) countIdle(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr])
+}
+
 func (x *Exchange) readAndClose() (string, error) {
 	b, err := io.ReadAll(x.Body)
 	x.Close()
@@ -134,7 +140,7 @@
 			}
 			_, err = x.readAndClose()
 			c.Assert(err == nil, qt.Equals, tt.complete)
-			c.Assert(len(p.idle[addr]) == 1, qt.Equals, tt.idle)
+			c.Assert(p.countIdle(addr) == 1, qt.Equals, tt.idle)
 			if !tt.idle {
 				return
 			}
@@ -234,5 +240,5 @@
 		_, err := x.readAndClose()
 		c.Assert(err, qt.IsNil)
 	}
-	c.Assert(p.idle[addr], qt.HasLen, maxIdle)
+	c.Assert(p.countIdle(addr), qt.Equals, maxIdle)
 }
