--- a/review/standin-2/platform/main.go
+++ b/review/standin-2/platform/main.go
@@ -16,6 +16,8 @@
 
 var cases = map[string]func(f *fleet, trouble bool) (broken int, err error){
 	"standby": standbyCase,
+	"drain":   drainCase,
+	"leave":   leaveCase,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin-2/platform/standby.go
+++ b/review/standin-2/platform/standby.go
@@ -20,10 +20,11 @@
 	worksOnLimit = 400 * time.Millisecond
 )
 
-func standbyState() map[string]any {
+// engineState returns a desired state with one route for streams.
+func engineState(resumable bool, attempts int) map[string]any {
 	return desiredState(1, []map[string]any{{
 		"name": "r-notes", "host": host, "path_prefix": "/notes/", "kind": "streaming", "timeout_ms": 39000, "target_latency_ms": 1800,
-		"priority": 0, "service": writers, "max_attempts": 1, "public": false, "sticky": true, "can_resume": false, "gap_target_ms": 180,
+		"priority": 0, "service": writers, "max_attempts": attempts, "public": false, "sticky": true, "can_resume": resumable, "gap_target_ms": 180,
 	}}, []map[string]any{{
 		"name": writers, "health_path": "/health", "connection_limit": 252, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
@@ -33,9 +34,11 @@
 	}})
 }
 
-func standbyCase(f *fleet, trouble bool) (broken int, err error) {
+// startEngines starts the fleet, workers with engines and callers of streams with the given number of events. worksOn is the number of the worker
+// that does not drop requests when their connection closes, negative for none.
+func startEngines(f *fleet, state map[string]any, events, worksOn int) (*load, []*worker, error) {
 	if err := f.start(3, 2); err != nil {
-		return 0, err
+		return nil, nil, err
 	}
 	time.Sleep(time.Second)
 	shared := newCopies()
@@ -43,27 +46,41 @@
 	for i := range writerCount {
 		w, err := startWorker(workerSettings{
 			id: fmt.Sprintf("i-%d", i), service: writers, address: fmt.Sprintf("%s:8080", f.workerHost(i)), slots: writerSlots,
-			born: time.Now().UnixMilli(), control: f.seeds(), eventTime: eventTime, worksOn: i == 0, copies: shared, record: f.record,
+			born: time.Now().UnixMilli(), control: f.seeds(), eventTime: eventTime, worksOn: i == worksOn, copies: shared, record: f.record,
 		})
 		if err != nil {
-			return 0, err
+			return nil, workers, err
 		}
-		defer w.stop()
 		workers = append(workers, w)
 	}
-	if err := f.replaceConfiguration(standbyState()); err != nil {
-		return 0, err
+	if err := f.replaceConfiguration(state); err != nil {
+		return nil, workers, err
 	}
 	if err := f.awaitReady(); err != nil {
-		return 0, err
+		return nil, workers, err
 	}
 	l := newLoad(f)
 	for i := range streamCalls {
 		time.Sleep(startPause)
-		l.keep(i, call{path: fmt.Sprintf("/notes/events/%d", streamEvents), patience: 39 * time.Second, header: map[string]string{
+		l.keep(i, call{path: fmt.Sprintf("/notes/events/%d", events), patience: 39 * time.Second, header: map[string]string{
 			"X-Model": "m", "X-Token-Counts": "400,2000", "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:79,%x:321", i+1),
 		}}, 100*time.Millisecond)
 	}
+	return l, workers, nil
+}
+
+func stopAll(workers []*worker) {
+	for _, w := range workers {
+		w.stop()
+	}
+}
+
+func standbyCase(f *fleet, trouble bool) (broken int, err error) {
+	l, workers, err := startEngines(f, engineState(false, 1), streamEvents, 0)
+	defer func() { stopAll(workers) }()
+	if err != nil {
+		return 0, err
+	}
 	time.Sleep(warmUp)
 	if trouble {
 		workers[0].drain()
--- a/review/standin-2/platform/worker.go
+++ b/review/standin-2/platform/worker.go
@@ -56,6 +56,8 @@
 	stop    chan struct{}
 	stopped bool
 	events  int
+	// backup is the address that receives a copy of the run's memory, empty for none.
+	backup string
 }
 
 // copies holds the copies of the memory of runs, by the address that holds them and their ID.
@@ -343,7 +345,7 @@
 		return w.reply(c, http.StatusServiceUnavailable, notRun, "")
 	}
 	delete(w.holds, r.Header.Get("X-Hold"))
-	x := &run{id: id, began: time.Now(), stop: make(chan struct{})}
+	x := &run{id: id, began: time.Now(), stop: make(chan struct{}), backup: r.Header.Get("X-Kv-Backup")}
 	w.running[id] = x
 	w.runs = append(w.runs, x)
 	w.mu.Unlock()
@@ -375,9 +377,8 @@
 		}
 		return w.reply(c, http.StatusOK, map[string]string{"X-Attempt-Id": x.id, "X-Response-Seal": seal}, "answer to "+x.id)
 	}
-	if backup := r.Header.Get("X-Kv-Backup"); backup != "" {
-		w.copies.put(backup, x.id)
-		defer w.copies.drop(backup, x.id)
+	if x.backup != "" {
+		w.copies.put(x.backup, x.id)
 	}
 	leaving := ""
 	if w.leaving.Load() {
@@ -405,10 +406,26 @@
 		x.events = i
 		w.mu.Unlock()
 	}
+	if x.backup != "" {
+		w.copies.take(x.backup + "/" + x.id) // until the run has ended successfully
+	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
 
+// backups counts the runs in progress by the address that receives copies of their memory.
+func (w *worker) backups() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]int)
+	for _, x := range w.running {
+		if x.backup != "" {
+			out[x.backup]++
+		}
+	}
+	return out
+}
+
 // allRuns returns copies of the runs so far.
 func (w *worker) allRuns() []run {
 	w.mu.Lock()
