--- a/review/standin-2/platform/leave.go
+++ b/review/standin-2/platform/leave.go
@@ -27,6 +27,9 @@
 	leaveTime  = 5500 * time.Millisecond
 	calmTime   = 3 * time.Second
 	pauses     = 40 * time.Millisecond
+	// textEvents is the number of events of a stream, textPause the time between two.
+	textEvents = 15
+	textPause  = 20 * time.Millisecond
 )
 
 func bookingState() map[string]any {
@@ -36,7 +39,7 @@
 			"priority": 1, "service": bookings, "max_attempts": attempts, "public": false, "sticky": false, "can_resume": false,
 		}
 	}
-	return desiredState(1, []map[string]any{route("r-book", "/book/", "unsafe", 1), route("r-look", "/look/", "safe", 2)}, []map[string]any{{
+	return desiredState(1, []map[string]any{route("r-book", "/book/", "unsafe", 1), route("r-look", "/look/", "safe", 2), route("r-text", "/text/", "streaming", 1)}, []map[string]any{{
 		"name": bookings, "health_path": "/health", "connection_limit": 110, "protocol": "h1", "tls": false,
 	}})
 }
@@ -51,7 +54,7 @@
 	for i := range bookingCount {
 		w, err := startWorker(workerSettings{
 			id: fmt.Sprintf("i-%d", i), service: bookings, address: fmt.Sprintf("%s:8080", f.workerHost(i)), slots: 6,
-			born: time.Now().UnixMilli(), control: f.seeds(), workTime: bookingWork, copies: newCopies(), record: f.record,
+			born: time.Now().UnixMilli(), control: f.seeds(), workTime: bookingWork, eventTime: textPause, copies: newCopies(), record: f.record,
 		})
 		if err != nil {
 			return 0, err
@@ -65,10 +68,10 @@
 		return 0, err
 	}
 	l := newLoad(f)
-	var leaving, left, unsealed atomic.Int64
+	var leaving, left, unsealed, cut atomic.Int64
 	leaves := func() bool { return trouble && leaving.Load() > 0 && rand.Float64() < leaveShare }
 	for i := range bookingCalls {
-		path := []string{"/book/1", "/look/1"}[i%2]
+		path := []string{"/book/1", "/look/1", fmt.Sprintf("/text/events/%d", textEvents)}[i%3]
 		l.work.Go(func() {
 			for {
 				select {
@@ -80,6 +83,10 @@
 				if a.left {
 					left.Add(1)
 				}
+				if a.status/100 == 2 && a.sealed && a.whole && strings.Contains(path, "/events/") && a.events < textEvents {
+					cut.Add(1)
+					f.record.add("check", "ORDER: %s (left: %v) ends as complete after %d of %d events", a.id, a.left, a.events, textEvents)
+				}
 				if a.status/100 == 2 && !a.sealed {
 					unsealed.Add(1)
 					f.record.add("check", "MIXED: %s (left: %v) got a success without a seal: %q", a.id, a.left, a.head)
@@ -94,8 +101,8 @@
 		leaving.Store(0)
 	}
 	l.end()
-	report(f.record, "%d requests, by status %v (0: closed without an answer); %d clients left; MIXED %d", len(l.answers), l.byStatus(), left.Load(), unsealed.Load())
-	return int(unsealed.Load()), nil
+	report(f.record, "%d requests, by status %v (0: closed without an answer); %d clients left; MIXED %d, ORDER %d", len(l.answers), l.byStatus(), left.Load(), unsealed.Load(), cut.Load())
+	return int(unsealed.Load() + cut.Load()), nil
 }
 
 // rawAnswer is what a client has received on a connection of its own.
@@ -104,6 +111,8 @@
 	id   string
 	left bool
 	head string
+	// events is the number of events of a stream.
+	events int
 }
 
 // callOnce sends one request on a connection of its own. A client that leaves closes its side of the connection
@@ -120,6 +129,9 @@
 	return a
 }
 
+// headBytes is how much of an answer is recorded.
+const headBytes = 200
+
 var errNoAnswer = errors.New("closed without an answer")
 
 func (l *load) exchange(address, path string, leaves bool, a *rawAnswer) error {
@@ -149,14 +161,14 @@
 	if len(all) == 0 {
 		return errNoAnswer
 	}
-	a.head = string(all[:min(len(all), 200)])
+	a.head = string(all[:min(len(all), headBytes)])
 	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(string(all))), nil)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
 	a.status, a.sealed = resp.StatusCode, resp.Header.Get("X-Response-Seal") == "seal."+a.id
-	_, err = io.Copy(io.Discard, resp.Body)
-	a.whole = err == nil
+	text, err := io.ReadAll(resp.Body)
+	a.whole, a.events = err == nil, strings.Count(string(text), "\n\n")
 	return err
 }
