--- a/review/standin-2/platform/fleet.go
+++ b/review/standin-2/platform/fleet.go
@@ -29,8 +29,7 @@
 	ports    ports
 	controls []*process
 	entries  []*process
-	// forwards maps the host of a member to the host at which it listens, if a proxy stands in front.
-	record *record
+	record   *record
 }
 
 // process is one process of the system.
--- a/review/standin-2/platform/main.go
+++ b/review/standin-2/platform/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 const (
@@ -54,6 +56,7 @@
 		return exitFailed
 	}
 	defer f.stop()
+	stopOnSignal(f)
 	broken, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.add("check", "could not run: %v", err)
@@ -71,3 +74,14 @@
 	rec.add("check", format, args...)
 	fmt.Printf(format+"\n", args...)
 }
+
+// stopOnSignal ends the processes of a fleet if this process is told to end.
+func stopOnSignal(f *fleet) {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-ended
+		f.stop()
+		os.Exit(exitFailed)
+	}()
+}
