--- a/review/standin-2/platform/fleet.go
+++ b/review/standin-2/platform/fleet.go
@@ -73,17 +73,32 @@
 func (f *fleet) entryHost(i int) string   { return fmt.Sprintf("127.%d.2.%d", f.net, i+1) }
 func (f *fleet) workerHost(i int) string  { return fmt.Sprintf("127.%d.3.%d", f.net, i+1) }
 
-const opsPort = 9464
+const (
+	opsPort    = 9464
+	workerPort = 8080
+	// maxHosts is the most hosts of a group.
+	maxHosts = 6
+)
+
+func isFree(host string, port int) bool {
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+	if err != nil {
+		return false
+	}
+	ln.Close()
+	return true
+}
 
 func (f *fleet) free() bool {
-	for i := range 5 {
+	for i := range maxHosts {
+		if !isFree(f.workerHost(i), workerPort) {
+			return false
+		}
 		for _, h := range []string{f.controlHost(i), f.entryHost(i)} {
 			for _, p := range []int{f.ports.links, f.ports.callers, f.ports.operators, f.ports.ready, opsPort} {
-				ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h, p))
-				if err != nil {
+				if !isFree(h, p) {
 					return false
 				}
-				ln.Close()
 			}
 		}
 	}
--- a/review/standin-2/platform/leave.go
+++ b/review/standin-2/platform/leave.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -22,8 +21,8 @@
 	// patience is the time limit of the bookings, leaveAfter when those leave that do: half the objective.
 	patience   = 1500 * time.Millisecond
 	leaveAfter = 75 * time.Millisecond
-	// leaveShare is the share of the clients that leave, leaveTime for how long some do.
-	leaveShare = 0.2
+	// Of leaveEvery clients one leaves, a share of 0.2; leaveTime is for how long some do.
+	leaveEvery = 5
 	leaveTime  = 5500 * time.Millisecond
 	calmTime   = 3 * time.Second
 	pauses     = 40 * time.Millisecond
@@ -68,8 +67,8 @@
 		return 0, err
 	}
 	l := newLoad(f)
-	var leaving, left, unsealed, cut atomic.Int64
-	leaves := func() bool { return trouble && leaving.Load() > 0 && rand.Float64() < leaveShare }
+	var leaving, sent, left, unsealed, cut atomic.Int64
+	leaves := func() bool { return trouble && leaving.Load() > 0 && sent.Add(1)%leaveEvery == 0 }
 	for i := range bookingCalls {
 		path := []string{"/book/1", "/look/1", fmt.Sprintf("/text/events/%d", textEvents)}[i%3]
 		l.work.Go(func() {
--- a/review/standin-2/platform/standby.go
+++ b/review/standin-2/platform/standby.go
@@ -8,7 +8,7 @@
 // The case of a stream that goes on at its standby while the worker before still works on it.
 const (
 	writers      = "writers"
-	writerCount  = 5
+	writerCount  = 6
 	writerSlots  = 8
 	streamEvents = 90
 	eventTime    = 40 * time.Millisecond
