Logs tell how a configuration reaches an entry, and what a confirmation rests on

Cause: the hypotheses of the incident can't be told apart. A log says when a revision came in force and that a put was answered, not which member sent the revision, which one a read confirmed, what a member knew when it started, nor what was the newest when a put was answered.

Change: no decision is changed. Events 508 (what a member states of the leader), 509 (what a member restores), 609 (revision received, from whom, held before), 610 (newest in a member's state), 611 (operator's read), 612 (revision that releases an entry after its start); 605 has the newest revision and version. An unanswered dial already shows as events 201 and 202.

--- a/node/control/apply.go
+++ b/node/control/apply.go
@@ -21,7 +21,11 @@
 	if m.watchedVersions() != before {
 		m.wakeWatchers()
 	}
+	newest := m.state.Current()
 	m.mu.Unlock()
+	if newest.Revision != before.revision {
+		m.opt.Observer.ConfigApplied(newest)
+	}
 	m.opt.Observer.Applied(len(entries))
 	for _, a := range answers {
 		a.call.answer(a.reply)
--- a/node/control/client_messages.go
+++ b/node/control/client_messages.go
@@ -36,6 +36,7 @@
 	case *Quarantine:
 		c.opt.OnQuarantine(m.List)
 	case *Leader:
+		c.opt.Observer.LeaderStated(string(conn.Peer().Instance), *m)
 		c.handleLeader(conn, m)
 	}
 }
@@ -59,6 +60,7 @@
 // a whole document. The revision is kept, so a member that lags cannot make this
 // process return to an older configuration.
 func (c *Client) handleUpdate(conn *link.Conn, u *Update) {
+	c.opt.Observer.ConfigReceived(string(conn.Peer().Instance), u.Revision, c.revision)
 	if u.Revision <= c.revision {
 		return
 	}
--- a/node/control/client_options.go
+++ b/node/control/client_options.go
@@ -44,30 +44,13 @@
 	// OnQuarantine is called with the list of quarantined requests whenever it changes, like
 	// OnLimits. It may be nil.
 	OnQuarantine func(quarantine.List)
-	// Observer is notified of failed dials; it may be nil.
+	// Observer is notified of what the client learns and of what fails; it may be nil.
 	Observer ClientObserver
 	// Report returns the report that is sent about this process; it may be nil.
 	Report      func() Report
 	ReportEvery time.Duration
 }
 
-// ClientObserver is notified of dials and attempts that fail. Established links are reported
-// to the observer in the link options.
-type ClientObserver interface {
-	// DialFailed is called for the first of several consecutive failures only,
-	// because a client retries several times a second. It is called on one goroutine.
-	DialFailed(addr string, err error)
-	// AttemptLost is called when an attempt of a call got no reply after a time, so that its effect
-	// is unknown. It may be called from several goroutines.
-	AttemptLost(member, why string, after time.Duration)
-}
-
-type noClientObserver struct{}
-
-func (noClientObserver) DialFailed(string, error) {}
-
-func (noClientObserver) AttemptLost(string, string, time.Duration) {}
-
 // withDefaults replaces callbacks and values that are not set.
 func (opt ClientOptions) withDefaults() ClientOptions {
 	if opt.OnConfig == nil {
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -287,6 +287,7 @@
 		return &api.Error{Step: api.StepPersist, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: err}
 	}
 	m.opt.Observer.Snapshotted(s.Index, len(s.Data), true)
+	m.opt.Observer.ConfigApplied(st.Current())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = st
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -6,6 +6,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/core/state"
 	"almondseam.dev/node/events"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
@@ -79,6 +80,11 @@
 // Applied implements Observer.
 func (m *Metrics) Applied(n int) { m.applied.Add(float64(n)) }
 
+// ConfigApplied implements Observer.
+func (m *Metrics) ConfigApplied(c state.Config) {
+	events.ConfigApplied.Log(m.log).Uint64("revision", uint64(c.Revision)).Uint64("version", c.Version).Uint64("index", c.Index).Send()
+}
+
 // Refused implements Observer.
 func (m *Metrics) Refused(reason api.Reason) {
 	m.refusals.WithLabelValues(string(reason)).Inc()
--- a/node/control/ports.go
+++ b/node/control/ports.go
@@ -11,6 +11,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/consensus"
 	"almondseam.dev/core/order"
+	"almondseam.dev/core/state"
 )
 
 // Storage stores a member's Raft state in its data directory. It is used from one
@@ -52,6 +53,9 @@
 	Saved(entries int, sync bool, took time.Duration)
 	// Applied reports n applied log entries.
 	Applied(n int)
+	// ConfigApplied reports the configuration that is the newest in this member's state from
+	// now on.
+	ConfigApplied(c state.Config)
 	// Refused counts a refused request by reason.
 	Refused(reason api.Reason)
 	// LeaderChanged reports the leader, zero for none, and the term. It is called when
@@ -72,6 +76,7 @@
 
 func (noObserver) Saved(int, bool, time.Duration)                   {}
 func (noObserver) Applied(int)                                      {}
+func (noObserver) ConfigApplied(state.Config)                       {}
 func (noObserver) Refused(api.Reason)                               {}
 func (noObserver) LeaderChanged(consensus.MemberID, uint64)         {}
 func (noObserver) Snapshotted(uint64, int, bool)                    {}
--- a/node/control/role_test.go
+++ b/node/control/role_test.go
@@ -71,6 +71,7 @@
 
 // clientLog logs what the client of a member meets.
 type clientLog struct {
+	noClientObserver
 	t  testing.TB
 	id consensus.MemberID
 }
@@ -107,7 +108,7 @@
 		Token:        testToken,
 		Limits:       state.DefaultLimits(),
 
-		ClientObserver: clientLog{g.t, id},
+		ClientObserver: clientLog{t: g.t, id: id},
 	})
 	qt.Assert(g.t, err, qt.IsNil)
 	g.roles[id] = role
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -89,6 +89,8 @@
 	ControlFailed        = Event{505, zerolog.ErrorLevel, "control member stopped", "Read the error field. After a failed save, check the disk before starting the member again. If the data directory is lost, replace the member by a new one (almondctl members add, promote, remove)."}
 	ControlMended        = Event{506, zerolog.InfoLevel, "automatic change of the control group's members proposed", "None, unless refused recurs: then see with the members' logs which of them are up."}
 	ControlAttemptLost   = Event{507, zerolog.InfoLevel, "an attempt of a call at a control member got no reply", "None, unless it recurs: why=timeout says that the member is slow, silence that it is cut off, local that this process left it."}
+	ControlLeaderStated  = Event{508, zerolog.InfoLevel, "a control member stated which member leads the group", "None, unless members name different leaders for longer than an election: see the links between them."}
+	ControlRestored      = Event{509, zerolog.InfoLevel, "control member restored its state from the data directory", "None; no term and no entries mean that the directory was empty."}
 	ConfigInForce        = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable       = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict       = Event{602, zerolog.ErrorLevel, "received different content for the revision already held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -97,6 +99,10 @@
 	ConfigInvalid        = Event{606, zerolog.WarnLevel, "invalid configuration refused", "Show the error to the operator who sent it."}
 	ZonesEvacuated       = Event{607, zerolog.InfoLevel, "evacuated availability zones changed at this entry", "None: targets of the zones listed get nothing new from this entry."}
 	EvacuationPut        = Event{608, zerolog.InfoLevel, "evacuation order", "Without an error the order is in force; stale_fence means that the opposite order came in between, control_unavailable that there is no leader."}
+	ConfigReceived       = Event{609, zerolog.InfoLevel, "configuration received from a control member", "None; a revision that is not above the one held has no effect."}
+	ConfigApplied        = Event{610, zerolog.InfoLevel, "configuration is the newest in this control member's state", "None."}
+	ConfigRead           = Event{611, zerolog.InfoLevel, "operator read the configuration", "Without answered=true the operator got no document: see whether the control group has a leader, and whether this member lags."}
+	ConfigConfirmed      = Event{612, zerolog.InfoLevel, "a majority of the control group confirmed the newest revision", "None."}
 	ConfigNoSite         = Event{604, zerolog.WarnLevel, "the configuration has no site with this process's availability zone; the base alone is in force", "Compare the zone in the process's settings with the sites in base.yaml."}
 )
 
@@ -107,7 +113,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp, RunConfirmed, ConnectionsClosed, ProcessorBusy, ThreadsAdapted,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported, TargetOut, TargetTrial, TargetReturning,
-		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost,
-		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost, ControlLeaderStated, ControlRestored,
+		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut, ConfigReceived, ConfigApplied, ConfigRead, ConfigConfirmed,
 	}
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/retry"
+	"almondseam.dev/node/control"
 	"almondseam.dev/node/entry"
 	"almondseam.dev/node/events"
 	"almondseam.dev/node/link"
@@ -160,6 +161,17 @@
 	events.ControlAttemptLost.Log(s.log).Str("peer", member).Str("why", why).Dur("after", after).Send()
 }
 
+// LeaderStated implements control.ClientObserver.
+func (s *Set) LeaderStated(member string, m control.Leader) {
+	events.ControlLeaderStated.Log(s.log).Str("peer", member).Bool("self", m.Self).Str("leader", m.Addr).
+		Bool("groupless", m.Groupless).Strs("members", m.Members).Send()
+}
+
+// ConfigReceived implements control.ClientObserver.
+func (s *Set) ConfigReceived(member string, revision, held api.Revision) {
+	events.ConfigReceived.Log(s.log).Str("peer", member).Uint64("revision", uint64(revision)).Uint64("held", uint64(held)).Send()
+}
+
 // LinkClosed implements link.Observer.
 func (s *Set) LinkClosed(p link.Peer, why string) {
 	s.links.WithLabelValues(string(p.Role)).Dec()
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -151,6 +151,8 @@
 		return err
 	}
 	c.observer.SetMemberID(store.ID())
+	events.ControlRestored.Log(c.log).Uint64("member", uint64(store.ID())).Uint64("term", restored.HardState.Term).
+		Uint64("snapshot", restored.Snapshot.Index).Int("entries", len(restored.Entries)).Uint64("commit", restored.HardState.Commit).Send()
 	role, err := control.Start(control.Settings{
 		ID:           store.ID(),
 		Restored:     restored,
@@ -284,8 +286,9 @@
 // Put proposes an operator's document. It returns nil only if the document is accepted. An error with
 // api.ReasonTooLarge holds at each member.
 func (c *RoutedControl) Put(ctx context.Context, version uint64, document []byte) error {
-	err := c.put(ctx, version, document)
-	line := events.ConfigPut.Log(c.log).Uint64("version", version).Int("bytes", len(document))
+	result, err := c.put(ctx, version, document)
+	line := events.ConfigPut.Log(c.log).Uint64("version", version).Int("bytes", len(document)).
+		Uint64("revision", uint64(result.Revision)).Uint64("newest_version", result.Version)
 	outcome := api.OutcomeCompleted
 	if err != nil {
 		e := api.AsError(err)
@@ -296,22 +299,24 @@
 	return err
 }
 
-func (c *RoutedControl) put(ctx context.Context, version uint64, document []byte) error {
+// put proposes a document. The result is the zero value unless the group has decided on it.
+func (c *RoutedControl) put(ctx context.Context, version uint64, document []byte) (state.ConfigResult, error) {
+	var none state.ConfigResult
 	role := c.role.Load()
 	if role == nil {
-		return api.NotRun(api.StepConfig, "", api.ReasonControlUnavailable, control.ErrStopped)
+		return none, api.NotRun(api.StepConfig, "", api.ReasonControlUnavailable, control.ErrStopped)
 	}
 	r := role.Exec(ctx, control.Request{Command: &state.Command{Config: &state.ConfigPut{Version: version, Document: document}}})
 	if r.Outcome != api.OutcomeCompleted {
-		return &api.Error{Step: api.StepConfig, Outcome: r.Outcome, Reason: r.Reason, Err: errors.New(r.Message)}
+		return none, &api.Error{Step: api.StepConfig, Outcome: r.Outcome, Reason: r.Reason, Err: errors.New(r.Message)}
 	}
 	if r.Result == nil || r.Result.Config == nil {
-		return &api.Error{Step: api.StepConfig, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: errors.New("the reply has no result")}
+		return none, &api.Error{Step: api.StepConfig, Outcome: api.OutcomeUnknown, Reason: api.ReasonInternal, Err: errors.New("the reply has no result")}
 	}
 	if d := r.Result.Config; !d.Accepted {
-		return api.NotRun(api.StepConfig, "", d.Reason, errors.New(d.Message))
+		return *d, api.NotRun(api.StepConfig, "", d.Reason, errors.New(d.Message))
 	}
-	return nil
+	return *r.Result.Config, nil
 }
 
 // Evacuate proposes that targets in an availability zone get no new requests or, if
@@ -346,10 +351,13 @@
 		return nil, false
 	}
 	r := role.Exec(ctx, control.Request{Read: true})
+	line := events.ConfigRead.Log(c.log).Uint64("confirmed", uint64(r.Revision)).Str("outcome", string(r.Outcome)).Str("reason", string(r.Reason))
 	if r.Outcome != api.OutcomeCompleted {
+		line.Send()
 		return nil, false
 	}
 	conf, ok := role.Member().ConfigAt(ctx, r.Revision)
+	line.Uint64("revision", uint64(conf.Revision)).Uint64("version", conf.Version).Bool("answered", ok).Send()
 	return conf.Document, ok && conf.Document != nil
 }
 
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -205,9 +205,11 @@
 // sent to a target before that: an entry that has just started must not use a zone that
 // was evacuated while the entry was down.
 func (e *RoutedEntry) confirm() {
+	began := time.Now()
 	for e.ctx.Err() == nil {
 		confirmed, err := e.client.Confirm(e.ctx)
 		if err == nil {
+			events.ConfigConfirmed.Log(e.ports.Log).Uint64("revision", uint64(confirmed.Revision)).Dur("took", time.Since(began)).Send()
 			if confirmed.Evacuated != nil {
 				e.onEvacuated(*confirmed.Evacuated)
 			}
