A dial ends with its context, in the handshake too

What callers saw: nothing of their own; an entry without a link refuses what its old configuration lacks, and hears of leaving targets late.

Cause: the time given to a dial bounded the connection and the upgrade, not the handshake, which had 5 s. A peer that stops in between (loss of power, a freeze) neither answers nor closes, and the client of an entry, which has one link, dials nobody else meanwhile: longer than a change may take to be in force everywhere. The class: a step without the bound of the whole.

Change: when the context ends, the connection is closed and the dial fails as link_lost; it is no refusal by the peer. The same dial serves entries, the links between members and the followers of targets' records, so all of them are bounded.

--- a/node/link/dial.go
+++ b/node/link/dial.go
@@ -14,8 +14,8 @@
 const path = "/link"
 
 // Dial opens a link to addr ("host:port"). Both ends prove in the handshake that
-// they hold the fleet key. ctx bounds the connection and the WebSocket upgrade;
-// reading the handshake has a timeout of its own. Dial does not wait for the peer to
+// they hold the fleet key. ctx bounds the connection, the WebSocket upgrade and the
+// handshake, which also has a timeout of its own. Dial does not wait for the peer to
 // check this end's proof: if the peer rejects it, the link closes with ClosePeer.
 func Dial(ctx context.Context, addr string, opt Options) (*Conn, error) {
 	opt = opt.withDefaults()
@@ -31,7 +31,11 @@
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
-	peer, err := dialHandshake(ws, opt)
+	peer, err := dialHandshake(ctx, ws, opt)
+	if ctx.Err() != nil {
+		_ = ws.Close()
+		return nil, &api.Error{Step: api.StepHandshake, Peer: addr, Outcome: api.OutcomeNotRun, Reason: api.ReasonLinkLost, Err: context.Cause(ctx)}
+	}
 	if err != nil {
 		_ = ws.Close()
 		opt.Observer.HandshakeFailed(err)
@@ -40,7 +44,16 @@
 	return newConn(ws, opt, peer), nil
 }
 
-func dialHandshake(ws *websocket.Conn, opt Options) (Peer, error) {
+// dialHandshake proves this end's identity and checks the peer's. When ctx is done it closes the
+// connection: a peer that stopped after the upgrade sends nothing more, and may not close it either.
+func dialHandshake(ctx context.Context, ws *websocket.Conn, opt Options) (Peer, error) {
+	stop := context.AfterFunc(ctx, func() { _ = ws.NetConn().Close() })
+	peer, err := exchangeProofs(ws, opt)
+	stop()
+	return peer, err
+}
+
+func exchangeProofs(ws *websocket.Conn, opt Options) (Peer, error) {
 	_ = ws.SetReadDeadline(time.Now().Add(handshakeTimeout))
 	ws.SetReadLimit(handshakeLimit)
 	local := hello{Version: protocolVersion, Peer: opt.Self, Nonce: newNonce()}
--- a/node/link/patience.go
+++ b/node/link/patience.go
@@ -24,8 +24,7 @@
 }
 
 // Dial opens a link with the current timeout and adjusts the timeout for the next
-// attempt. The timeout bounds the connection and the WebSocket upgrade; see the
-// function Dial for the handshake.
+// attempt.
 func (d *Dialer) Dial(ctx context.Context, addr string, opt Options) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.nextTimeout)
 	defer cancel()
