A request is refused only by the newest configuration

What callers saw: 404 for a route, or 401 for a key, that a confirmed configuration has, at one entry, for longer than a change may take.

Cause: an entry goes by the configuration that it holds, and does not know how old it is. Whatever keeps a newer one from it (a link that hangs, a member that passes nothing on, a decode that waits for the processor), it answers as if it knew that there is none. The class: a final answer from a belief of unknown age.

Change: a request that the configuration in force would refuse as unknown is looked up in the newest: a majority of the control group is asked, not earlier than 200 ms before the request came, requests that wait share a read, and the refusal stands once nothing newer than what is in force was accepted. Without a reply in 0.5 s, or a third of the caller's patience, the answer is 503 config_unconfirmed with Retry-After, which is true: not run. Requests that the configuration allows are not delayed. Event 329 has the version held, the newest, the reason before and after, and the wait; the read also brings the list of evacuated zones.

Requests that an old configuration still allows (a route that moved or was dropped, a key that was revoked) go by it as before: without a majority an entry must go on serving. What kept the newer configuration from the users' entry is not shown.

--- a/core/api/outcome.go
+++ b/core/api/outcome.go
@@ -31,6 +31,7 @@
 	ReasonUnknownService     Reason = "unknown_service"
 	ReasonTooLarge           Reason = "too_large"
 	ReasonNoConfig           Reason = "no_config"
+	ReasonConfigUnconfirmed  Reason = "config_unconfirmed"
 	ReasonShuttingDown       Reason = "shutting_down"
 	ReasonConcurrencyLimit   Reason = "concurrency_limit"
 	ReasonTokenRateLimit     Reason = "token_rate_limit"
@@ -99,6 +100,7 @@
 	ReasonUnknownService:     {404, typeInvalid, false},
 	ReasonTooLarge:           {413, typeInvalid, false},
 	ReasonNoConfig:           {503, typeServer, true},
+	ReasonConfigUnconfirmed:  {503, typeServer, true},
 	ReasonShuttingDown:       {503, typeServer, true},
 	ReasonConcurrencyLimit:   {429, typeRate, true},
 	ReasonTokenRateLimit:     {429, typeRate, true},
--- /dev/null
+++ b/core/rollout/freshness.go
@@ -0,0 +1,39 @@
+package rollout
+
+import (
+	"time"
+
+	"almondseam.dev/core/api"
+)
+
+// Freshness records until when a process knows that the configuration in force is the newest. It is
+// not safe for concurrent use.
+type Freshness struct {
+	inForce   api.Revision
+	confirmed api.Revision
+	asked     time.Time
+}
+
+// PutInForce records the revision in force.
+func (f *Freshness) PutInForce(rev api.Revision) { f.inForce = max(f.inForce, rev) }
+
+// Confirm records that a majority, asked at the given time, reported rev as the highest accepted
+// revision.
+func (f *Freshness) Confirm(asked time.Time, rev api.Revision) {
+	if asked.Before(f.asked) {
+		return
+	}
+	f.asked, f.confirmed = asked, rev
+}
+
+// AskedSince reports whether a majority has answered a query that was sent at or after t.
+func (f *Freshness) AskedSince(t time.Time) bool { return !f.asked.IsZero() && !f.asked.Before(t) }
+
+// NewestSince reports whether every revision that was accepted before t is in force or was replaced
+// by one that is.
+func (f *Freshness) NewestSince(t time.Time) bool {
+	return f.AskedSince(t) && f.inForce >= f.confirmed
+}
+
+// Lag returns the revision in force and the highest one that a majority has reported.
+func (f *Freshness) Lag() (inForce, confirmed api.Revision) { return f.inForce, f.confirmed }
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -140,6 +140,12 @@
 	e.Send()
 }
 
+// RefusalChecked implements relay.Observer.
+func (m *Relay) RefusalChecked(r *relay.Request, held uint64, refused, reason api.Reason, waited time.Duration) {
+	addRequest(events.RefusalChecked.Log(m.log), r).Uint64("held", held).Str("refused", string(refused)).
+		Str("reason", string(reason)).Dur("waited", waited).Send()
+}
+
 // Held implements relay.Observer.
 func (m *Relay) Held(r *relay.Request, waited time.Duration) {
 	m.held.WithLabelValues(routeName(r)).Observe(waited.Seconds())
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -110,6 +110,7 @@
 	set     RoutedEntrySettings
 	ports   RoutedEntryPorts
 	live    atomic.Pointer[routeconf.Table]
+	newest  *newestTable
 	client  *control.Client
 	retries *relay.Retries
 	limits  *relay.LimitReports
@@ -159,11 +160,12 @@
 
 		OnQuarantine: func(list quarantine.List) { e.quarantine.Update(list) },
 	})
+	e.newest = newNewestTable(e.confirmNewest)
 	e.quarantine = crash.NewQuarantine(e.client, p.Observer)
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
 	e.relay = relay.New(relay.Settings{Zone: set.Zone, Regions: set.Regions, CallerMemory: callerMemory(set.MemoryLimit)}, relay.Ports{
-		Live: &e.live, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
+		Live: &e.live, Newest: e.newest, Targets: e.targets, Pool: p.Pool, Dialect: p.Dialect, Engines: p.Engines,
 		Retries: e.retries, LimitReports: e.limits, Quarantine: e.quarantine, Origins: e.origins, Observer: p.Observer,
 	})
 	e.server = &http.Server{
@@ -179,6 +181,7 @@
 	e.work.Go(func() { e.client.Run(e.ctx) })
 	e.work.Go(e.confirm)
 	e.work.Go(e.publishLoop)
+	e.work.Go(func() { e.newest.run(e.ctx) })
 	e.work.Go(e.reportLoads)
 	e.work.Go(func() {
 		if err := e.serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -205,14 +208,9 @@
 // sent to a target before that: an entry that has just started must not use a zone that
 // was evacuated while the entry was down.
 func (e *RoutedEntry) confirm() {
-	began := time.Now()
 	for e.ctx.Err() == nil {
-		confirmed, err := e.client.Confirm(e.ctx)
+		confirmed, err := e.confirmNewest(e.ctx)
 		if err == nil {
-			events.ConfigConfirmed.Log(e.ports.Log).Uint64("revision", uint64(confirmed.Revision)).Dur("took", time.Since(began)).Send()
-			if confirmed.Evacuated != nil {
-				e.onEvacuated(*confirmed.Evacuated)
-			}
 			e.mu.Lock()
 			document, ok := e.gate.Confirm(confirmed.Revision)
 			e.queueDocument(document, ok)
@@ -226,6 +224,21 @@
 	}
 }
 
+// confirmNewest asks a majority of the control group for the newest revision and the evacuated
+// availability zones, and applies the latter.
+func (e *RoutedEntry) confirmNewest(ctx context.Context) (control.Confirmed, error) {
+	began := time.Now()
+	confirmed, err := e.client.Confirm(ctx)
+	if err != nil {
+		return confirmed, err
+	}
+	events.ConfigConfirmed.Log(e.ports.Log).Uint64("revision", uint64(confirmed.Revision)).Dur("took", time.Since(began)).Send()
+	if confirmed.Evacuated != nil {
+		e.onEvacuated(*confirmed.Evacuated)
+	}
+	return confirmed, nil
+}
+
 // loadReportInterval is the maximum time between two reports of this entry's load: the
 // other entries consider an entry gone after fleetload.Stale without a report.
 const loadReportInterval = time.Second
@@ -344,6 +357,8 @@
 		events.ConfigUnusable.Log(e.ports.Log).Err(err).Uint64("revision", uint64(revision)).Send()
 		return
 	}
+	// Before requests go by the table: those that it refuses look it up here.
+	e.newest.putInForce(revision, table)
 	e.live.Store(table)
 	events.ConfigInForce.Log(e.ports.Log).Uint64("revision", uint64(revision)).Uint64("version", table.Config.Version).Send()
 }
--- /dev/null
+++ b/node/relay/lookup.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/core/routeconf"
+)
+
+// Newest finds the newest configuration, which may not be in force at this instance yet.
+type Newest interface {
+	// Newest returns the configuration in force once a majority of the control group, asked not
+	// before since, has confirmed that none is newer. It returns false if ctx ends first. It may be
+	// called from several goroutines.
+	Newest(ctx context.Context, since time.Time) (*routeconf.Table, bool)
+}
+
+const (
+	// confirmationLifetime is how long before a request the control group may have been asked for the
+	// newest configuration by which the request is refused. It bounds how often the group is asked
+	// because of requests that match nothing, and is short against the time in which a change must be in
+	// force.
+	confirmationLifetime = 200 * time.Millisecond
+	// maxConfirmationWait is how long a request waits for the control group. A reply takes a round trip
+	// to a majority; without a leader none comes before an election is over.
+	maxConfirmationWait = 500 * time.Millisecond
+	// retryUnconfirmed: most elections are over within a second.
+	retryUnconfirmed = time.Second
+)
+
+// find determines the route and the customer of a request, and returns the configuration that has them.
+// If the one in force lacks them, the request waits for the newest: a refusal by an old configuration
+// would be final for the caller, although a newer one, confirmed to the operator, allows the request. If
+// find returns nil, the request has been answered.
+func (r *Relay) find(req *Request, inForce *routeconf.Table) *routeconf.Table {
+	table, reason := inForce, lookup(req, inForce)
+	if reason != "" && r.newest != nil {
+		table, reason = r.findInNewest(req, reason)
+	}
+	switch reason {
+	case "":
+		return table
+	case api.ReasonConfigUnconfirmed:
+		r.refuse(req, http.StatusServiceUnavailable, reason, retryUnconfirmed)
+	default:
+		r.refuse(req, api.Reasons[reason].Status, reason, 0)
+	}
+	return nil
+}
+
+// findInNewest looks a request up in the newest configuration. refused is the reason by which the one
+// in force refuses it.
+func (r *Relay) findInNewest(req *Request, refused api.Reason) (*routeconf.Table, api.Reason) {
+	wait := maxConfirmationWait
+	if p := req.Ask.Patience / patienceDivisor; p > 0 {
+		wait = min(wait, p)
+	}
+	ctx, cancel := context.WithTimeout(req.httpRequest.Context(), wait)
+	defer cancel()
+	held, began := req.Version, time.Now()
+	reason := api.ReasonConfigUnconfirmed
+	table, ok := r.newest.Newest(ctx, req.Arrived.Add(-confirmationLifetime))
+	if ok {
+		reason = lookup(req, table)
+	}
+	r.obs.RefusalChecked(req, held, refused, reason, time.Since(began))
+	return table, reason
+}
+
+// lookup sets the route, the customer and the version of a request by a configuration. It returns the
+// reason why the configuration does not allow the request, empty if it does.
+func lookup(req *Request, table *routeconf.Table) api.Reason {
+	path, _, _ := strings.Cut(req.uri, "?")
+	req.Version = table.Config.Version
+	req.Route, req.Customer = table.Route(req.httpRequest.Host, path), nil
+	if req.Route == nil {
+		return api.ReasonUnknownService
+	}
+	if !table.Config.HasCustomers || req.Route.Public {
+		return ""
+	}
+	req.Customer = table.Customer(req.Ask.Key)
+	if req.Customer == nil {
+		return api.ReasonUnauthenticated
+	}
+	return ""
+}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -159,6 +159,10 @@
 
 	// Refused reports a request that was answered without having been run.
 	Refused(r *Request, status int, reason api.Reason)
+	// RefusalChecked reports that a request which the configuration of version held refuses, for the
+	// reason refused, was looked up in the newest one: r has its version. reason is why it is refused
+	// now, empty if it is not.
+	RefusalChecked(r *Request, held uint64, refused, reason api.Reason, waited time.Duration)
 	// Held reports that a request waited at the entry for an engine with room.
 	Held(r *Request, waited time.Duration)
 	// NoRoom reports that an engine made no reservation for a request.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -37,7 +37,9 @@
 // Ports holds the dependencies of a Relay.
 type Ports struct {
 	// Live holds the configuration in force, nil until the first one arrives.
-	Live    *atomic.Pointer[routeconf.Table]
+	Live *atomic.Pointer[routeconf.Table]
+	// Newest confirms refusals; if it is nil, the configuration in force counts as the newest.
+	Newest  Newest
 	Targets *Targets
 	Pool    *upstream.Pool
 	Dialect Dialect
@@ -58,6 +60,7 @@
 type Relay struct {
 	settings     Settings
 	live         *atomic.Pointer[routeconf.Table]
+	newest       Newest
 	targets      *Targets
 	pool         *upstream.Pool
 	dialect      Dialect
@@ -89,7 +92,7 @@
 		p.Origins = origins.NewClient()
 	}
 	r := &Relay{
-		settings: settings, live: p.Live, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
+		settings: settings, live: p.Live, newest: p.Newest, targets: p.Targets, pool: p.Pool, dialect: p.Dialect,
 		engines: p.Engines, retries: p.Retries, limitReports: p.LimitReports, obs: p.Observer, costRanks: newCostRanks(), prefill: newPrefillRates(), returns: newReturns(),
 		paces: newPaces(), moves: newMoveEstimates(),
 		quarantine: p.Quarantine, origins: p.Origins, callers: callerMemory{bound: settings.CallerMemory},
@@ -212,16 +215,8 @@
 		return r.refuse(req, http.StatusRequestHeaderFieldsTooLarge, api.ReasonTooLarge, 0)
 	}
 	req.uri = requestURI(hr)
-	path, _, _ := strings.Cut(req.uri, "?")
-	req.Route = table.Route(hr.Host, path)
-	if req.Route == nil {
-		return r.refuse(req, http.StatusNotFound, api.ReasonUnknownService, 0)
-	}
-	if table.Config.HasCustomers && !req.Route.Public {
-		req.Customer = table.Customer(ask.Key)
-		if req.Customer == nil {
-			return r.refuse(req, http.StatusUnauthorized, api.ReasonUnauthenticated, 0)
-		}
+	if table = r.find(req, table); table == nil {
+		return false
 	}
 	req.Deadline = deadline(req)
 	req.Service = req.Route.Pick(rand.Float64())
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -68,6 +68,7 @@
 type nopObserver struct{ nopFaultObserver }
 
 func (nopObserver) Refused(*Request, int, api.Reason)                                            {}
+func (nopObserver) RefusalChecked(*Request, uint64, api.Reason, api.Reason, time.Duration)       {}
 func (nopObserver) OriginFound(*Request, origin.Origin, string, time.Duration, error)            {}
 func (nopObserver) RunConfirmed(*Request, *Target, error)                                        {}
 func (nopObserver) Held(*Request, time.Duration)                                                 {}
