Calls are answered by the entries that were proposed for them

Callers saw: an operator's put acknowledged with the result of another put and before it was committed, a claim answered with another request's grant, when a member that led had restarted and led again.

Cause: the sequence numbers by which a member finds the call for an entry began at 0 in each process. After a restart the entries that were not committed before are applied while new calls wait under the same numbers.

Sequence numbers begin at random now, so the pair of member ID and sequence number belongs to one process.

`go test ./node/control -run 'TestAnswerBelongsToItsOwnProposal$' -count=200` passes; the test failed 20 of 20 before. `go test -race ./node/control ./node/process` passes.

--- a/node/control/member.go
+++ b/node/control/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +46,7 @@
 	reads              map[uint64][]*call
 	confirmedReads     []confirmedRead
 	uncommittedChanges []*call
-	seq                uint64
+	seq                uint64 // begins at random; see encodeProposal
 	clock              replicatedClock
 	role               consensus.Role
 	term               uint64
@@ -103,6 +104,7 @@
 		encodedSnapshot: make(chan encodedSnapshot, 1),
 		pending:         make(map[uint64]*call),
 		reads:           make(map[uint64][]*call),
+		seq:             rand.Uint64(),
 		reports:         newReports(),
 	}
 	status := node.Status()
--- a/node/control/proposal.go
+++ b/node/control/proposal.go
@@ -35,6 +35,10 @@
 // encodeProposal prefixes the command with the ID of the proposing member and that
 // member's sequence number, by which the member finds the waiting call when it
 // applies the entry.
+//
+// Sequence numbers begin at random in each process: entries that this member proposed
+// before a restart may still be uncommitted when it proposes new ones, and their results
+// must not answer the new calls.
 func encodeProposal(id consensus.MemberID, seq uint64, command []byte) []byte {
 	b := make([]byte, proposalHeaderSize, proposalHeaderSize+len(command))
 	binary.BigEndian.PutUint64(b, uint64(id))
