Waiting for the newest configuration is a type of node/rollout

Cause: entries with agents refuse keys, models and services by the configuration that they hold as well; they need the same wait with another type of configuration.

Change: rollout.Newest answers whether what is in force is the newest, and leaves the configuration itself to the entry. No behaviour changes.

--- a/core/rollout/freshness.go
+++ b/core/rollout/freshness.go
@@ -34,6 +34,3 @@
 func (f *Freshness) NewestSince(t time.Time) bool {
 	return f.AskedSince(t) && f.inForce >= f.confirmed
 }
-
-// Lag returns the revision in force and the highest one that a majority has reported.
-func (f *Freshness) Lag() (inForce, confirmed api.Revision) { return f.inForce, f.confirmed }
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -13,7 +13,7 @@
 	"almondseam.dev/core/fleetload"
 	"almondseam.dev/core/quarantine"
 	"almondseam.dev/core/retrybudget"
-	"almondseam.dev/core/rollout"
+	corerollout "almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
 	"almondseam.dev/core/state"
 	"almondseam.dev/node/control"
@@ -25,6 +25,7 @@
 	"almondseam.dev/node/overload"
 	"almondseam.dev/node/registry"
 	"almondseam.dev/node/relay"
+	"almondseam.dev/node/rollout"
 	"almondseam.dev/node/upstream"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -110,7 +111,7 @@
 	set     RoutedEntrySettings
 	ports   RoutedEntryPorts
 	live    atomic.Pointer[routeconf.Table]
-	newest  *newestTable
+	newest  *rollout.Newest
 	client  *control.Client
 	retries *relay.Retries
 	limits  *relay.LimitReports
@@ -128,7 +129,7 @@
 	cancel     context.CancelFunc
 
 	mu   sync.Mutex
-	gate rollout.Gate[[]byte]
+	gate corerollout.Gate[[]byte]
 	// pendingDocument is the newest document that is still to be put in force, nil
 	// for none; documentQueued holds a token if there is one.
 	pendingDocument []byte
@@ -160,7 +161,7 @@
 
 		OnQuarantine: func(list quarantine.List) { e.quarantine.Update(list) },
 	})
-	e.newest = newNewestTable(e.confirmNewest)
+	e.newest = rollout.NewNewest(e.highestRevision)
 	e.quarantine = crash.NewQuarantine(e.client, p.Observer)
 	e.retries = relay.NewRetries(set.Retries, e.client)
 	e.limits = relay.NewLimitReports(e.client, p.Observer)
@@ -181,7 +182,7 @@
 	e.work.Go(func() { e.client.Run(e.ctx) })
 	e.work.Go(e.confirm)
 	e.work.Go(e.publishLoop)
-	e.work.Go(func() { e.newest.run(e.ctx) })
+	e.work.Go(func() { e.newest.Run(e.ctx) })
 	e.work.Go(e.reportLoads)
 	e.work.Go(func() {
 		if err := e.serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -209,10 +210,10 @@
 // was evacuated while the entry was down.
 func (e *RoutedEntry) confirm() {
 	for e.ctx.Err() == nil {
-		confirmed, err := e.confirmNewest(e.ctx)
+		revision, err := e.highestRevision(e.ctx)
 		if err == nil {
 			e.mu.Lock()
-			document, ok := e.gate.Confirm(confirmed.Revision)
+			document, ok := e.gate.Confirm(revision)
 			e.queueDocument(document, ok)
 			e.mu.Unlock()
 			return
@@ -224,19 +225,15 @@
 	}
 }
 
-// confirmNewest asks a majority of the control group for the newest revision and the evacuated
-// availability zones, and applies the latter.
-func (e *RoutedEntry) confirmNewest(ctx context.Context) (control.Confirmed, error) {
+// highestRevision asks a majority of the control group for the highest accepted revision; the evacuated
+// availability zones come with the reply.
+func (e *RoutedEntry) highestRevision(ctx context.Context) (api.Revision, error) {
 	began := time.Now()
-	confirmed, err := e.client.Confirm(ctx)
-	if err != nil {
-		return confirmed, err
-	}
-	events.ConfigConfirmed.Log(e.ports.Log).Uint64("revision", uint64(confirmed.Revision)).Dur("took", time.Since(began)).Send()
-	if confirmed.Evacuated != nil {
-		e.onEvacuated(*confirmed.Evacuated)
+	revision, err := e.client.HighestRevision(ctx)
+	if err == nil {
+		events.ConfigConfirmed.Log(e.ports.Log).Uint64("revision", uint64(revision)).Dur("took", time.Since(began)).Send()
 	}
-	return confirmed, nil
+	return revision, err
 }
 
 // loadReportInterval is the maximum time between two reports of this entry's load: the
@@ -357,9 +354,8 @@
 		events.ConfigUnusable.Log(e.ports.Log).Err(err).Uint64("revision", uint64(revision)).Send()
 		return
 	}
-	// Before requests go by the table: those that it refuses look it up here.
-	e.newest.putInForce(revision, table)
 	e.live.Store(table)
+	e.newest.PutInForce(revision)
 	events.ConfigInForce.Log(e.ports.Log).Uint64("revision", uint64(revision)).Uint64("version", table.Config.Version).Send()
 }
 
--- a/node/relay/lookup.go
+++ b/node/relay/lookup.go
@@ -10,12 +10,12 @@
 	"almondseam.dev/core/routeconf"
 )
 
-// Newest finds the newest configuration, which may not be in force at this instance yet.
+// Newest tells whether the configuration in force is the newest.
 type Newest interface {
-	// Newest returns the configuration in force once a majority of the control group, asked not
-	// before since, has confirmed that none is newer. It returns false if ctx ends first. It may be
-	// called from several goroutines.
-	Newest(ctx context.Context, since time.Time) (*routeconf.Table, bool)
+	// Await waits until every configuration that was accepted before since is in force, or replaced
+	// by one that is, and a majority of the control group has confirmed that. It returns false if ctx
+	// ends first. It may be called from several goroutines.
+	Await(ctx context.Context, since time.Time) bool
 }
 
 const (
@@ -61,9 +61,9 @@
 	ctx, cancel := context.WithTimeout(req.httpRequest.Context(), wait)
 	defer cancel()
 	held, began := req.Version, time.Now()
-	reason := api.ReasonConfigUnconfirmed
-	table, ok := r.newest.Newest(ctx, req.Arrived.Add(-confirmationLifetime))
-	if ok {
+	table, reason := r.live.Load(), api.ReasonConfigUnconfirmed
+	if r.newest.Await(ctx, req.Arrived.Add(-confirmationLifetime)) {
+		table = r.live.Load()
 		reason = lookup(req, table)
 	}
 	r.obs.RefusalChecked(req, held, refused, reason, time.Since(began))
