Entries with agents refuse by the newest configuration too

Cause: the same as for routed traffic. An unknown key, model or service was refused by whatever configuration the entry held.

Change: such a request goes by the newest configuration, once a majority has confirmed it; without a reply it is refused as config_unconfirmed with Retry-After. The bounds are those of routed traffic, in core/rollout.

Evidence: TestUnknownNamesNeedTheNewestConfiguration; without the wait its three unconfirmed cases fail with 401 and 404 in place of 503.

--- a/core/rollout/freshness.go
+++ b/core/rollout/freshness.go
@@ -6,6 +6,20 @@
 	"almondseam.dev/core/api"
 )
 
+const (
+	// ConfirmationLifetime is how long before a request the control group may have been asked for the
+	// newest configuration by which the request is refused. It bounds how often the group is asked
+	// because of requests that match nothing, and is short against the time in which a change must be in
+	// force.
+	ConfirmationLifetime = 200 * time.Millisecond
+	// MaxConfirmationWait is how long a request waits for the control group. A reply takes a round trip
+	// to a majority; without a leader none comes before an election is over.
+	MaxConfirmationWait = 500 * time.Millisecond
+	// RetryUnconfirmed is the time after which a request that was refused without a reply of the group
+	// may be sent again: most elections are over by then.
+	RetryUnconfirmed = time.Second
+)
+
 // Freshness records until when a process knows that the configuration in force is the newest. It is
 // not safe for concurrent use.
 type Freshness struct {
--- a/node/callers/auth.go
+++ b/node/callers/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/fleetconfig"
@@ -9,13 +10,16 @@
 	"github.com/oklog/ulid/v2"
 )
 
-// callerInfo holds the request ID and the customer of a request, and the configuration
-// that was in force when the request arrived. The request uses this configuration until
-// it ends.
+// callerInfo holds the request ID and the customer of a request, and its configuration: the one
+// that was in force when the request arrived, or the newest if that one would refuse it. The request uses
+// this configuration until it ends.
 type callerInfo struct {
 	conf     *fleetconfig.Snapshot
 	customer *fleetconfig.Customer
 	id       api.RequestID
+	arrived  time.Time
+	key      string
+	server   *Server
 }
 
 const bearerPrefix = "Bearer "
@@ -24,7 +28,7 @@
 // the entry is draining, the connection exceeds the limit, no configuration is in force
 // or the API key is unknown. The returned callerInfo is never nil.
 func (s *Server) admit(c fiber.Ctx) (*callerInfo, *api.Error) {
-	caller := &callerInfo{id: api.RequestID(ulid.Make().String())}
+	caller := &callerInfo{id: api.RequestID(ulid.Make().String()), arrived: time.Now(), server: s}
 	c.Set(HeaderRequestID, string(caller.id))
 	c.Set(headerXRequestID, string(caller.id))
 	if s.draining.Load() {
@@ -42,11 +46,14 @@
 	if !ok {
 		return caller, refusal(api.StepAuth, api.ReasonUnauthenticated, "an API key is expected: Authorization: Bearer KEY")
 	}
-	caller.customer, ok = caller.conf.CustomerByKey(key)
-	if !ok {
-		return caller, refusal(api.StepAuth, api.ReasonUnauthenticated, "the API key is not known")
+	caller.key = strings.Clone(key)
+	if caller.findCustomer() == nil {
+		return caller, nil
+	}
+	if err := caller.useNewest(); err != nil {
+		return caller, err
 	}
-	return caller, nil
+	return caller, caller.findCustomer()
 }
 
 // customerID returns the customer, or "" if the request was not authenticated.
--- a/node/callers/parse.go
+++ b/node/callers/parse.go
@@ -123,14 +123,19 @@
 	}, nil
 }
 
+// findModel returns a model that the customer may use. The error for one that does not exist is the same
+// as for one that the customer may not use, so that a customer does not learn which models others use.
 func findModel(caller *callerInfo, id api.ModelID) (*fleetconfig.Model, *api.Error) {
-	m, ok := caller.conf.Model(id)
-	if !ok || !caller.customer.AllowsModel(id) {
-		// The error is the same in both cases, so that a customer does not learn
-		// which models other customers use.
-		return nil, refusal(api.StepParse, api.ReasonUnknownModel, fmt.Sprintf("the model %q does not exist", id))
+	if m, ok := caller.conf.Model(id); ok && caller.customer.AllowsModel(id) {
+		return m, nil
 	}
-	return m, nil
+	if err := caller.useNewest(); err != nil {
+		return nil, err
+	}
+	if m, ok := caller.conf.Model(id); ok && caller.customer.AllowsModel(id) {
+		return m, nil
+	}
+	return nil, refusal(api.StepParse, api.ReasonUnknownModel, fmt.Sprintf("the model %q does not exist", id))
 }
 
 // promptText returns the raw JSON of the prompt or the messages.
--- a/node/callers/plain.go
+++ b/node/callers/plain.go
@@ -66,9 +66,9 @@
 	// The service is looked up by the cleaned path, in which percent-encoded
 	// characters are not decoded. The service receives the original URL.
 	clean := path.Clean("/" + strings.Clone(c.Path()))
-	svc, ok := caller.conf.ServiceByPath(clean)
-	if !ok || !caller.customer.AllowsService(svc.ID) {
-		return nil, nil, refusal(api.StepParse, api.ReasonUnknownService, fmt.Sprintf("nothing is served at %s", clean))
+	svc, err := findService(caller, clean)
+	if err != nil {
+		return nil, nil, err
 	}
 	body := c.Body()
 	if len(body) > int(svc.MaxBody) {
@@ -86,6 +86,20 @@
 	return req, svc, nil
 }
 
+// findService returns the service at a path that the customer may use.
+func findService(caller *callerInfo, clean string) (*fleetconfig.Service, *api.Error) {
+	if svc, ok := caller.conf.ServiceByPath(clean); ok && caller.customer.AllowsService(svc.ID) {
+		return svc, nil
+	}
+	if err := caller.useNewest(); err != nil {
+		return nil, err
+	}
+	if svc, ok := caller.conf.ServiceByPath(clean); ok && caller.customer.AllowsService(svc.ID) {
+		return svc, nil
+	}
+	return nil, refusal(api.StepParse, api.ReasonUnknownService, fmt.Sprintf("nothing is served at %s", clean))
+}
+
 // requestHeaders returns the request headers to pass on to the service, and a header
 // with the customer ID. Headers that start with Almondseam- are dropped, so that a
 // caller cannot set the customer ID itself.
--- a/node/callers/server.go
+++ b/node/callers/server.go
@@ -98,6 +98,7 @@
 	cfg        Config
 	app        *fiber.App
 	live       *fleetconfig.Live
+	newest     Newest // nil if the configuration in force counts as the newest
 	entry      Dispatcher
 	limiter    Limiter
 	claimer    Claimer
--- a/node/callers/server_test.go
+++ b/node/callers/server_test.go
@@ -139,6 +139,7 @@
 	addr    string
 	agents  []*fakeAgent
 	limiter *fakeLimiter
+	server  *Server
 	stop    func()
 }
 
@@ -164,7 +165,7 @@
 	srv := New(cfg, Ports{Live: testLive(t, keepAlive), Entry: e, Limiter: f.limiter, Claimer: claimer})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	f.addr = ln.Addr().String()
+	f.addr, f.server = ln.Addr().String(), srv
 	work.Go(func() { _ = srv.Serve(ln) })
 	f.stop = sync.OnceFunc(func() {
 		c.Check(srv.Drain(context.Background()), qt.IsNil)
@@ -183,21 +184,22 @@
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
-	c  *qt.C
-	br *bufio.Reader
+	c   *qt.C
+	br  *bufio.Reader
+	key string
 }
 
 func (f *testServer) dial() *callerConn {
 	nc, err := net.Dial("tcp", f.addr)
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(func() { _ = nc.Close() })
-	return &callerConn{nc, f.c, bufio.NewReader(nc)}
+	return &callerConn{nc, f.c, bufio.NewReader(nc), deskKey}
 }
 
 // request sends a request and reads the head of its response. head holds additional
 // header lines.
 func (c *callerConn) request(method, path, body, head string) *http.Response {
-	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\n%sAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, path, head, deskKey, len(body), body)
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\n%sAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, path, head, c.key, len(body), body)
 	c.c.Assert(err, qt.IsNil)
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	c.c.Assert(err, qt.IsNil)
--- a/node/process/entrycontrol.go
+++ b/node/process/entrycontrol.go
@@ -41,6 +41,7 @@
 	set          ControlLinkSettings
 	client       *control.Client
 	conf         *rollout.Entry
+	newest       *rollout.Newest
 	hub          *rollout.Hub
 	live         *fleetconfig.Live
 	listTargets  func() []control.TargetReport
@@ -86,7 +87,8 @@
 	e.quarantine = crash.NewQuarantine(e.client, metrics.NewQuarantine(m))
 	obs := rollout.NewMetrics(m.Registry, log)
 	e.hub = rollout.NewHub(rollout.HubOptions{Source: e.client, Observer: obs})
-	e.conf = rollout.NewEntry(rollout.EntryOptions{Zone: set.Zone, Live: e.live, Source: e.client, Hub: e.hub, Observer: obs})
+	e.newest = rollout.NewNewest(e.client.HighestRevision)
+	e.conf = rollout.NewEntry(rollout.EntryOptions{Zone: set.Zone, Live: e.live, Source: e.client, Hub: e.hub, Newest: e.newest, Observer: obs})
 	return e
 }
 
@@ -117,6 +119,7 @@
 	to.entry.SetOrderer(to.ordersCtx, e.client, order.DefaultLimits().Lease)
 	e.setOrders = to.entry.SetOrders
 	to.entry.SetQuarantine(e.quarantine)
+	to.callers.SetNewest(e.newest)
 }
 
 // SetDrainHandler sets the function that receives the targets that operators drain.
@@ -164,6 +167,7 @@
 func (e *EntryControl) Start() {
 	e.work.Go(func() { e.client.Run(e.ctx) })
 	e.work.Go(func() { e.conf.Run(e.ctx) })
+	e.work.Go(func() { e.newest.Run(e.ctx) })
 }
 
 // Stop closes the connection to the control group. The entry must be drained first,
--- a/node/relay/lookup.go
+++ b/node/relay/lookup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/core/rollout"
 	"almondseam.dev/core/routeconf"
 )
 
@@ -18,19 +19,6 @@
 	Await(ctx context.Context, since time.Time) bool
 }
 
-const (
-	// confirmationLifetime is how long before a request the control group may have been asked for the
-	// newest configuration by which the request is refused. It bounds how often the group is asked
-	// because of requests that match nothing, and is short against the time in which a change must be in
-	// force.
-	confirmationLifetime = 200 * time.Millisecond
-	// maxConfirmationWait is how long a request waits for the control group. A reply takes a round trip
-	// to a majority; without a leader none comes before an election is over.
-	maxConfirmationWait = 500 * time.Millisecond
-	// retryUnconfirmed: most elections are over within a second.
-	retryUnconfirmed = time.Second
-)
-
 // find determines the route and the customer of a request, and returns the configuration that has them.
 // If the one in force lacks them, the request waits for the newest: a refusal by an old configuration
 // would be final for the caller, although a newer one, confirmed to the operator, allows the request. If
@@ -44,7 +32,7 @@
 	case "":
 		return table
 	case api.ReasonConfigUnconfirmed:
-		r.refuse(req, http.StatusServiceUnavailable, reason, retryUnconfirmed)
+		r.refuse(req, http.StatusServiceUnavailable, reason, rollout.RetryUnconfirmed)
 	default:
 		r.refuse(req, api.Reasons[reason].Status, reason, 0)
 	}
@@ -54,7 +42,7 @@
 // findInNewest looks a request up in the newest configuration. refused is the reason by which the one
 // in force refuses it.
 func (r *Relay) findInNewest(req *Request, refused api.Reason) (*routeconf.Table, api.Reason) {
-	wait := maxConfirmationWait
+	wait := rollout.MaxConfirmationWait
 	if p := req.Ask.Patience / patienceDivisor; p > 0 {
 		wait = min(wait, p)
 	}
@@ -62,7 +50,7 @@
 	defer cancel()
 	held, began := req.Version, time.Now()
 	table, reason := r.live.Load(), api.ReasonConfigUnconfirmed
-	if r.newest.Await(ctx, req.Arrived.Add(-confirmationLifetime)) {
+	if r.newest.Await(ctx, req.Arrived.Add(-rollout.ConfirmationLifetime)) {
 		table = r.live.Load()
 		reason = lookup(req, table)
 	}
--- a/node/rollout/entry.go
+++ b/node/rollout/entry.go
@@ -18,12 +18,14 @@
 	HighestRevision(ctx context.Context) (api.Revision, error)
 }
 
-// EntryOptions are the options of an Entry. Observer may be nil.
+// EntryOptions are the options of an Entry. Newest and Observer may be nil.
 type EntryOptions struct {
-	Zone     api.Zone
-	Live     *fleetconfig.Live
-	Source   Source
-	Hub      *Hub
+	Zone   api.Zone
+	Live   *fleetconfig.Live
+	Source Source
+	Hub    *Hub
+	// Newest is notified of the revisions in force.
+	Newest   *Newest
 	Observer Observer
 }
 
@@ -67,9 +69,14 @@
 func (e *Entry) handle(m rollout.Message) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r := e.app.step(m); r.Publish != nil {
-		e.opt.Hub.Publish(r.Publish)
+	r := e.app.step(m)
+	if r.Publish == nil {
+		return
+	}
+	if e.opt.Newest != nil {
+		e.opt.Newest.PutInForce(r.Publish.Revision)
 	}
+	e.opt.Hub.Publish(r.Publish)
 }
 
 // queryRetryDelay is the delay after a query that failed.
