Members tell their clients of every change of the group's membership

What callers saw: 404 for routes and 401 for keys that a confirmed configuration has, at one entry (or several) for good, while it says that it is ready; operators saw 503 at a healthy member.

Cause: a client finds the group by its seeds and by the addresses that its member sends with the statement about the leader. That was sent again only when something else that clients watch changed: the configuration, the leader, drains, limits. The membership alone woke nobody. Members that are replaced under one leader leave the entry with addresses that are gone; when that leader goes too, the entry dials them for ever, serves by its last configuration, and is found again only by a restart. Entries that link after the first successor has joined know it, so often just one is lost. The class: state that others depend on is passed on only beside other state.

Change: the watchers are woken when the published membership differs, on all members, at the moment at which it takes effect.

Evidence: TestMembershipReachesWatchers failed 3 of 3 before, passes 20 of 20.

--- a/node/control/member.go
+++ b/node/control/member.go
@@ -325,14 +325,21 @@
 }
 
 // publish stores the status of the consensus node for readers, and passes the
-// group's membership to the transport if it has changed.
+// group's membership to the transport and to the watchers if it has changed.
+//
+// Clients find the group only by the addresses that members send them. One that missed
+// the replacement of every member it knew could not reach the group any more.
 func (m *Member) publish() {
 	st := m.node.Status()
 	m.status.Store(&st)
-	if !sameMembers(m.members, st.Membership) {
-		m.members = st.Membership
-		m.opt.Transport.Members(st.Membership)
+	if sameMembers(m.members, st.Membership) {
+		return
 	}
+	m.members = st.Membership
+	m.opt.Transport.Members(st.Membership)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wakeWatchers()
 }
 
 // stop fails all waiting calls and all calls that are still queued.
