A process that reaches no control member reads its seeds again

Cause: seeds were read at the start only. A process without a link hears of no member that comes, and all that it knows are gone when it can connect again. The comment at the signal that reports changed settings said that the group supplies better addresses, which is not so without a link.

Change: before a dial, when every known address has failed of late, the client reads the seeds from the settings again, entries and the members' forwarding alike. Events 510 and 511. Nothing is polled while a member is reached.

TestClientReadsSeedsAgain does not end without it. go test -race ./node/control ./node/process ./node/events passes.

--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -159,14 +159,15 @@
 	observer := metrics.NewRelay(r.metrics)
 	pool := upstream.NewPool(observer)
 	entry := process.NewRoutedEntry(process.RoutedEntrySettings{
-		Instance: r.set.Instance,
-		Zone:     r.set.Zone,
-		Regions:  r.set.Regions,
-		Key:      []byte(r.command.key),
-		Callers:  ln,
-		Seeds:    r.set.SeedLinks(),
-		Retries:  retryLimits(r.set.Bounds),
-		Grace:    r.set.Bounds.Grace,
+		Instance:  r.set.Instance,
+		Zone:      r.set.Zone,
+		Regions:   r.set.Regions,
+		Key:       []byte(r.command.key),
+		Callers:   ln,
+		Seeds:     r.set.SeedLinks(),
+		ReadSeeds: r.readSeeds,
+		Retries:   retryLimits(r.set.Bounds),
+		Grace:     r.set.Bounds.Grace,
 
 		MemoryLimit: memoryLimit(r.set),
 	}, process.RoutedEntryPorts{
@@ -183,6 +184,17 @@
 	return r.serve("ready", r.set.Ready, platform.ReadyApp(entry.Ready))
 }
 
+// readSeeds returns the addresses of control members that the settings file names now, nil if it cannot be
+// read.
+func (r *routed) readSeeds() []string {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		events.SettingsUnreadable.Log(r.log).Err(err).Send()
+		return nil
+	}
+	return set.SeedLinks()
+}
+
 func retryLimits(b platform.Bounds) retrybudget.Limits {
 	return retrybudget.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
@@ -196,6 +208,7 @@
 		Links:         r.set.LinkAddress(r.set.Host),
 		Listen:        r.set.LinkAddress(cmp.Or(r.command.linksListen, r.set.Host)),
 		Seeds:         r.set.SeedLinks(),
+		ReadSeeds:     r.readSeeds,
 		Founding:      r.set.Founding,
 		AnnounceEvery: r.set.AnnounceEvery,
 		Regions:       r.set.Regions,
@@ -212,8 +225,8 @@
 
 // wait blocks until SIGTERM or SIGINT, then stops the process and returns its exit code.
 // SIGHUP, which reports a changed settings file, is only logged: of the settings only the
-// seeds change while a process runs, and the control group itself supplies more accurate
-// addresses.
+// seeds change while a process runs. The control group itself supplies more accurate
+// addresses, and a process that has lost it reads the file again.
 func (r *routed) wait() int {
 	sig := make(chan os.Signal, 2)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -26,6 +26,7 @@
 // nextAddress returns the address to dial next: the leader's if a member has named
 // it, otherwise a random known address.
 func (c *Client) nextAddress() string {
+	c.updateSeeds(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if addr := c.nextAddr; addr != "" {
@@ -41,18 +42,50 @@
 // and addresses that failed less than failedAddressPause ago, as long as others are known:
 // several members may be partitioned at once, and a dial to each of them takes long.
 func (c *Client) chooseAddress(now time.Time) string {
-	known := slices.Concat(c.opt.Seeds, c.members)
-	known = slices.DeleteFunc(known, func(a string) bool { return a == c.opt.AvoidAddr })
-	healthy := slices.DeleteFunc(slices.Clone(known), func(a string) bool {
-		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
-	})
+	known := c.knownAddresses()
+	healthy := c.healthyAddresses(now)
 	switch {
 	case len(healthy) > 0:
 		return healthy[rand.IntN(len(healthy))]
 	case len(known) > 0:
 		return known[rand.IntN(len(known))]
 	}
-	return c.opt.Seeds[rand.IntN(len(c.opt.Seeds))]
+	return c.seeds[rand.IntN(len(c.seeds))]
+}
+
+// knownAddresses returns the addresses that may be dialled. c.mu must be held.
+func (c *Client) knownAddresses() []string {
+	known := slices.Concat(c.seeds, c.members)
+	return slices.DeleteFunc(known, func(a string) bool { return a == c.opt.AvoidAddr })
+}
+
+// healthyAddresses returns the known addresses without the one that was dialled last and those that
+// failed of late. c.mu must be held.
+func (c *Client) healthyAddresses(now time.Time) []string {
+	return slices.DeleteFunc(c.knownAddresses(), func(a string) bool {
+		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
+	})
+}
+
+// updateSeeds reads the seeds again if no known address is healthy: all members may have been replaced
+// while this process had no link to any, and then only its settings name the present ones.
+func (c *Client) updateSeeds(now time.Time) {
+	c.mu.Lock()
+	lost := c.nextAddr == "" && len(c.healthyAddresses(now)) == 0
+	c.mu.Unlock()
+	if !lost || c.opt.ReadSeeds == nil {
+		return
+	}
+	seeds := c.opt.ReadSeeds()
+	c.mu.Lock()
+	changed := len(seeds) > 0 && !slices.Equal(seeds, c.seeds)
+	if changed {
+		c.seeds = slices.Clone(seeds)
+	}
+	c.mu.Unlock()
+	if changed {
+		c.opt.Observer.SeedsChanged(seeds)
+	}
 }
 
 // markFailed records that a dial to the address failed, that its link went silent
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -31,6 +31,7 @@
 	left     chan struct{}
 	nextAddr string   // address to dial next, empty for any known one
 	lastAddr string   // address dialled last
+	seeds    []string // ClientOptions.Seeds, or what ReadSeeds returned last
 	members  []string // addresses of the group, as told by a member
 	// failedAt is the time at which each address last failed.
 	failedAt map[string]time.Time
@@ -64,7 +65,7 @@
 func NewClient(opt ClientOptions) *Client {
 	opt = opt.withDefaults()
 	return &Client{
-		opt: opt, up: make(chan struct{}), waiting: make(map[uint64]waitingAttempt), failedAt: make(map[string]time.Time),
+		opt: opt, seeds: opt.Seeds, up: make(chan struct{}), waiting: make(map[uint64]waitingAttempt), failedAt: make(map[string]time.Time),
 		patience: link.NewDialer(minDialTimeout, maxClientDialTimeout),
 	}
 }
--- a/node/control/client_observer.go
+++ b/node/control/client_observer.go
@@ -13,6 +13,8 @@
 	// DialFailed is called for the first of several consecutive failures only,
 	// because a client retries several times a second. It is called on one goroutine.
 	DialFailed(addr string, err error)
+	// SeedsChanged is called with the seeds that ReadSeeds returned, if they differ from the last ones.
+	SeedsChanged(addrs []string)
 	// AttemptLost is called when an attempt of a call got no reply after a time, so that its effect
 	// is unknown. It may be called from several goroutines.
 	AttemptLost(member, why string, after time.Duration)
@@ -29,6 +31,8 @@
 
 func (noClientObserver) AttemptLost(string, string, time.Duration) {}
 
+func (noClientObserver) SeedsChanged([]string) {}
+
 func (noClientObserver) LeaderStated(string, Leader) {}
 
 func (noClientObserver) ConfigReceived(string, api.Revision, api.Revision) {}
--- a/node/control/client_options.go
+++ b/node/control/client_options.go
@@ -15,6 +15,9 @@
 	// Seeds are addresses of control members, host:port. The client learns the
 	// others from the members.
 	Seeds []string
+	// ReadSeeds returns the seeds as they are set now, empty if that is unknown. It is called before a
+	// dial if all known addresses have failed, and may read a file. It may be nil.
+	ReadSeeds func() []string
 	// AvoidAddr is an address that is dialled only if no other is known.
 	AvoidAddr string
 	Link      link.Options
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -67,6 +67,8 @@
 	// Seeds are link addresses of members, Self is this member's own.
 	Seeds []string
 	Self  string
+	// ReadSeeds returns the seeds as they are set now; see ClientOptions. It may be nil.
+	ReadSeeds func() []string
 }
 
 // Role is a running control role.
@@ -151,7 +153,7 @@
 		return
 	}
 	r.executor = &executor{member: r.member, forward: NewClient(ClientOptions{
-		Seeds: s.forwardSeeds(), AvoidAddr: s.ownAddr(), Link: opt, Observer: s.ClientObserver,
+		Seeds: s.forwardSeeds(), ReadSeeds: s.readSeeds(), AvoidAddr: s.ownAddr(), Link: opt, Observer: s.ClientObserver,
 	})}
 	r.wg.Go(func() { r.executor.forward.Run(ctx) })
 	if s.Join != nil {
@@ -177,6 +179,15 @@
 	return others
 }
 
+// readSeeds returns ClientOptions.ReadSeeds for the client that forwards requests. AvoidAddr keeps it from
+// this member's own address.
+func (s *Settings) readSeeds() func() []string {
+	if s.Join == nil {
+		return nil
+	}
+	return s.Join.ReadSeeds
+}
+
 func (s *Settings) ownAddr() string {
 	if s.Join == nil {
 		return ""
--- /dev/null
+++ b/node/control/seeds_test.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"almondseam.dev/core/api"
+	"almondseam.dev/node/link"
+	"almondseam.dev/node/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// TestClientReadsSeedsAgain guards against a process that never finds its control group again, because all
+// members were replaced while it had no link to any.
+func TestClientReadsSeedsAgain(t *testing.T) {
+	c := qt.New(t)
+	present := serveScript(t, func(conn *link.Conn, m wire.Message) {
+		if _, ok := m.(*Watch); ok {
+			_ = conn.Send(&Update{Revision: 3, Document: []byte("three")})
+		}
+	})
+	reads := 0
+	revisions := make(chan api.Revision, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	client := NewClient(ClientOptions{
+		Seeds: []string{closedAddress(c)}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "entry", Role: link.RoleEntry}, nil),
+		ReadSeeds: func() []string {
+			reads++
+			if reads == 1 {
+				return nil // the settings cannot be read at the moment
+			}
+			return []string{present}
+		},
+		OnConfig: func(r api.Revision, _ []byte) { revisions <- r },
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		client.Run(ctx)
+	}()
+	c.Assert(<-revisions, qt.Equals, api.Revision(3))
+	cancel()
+	<-ended
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(c *qt.C) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -92,6 +92,8 @@
 	ControlAttemptLost   = Event{507, zerolog.InfoLevel, "an attempt of a call at a control member got no reply", "None, unless it recurs: why=timeout says that the member is slow, silence that it is cut off, local that this process left it."}
 	ControlLeaderStated  = Event{508, zerolog.InfoLevel, "a control member stated which member leads the group", "None, unless members name different leaders for longer than an election: see the links between them."}
 	ControlRestored      = Event{509, zerolog.InfoLevel, "control member restored its state from the data directory", "None; no term and no entries mean that the directory was empty."}
+	ControlSeedsChanged  = Event{510, zerolog.InfoLevel, "no known control member was reached, and the settings name other ones now", "None."}
+	SettingsUnreadable   = Event{511, zerolog.WarnLevel, "the settings could not be read again for the addresses of control members", "See the error field, and whether the settings file is there."}
 	ConfigInForce        = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable       = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict       = Event{602, zerolog.ErrorLevel, "received different content for the revision already held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -114,7 +116,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp, RunConfirmed, ConnectionsClosed, ProcessorBusy, ThreadsAdapted, RefusalChecked,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported, TargetOut, TargetTrial, TargetReturning,
-		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost, ControlLeaderStated, ControlRestored,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost, ControlLeaderStated, ControlRestored, ControlSeedsChanged, SettingsUnreadable,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut, ConfigReceived, ConfigApplied, ConfigRead, ConfigConfirmed,
 	}
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -161,6 +161,11 @@
 	events.ControlAttemptLost.Log(s.log).Str("peer", member).Str("why", why).Dur("after", after).Send()
 }
 
+// SeedsChanged implements control.ClientObserver.
+func (s *Set) SeedsChanged(addrs []string) {
+	events.ControlSeedsChanged.Log(s.log).Strs("addresses", addrs).Send()
+}
+
 // LeaderStated implements control.ClientObserver.
 func (s *Set) LeaderStated(member string, m control.Leader) {
 	events.ControlLeaderStated.Log(s.log).Str("peer", member).Bool("self", m.Self).Str("leader", m.Addr).
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -40,6 +40,8 @@
 	// finds its group by.
 	Links string
 	Seeds []string
+	// ReadSeeds returns the seeds as they are set now; see control.ClientOptions. It may be nil.
+	ReadSeeds func() []string
 	// Listen is the address on which the member listens for links; empty for Links.
 	Listen string
 	// Founding is set when the whole system starts for the first time: the seeds
@@ -168,7 +170,7 @@
 		ClientObserver: c.clientObserver,
 		Limits:         routedLimits(),
 		Retries:        c.set.Retries,
-		Join:           &control.Join{Seeds: c.set.Seeds, Self: c.set.Links},
+		Join:           &control.Join{Seeds: c.set.Seeds, ReadSeeds: c.set.ReadSeeds, Self: c.set.Links},
 		Registry:       c.registry,
 		Origins:        c.origins,
 		Silence:        routedLinkTimeout,
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -42,6 +42,8 @@
 	Callers net.Listener
 	// Seeds are the link addresses of control members.
 	Seeds []string
+	// ReadSeeds returns the seeds as they are set now; see control.ClientOptions. It may be nil.
+	ReadSeeds func() []string
 	// Retries limits the retries of all entries together.
 	Retries retrybudget.Limits
 	// Grace is the total time that Stop may take.
@@ -151,6 +153,7 @@
 	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{Registry: e.registry, Link: opt, OnLoads: e.onLoads, Origins: e.origins})
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:     set.Seeds,
+		ReadSeeds: set.ReadSeeds,
 		Link:      opt,
 		OnConfig:  e.onConfig,
 		OnMembers: e.follower.Follow,
