Tests of other packages can use the file system that loses unsynced data

The file system in memory of the tests of node/durable moves to its own package, so that histories of whole control members can run on it. durable.File is an alias now, because memfs would otherwise import the package that its tests import. No behaviour changes.

`go test ./node/durable/...` passes.

--- a/node/durable/fs.go
+++ b/node/durable/fs.go
@@ -49,8 +49,9 @@
 	SyncDir(dir string) error
 }
 
-// File is a file open for sequential writing.
-type File interface {
+// File is a file open for sequential writing. It is an alias so that an implementation of FS
+// need not import this package.
+type File = interface {
 	io.Writer
 	Sync() error
 	Close() error
--- a/node/durable/store_test.go
+++ b/node/durable/store_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"almondseam.dev/core/consensus"
+	"almondseam.dev/node/durable/memfs"
 )
 
 const (
@@ -160,8 +161,8 @@
 	recoveries := 0
 	for seed := uint64(1); seed <= 6; seed++ {
 		for failAt := 1; ; failAt++ {
-			m := newMemFS()
-			m.failAt = failAt
+			m := memfs.New()
+			m.FailAt = failAt
 			rng := rand.New(rand.NewPCG(seed, 2))
 			var confirmed, next model
 			s, _, err := open(m, testDir, testSegmentBytes)
@@ -171,14 +172,14 @@
 			if err == nil {
 				break // the run has fewer than failAt operations
 			}
-			if !errors.Is(err, errCrash) {
-				t.Fatalf("seed %d, crash at %d (%s): %v", seed, failAt, m.log[failAt-1], err)
+			if !errors.Is(err, memfs.ErrCrash) {
+				t.Fatalf("seed %d, crash at %d (%s): %v", seed, failAt, m.Log[failAt-1], err)
 			}
-			for outcome, keep := range powerLossOutcomes(rand.New(rand.NewPCG(seed, uint64(failAt)))) {
-				recoverAndCrashAgain(t, m.afterPowerLoss(keep), confirmed, next, fmt.Sprintf("seed %d, crash at %d (%s), outcome %d", seed, failAt, m.log[failAt-1], outcome))
+			for outcome, keep := range memfs.PowerLossOutcomes(rand.New(rand.NewPCG(seed, uint64(failAt)))) {
+				recoverAndCrashAgain(t, m.AfterPowerLoss(keep), confirmed, next, fmt.Sprintf("seed %d, crash at %d (%s), outcome %d", seed, failAt, m.Log[failAt-1], outcome))
 				recoveries++
 			}
-			recoverAndCrashAgain(t, m.afterKill(), confirmed, next, fmt.Sprintf("seed %d, killed at %d", seed, failAt))
+			recoverAndCrashAgain(t, m.AfterKill(), confirmed, next, fmt.Sprintf("seed %d, killed at %d", seed, failAt))
 		}
 	}
 	if recoveries < 4000 {
@@ -186,10 +187,10 @@
 	}
 }
 
-func recoverAndCrashAgain(t *testing.T, m *memFS, confirmed, next model, label string) {
+func recoverAndCrashAgain(t *testing.T, m *memfs.FS, confirmed, next model, label string) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(uint64(len(label)), 5))
-	m.failAt = 1 + rng.IntN(25)
+	m.FailAt = 1 + rng.IntN(25)
 	s, got, err := open(m, testDir, testSegmentBytes)
 	if err == nil {
 		if err := checkRecovered(got, confirmed, next); err != nil {
@@ -198,15 +199,15 @@
 		confirmed = model{got, got.HardState.Commit}
 		confirmed, next, err = runRandomOps(s, rng, confirmed, 10)
 	}
-	if err != nil && !errors.Is(err, errCrash) {
+	if err != nil && !errors.Is(err, memfs.ErrCrash) {
 		t.Fatalf("%s: recovery: %v", label, err)
 	}
-	_, got, err = open(m.afterPowerLoss(powerLossOutcomes(rng)[rng.IntN(6)]), testDir, testSegmentBytes)
+	_, got, err = open(m.AfterPowerLoss(memfs.PowerLossOutcomes(rng)[rng.IntN(6)]), testDir, testSegmentBytes)
 	if err == nil {
 		err = checkRecovered(got, confirmed, next)
 	}
 	if err != nil {
-		t.Fatalf("%s, second crash at %d: %v", label, m.failAt, err)
+		t.Fatalf("%s, second crash at %d: %v", label, m.FailAt, err)
 	}
 }
 
@@ -215,34 +216,34 @@
 // sync loses the data that it should have made durable.
 func TestFailedWriteStopsForGood(t *testing.T) {
 	for failAt := 1; ; failAt++ {
-		m := newMemFS()
-		m.failAt, m.mode = failAt, failOnce
+		m := memfs.New()
+		m.FailAt, m.Mode = failAt, memfs.FailOnce
 		rng := rand.New(rand.NewPCG(3, 3))
 		var confirmed, next model
 		s, _, err := open(m, testDir, testSegmentBytes)
 		if err == nil {
 			confirmed, next, err = runRandomOps(s, rng, model{}, 40)
 		}
-		if m.ops < failAt {
+		if m.Ops < failAt {
 			return
 		}
-		if !errors.Is(err, errDisk) {
-			t.Fatalf("failure at %d (%s): %v", failAt, m.log[failAt-1], err)
+		if !errors.Is(err, memfs.ErrDisk) {
+			t.Fatalf("failure at %d (%s): %v", failAt, m.Log[failAt-1], err)
 		}
-		_, got, err := open(m.afterPowerLoss(func() float64 { return 0 }), testDir, testSegmentBytes)
+		_, got, err := open(m.AfterPowerLoss(func() float64 { return 0 }), testDir, testSegmentBytes)
 		if err == nil {
 			err = checkRecovered(got, confirmed, next)
 		}
 		if err != nil {
-			t.Fatalf("failure at %d (%s): %v", failAt, m.log[failAt-1], err)
+			t.Fatalf("failure at %d (%s): %v", failAt, m.Log[failAt-1], err)
 		}
 	}
 }
 
 // intactDir returns a directory with several segments, a snapshot and a newest segment
 // of several frames, all durable.
-func intactDir(t *testing.T) (*memFS, model) {
-	m := newMemFS()
+func intactDir(t *testing.T) (*memfs.FS, model) {
+	m := memfs.New()
 	s, _, err := open(m, testDir, testSegmentBytes)
 	if err != nil {
 		t.Fatal(err)
@@ -254,7 +255,7 @@
 	if err := s.sync(); err != nil || len(s.segments) < 3 || s.snapshotIndex == 0 {
 		t.Fatalf("%d segments, snapshot %d, %v", len(s.segments), s.snapshotIndex, err)
 	}
-	return m.afterPowerLoss(func() float64 { return 1 }), confirmed
+	return m.AfterPowerLoss(func() float64 { return 1 }), confirmed
 }
 
 // One bit is flipped, in each byte of each file in turn. Open must either return
@@ -263,11 +264,11 @@
 func TestEveryByteIsGuarded(t *testing.T) {
 	m, want := intactDir(t)
 	cut := 0
-	for name, n := range m.visible {
-		for at := range n.visible {
-			n.visible[at] ^= 0x40
-			copied := m.copyVisible()
-			n.visible[at] ^= 0x40
+	for name, n := range m.Visible {
+		for at := range n.Visible {
+			n.Visible[at] ^= 0x40
+			copied := copyVisible(m)
+			n.Visible[at] ^= 0x40
 			_, got, err := open(copied, testDir, testSegmentBytes)
 			var e *Error
 			switch {
@@ -282,17 +283,17 @@
 	qt.Assert(t, cut > 0, qt.IsTrue)
 }
 
-func (m *memFS) copyVisible() *memFS {
-	out := newMemFS()
-	for name, n := range m.visible {
-		out.visible[name] = &inode{visible: slices.Clone(n.visible), durable: slices.Clone(n.visible)}
-		out.durable[name] = out.visible[name]
+func copyVisible(m *memfs.FS) *memfs.FS {
+	out := memfs.New()
+	for name, n := range m.Visible {
+		out.Visible[name] = &memfs.Inode{Visible: slices.Clone(n.Visible), Durable: slices.Clone(n.Visible)}
+		out.Durable[name] = out.Visible[name]
 	}
 	return out
 }
 
-func isNewestSegment(m *memFS, name string) bool {
-	for other := range m.visible {
+func isNewestSegment(m *memfs.FS, name string) bool {
+	for other := range m.Visible {
 		if strings.HasSuffix(other, segmentSuffix) && other > name {
 			return false
 		}
@@ -300,9 +301,9 @@
 	return strings.HasSuffix(name, segmentSuffix)
 }
 
-func lastFrameOffset(m *memFS, name string) int {
+func lastFrameOffset(m *memfs.FS, name string) int {
 	seq, _ := parseName(filepath.Base(name), segmentPrefix, segmentSuffix)
-	b, last := m.visible[name].visible, uint64(0)
+	b, last := m.Visible[name].Visible, uint64(0)
 	for at := uint64(0); at < uint64(len(b)); {
 		f, _ := readFrame(b, seq, at)
 		last, at = at, at+f.size
@@ -314,13 +315,13 @@
 // would have lost votes or entries.
 func TestMissingFiles(t *testing.T) {
 	m, _ := intactDir(t)
-	for name := range m.visible {
+	for name := range m.Visible {
 		if isNewestSegment(m, name) {
 			continue // no other file records that it existed
 		}
 		t.Run(filepath.Base(name), func(t *testing.T) {
-			copied := m.copyVisible()
-			delete(copied.visible, name)
+			copied := copyVisible(m)
+			delete(copied.Visible, name)
 			_, _, err := open(copied, testDir, testSegmentBytes)
 			qt.Assert(t, errors.Is(err, ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
 		})
@@ -332,15 +333,15 @@
 // newest segment may end in a torn tail.
 func TestShortenedSegments(t *testing.T) {
 	m, _ := intactDir(t)
-	for name, n := range m.visible {
+	for name, n := range m.Visible {
 		if !strings.HasSuffix(name, segmentSuffix) || isNewestSegment(m, name) {
 			continue
 		}
-		for size := range n.visible {
-			copied := m.copyVisible()
-			copied.visible[name].visible = copied.visible[name].visible[:size]
+		for size := range n.Visible {
+			copied := copyVisible(m)
+			copied.Visible[name].Visible = copied.Visible[name].Visible[:size]
 			if _, _, err := open(copied, testDir, testSegmentBytes); !errors.Is(err, ErrDamaged) {
-				t.Fatalf("%s cut to %d of %d: %v", name, size, len(n.visible), err)
+				t.Fatalf("%s cut to %d of %d: %v", name, size, len(n.Visible), err)
 			}
 		}
 	}
@@ -350,9 +351,9 @@
 // as that of a member that has not voted.
 func TestIdentityWithoutLog(t *testing.T) {
 	m, _ := intactDir(t)
-	for name := range m.visible {
+	for name := range m.Visible {
 		if filepath.Base(name) != identityFileName {
-			delete(m.visible, name)
+			delete(m.Visible, name)
 		}
 	}
 	_, _, err := open(m, testDir, testSegmentBytes)
@@ -363,14 +364,14 @@
 // commit index is higher; resetting the log to the snapshot would lose entries.
 func TestForeignSnapshot(t *testing.T) {
 	c := qt.New(t)
-	m := newMemFS()
+	m := memfs.New()
 	s, _, err := open(m, testDir, testSegmentBytes)
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Save(&consensus.HardState{Term: 1, Commit: 5}, benchEntries(1, 6), true), qt.IsNil)
 	c.Assert(s.Close(), qt.IsNil)
 	payload, _ := consensus.Encode(snapshotFile{Version: formatVersion, Snapshot: consensus.Snapshot{Index: 3, Term: 7}})
 	name := filepath.Join(testDir, snapshotName(3))
-	m.visible[name] = &inode{visible: appendFrame(nil, 3, 0, 0, payload)}
+	m.Visible[name] = &memfs.Inode{Visible: appendFrame(nil, 3, 0, 0, payload)}
 	_, _, err = open(m, testDir, testSegmentBytes)
 	c.Assert(errors.Is(err, ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
 }
@@ -394,12 +395,12 @@
 // far as its content can be decoded.
 func TestNewerFormatRefused(t *testing.T) {
 	c := qt.New(t)
-	m := newMemFS()
+	m := memfs.New()
 	s, _, err := open(m, testDir, testSegmentBytes)
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.rotate(header{}), qt.IsNil)
 	payload, _ := consensus.Encode(header{Version: formatVersion + 1, Seq: 2})
-	m.visible[filepath.Join(testDir, segmentName(2))].visible = appendFrame(nil, 2, 0, 0, payload)
+	m.Visible[filepath.Join(testDir, segmentName(2))].Visible = appendFrame(nil, 2, 0, 0, payload)
 	c.Assert(s.Close(), qt.IsNil)
 	_, _, err = open(m, testDir, testSegmentBytes)
 	c.Assert(errors.Is(err, ErrVersion), qt.IsTrue)
@@ -460,11 +461,11 @@
 	good, _ := consensus.Encode(snapshotFile{Version: formatVersion, Snapshot: consensus.Snapshot{Index: 7, Term: 2, Data: []byte("x")}})
 	f.Add(good, true)
 	f.Fuzz(func(t *testing.T, payload []byte, framed bool) {
-		m := newMemFS()
+		m := memfs.New()
 		if framed {
 			payload = appendFrame(nil, 7, 0, 0, payload)
 		}
-		m.visible[filepath.Join(testDir, snapshotName(7))] = &inode{visible: payload}
+		m.Visible[filepath.Join(testDir, snapshotName(7))] = &memfs.Inode{Visible: payload}
 		s := &Store{fs: m, dir: testDir}
 		got, err := s.readSnapshot(dirContents{snapshots: []uint64{7}})
 		var e *Error
