--- a/node/control/role.go
+++ b/node/control/role.go
@@ -60,6 +60,8 @@
 	Origins *origins.Keeper
 	// Silence is the silence timeout of the links, zero for the default.
 	Silence time.Duration
+	// NetDial is link.Options.NetDial.
+	NetDial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Join holds the addresses by which a member finds its group.
@@ -100,7 +102,7 @@
 	r := &Role{cancel: cancel, ended: make(chan struct{})}
 	self := link.Peer{Instance: s.Instance, Zone: s.Zone, Role: link.RoleControl, Start: uint64(s.ID)}
 	opt := LinkOptions(s.Key, self, s.LinkObserver)
-	opt.Silence = s.Silence
+	opt.Silence, opt.NetDial = s.Silence, s.NetDial
 	r.links = NewLinks(ctx, s.ID, opt, func(m consensus.Message) { r.member.Receive(m) })
 	var err error
 	r.member, err = NewMember(Options{
--- a/node/link/dial.go
+++ b/node/link/dial.go
@@ -23,6 +23,7 @@
 		HandshakeTimeout: handshakeTimeout,
 		ReadBufferSize:   bufferSize,
 		WriteBufferSize:  bufferSize,
+		NetDialContext:   opt.NetDial,
 	}
 	ws, resp, err := d.DialContext(ctx, "ws://"+addr+path, http.Header{})
 	if err != nil {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -79,6 +79,8 @@
 	// Observer is notified of links that are established, closed or rejected in
 	// the handshake. It may be nil.
 	Observer Observer
+	// NetDial opens the connection for a link; nil for TCP.
+	NetDial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Observer receives the events of links. For every link whose handshake has
