Entries that have just started ask members again as links to them open

Callers whose streams broke off when all entries were killed at once were refused (503, origin_unknown) by entries that had just started, although members knew the streams and their software version served. Cause: Find asked the members that it had a link to, twice within 60 ms, and took their answer for that of all, while new requests waited up to 1.2 s for targets. Now, as long as the entry has not opened a link to each member and for the same 1.2 s after its start, it asks again when a link opens; it refuses at once later, and where a member knows the stream.

In the histories a report in transit is lost with its entry or member now, and an entry gets announcements only once it has the list of targets.

--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -19,6 +19,9 @@
 	copies = 3
 	// askTimeout bounds a question. Members answer from memory.
 	askTimeout = 400 * time.Millisecond
+	// linkWait is the time from the start on in which links to members may still be opened for the first
+	// time. Until then, a stream that no linked member knows may be known to another one.
+	linkWait = 1200 * time.Millisecond
 	// askAgain is the delay after which members that do not know a stream are asked once more: the
 	// report of it may be in transit.
 	askAgain = 60 * time.Millisecond
@@ -55,6 +58,11 @@
 type Client struct {
 	mu      sync.Mutex
 	members map[string]Sender
+	// unlinked holds the members to which no link has been opened yet, and joined is closed when one is.
+	unlinked map[string]struct{}
+	joined   chan struct{}
+	// started is when the members were stated first.
+	started time.Time
 	own     map[origin.Key]*ownStream
 	// sweepAt is the number of own streams from which on those that have expired are deleted.
 	sweepAt int
@@ -86,7 +94,7 @@
 // NewClient returns a Client without members.
 func NewClient() *Client {
 	return &Client{
-		members: make(map[string]Sender), own: make(map[origin.Key]*ownStream), sweepAt: minSweep,
+		members: make(map[string]Sender), joined: make(chan struct{}), own: make(map[origin.Key]*ownStream), sweepAt: minSweep,
 		asks: make(map[uint64]*ask),
 	}
 }
@@ -98,6 +106,21 @@
 	sweepInterval = time.Second
 )
 
+// Members states the addresses of all members, to which links are opened.
+func (c *Client) Members(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.started.IsZero() {
+		c.started = time.Now()
+	}
+	c.unlinked = make(map[string]struct{})
+	for _, addr := range addrs {
+		if c.members[addr] == nil {
+			c.unlinked[addr] = struct{}{}
+		}
+	}
+}
+
 // Joined adds a member that keeps origins, or replaces the link to it. The streams of
 // which the member is to keep a copy are reported to it.
 func (c *Client) Joined(addr string, s Sender) {
@@ -105,6 +128,9 @@
 	defer c.mu.Unlock()
 	c.forget(addr)
 	c.members[addr] = s
+	delete(c.unlinked, addr)
+	close(c.joined)
+	c.joined = make(chan struct{})
 	c.reportAgain()
 }
 
@@ -225,29 +251,71 @@
 }
 
 // Find returns the origin of a stream, and from where it is known. It asks all members if this entry
-// does not know the stream itself.
+// does not know the stream itself. After the start it waits, within ctx, for the members to which no
+// link has been opened yet, unless another one knows the stream.
 func (c *Client) Find(ctx context.Context, k origin.Key) (o origin.Origin, source string, err error) {
 	if o, ok := c.findOwn(k); ok {
 		return known(o, SourceOwn)
 	}
+	for {
+		joined, wait := c.nextLink()
+		o, found, err := c.findAtMembers(ctx, k)
+		if found {
+			return known(o, SourceMember)
+		}
+		if !waitFor(ctx, joined, wait) {
+			return origin.Origin{}, SourceMember, err
+		}
+	}
+}
+
+// nextLink returns a channel that is closed when a link to a member is opened, and for how long that is
+// worth waiting for.
+func (c *Client) nextLink() (joined <-chan struct{}, wait time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unlinked) == 0 {
+		return c.joined, time.Time{}
+	}
+	return c.joined, c.started.Add(linkWait)
+}
+
+// waitFor waits until c is closed. It returns false if that has not happened by the time until, or when
+// ctx ends.
+func waitFor(ctx context.Context, c <-chan struct{}, until time.Time) bool {
+	if until.IsZero() {
+		return false
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-c:
+		return ctx.Err() == nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// findAtMembers asks the members to which a link is open, up to two times.
+func (c *Client) findAtMembers(ctx context.Context, k origin.Key) (o origin.Origin, found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	err = ErrUnanswered
 	for range 2 {
-		var found []origin.Origin
-		found, err = c.askMembers(ctx, k)
-		if len(found) > 0 {
-			return known(found[0], SourceMember)
+		var answers []origin.Origin
+		answers, err = c.askMembers(ctx, k)
+		if len(answers) > 0 {
+			return answers[0], true, nil
 		}
 		timer := time.NewTimer(askAgain)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return origin.Origin{}, SourceMember, err
+			return origin.Origin{}, false, err
 		}
 	}
-	return origin.Origin{}, SourceMember, err
+	return origin.Origin{}, false, err
 }
 
 func known(o origin.Origin, source string) (origin.Origin, string, error) {
--- a/node/origins/client_test.go
+++ b/node/origins/client_test.go
@@ -58,6 +58,18 @@
 	return c
 }
 
+// opening returns an entry that opens its links one after the other, the first one after an interval.
+func (f *fleet) opening(interval time.Duration) *Client {
+	c := NewClient()
+	var addrs []string
+	for i, k := range f.keepers {
+		addrs = append(addrs, addr(i))
+		time.AfterFunc(time.Duration(i+1)*interval, func() { c.Joined(addr(i), &testLink{to: k, client: c}) })
+	}
+	c.Members(addrs)
+	return c
+}
+
 // restart starts a member anew; entries lose their links to it and open new ones.
 func (f *fleet) restart(i int, entries ...*Client) {
 	f.keepers[i] = NewKeeper()
@@ -134,6 +146,69 @@
 	}
 }
 
+// TestStreamsAskedForWhileLinksAreOpened guards against streams that an entry which has just started
+// refuses because no link is open yet to the members that know them.
+func TestStreamsAskedForWhileLinksAreOpened(t *testing.T) {
+	const streams, interval = 200, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9)
+		beginStreams(f.entry(), streams)
+		c, found := f.opening(interval), 0
+		results := make(chan error, streams)
+		for i := range streams {
+			go func() {
+				_, _, err := c.Find(context.Background(), keyOf(i))
+				results <- err
+			}()
+		}
+		for range streams {
+			if <-results == nil {
+				found++
+			}
+		}
+		qt.Assert(t, found, qt.Equals, streams)
+	})
+}
+
+// TestUnknownStreamsAreRefusedInTime guards against requests that wait without need for members that
+// are not linked.
+func TestUnknownStreamsAreRefusedInTime(t *testing.T) {
+	unlinked := func(after time.Duration) func(f *fleet) *Client {
+		return func(f *fleet) *Client {
+			c := f.entry()
+			c.Members([]string{addr(0), addr(1), addr(2), "member-away"})
+			time.Sleep(after)
+			return c
+		}
+	}
+	for _, tt := range []struct {
+		name  string
+		entry func(f *fleet) *Client
+		known bool
+		most  time.Duration
+	}{
+		{"all members are linked", func(f *fleet) *Client { return f.opening(0) }, false, askTimeout},
+		{"a member is away at the start", unlinked(0), false, linkWait + askTimeout},
+		{"a member is away at the start, another one knows", unlinked(0), true, askAgain},
+		{"a member is away later", unlinked(linkWait), false, askTimeout},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(3)
+				if tt.known {
+					beginStreams(f.entry(), 1)
+				}
+				c := tt.entry(f)
+				began := time.Now()
+				_, _, err := c.Find(context.Background(), keyOf(0))
+				qt.Assert(t, err == nil, qt.Equals, tt.known)
+				took := time.Since(began)
+				qt.Assert(t, took <= tt.most, qt.IsTrue, qt.Commentf("%v", took))
+			})
+		})
+	}
+}
+
 // TestFewMembersKeepAStream guards against news that go to all members for each stream.
 func TestFewMembersKeepAStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -48,6 +48,8 @@
 // OriginClient is notified of the members that keep the origins of streams (package origins), and of
 // what they send. Its methods must not block.
 type OriginClient interface {
+	// Members states the addresses of all members, to which links are opened.
+	Members(addrs []string)
 	// Joined reports a link to a member, which replaces an earlier one to the same address.
 	Joined(addr string, s origins.Sender)
 	// Left reports that the link to a member has ended.
@@ -105,6 +107,9 @@
 func (f *Follower) Follow(addrs []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.opt.Origins != nil {
+		f.opt.Origins.Members(addrs)
+	}
 	want := make(map[string]bool, len(addrs))
 	for _, a := range addrs {
 		want[a] = a != f.opt.Self
--- a/node/relay/origins_world_test.go
+++ b/node/relay/origins_world_test.go
@@ -30,13 +30,14 @@
 	return m
 }
 
-// join links an entry process to all members.
-func (m *simMembers) join(c *origins.Client) {
+// join links an entry process to all members, each link after the time that the entry takes to open it.
+func (m *simMembers) join(w *world, c *origins.Client) {
 	m.mu.Lock()
 	m.clients[c] = struct{}{}
 	m.mu.Unlock()
+	c.Members(simMemberAddrs)
 	for _, addr := range simMemberAddrs {
-		c.Joined(addr, &simOriginLink{m, addr, c})
+		w.afterLearning(func() { c.Joined(addr, &simOriginLink{m, addr, c}) })
 	}
 }
 
@@ -83,6 +84,9 @@
 		return nil
 	}
 	time.AfterFunc(simOriginDelay, func() {
+		if l.members.keeper(l.addr, l.client) != to {
+			return // what is in transit is lost with either end
+		}
 		switch m := m.(type) {
 		case *origins.Report:
 			to.Store(m)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -266,11 +266,17 @@
 	if known() {
 		return
 	}
-	wait := time.Until(req.Arrived.Add(startupWait))
+	waitUntil(ctx, time.Until(startupDeadline(req)), startupPoll, known)
+}
+
+// startupDeadline returns until when a request waits for what an entry that has just started still has to
+// learn.
+func startupDeadline(req *Request) time.Time {
+	wait := startupWait
 	if p := req.Ask.Patience / patienceDivisor; p > 0 {
-		wait = min(wait, time.Until(req.Arrived.Add(p)))
+		wait = min(wait, p)
 	}
-	waitUntil(ctx, wait, startupPoll, known)
+	return req.Arrived.Add(wait)
 }
 
 // waitUntil polls done at an interval until it returns true, wait has passed or ctx ends.
--- a/node/relay/software.go
+++ b/node/relay/software.go
@@ -117,7 +117,9 @@
 	err := errNotNamed
 	key := origin.KeyOf(req.customerID(), req.Ask.Resumes)
 	if req.Ask.Resumes != "" {
-		o, source, err = r.origins.Find(ctx, key)
+		find, cancel := context.WithDeadline(ctx, startupDeadline(req))
+		o, source, err = r.origins.Find(find, key)
+		cancel()
 	}
 	found := o
 	o = r.targets.resolve(found)
--- a/node/relay/software_runs_test.go
+++ b/node/relay/software_runs_test.go
@@ -67,7 +67,7 @@
 			t.Run(fmt.Sprintf("%s/%d", tt.name, takeUps), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					w := newVersionWorld(t, 1)
+					w := newVersionWorld(t, 1, "v1", "v2")
 					w.downTime, w.announceDelay, w.keepNames, w.clocksGoBack = tt.down, tt.late, tt.keepNames, tt.goBack
 					w.runPage = runPages[tt.page]
 					f := w.playDrafts(1, draftCaller{path: "/draft/x", takeUps: takeUps}, func(ctx context.Context, rng *rand.Rand) {
--- a/node/relay/software_world_test.go
+++ b/node/relay/software_world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -162,10 +163,16 @@
 // running returns the number of announced targets of a software version that take requests, and the number of
 // those that the entries may take for such because their end is not announced.
 func (w *world) running(software string) (serving, listed int) {
+	announced, kept := w.announcedAt(software)
 	for _, s := range w.targets {
 		s.mu.Lock()
-		if string(s.record.Software) == software && s.record.State == directory.StateReady && s.announced == s.record.Born {
+		if slices.Contains(announced, s.record.Address) {
 			listed++
+		}
+		if string(s.record.Software) == software && s.record.State == directory.StateReady && s.announced == s.record.Born {
+			if !kept {
+				listed++
+			}
 			select {
 			case <-s.crashes:
 			default:
@@ -210,12 +217,12 @@
 	}
 }
 
-// newVersionWorld returns a world of twelve targets, six of each of two software versions.
-func newVersionWorld(t *testing.T, seed uint64) *world {
+// newVersionWorld returns a world of twelve targets, as many of each of the software versions.
+func newVersionWorld(t *testing.T, seed uint64, versions ...api.SoftwareVersion) *world {
 	w := newWorld(t, seed, 12, 4)
 	for i, s := range w.targets {
 		s.mu.Lock()
-		s.record.Software, s.record.Born = api.SoftwareVersion(fmt.Sprintf("v%d", i%2+1)), 1000
+		s.record.Software, s.record.Born = versions[i%len(versions)], 1000
 		s.announced = s.record.Born
 		s.mu.Unlock()
 	}
@@ -337,7 +344,7 @@
 
 // playVersions lets callers like the given one read streams for a time, under faults.
 func playVersions(t *testing.T, seed uint64, like draftCaller) {
-	w := newVersionWorld(t, seed)
+	w := newVersionWorld(t, seed, "v1", "v2")
 	w.keepNames, w.announceDelay = like.announceLate > 0, like.announceLate
 	w.playDrafts(seed, like, w.disturbVersions).check(t, 0.5)
 }
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -68,6 +68,10 @@
 	runPage func(w http.ResponseWriter, r *http.Request) (answered bool)
 	// clocksGoBack lets the clocks of targets be set back between two starts.
 	clocksGoBack bool
+	// learnDelay returns the time after its start at which an entry process learns what was announced of
+	// the targets, or opens its link to a member; nil for none.
+	learnDelay func() time.Duration
+	directoryOfRuns
 	// nextSoftware returns the software version of a target's next run, nil if it stays the same.
 	nextSoftware func(api.SoftwareVersion) api.SoftwareVersion
 }
@@ -89,6 +93,8 @@
 	retries    *Retries
 	quarantine *crash.Quarantine
 	origins    *origins.Client
+	// learned is set once the process knows of the targets, guarded by directoryOfRuns.
+	learned bool
 }
 
 // simTarget is a target. Its fields change while it serves.
@@ -211,17 +217,12 @@
 // start starts the entry process anew.
 func (e *simEntry) start(name string) {
 	b := &simBoot{name: name, targets: NewTargets(), reports: NewLimitReports(newLocalGroup(), nopObserver{}), retries: NewRetries(enoughRetries, e.w.group)}
-	for _, target := range e.w.targets {
-		target.mu.Lock()
-		record := target.record
-		target.mu.Unlock()
-		b.targets.Update([]directory.Record{record})
-	}
+	e.w.afterLearning(func() { e.w.learn(b) })
 	b.targets.SetOthers(nil, len(e.w.entries)-1)
 	b.quarantine = crash.NewQuarantine(e.w.quarantine, nopObserver{})
 	e.w.quarantine.join(b.quarantine)
 	b.origins = origins.NewClient()
-	e.w.members.join(b.origins)
+	e.w.members.join(e.w, b.origins)
 	d := &bootDialer{w: e.w, boot: name, rng: rand.New(rand.NewPCG(e.w.rng.Uint64(), 2))}
 	b.relay = New(Settings{Zone: "z"}, Ports{
 		Live: &e.w.live, Targets: b.targets, Pool: upstream.NewPoolWithDialer(nopObserver{}, d), Dialect: plainDialect{}, Engines: callingEngines{},
@@ -238,13 +239,6 @@
 	return e.boot
 }
 
-// announce sends a target's record to all entries.
-func (w *world) announce(r directory.Record) {
-	for _, e := range w.entries {
-		e.current().targets.Update([]directory.Record{r})
-	}
-}
-
 // restart begins a new run of the target at the same address under the same ID.
 func (s *simTarget) restart() {
 	s.mu.Lock()
