A request that ends without a response aborts its connection

What callers saw: a caller that closes its sending side and still reads gets "200 OK" with no body and no seal, for calls that must not be repeated too; a stream ends with the last chunk, as a complete one does, after some of its events.

Cause: net/http ends a request's context at the caller's FIN, and completes the response of any handler that returns: with status 200 if nothing was written, with the last chunk if a stream had begun. All four paths for a caller that has gone returned without writing (Relay.endCancelled).

Change: a response is complete only where its last byte was written (callerResponse.complete); anything else that reaches the end of ServeHTTP aborts the connection. A caller that has closed its connection gets a true failure: 503 if the request has not run, 504 if it may have, an abort if its answer has begun. A failure instead of a bare close, since a half-closed caller reads it and may come back at once after a 503; the target is let go at the FIN as before, because a caller that leaves and one that only has no further request look the same.

The simulated fleet counted what callers that left got as served, since a recorder reports 200 where nothing was written. It counts answers "cancelled" to callers that left apart now; refusals for any other reason count as before, and the check of Retry-After covers both.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -61,6 +61,8 @@
 	stall time.Duration
 	// stalled is set once a write has timed out.
 	stalled bool
+	// complete is set once the response has been written to its end. Any other response is aborted.
+	complete bool
 	// close reports whether the connection is to be closed after the response; nil for never.
 	close func() bool
 }
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -28,7 +28,7 @@
 			return
 		}
 		if req.callerGone() {
-			r.endCancelled(req)
+			r.failCancelled(req)
 			return
 		}
 		if ctx.Err() != nil {
@@ -119,6 +119,7 @@
 		r.obs.Ended(req, x.Status, outcome)
 		panic(http.ErrAbortHandler)
 	}
+	req.writer.complete = true
 	r.quarantine.Ended(req.identity)
 	r.obs.Ended(req, x.Status, Answered)
 }
@@ -127,7 +128,7 @@
 func (r *Relay) failWithoutPermit(ctx context.Context, req *Request) {
 	switch {
 	case req.callerGone():
-		r.endCancelled(req)
+		r.failCancelled(req)
 	case ctx.Err() != nil:
 		r.failTimeout(req)
 	default:
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -164,7 +164,16 @@
 	defer caller.release()
 	defer func() { r.callers.releaseBody(caller.requestBytes + caller.responseBytes) }()
 	caller.close = r.isDraining
-	req := &Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}}
+	r.serve(&Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}})
+	if !caller.complete {
+		// The server would complete the response: with status 200 if nothing has been written.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve answers a request.
+func (r *Relay) serve(req *Request) {
+	hr := req.httpRequest
 	if !r.admit(req) {
 		return
 	}
@@ -182,7 +191,7 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer r.quarantine.Begin(req.identity, end)()
-	caller.limit = req.Deadline.Add(writeGrace)
+	req.writer.limit = req.Deadline.Add(writeGrace)
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
 		r.stream(ctx, req)
@@ -335,12 +344,23 @@
 	text := string(reason) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	req.writer.WriteHeader(status)
-	_, _ = io.WriteString(req.writer, text) // a caller that has disconnected needs no response
+	_, err := io.WriteString(req.writer, text)
+	req.writer.complete = err == nil
 	r.obs.Ended(req, status, string(reason))
 }
 
-// endCancelled reports the end of a request whose caller has disconnected.
-func (r *Relay) endCancelled(req *Request) { r.obs.Ended(req, 0, string(api.ReasonCancelled)) }
+// failCancelled answers a request whose caller has closed its connection. A caller that has closed only
+// its sending side looks the same, and reads the answer.
+func (r *Relay) failCancelled(req *Request) {
+	if r.writeStoredFailure(req) {
+		return
+	}
+	if !req.mayHaveRun {
+		r.writeError(req, http.StatusServiceUnavailable, api.ReasonCancelled, retryBusy)
+		return
+	}
+	r.writeError(req, http.StatusGatewayTimeout, api.ReasonCancelled, 0)
+}
 
 // upstreamHeader returns the header for a target: the caller's fields without the hop-by-hop
 // ones, and the entry's directive.
--- a/node/relay/software.go
+++ b/node/relay/software.go
@@ -124,7 +124,7 @@
 	r.obs.OriginFound(req, o, source, time.Since(began), err)
 	switch {
 	case err != nil && req.callerGone():
-		r.endCancelled(req)
+		r.failCancelled(req)
 		return false
 	case err != nil:
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonOriginUnknown, retryFresh)
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -403,6 +403,7 @@
 		return
 	}
 	s.sendHeader(l)
+	s.req.writer.complete = true
 	s.relay.countPaced(s.req)
 	s.relay.quarantine.Ended(s.req.identity)
 	s.relay.moves.lasted(l.target, time.Now())
@@ -415,8 +416,10 @@
 	switch {
 	case s.req.writer.stalled && s.ctx.Err() != context.DeadlineExceeded:
 		s.abort(api.ReasonSlowCaller)
+	case s.req.callerGone() && s.headerSent:
+		s.abort(api.ReasonCancelled)
 	case s.req.callerGone():
-		s.relay.endCancelled(s.req)
+		s.relay.failCancelled(s.req)
 	case s.ctx.Err() != nil:
 		s.abort(api.ReasonTimeout)
 	case s.headerSent || s.req.mayHaveRun && outcome == outcomeLost:
--- a/node/relay/world_callers_test.go
+++ b/node/relay/world_callers_test.go
@@ -55,14 +55,16 @@
 	}()
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
-	switch c.Code {
-	case http.StatusOK:
+	if c.Code == http.StatusServiceUnavailable && c.Header().Get("Retry-After") == "" {
+		e.w.t.Errorf("refused without a Retry-After: %s", c.Body)
+	}
+	switch {
+	case ctx.Err() != nil && c.Body.String() == string(api.ReasonCancelled)+"\n":
+		e.w.left++
+	case c.Code == http.StatusOK:
 		e.w.served++
-	case http.StatusServiceUnavailable:
+	case c.Code == http.StatusServiceUnavailable:
 		e.w.refused++
-		if c.Header().Get("Retry-After") == "" {
-			e.w.t.Errorf("refused without a Retry-After: %s", c.Body)
-		}
 	default:
 		e.w.otherwise++
 	}
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -54,6 +54,8 @@
 	// sent holds when callers sent their requests.
 	sent                       map[api.RequestID]time.Time
 	served, refused, otherwise int
+	// left counts the requests that their callers gave up.
+	left int
 
 	crashLog
 	// connections holds what cuts the callers' connections to each entry process.
