A call that must not be repeated runs to its end when its caller closes its connection

What callers saw: a caller that closes its sending side, because it has no further request, and waits for the answer to a call that must not be repeated gets a failure that promises nothing, while a target was at work on the call. Whether it ran is unknown from then on, also to a caller that asks elsewhere.

Cause: the exchange with the target had the context of the caller's connection, which net/http ends at the FIN.

Change: the work on such a call at a target has a context of its own, until the deadline or until the request is quarantined; a caller that still reads gets the target's whole answer with its seal. node/callers decides the same for its plain calls. Waiting, choosing a target and opening a connection still end with the caller, and nothing is sent once it has left (checked after the connection is open), so no request reaches a target after that. Calls that may be repeated and streams still end at the FIN: the rule on callers that have left names just these as work that must stop, and a caller that leaves looks the same as one that only closes its sending side.

`go test ./node/relay ./node/upstream ./node/process ./platform/...` passes.

--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -31,7 +31,7 @@
 			r.failCancelled(req)
 			return
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || req.workContext(ctx).Err() != nil {
 			r.failTimeout(req)
 			return
 		}
@@ -54,13 +54,14 @@
 		return outcome, false
 	}
 	defer x.Close()
-	body, whole, err := r.readResponse(ctx, req, x)
+	work := req.workContext(ctx)
+	body, whole, err := r.readResponse(work, req, x)
 	if x.Status < http.StatusInternalServerError {
-		r.recordRead(ctx, req, p, sentAt, err)
+		r.recordRead(work, req, p, sentAt, err)
 	}
 	if err != nil {
 		r.obs.Attempted(req, t, outcomeLost, err)
-		if ctx.Err() == nil {
+		if work.Err() == nil {
 			r.crashes.responseLost(req, t, sentAt)
 		}
 		return outcomeLost, false
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -190,7 +190,12 @@
 	}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer r.quarantine.Begin(req.identity, end)()
+	endWork := req.detachWork(ctx)
+	defer endWork()
+	defer r.quarantine.Begin(req.identity, func(cause error) {
+		end(cause)
+		endWork()
+	})()
 	req.writer.limit = req.Deadline.Add(writeGrace)
 	r.awaitTargets(ctx, req)
 	if req.Route.Kind == routeconf.KindStream {
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"context"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -62,6 +64,8 @@
 	failure *failure
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
+	// work is the context of the work at a target if that may outlive the caller, nil otherwise.
+	work context.Context
 	// origin is the software that began the request's stream, nil before its first event. A
 	// migration reads it while the stream goes on.
 	origin atomic.Pointer[origin.Origin]
@@ -101,6 +105,20 @@
 // callerGone reports whether the caller has closed its connection.
 func (req *Request) callerGone() bool { return req.httpRequest.Context().Err() != nil }
 
+// detachWork lets the work on a call that must not be repeated outlive its caller, until end is called or
+// its deadline: if it were broken off, its outcome would be unknown, also to a caller that has closed
+// only its sending side and waits for the answer.
+func (req *Request) detachWork(ctx context.Context) (end context.CancelFunc) {
+	if req.Route.Kind != routeconf.KindOnce {
+		return func() {}
+	}
+	req.work, end = context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	return end
+}
+
+// workContext returns the context of the work at a target, for a request that is served under ctx.
+func (req *Request) workContext(ctx context.Context) context.Context { return cmp.Or(req.work, ctx) }
+
 // headerBytes returns the size of a request's header as received, apart from optional white
 // space.
 func headerBytes(h http.Header) int {
--- a/node/relay/send.go
+++ b/node/relay/send.go
@@ -82,12 +82,13 @@
 	req.identity.SentTo(t.Target)
 	sentAt := time.Now()
 	x, reply, err := r.exchange(ctx, req, t, p.use, t.newSendStart(false), &upstream.Request{
-		Method: req.httpRequest.Method,
-		URI:    req.uri,
-		Host:   req.httpRequest.Host,
-		Header: r.upstreamHeader(req, d),
-		Body:   req.body,
-		Match:  func(status int, h http.Header) bool { return r.ownsResponse(req, status, h) },
+		Method:  req.httpRequest.Method,
+		URI:     req.uri,
+		Host:    req.httpRequest.Host,
+		Header:  r.upstreamHeader(req, d),
+		Body:    req.body,
+		Context: req.work,
+		Match:   func(status int, h http.Header) bool { return r.ownsResponse(req, status, h) },
 		Opened: func(o upstream.Opening) {
 			p.opening = o
 			if !since.IsZero() {
@@ -97,6 +98,7 @@
 		OpenedSince: since,
 		MaxIdle:     r.maxIdleConns(t),
 	})
+	work := req.workContext(ctx)
 	outcome := r.classify(ctx, req, t, reply, err)
 	if outcome == outcomeHeldBack || outcome == outcomeQuarantined {
 		r.releasePermit(p)
@@ -105,8 +107,8 @@
 		req.sends++
 	}
 	r.obs.Attempted(req, t, outcome, err)
-	r.recordOutcome(ctx, req, p, outcome, x, sentAt)
-	if outcome == outcomeLost && ctx.Err() == nil {
+	r.recordOutcome(work, req, p, outcome, x, sentAt)
+	if outcome == outcomeLost && work.Err() == nil {
 		r.crashes.responseLost(req, t, sentAt)
 	}
 	if outcome != Answered && x != nil {
@@ -161,12 +163,14 @@
 		return outcomeNotSent
 	case errors.Is(err, crash.ErrQuarantined):
 		return outcomeQuarantined
-	case err != nil:
+	case errors.Is(err, upstream.ErrNotSent):
 		if ctx.Err() == nil {
 			t.recordFailure(time.Now())
 		}
-		if errors.Is(err, upstream.ErrNotSent) {
-			return outcomeNotSent
+		return outcomeNotSent
+	case err != nil:
+		if req.workContext(ctx).Err() == nil {
+			t.recordFailure(time.Now())
 		}
 		req.began()
 		return outcomeLost
--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,6 +33,8 @@
 	// If it returns an error, nothing is sent, and Do returns that error together with
 	// ErrNotSent. If it is nil, every request is sent.
 	Admit func() error
+	// Context replaces that of Do from the first byte on. It may be nil.
+	Context context.Context
 	// MaxIdle bounds the idle connections to the target that are kept after the exchange.
 	// Zero or a value above MaxIdlePerTarget means MaxIdlePerTarget.
 	MaxIdle int
@@ -99,9 +102,9 @@
 	strays int
 }
 
-// Do sends a request and reads the header of its response. ctx applies to the whole
-// exchange: if it is done while the body is being read, the connection is closed. An error
-// wraps ErrNotSent or ErrLost.
+// Do sends a request and reads the header of its response. ctx, or from the first byte on the
+// request's own context, applies to the whole exchange: if it is done while the body is being read, the
+// connection is closed. Nothing is sent once ctx is done. An error wraps ErrNotSent or ErrLost.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Exchange, error) {
 	c, err := p.get(ctx, addr, req.OpenedSince)
 	if err != nil {
@@ -110,14 +113,12 @@
 	if req.Opened != nil {
 		req.Opened(c.opening)
 	}
-	if req.Admit != nil {
-		if err := req.Admit(); err != nil {
-			p.putBack(c, req.MaxIdle)
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
+	if err := req.admit(ctx); err != nil {
+		p.putBack(c, req.MaxIdle)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	x := &Exchange{Opening: c.opening, ctx: ctx, pool: p, conn: c, maxIdle: req.MaxIdle}
-	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x := &Exchange{Opening: c.opening, ctx: cmp.Or(req.Context, ctx), pool: p, conn: c, maxIdle: req.MaxIdle}
+	x.stopCancel = context.AfterFunc(x.ctx, func() { _ = c.Close() })
 	x.send(req)
 	if err := x.readHead(req); err != nil {
 		x.Close()
@@ -127,6 +128,16 @@
 	return x, nil
 }
 
+// admit returns an error if nothing may be sent.
+func (req *Request) admit(ctx context.Context) error {
+	if req.Admit != nil {
+		if err := req.Admit(); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
 // maxInlineBody is the size of the largest body that is written before the response is read.
 // A larger body is written concurrently: a target may respond before it has read the whole
 // body, and if both sides only wrote, they would deadlock.
