A cut answer to an HTTP/1.0 caller resets its connection

What callers saw: over HTTP/1.0 a stream, or a long body, that the entry cuts ends like a whole one.

Cause: such a body has no chunks and often no length, and ends with its connection; http.ErrAbortHandler closes it with a FIN, which says that the body is complete.

Change: an incomplete response over HTTP/1.0 resets its connection; the connections of the overload gate pass the linger option on. HTTP/1.1 is as before: the missing last chunk or length shows it.

TestCutAnswerOverHTTP10LooksCut failed before (no error at the reader), and passes with -race -count=10, with a plain listener and with the overload gate's. `go test ./node/relay ./node/overload` passes.

--- a/node/overload/listener.go
+++ b/node/overload/listener.go
@@ -215,6 +215,14 @@
 	return c.Conn.Read(b)
 }
 
+// SetLinger sets the linger option of a TCP connection; others have none.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.once.Do(c.listener.firstRead)
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -117,5 +117,18 @@
 	return err
 }
 
+// reset resets the connection. Without chunks a body may end with its connection, so that only a reset shows
+// that it is incomplete.
+func (w *callerResponse) reset() {
+	conn, _, err := w.control.Hijack()
+	if err != nil {
+		return // the server closes the connection
+	}
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // release removes the write deadline, so that the connection can serve further requests.
 func (w *callerResponse) release() { _ = w.control.SetWriteDeadline(time.Time{}) }
--- a/node/relay/halfclose_test.go
+++ b/node/relay/halfclose_test.go
@@ -10,10 +10,13 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/routeconf"
+	"almondseam.dev/node/overload"
 	"almondseam.dev/node/upstream"
 	qt "github.com/frankban/quicktest"
 )
@@ -52,6 +55,7 @@
 type leavingWorld struct {
 	*fixture
 	address string
+	handler http.Handler
 	// arrived gets a value once the target has written its part, dropped once its connection has ended.
 	arrived, dropped chan struct{}
 	ended            chan string
@@ -68,18 +72,26 @@
 		Live: &w.live, Targets: w.targets, Pool: upstream.NewPool(nopObserver{}), Dialect: plainDialect{}, Engines: noCopies,
 		Retries: NewRetries(enoughRetries, w.group), LimitReports: NewLimitReports(newLocalGroup(), nopObserver{}), Observer: endObserver{ended: w.ended},
 	})
-	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	w.handler = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		context.AfterFunc(r.Context(), func() { w.gone <- struct{}{} })
 		relay.ServeHTTP(rw, r)
-	}))
-	t.Cleanup(server.Close)
-	w.address = strings.TrimPrefix(server.URL, "http://")
+	})
+	w.listen(func(ln net.Listener) net.Listener { return ln })
 	if when != untilTarget {
 		w.target("a", "z", func(rw http.ResponseWriter, r *http.Request) { w.answerInPart(rw, r, kind, when) })
 	}
 	return w
 }
 
+// listen starts a server for the relay at a listener that wrap makes, and has later requests sent there.
+func (w *leavingWorld) listen(wrap func(net.Listener) net.Listener) {
+	server := httptest.NewUnstartedServer(w.handler)
+	server.Listener = wrap(server.Listener)
+	server.Start()
+	w.c.Cleanup(server.Close)
+	w.address = strings.TrimPrefix(server.URL, "http://")
+}
+
 func (w *leavingWorld) answerInPart(rw http.ResponseWriter, r *http.Request, kind routeconf.Kind, when moment) {
 	_, _ = io.ReadAll(r.Body)
 	w.beginAnswer(rw, kind, when)
@@ -177,6 +189,43 @@
 	}
 }
 
+// TestCutAnswerOverHTTP10LooksCut guards against a part of an answer that looks complete to an HTTP/1.0 caller,
+// for whom a body without a length ends with its connection.
+func TestCutAnswerOverHTTP10LooksCut(t *testing.T) {
+	for _, ln := range []func(net.Listener) net.Listener{
+		func(ln net.Listener) net.Listener { return ln },
+		func(ln net.Listener) net.Listener { return overloadListener(t, ln) },
+	} {
+		for _, kind := range []routeconf.Kind{routeconf.KindIdempotent, routeconf.KindStream} {
+			w := newLeavingWorld(t, kind, midLongBody)
+			w.listen(ln)
+			conn := w.send("HTTP/1.0")
+			<-w.arrived
+			in := bufio.NewReader(conn)
+			_, err := in.Peek(1)
+			w.c.Assert(err, qt.IsNil)
+			w.c.Assert(conn.CloseWrite(), qt.IsNil)
+			a := readFrom(in)
+			w.c.Assert(a.err, qt.ErrorIs, syscall.ECONNRESET)
+		}
+	}
+}
+
+// nopOverload is an overload.Observer that ignores all events.
+type nopOverload struct{}
+
+func (nopOverload) ConnectionsClosed(int, int)                            {}
+func (nopOverload) Turnaround(time.Duration)                              {}
+func (nopOverload) ProcessorBusy(overload.Times, overload.Times)          {}
+func (nopOverload) ThreadsAdapted(int, int, time.Duration, time.Duration) {}
+func (nopOverload) ThreadsNotAdapted(error)                               {}
+
+func overloadListener(t *testing.T, ln net.Listener) net.Listener {
+	admitted, err := overload.New(ln, nopOverload{})
+	qt.Assert(t, err, qt.IsNil)
+	return admitted
+}
+
 // TestRequestEndsWithItsCaller guards against a target that goes on, or a request that does not end, after
 // its caller has closed its connection in any way.
 func TestRequestEndsWithItsCaller(t *testing.T) {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -164,6 +164,11 @@
 	defer caller.release()
 	defer func() { r.callers.releaseBody(caller.requestBytes + caller.responseBytes) }()
 	caller.close = r.isDraining
+	defer func() {
+		if !caller.complete && !hr.ProtoAtLeast(1, 1) {
+			caller.reset()
+		}
+	}()
 	r.serve(&Request{Arrived: time.Now(), received: received{httpRequest: hr, writer: caller}})
 	if !caller.complete {
 		// The server would complete the response: with status 200 if nothing has been written.
