Relay: runs that streams have left are stopped, not only cut off

A stream goes on at its standby while the draining engine, which does not drop a request whose connection closes, works on it for up to two seconds.

Cause: leg.end took the end of a connection for the end of the run. The migration by copy stops its run with a call; the one by a standby copy, and the takeover after a lost connection, stopped nothing.

Where engines cannot be told to stop a run, it stays at a draining engine.

--- a/core/handoff/handoff.go
+++ b/core/handoff/handoff.go
@@ -28,7 +28,7 @@
 	// HasStandby is set if the run's memory was copied to a standby engine as it grew
 	// and that engine may be used.
 	HasStandby bool
-	// CanMove is set if the engine can copy a run to another engine on demand.
+	// CanMove is set if the engine can copy a run to another engine on demand, and stop it.
 	CanMove bool
 	// Migrations is the number of attempts to continue the stream on another engine.
 	Migrations int
@@ -60,7 +60,8 @@
 
 // Next returns the action for a stream. A run that has not sent an event yet stays on its
 // engine when that engine drains: nothing proves that the run has not started, and a
-// draining engine works long enough for most requests to start.
+// draining engine works long enough for most requests to start. So does a run that cannot
+// be stopped: the engine may work on after the end of the connection.
 func Next(s Situation) Action {
 	if s.Migrations >= maxMigrations {
 		return giveUpUnlessDraining(s)
@@ -88,12 +89,10 @@
 
 func nextWhenDraining(s Situation) Action {
 	switch {
-	case s.Events == 0 || s.EndsInTime:
+	case s.Events == 0 || s.EndsInTime || !s.CanMove:
 		return ActionStay
 	case s.HasStandby:
 		return ActionFromStandby
-	case s.CanMove:
-		return ActionMigrate
 	}
-	return ActionStay
+	return ActionMigrate
 }
--- a/core/handoff/handoff_test.go
+++ b/core/handoff/handoff_test.go
@@ -17,6 +17,7 @@
 	}{
 		{"draining, standby copy available", Situation{Cause: CauseDraining, Events: 3, Ran: true, HasStandby: true, CanMove: true}, ActionFromStandby},
 		{"draining, no standby copy", Situation{Cause: CauseDraining, Events: 3, Ran: true, CanMove: true}, ActionMigrate},
+		{"draining, standby copy available, runs cannot be stopped", Situation{Cause: CauseDraining, Events: 3, Ran: true, HasStandby: true}, ActionStay},
 		{"draining, runs cannot be migrated", Situation{Cause: CauseDraining, Events: 3, Ran: true}, ActionStay},
 		{"draining, ends before the engine", Situation{Cause: CauseDraining, Events: 3, Ran: true, CanMove: true, EndsInTime: true}, ActionStay},
 		{"lost, was expected to end before", Situation{Cause: CauseLost, Events: 3, Ran: true, HasStandby: true, EndsInTime: true}, ActionFromStandby},
--- a/node/events/events.go
+++ b/node/events/events.go
@@ -64,6 +64,7 @@
 	ConnectionsClosed    = Event{326, zerolog.WarnLevel, "new connections of callers are closed unread, the instance has no processor time for them", "See whether the balancer spreads connections evenly; if all instances write it, add some."}
 	ProcessorBusy        = Event{327, zerolog.WarnLevel, "everything that is ready waits long for the processor", "As for event 326; with no event 326 beside it, look for what uses the processor: a profile, the machine's other processes."}
 	ThreadsAdapted       = Event{328, zerolog.InfoLevel, "the process runs another number of threads, by the processor time that it gets", "None; with an error the number stays: see why the process cannot read its processor time."}
+	RunStopped           = Event{329, zerolog.InfoLevel, "a run was stopped at its engine, because its stream has left it", "None; with an error that recurs for a target, see whether it answers the calls that move runs."}
 	TargetAnnounced      = Event{400, zerolog.InfoLevel, "target announced", "None."}
 	TargetLeaving        = Event{401, zerolog.InfoLevel, "target is leaving", "None."}
 	TargetGone           = Event{402, zerolog.WarnLevel, "target's link is gone", "See whether the target's agent runs; requests on the target wait some time for the link to come back."}
@@ -105,7 +106,7 @@
 	return []Event{
 		ProcessStarted, ProcessDraining, ProcessDrained, ProcessHardStop, ProcessFailed, ProcessReloaded,
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
-		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp, RunConfirmed, ConnectionsClosed, ProcessorBusy, ThreadsAdapted,
+		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp, RunConfirmed, ConnectionsClosed, ProcessorBusy, ThreadsAdapted, RunStopped,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported, TargetOut, TargetTrial, TargetReturning,
 		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut,
--- a/node/metrics/relay.go
+++ b/node/metrics/relay.go
@@ -208,6 +208,12 @@
 	addTarget(e, "at", at).Err(err).Send()
 }
 
+// RunStopped implements relay.Observer.
+func (m *Relay) RunStopped(r *relay.Request, t *relay.Target, took time.Duration, err error) {
+	e := addRequest(events.RunStopped.Log(m.log), r)
+	addTarget(e, "target", t).Dur("took", took).Err(err).Send()
+}
+
 // ColdStart implements relay.Observer.
 func (m *Relay) ColdStart(r *relay.Request, t *relay.Target, v relay.RetryVerdict) {
 	m.coldStarts.WithLabelValues(strconv.FormatBool(v.OK), string(v.Reason)).Inc()
--- a/node/relay/backoff_test.go
+++ b/node/relay/backoff_test.go
@@ -75,9 +75,12 @@
 var errRefusedCall = errors.New("call refused")
 
 // Move implements Engines.
-func (callingEngines) Move(ctx context.Context, at Peer, _ api.RequestID, _ string, stop bool) (Copy, error) {
-	status, err := call(ctx, at, "/move?stop="+strconv.FormatBool(stop))
-	if err == nil && status != http.StatusOK {
+func (callingEngines) Move(ctx context.Context, at Peer, run api.RequestID, _ string, stop bool) (Copy, error) {
+	status, err := call(ctx, at, "/move?run="+string(run)+"&stop="+strconv.FormatBool(stop))
+	switch {
+	case err == nil && status == http.StatusNotFound:
+		err = ErrNoRun
+	case err == nil && status != http.StatusOK:
 		err = errRefusedCall
 	}
 	if err != nil {
--- a/node/relay/leg.go
+++ b/node/relay/leg.go
@@ -38,6 +38,10 @@
 	// engine then had to process, including the request's own.
 	sentAt       time.Time
 	queuedTokens int
+	// stop lets the run be stopped once; stopEnded is closed after that, nil if it has not begun. It is
+	// used by the goroutine that started the leg.
+	stop      sync.Once
+	stopEnded chan struct{}
 	// gaps is used by the goroutine that forwards events.
 	gaps gapTracker
 
@@ -73,10 +77,14 @@
 	t.addRequest(l.tokens, l.unread)
 	l.sentAt, l.queuedTokens = time.Now(), t.Load().Unread
 	l.ctx, l.cancel = context.WithCancel(ctx)
+	s.latestLeg.Store(l)
 	x, outcome := s.relay.send(l.ctx, s.req, p, d, why)
 	l.x, l.opening = x, p.opening
 	if x == nil {
 		l.end()
+		if outcome == outcomeLost && s.ctx.Err() == nil {
+			s.stopRun(l)
+		}
 		return l, outcome
 	}
 	if d.CopyFrom.ID != "" || s.req.origin.Load() != nil {
@@ -93,6 +101,7 @@
 	if err := s.relay.confirmRun(ctx, s.req, l.target, l.opening); err != nil {
 		s.relay.obs.Attempted(s.req, l.target, outcomeUnknownRun, err)
 		l.end()
+		s.stopRun(l)
 		l.x = nil
 		return outcomeUnknownRun
 	}
@@ -191,8 +200,8 @@
 	return 0, 0
 }
 
-// end cancels the exchange, so that the engine stops working on the request, and removes what
-// the leg counted on its targets. It may be called more than once.
+// end cancels the exchange, so that most engines stop working on the request, and removes what
+// the leg counted on its targets. Where another engine continues the run, stopRun makes sure of it. It may be called more than once.
 func (l *leg) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/relay/migrate.go
+++ b/node/relay/migrate.go
@@ -122,35 +122,6 @@
 	}
 }
 
-// migrateByStandby continues the run at the engine that holds its standby copy. It returns
-// false if that fails or the stream has ended.
-//
-// The current run is ended only after the next engine has accepted the request: the copy may be
-// missing for lack of memory, and then a run that was ended could not be continued. For a few
-// milliseconds both engines generate the same events; the event numbers tell which ones the
-// caller already has.
-func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
-	p, ok := s.relay.permit(ctx, s.req, l.standby, targetstate.UseHeld)
-	if !ok {
-		return false
-	}
-	if !s.acquireResume(ctx, howStandby) {
-		s.relay.releasePermit(p)
-		return false
-	}
-	nextLeg, _ := s.startLeg(s.ctx, p, s.resumeDirective(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
-	if nextLeg.x == nil {
-		return false
-	}
-	if ctx.Err() != nil {
-		nextLeg.end() // the stream has ended meanwhile
-		return false
-	}
-	l.migration.nextLeg, l.migration.how = nextLeg, howStandby
-	l.cancel()
-	return true
-}
-
 // migrateByCopy copies the run to another engine while it continues, and then copies the rest
 // while stopping it, so that the pause covers only what was generated between the two copies.
 func (s *streamRun) migrateByCopy(ctx context.Context, l *leg) {
@@ -461,6 +432,7 @@
 		<-d.done
 		if d.nextLeg != nil {
 			d.nextLeg.end()
+			s.stopRun(d.nextLeg)
 		}
 		s.dropStoppedCopy(l)
 	}()
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -128,7 +128,8 @@
 type Engines interface {
 	// Move copies a run's KV cache from the engine at to the engine at address to; with stop, the
 	// run is ended first. It returns the copy from which the run can be continued. For a stopped
-	// run it returns a copy even with an error: the engine at then keeps the KV cache.
+	// run it returns a copy even with an error: the engine at then keeps the KV cache. It returns
+	// ErrNoRun if the engine at has no such run.
 	Move(ctx context.Context, at Peer, run api.RequestID, to string, stop bool) (Copy, error)
 	// Run returns the start of the run of the target at, in Unix milliseconds of the target's clock;
 	// zero if it states none.
@@ -210,6 +211,9 @@
 	// Placed reports the engine that was chosen for a stream whose route bounds pauses, and the
 	// longest pause to expect there; zero if unknown.
 	Placed(r *Request, t *Target, pause time.Duration)
+	// RunStopped reports that the run of a leg that has ended was stopped at its engine, or that the
+	// engine had dropped it, if the error is ErrNoRun; any other error says why that is not known.
+	RunStopped(r *Request, t *Target, took time.Duration, err error)
 	// Dropped reports that an unused copy of a run was freed, or the error that prevented it.
 	Dropped(r *Request, at *Target, err error)
 	// Migrated reports that a stream is continued at another engine after a pause.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -80,6 +80,7 @@
 func (nopObserver) Attempted(*Request, *Target, string, error)                                   {}
 func (nopObserver) Copied(*Request, *Target, *Target, bool, time.Duration, error)                {}
 func (nopObserver) RetryGranted(*Request, string, RetryVerdict)                                  {}
+func (nopObserver) RunStopped(*Request, *Target, time.Duration, error)                           {}
 func (nopObserver) Dropped(*Request, *Target, error)                                             {}
 func (nopObserver) LimitedSend(*Request, *Target, targetlimit.Statement, RetryVerdict)           {}
 func (nopObserver) LimitNotStated(*Target, error)                                                {}
--- /dev/null
+++ b/node/relay/stop_world_test.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// engineEvents and engineInterval are the length of a stream of the simulated engines and the
+	// time between its events.
+	engineEvents   = 60
+	engineInterval = 40 * time.Millisecond
+	// copyTransfer is the time that a copy of a run takes, headDelay the time until an engine answers.
+	copyTransfer = 100 * time.Millisecond
+	headDelay    = 2 * time.Millisecond
+	// overlapLimit is how long two engines may work on one request.
+	overlapLimit = 400 * time.Millisecond
+)
+
+// simEngines are the engines of a world: runs, and the standby copies of their KV caches.
+type simEngines struct {
+	w *world
+	// worksOn is set for engines that do not drop a request when its connection closes.
+	worksOn map[string]bool
+	// cutAfter is the number of events after which an engine resets the connection of a run that is
+	// not continued from a copy, zero for never.
+	cutAfter int
+	// answerDelay is the time until an engine answers a request that continues from a copy, if not headDelay.
+	answerDelay time.Duration
+	// refusesCopies lets engines have no standby copies.
+	refusesCopies bool
+	// onEvent is called when an engine has made an event, nil for nothing.
+	onEvent func(x *simRun)
+
+	mu     sync.Mutex
+	runs   map[string][]*simRun
+	copies map[string]bool
+	// moves counts the copies of runs that engines made on demand.
+	moves int
+}
+
+// simRun is the work of one engine on one request.
+type simRun struct {
+	id, at       string
+	first, made  int
+	began, ended time.Time
+	stopped      bool
+	// changed is closed and replaced after each event and at the end.
+	changed chan struct{}
+}
+
+// useEngines lets the world's targets be engines.
+func (w *world) useEngines() *simEngines {
+	w.engines = &simEngines{w: w, worksOn: make(map[string]bool), runs: make(map[string][]*simRun), copies: make(map[string]bool)}
+	return w.engines
+}
+
+// serve answers requests for streams and calls to move a run; it returns false for others.
+func (e *simEngines) serve(s *simTarget, w http.ResponseWriter, r *http.Request) bool {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/story/"):
+		e.stream(s.record.Address, w, r)
+	case r.URL.Path == "/move":
+		e.move(s.record.Address, w, r)
+	default:
+		return false
+	}
+	return true
+}
+
+// stream runs a request and forwards its events until the connection closes.
+func (e *simEngines) stream(at string, w http.ResponseWriter, r *http.Request) {
+	id, from := r.Header.Get("Id"), r.Header.Get("Copy-From")
+	x := &simRun{id: id, at: at, first: lastEventNumber(r) + 1, began: time.Now(), changed: make(chan struct{})}
+	x.made = x.first - 1
+	e.mu.Lock()
+	if from != "" && (e.refusesCopies || !e.copies[at+"/"+from]) {
+		e.mu.Unlock()
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	delete(e.copies, at+"/"+from)
+	if to := r.Header.Get("Copy-To"); to != "" {
+		e.copies[to+"/"+id] = true
+	}
+	e.runs[id] = append(e.runs[id], x)
+	e.mu.Unlock()
+	go e.work(x)
+	delay := headDelay
+	if from != "" && e.answerDelay > 0 {
+		delay = e.answerDelay
+	}
+	time.Sleep(delay)
+	e.forward(x, from != "", w, r)
+}
+
+// work makes the events of a run until it is stopped.
+func (e *simEngines) work(x *simRun) {
+	for i := x.first; i <= engineEvents; i++ {
+		time.Sleep(engineInterval)
+		e.mu.Lock()
+		if !x.ended.IsZero() {
+			e.mu.Unlock()
+			return
+		}
+		x.made = i
+		e.changed(x)
+		e.mu.Unlock()
+		if e.onEvent != nil {
+			e.onEvent(x)
+		}
+	}
+	e.end(x, false)
+}
+
+func (e *simEngines) changed(x *simRun) {
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+// end ends a run. It returns false if it has ended before.
+func (e *simEngines) end(x *simRun, stopped bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !x.ended.IsZero() {
+		return false
+	}
+	x.ended, x.stopped = time.Now(), stopped
+	e.changed(x)
+	return true
+}
+
+func (e *simEngines) forward(x *simRun, continues bool, w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).Flush()
+	for next := x.first; ; {
+		e.mu.Lock()
+		made, ended, stopped, changed := x.made, !x.ended.IsZero(), x.stopped, x.changed
+		e.mu.Unlock()
+		writeEvents(w, next, made)
+		next = max(next, made+1)
+		switch {
+		case stopped, !continues && e.cutAfter > 0 && made >= e.cutAfter:
+			if !e.worksOn[x.at] {
+				e.end(x, true)
+			}
+			panic(http.ErrAbortHandler)
+		case ended:
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			if !e.worksOn[x.at] {
+				e.end(x, true)
+			}
+			return
+		}
+	}
+}
+
+// move copies a run. With stop, the run ends first.
+func (e *simEngines) move(at string, w http.ResponseWriter, r *http.Request) {
+	id, stop := r.URL.Query().Get("run"), r.URL.Query().Get("stop") == "true"
+	e.mu.Lock()
+	var x *simRun
+	for _, run := range e.runs[id] {
+		if run.at == at && run.ended.IsZero() {
+			x = run
+		}
+	}
+	if x != nil {
+		e.moves++
+	}
+	e.mu.Unlock()
+	if x == nil || stop && !e.end(x, true) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	time.Sleep(copyTransfer)
+	e.mu.Lock()
+	e.copies[at+"/handle"] = true
+	e.mu.Unlock()
+}
+
+// overlaps returns how long two engines have worked on one request at most, and how many requests
+// went on at another engine.
+func (e *simEngines) overlaps() (longest time.Duration, continued int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, runs := range e.runs {
+		for i := 1; i < len(runs); i++ {
+			continued++
+			for _, before := range runs[:i] {
+				ended := before.ended
+				if ended.IsZero() {
+					ended = time.Now()
+				}
+				longest = max(longest, ended.Sub(runs[i].began))
+			}
+		}
+	}
+	return longest, continued
+}
+
+// streamCaller is a caller's side of a stream. It records the longest pause after the first event.
+type streamCaller struct {
+	*httptest.ResponseRecorder
+	at    time.Time
+	pause time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (c *streamCaller) Write(data []byte) (int, error) {
+	now := time.Now()
+	if !c.at.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.at))
+	}
+	c.at = now
+	return c.ResponseRecorder.Write(data)
+}
+
+// askStream makes one caller's request for a stream of /story/ and returns its response.
+func (e *simEntry) askStream(id int) (c *streamCaller) {
+	r := httptest.NewRequest(http.MethodPost, "/story/x", strings.NewReader("a prompt"))
+	r.Host = "h"
+	r.Header.Set("Id", fmt.Sprint(id))
+	r.Header.Set("Most", "100")
+	c = &streamCaller{ResponseRecorder: httptest.NewRecorder()}
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	e.current().relay.ServeHTTP(c, r)
+	return c
+}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -27,6 +27,8 @@
 	// tokenEstimate is the KV cache that the stream is expected to occupy, in tokens. The
 	// migration's goroutine reads it too.
 	tokenEstimate atomic.Int64
+	// latestLeg is the leg that was sent last.
+	latestLeg atomic.Pointer[leg]
 	// unflushed is set while written events have not been sent.
 	unflushed bool
 	// headerSent is set once the caller has been sent the response's header.
@@ -365,7 +367,8 @@
 		s.relay.releasePermit(p)
 		return nil
 	}
-	next, outcome := s.startLeg(s.ctx, p, s.resumeDirective(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
+	s.stopRun(l)
+	next, outcome := s.startLeg(s.ctx, p, s.standbyDirective(l), howStandby)
 	if outcome != Answered {
 		return nil
 	}
@@ -389,6 +392,7 @@
 	if p == nil {
 		return nil
 	}
+	s.stopRun(l)
 	next, outcome := s.startLeg(s.ctx, p, Directive{LastEvent: s.lastEvent()}, howRestart)
 	if outcome != Answered {
 		return nil
--- a/node/relay/world_pipes_test.go
+++ b/node/relay/world_pipes_test.go
@@ -71,7 +71,7 @@
 func (d *bootDialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	d.mu.Lock()
 	wait := time.Duration(d.rng.ExpFloat64() * float64(3*time.Millisecond))
-	if d.rng.IntN(20) == 0 {
+	if d.rng.IntN(20) == 0 && !d.w.noStalls {
 		wait = time.Duration(d.rng.Int64N(int64(upstream.DefaultDialTimeout)))
 	}
 	d.mu.Unlock()
--- a/node/relay/world_test.go
+++ b/node/relay/world_test.go
@@ -68,6 +68,10 @@
 	runPage func(w http.ResponseWriter, r *http.Request) (answered bool)
 	// clocksGoBack lets the clocks of targets be set back between two starts.
 	clocksGoBack bool
+	// noStalls is set if no message and no connection is delayed.
+	noStalls bool
+	// engines answer requests for streams and the calls for their runs; nil where targets answer themselves.
+	engines *simEngines
 	// nextSoftware returns the software version of a target's next run, nil if it stays the same.
 	nextSoftware func(api.SoftwareVersion) api.SoftwareVersion
 }
@@ -284,7 +288,7 @@
 func (s *simTarget) oneWay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rng.IntN(50) == 0 {
+	if s.rng.IntN(50) == 0 && !s.w.noStalls {
 		return time.Duration(s.rng.Int64N(int64(100 * time.Millisecond)))
 	}
 	return time.Duration(s.rng.ExpFloat64() * float64(time.Millisecond))
@@ -384,6 +388,7 @@
 	case backoff != "":
 		reject(w, backoff)
 		s.askFor(link, backoff, w)
+	case s.w.engines != nil && s.w.engines.serve(s, w, r):
 	case strings.HasPrefix(r.URL.Path, "/draft/"), strings.HasPrefix(r.URL.Path, "/story/"):
 		s.writeDraft(w, r)
 	case strings.HasPrefix(r.URL.Path, "/brief/"):
