Relay: a failure of the next engine ends a stream that must not run twice

A stream of a reclaimed engine is sent to another one, which answers 500; the entry sends it to a third, and so on.

Cause: the failure, a whole answer by which the request has run, was taken for a lost connection, after which the stream goes on from the standby copy.

Change: handoff.CauseFailed. The stream breaks off, or is run anew after its last event if it may be resumed.

TestFailureOfTheNextEngineEndsTheStream failed before: 2 engines answered, 1 wanted. It passes after.

--- a/core/handoff/handoff.go
+++ b/core/handoff/handoff.go
@@ -14,6 +14,9 @@
 	// CauseNoStandby: the stream could not be continued from its standby copy, for
 	// example because the standby engine does not hold it.
 	CauseNoStandby
+	// CauseFailed: the engine to which the stream was sent has answered with a failure, so the
+	// request has run to its end there.
+	CauseFailed
 )
 
 // Situation describes a stream that has to be continued on another engine.
--- a/core/handoff/handoff_test.go
+++ b/core/handoff/handoff_test.go
@@ -27,6 +27,8 @@
 		{"lost, resumable", Situation{Cause: CauseLost, Events: 3, Ran: true, Resumable: true}, ActionRestart},
 		{"lost, must not run twice", Situation{Cause: CauseLost, Events: 3, Ran: true, CanMove: true}, ActionGiveUp},
 		{"lost before it ran", Situation{Cause: CauseLost}, ActionRestart},
+		{"failed at the next engine", Situation{Cause: CauseFailed, Events: 3, Ran: true, HasStandby: true, CanMove: true}, ActionGiveUp},
+		{"failed at the next engine, resumable", Situation{Cause: CauseFailed, Events: 3, Ran: true, HasStandby: true, Resumable: true}, ActionRestart},
 		{"standby copy missing", Situation{Cause: CauseNoStandby, Events: 3, Ran: true, HasStandby: true}, ActionGiveUp},
 		{"standby copy missing, resumable", Situation{Cause: CauseNoStandby, Ran: true, Resumable: true}, ActionRestart},
 	} {
--- a/node/relay/stop.go
+++ b/node/relay/stop.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
 
+	"almondseam.dev/core/handoff"
 	"almondseam.dev/core/targetstate"
 )
 
@@ -126,3 +128,23 @@
 	}
 	return nil
 }
+
+// failedRunError reports an engine that answered with a failure of its own to a request that continues
+// a stream. The answer says that the request has run to its end there.
+type failedRunError struct{ status int }
+
+// Error implements error.
+func (e *failedRunError) Error() string {
+	return fmt.Sprintf("engine answered %d to a request that continues a stream", e.status)
+}
+
+// nextAfterFailure returns the leg that continues the stream after a failed run, nil if there is none:
+// a request that must not run twice is not continued from another copy.
+func (s *streamRun) nextAfterFailure(l *leg, end *failedRunError) *leg {
+	s.relay.obs.Attempted(s.req, l.target, outcomeFailed, end)
+	s.req.Stream.Migrations++
+	if handoff.Next(s.situation(l, handoff.CauseFailed)) != handoff.ActionRestart {
+		return nil
+	}
+	return s.restart(l)
+}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -297,7 +297,7 @@
 // passThrough forwards an engine's response that is not an event stream.
 func (s *streamRun) passThrough(l *leg) error {
 	if s.headerSent {
-		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a request that continues a stream")
+		return &failedRunError{l.x.Status}
 	}
 	body, whole, err := s.relay.readResponse(s.ctx, s.req, l.x)
 	if err != nil {
@@ -318,6 +318,10 @@
 	if nextLeg := s.awaitMigration(l); nextLeg != nil || s.ctx.Err() != nil {
 		return nextLeg
 	}
+	var failed *failedRunError
+	if errors.As(end, &failed) {
+		return s.nextAfterFailure(l, failed)
+	}
 	s.recordEngineEnd(l)
 	s.resolveOrigin(l)
 	l.target.recordFailure(time.Now())
--- a/node/relay/stream_test.go
+++ b/node/relay/stream_test.go
@@ -129,6 +129,30 @@
 	}
 }
 
+// TestFailureOfTheNextEngineEndsTheStream guards against a stream that is sent to a third engine after
+// the second one has answered with a failure of its own, by which the request has run.
+func TestFailureOfTheNextEngineEndsTheStream(t *testing.T) {
+	s := newFixture(t, routeconf.Route{Kind: routeconf.KindStream, MaxTargets: 1}, noCopies)
+	var failures atomic.Int32
+	fail := func(w http.ResponseWriter, _ *http.Request) {
+		failures.Add(1)
+		http.Error(w, "internal error", http.StatusInternalServerError)
+	}
+	s.target("b", "far", fail)
+	s.target("c", "far", fail)
+	var first directory.Record
+	first = s.target("a", "z", func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 3)
+		s.drain(first)
+		writeEvents(w, 4, 4)
+		<-r.Context().Done()
+	})
+	_, body, err := s.ask("/a/x", "Most", "500")
+	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	s.c.Assert(body, qt.Equals, eventText(1, 4))
+	s.c.Assert(failures.Load(), qt.Equals, int32(1))
+}
+
 // startDrainingEngine starts an engine that drains during a stream of nine events, and
 // continues for a while after its run has been copied.
 func (s *fixture) startDrainingEngine(copied <-chan struct{}) {
