--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -27,6 +27,8 @@
 	// tokenEstimate is the KV cache that the stream is expected to occupy, in tokens. The
 	// migration's goroutine reads it too.
 	tokenEstimate atomic.Int64
+	// latestLeg is the leg that was sent last.
+	latestLeg atomic.Pointer[leg]
 	// unflushed is set while written events have not been sent.
 	unflushed bool
 	// headerSent is set once the caller has been sent the response's header.
@@ -295,7 +297,7 @@
 // passThrough forwards an engine's response that is not an event stream.
 func (s *streamRun) passThrough(l *leg) error {
 	if s.headerSent {
-		return errors.New("engine answered " + strconv.Itoa(l.x.Status) + " to a request that continues a stream")
+		return &failedRunError{l.x.Status}
 	}
 	body, whole, err := s.relay.readResponse(s.ctx, s.req, l.x)
 	if err != nil {
@@ -316,6 +318,10 @@
 	if nextLeg := s.awaitMigration(l); nextLeg != nil || s.ctx.Err() != nil {
 		return nextLeg
 	}
+	var failed *failedRunError
+	if errors.As(end, &failed) {
+		return s.nextAfterFailure(l, failed)
+	}
 	s.recordEngineEnd(l)
 	s.resolveOrigin(l)
 	l.target.recordFailure(time.Now())
@@ -365,7 +371,8 @@
 		s.relay.releasePermit(p)
 		return nil
 	}
-	next, outcome := s.startLeg(s.ctx, p, s.resumeDirective(Copy{Address: l.standby.Address, ID: string(s.req.Ask.Request)}), howStandby)
+	s.stopRun(l)
+	next, outcome := s.startLeg(s.ctx, p, s.standbyDirective(l), howStandby)
 	if outcome != Answered {
 		return nil
 	}
@@ -389,6 +396,7 @@
 	if p == nil {
 		return nil
 	}
+	s.stopRun(l)
 	next, outcome := s.startLeg(s.ctx, p, Directive{LastEvent: s.lastEvent()}, howRestart)
 	if outcome != Answered {
 		return nil
