Silent addresses do not keep a process from reading its seeds

The seeds were read again only while every known address had failed within 3 s. A member that is gone does not refuse a dial, it is silent, and with five addresses or more the first may be dialled again before the last one has failed: the seeds were never read.

Change: the criterion is that each known address has failed since the last read.

--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -43,7 +43,9 @@
 // several members may be partitioned at once, and a dial to each of them takes long.
 func (c *Client) chooseAddress(now time.Time) string {
 	known := c.knownAddresses()
-	healthy := c.healthyAddresses(now)
+	healthy := slices.DeleteFunc(c.knownAddresses(), func(a string) bool {
+		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
+	})
 	switch {
 	case len(healthy) > 0:
 		return healthy[rand.IntN(len(healthy))]
@@ -59,21 +61,26 @@
 	return slices.DeleteFunc(known, func(a string) bool { return a == c.opt.AvoidAddr })
 }
 
-// healthyAddresses returns the known addresses without the one that was dialled last and those that
-// failed of late. c.mu must be held.
-func (c *Client) healthyAddresses(now time.Time) []string {
-	return slices.DeleteFunc(c.knownAddresses(), func(a string) bool {
-		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
+// allFailed reports whether every known address has failed since the seeds were read last. How long ago is
+// no criterion: many addresses that do not answer take longer to dial than any one of them is avoided. c.mu
+// must be held.
+func (c *Client) allFailed() bool {
+	return !slices.ContainsFunc(c.knownAddresses(), func(a string) bool {
+		failed, ok := c.failedAt[a]
+		return !ok || !failed.After(c.seedsReadAt)
 	})
 }
 
-// updateSeeds reads the seeds again if no known address is healthy: all members may have been replaced
+// updateSeeds reads the seeds again if all known addresses have failed: all members may have been replaced
 // while this process had no link to any, and then only its settings name the present ones.
 func (c *Client) updateSeeds(now time.Time) {
 	c.mu.Lock()
-	lost := c.nextAddr == "" && len(c.healthyAddresses(now)) == 0
+	lost := c.opt.ReadSeeds != nil && c.nextAddr == "" && c.allFailed()
+	if lost {
+		c.seedsReadAt = now
+	}
 	c.mu.Unlock()
-	if !lost || c.opt.ReadSeeds == nil {
+	if !lost {
 		return
 	}
 	seeds := c.opt.ReadSeeds()
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -35,6 +35,8 @@
 	members  []string // addresses of the group, as told by a member
 	// failedAt is the time at which each address last failed.
 	failedAt map[string]time.Time
+	// seedsReadAt is the time at which ReadSeeds was called last.
+	seedsReadAt time.Time
 	// leaderTimer closes the link to a member that knows no leader, or that names one which
 	// has just failed. It is nil on other links.
 	leaderTimer *time.Timer
--- a/node/control/client_options.go
+++ b/node/control/client_options.go
@@ -16,7 +16,7 @@
 	// others from the members.
 	Seeds []string
 	// ReadSeeds returns the seeds as they are set now, empty if that is unknown. It is called before a
-	// dial if all known addresses have failed, and may read a file. It may be nil.
+	// dial if all known addresses have failed since the last call, and may read a file. It may be nil.
 	ReadSeeds func() []string
 	// AvoidAddr is an address that is dialled only if no other is known.
 	AvoidAddr string
--- a/node/control/seeds_test.go
+++ b/node/control/seeds_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/link"
@@ -51,3 +54,27 @@
 	defer ln.Close()
 	return ln.Addr().String()
 }
+
+// TestManySilentMembersDoNotHideNewSeeds guards against a process that never reads its seeds again because the
+// first of many silent addresses may be dialled again before the last one has failed.
+func TestManySilentMembersDoNotHideNewSeeds(t *testing.T) {
+	for known := 1; known <= 8; known++ {
+		synctest.Test(t, func(t *testing.T) {
+			reads := 0
+			addrs := make([]string, known)
+			for i := range addrs {
+				addrs[i] = fmt.Sprintf("10.0.0.%d:1", i+1)
+			}
+			client := NewClient(ClientOptions{Seeds: addrs, ReadSeeds: func() []string {
+				reads++
+				return addrs
+			}})
+			for range 20 * known {
+				addr := client.nextAddress()
+				time.Sleep(maxClientDialTimeout + retryMax)
+				client.markFailed(addr)
+			}
+			qt.Check(t, reads > 0, qt.IsTrue, qt.Commentf("%d addresses", known))
+		})
+	}
+}
