Clients ignore a list of members that is older than theirs

Cause: found by review. Statements about the leader carry the members of the group without their age. A member that was removed while it was cut off or stopped, and comes back, states those of its time; a client that passes by it loses the present ones, and the links by which it gets news of targets.

Change: the statement has the log index of the latest committed membership; a client ignores a lower one. A removed member does not know the entry that removes it, so its index is lower. Members of earlier releases send none and are taken as before.

--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -110,13 +110,15 @@
 func (s memberships) latest() membershipAt { return s[len(s)-1] }
 
 // at returns the membership in effect at index.
-func (s memberships) at(index uint64) Membership {
+func (s memberships) at(index uint64) Membership { return s.entryAt(index).membership }
+
+func (s memberships) entryAt(index uint64) membershipAt {
 	for i := len(s) - 1; i > 0; i-- {
 		if s[i].index <= index {
-			return s[i].membership
+			return s[i]
 		}
 	}
-	return s[0].membership
+	return s[0]
 }
 
 // truncate drops the memberships that were set at or after index, but never the
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -242,6 +242,8 @@
 		Transferee:   n.lead.transferee,
 		Membership:   n.members().clone(), ChangePending: n.changePending(),
 	}
+	committed := n.membershipHistory.entryAt(n.log.commit)
+	s.Committed, s.CommittedIndex = committed.membership.clone(), committed.index
 	if n.role != RoleLeader {
 		return s
 	}
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -200,6 +200,10 @@
 	PendingReads  int
 	Transferee    MemberID
 	Membership    Membership // the latest in the log, committed or not
-	ChangePending bool
-	Members       []Progress // set on the leader only, sorted by ID
+	Committed     Membership // the latest that this member knows to be committed
+	// CommittedIndex orders the committed memberships of all members: a member that a membership
+	// leaves out, and that does not know it, has a lower one.
+	CommittedIndex uint64
+	ChangePending  bool
+	Members        []Progress // set on the leader only, sorted by ID
 }
--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -160,7 +160,7 @@
 // that belongs to no group is left at once.
 func (c *Client) handleLeader(conn linkCloser, m *Leader) {
 	if len(m.Members) > 0 {
-		c.setMembers(m.Members)
+		c.setMembers(m.Members, m.Index)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,11 +184,18 @@
 }
 
 // setMembers stores the group's addresses, which are dialled in addition to the
-// seeds.
-func (c *Client) setMembers(members []string) {
+// seeds. It ignores a list that is older than the one known: a member that was removed while
+// it was cut off states the members of that time.
+func (c *Client) setMembers(members []string, index uint64) {
 	c.mu.Lock()
-	c.members = slices.Clone(members)
+	outdated := index > 0 && index < c.membersIndex
+	if !outdated {
+		c.members, c.membersIndex = slices.Clone(members), max(index, c.membersIndex)
+	}
 	c.mu.Unlock()
+	if outdated {
+		return
+	}
 	c.opt.OnMembers(members)
 }
 
--- a/node/control/choose_test.go
+++ b/node/control/choose_test.go
@@ -16,7 +16,7 @@
 func TestClientLeavesOutWhatFailedOfLate(t *testing.T) {
 	c := qt.New(t)
 	client := NewClient(ClientOptions{Seeds: []string{"a", "b", "c"}})
-	client.setMembers([]string{"a", "b", "c", "d", "e"})
+	client.setMembers([]string{"a", "b", "c", "d", "e"}, 1)
 	now := time.Now()
 	client.markFailed("a")
 	client.markFailed("b")
@@ -137,3 +137,17 @@
 	p.reset()
 	c.Assert(p.timeout(), qt.Equals, minProbeTimeout)
 }
+
+// TestOutdatedMembersAreIgnored guards against a client that leaves the present members because one that was
+// removed while it was cut off states those of its time.
+func TestOutdatedMembersAreIgnored(t *testing.T) {
+	var stated [][]string
+	client := NewClient(ClientOptions{Seeds: []string{"seed"}, OnMembers: func(addrs []string) { stated = append(stated, addrs) }})
+	conn := &closeCounter{}
+	present, removed := []string{"d", "e", "f"}, []string{"a", "b", "c"}
+	client.handleLeader(conn, &Leader{Self: true, Members: present, Index: 9})
+	client.handleLeader(conn, &Leader{Members: removed, Index: 4})
+	qt.Assert(t, client.members, qt.DeepEquals, present)
+	client.handleLeader(conn, &Leader{Self: true, Members: present, Index: 9})
+	qt.Assert(t, stated, qt.DeepEquals, [][]string{present, present})
+}
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -33,6 +33,8 @@
 	lastAddr string   // address dialled last
 	seeds    []string // ClientOptions.Seeds, or what ReadSeeds returned last
 	members  []string // addresses of the group, as told by a member
+	// membersIndex is the index of the statement that members come from.
+	membersIndex uint64
 	// failedAt is the time at which each address last failed.
 	failedAt map[string]time.Time
 	// seedsReadAt is the time at which ReadSeeds was called last.
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -58,7 +58,9 @@
 	encodedSnapshot    chan encodedSnapshot
 	snapshotWorkers    conc.WaitGroup
 	members            consensus.Membership
-	planner            *regroup.Planner // of the current leadership; nil while this member is not the leader
+	// committedMembership is the index of the membership that watchers were notified of.
+	committedMembership uint64
+	planner             *regroup.Planner // of the current leadership; nil while this member is not the leader
 
 	// mu guards state, changed and applied. The goroutine of Run, which alone writes
 	// them, may read them without it.
@@ -325,18 +327,22 @@
 }
 
 // publish stores the status of the consensus node for readers, and passes the
-// group's membership to the transport and to the watchers if it has changed.
+// group's membership to the transport, and once it is committed to the watchers, if it has
+// changed.
 //
 // Clients find the group only by the addresses that members send them. One that missed
 // the replacement of every member it knew could not reach the group any more.
 func (m *Member) publish() {
 	st := m.node.Status()
 	m.status.Store(&st)
-	if sameMembers(m.members, st.Membership) {
+	if !sameMembers(m.members, st.Membership) {
+		m.members = st.Membership
+		m.opt.Transport.Members(st.Membership)
+	}
+	if m.committedMembership == st.CommittedIndex {
 		return
 	}
-	m.members = st.Membership
-	m.opt.Transport.Members(st.Membership)
+	m.committedMembership = st.CommittedIndex
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.wakeWatchers()
--- a/node/control/messages.go
+++ b/node/control/messages.go
@@ -132,10 +132,13 @@
 	// Groupless means that the sending member belongs to no group, for example after the
 	// loss of its disk. It learns of a leader only once it has been added again.
 	Groupless bool `cbor:"4,keyasint,omitempty"`
+	// Index orders the Members of all members' statements: a list with a lower index than an earlier
+	// one is outdated. It is zero from members of releases without it.
+	Index uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 func (l Leader) equal(o Leader) bool {
-	return l.Self == o.Self && l.Addr == o.Addr && l.Groupless == o.Groupless && slices.Equal(l.Members, o.Members)
+	return l.Self == o.Self && l.Addr == o.Addr && l.Groupless == o.Groupless && l.Index == o.Index && slices.Equal(l.Members, o.Members)
 }
 
 // Drains lists all targets that operators drain as of log index Index. A list with a
--- a/node/control/server.go
+++ b/node/control/server.go
@@ -304,7 +304,7 @@
 		config: m.state.Current(),
 		leader: Leader{
 			Self: st.Role == consensus.RoleLeader, Addr: addressOf(st.Membership, st.Leader),
-			Members: addresses(st.Membership), Groupless: len(st.Membership.Voters) == 0,
+			Members: addresses(st.Committed), Index: st.CommittedIndex, Groupless: len(st.Membership.Voters) == 0,
 		},
 		drainsIndex: m.state.DrainIndex(),
 		drains:      m.state.Drains(),
