A read of the newest revision is not cut short

Cause: found by review. Each read ended after 1 s, and the control client leaves a member that answers pings but no requests only when an attempt has lasted 2 s within one call. An entry at a leader whose storage hangs would ask it for ever.

--- a/node/rollout/newest.go
+++ b/node/rollout/newest.go
@@ -9,9 +9,6 @@
 	"almondseam.dev/core/rollout"
 )
 
-// newestReadTimeout bounds one read of the newest revision: an election takes about as long.
-const newestReadTimeout = time.Second
-
 // Newest tells whether the configuration in force is the newest. It asks the control group only when a
 // request needs it, and requests that wait together share a read. Run drives it.
 type Newest struct {
@@ -86,10 +83,9 @@
 	}
 }
 
-// read asks a majority once. The observer of the control client logs attempts that fail.
+// read asks a majority once. It is not cut short: the control client leaves a member that does not answer
+// only if the call outlasts an attempt. The observer of the client logs attempts that fail.
 func (n *Newest) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, newestReadTimeout)
-	defer cancel()
 	asked := time.Now()
 	rev, err := n.highest(ctx)
 	n.mu.Lock()
