--- a/node/relay/history_test.go
+++ b/node/relay/history_test.go
@@ -104,15 +104,21 @@
 		s.mu.Unlock()
 	}
 	w.run(4*time.Second, 10)
+	w.mu.Lock()
 	if w.refused > before {
 		t.Errorf("%d requests refused while all targets serve", w.refused-before)
 	}
+	w.mu.Unlock()
 	for _, s := range w.targets {
+		s.mu.Lock()
 		if s.arrivals[s.record.Born] == 0 {
 			t.Errorf("%s gets no requests though it serves", s.record.Target)
 		}
+		s.mu.Unlock()
 	}
+	w.mu.Lock()
 	t.Logf("served %d, refused %d, otherwise %d", w.served, w.refused, w.otherwise)
+	w.mu.Unlock()
 	w.stop()
 	time.Sleep(time.Minute) // for what ends in the background
 }
