--- a/bench/soak/forwarder.go
+++ b/bench/soak/forwarder.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondseam.dev/platform/standin"
 	"github.com/sourcegraph/conc"
 )
 
@@ -37,7 +38,7 @@
 }
 
 func newForwarder(from, to string) (*forwarder, error) {
-	ln, err := net.Listen("tcp", from)
+	ln, err := standin.Listen(from)
 	if err != nil {
 		return nil, err
 	}
