An entry's home is a link, not an address

A link ends only once its last message has been handled. If Follow removes an address and adds it again before that (a membership that flaps, a new member at the address of one that left), the next link to the same address found the home set, subscribed with LoadsNone, and the end of the first link was ignored because another link was known by then. The entry got no list of targets, no changes of them and no load reports, and held that it had a home; nothing moved it while its member looked best. Likewise a statement of the first link (PeerCount) counted for the second one, so streams could be reported to a member that had not stated that it takes such messages; and a dial to the removed address that ended late would have replaced the link that is open.

Change: Follower.home is the member of one link. A link to an address that is known replaces the one before, which is forgotten with its home and its part in the origins; messages and the end of a replaced link have no effect; a link whose address was removed while it was dialled is not added. Without others the new link is subscribed to as a whole. New event 512 says to which member the home moves.

SetPeerCount counted right before as well, as links are counted by address. Tests of registry_test.go pass a link where they passed an address; what they assert is unchanged.

--- a/node/events/events.go
+++ b/node/events/events.go
@@ -95,6 +95,7 @@
 	ControlRestored      = Event{509, zerolog.InfoLevel, "control member restored its state from the data directory", "None; no term and no entries mean that the directory was empty."}
 	ControlSeedsChanged  = Event{510, zerolog.InfoLevel, "no known control member was reached, and the settings name other ones now", "None."}
 	SettingsUnreadable   = Event{511, zerolog.WarnLevel, "the settings could not be read again for the addresses of control members", "See the error field, and whether the settings file is there."}
+	ControlHomeMoved     = Event{512, zerolog.InfoLevel, "this instance gets the list of targets and the load reports from another control member", "None, unless it recurs, or the address is empty for long: see whether the instance reaches the control members."}
 	ConfigInForce        = Event{600, zerolog.InfoLevel, "configuration in force", "None."}
 	ConfigUnusable       = Event{601, zerolog.ErrorLevel, "configuration could not be used; the last one stays in force", "Read the error field: this process is older than the configuration, or its control group is another fleet's. Its site shows as lagging in almondctl status."}
 	ConfigConflict       = Event{602, zerolog.ErrorLevel, "received different content for the revision already held", "Two control groups answer for one fleet: compare the members with almondctl members list, and restart this process once that is mended."}
@@ -117,7 +118,7 @@
 		LinkUp, LinkDown, LinkDialFailed, LinkRefused,
 		RequestEnded, RequestFailed, RequestRetried, RequestRefused, RequestSent, RequestAttempted, RequestMoved, CallerFault, RequestCopied, RequestHeld, RequestNoRoom, RetryDenied, RequestNotMoved, RetryGranted, ColdStart, CopyDropped, LimitedSend, RequestQuarantined, RequestUnquarantined, EnginePace, MigrationPaused, StreamTakenUp, RunConfirmed, ConnectionsClosed, ProcessorBusy, ThreadsAdapted, RefusalChecked, RunStopped,
 		TargetAnnounced, TargetLeaving, TargetGone, TargetLoadFailed, TargetChanged, TargetUnusable, TargetDialFailed, TargetLimited, TargetStatementError, TargetLimitNotStated, TargetBackoff, TargetStatesLeaving, TargetCrashed, CrashNotReported, TargetOut, TargetTrial, TargetReturning,
-		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost, ControlLeaderStated, ControlRestored, ControlSeedsChanged, SettingsUnreadable,
+		ControlStarted, ControlLeader, ControlNoLeader, ControlSnapshot, ControlStranger, ControlFailed, ControlMended, ControlAttemptLost, ControlLeaderStated, ControlRestored, ControlSeedsChanged, SettingsUnreadable, ControlHomeMoved,
 		ConfigInForce, ConfigUnusable, ConfigConflict, ConfigSwitched, ConfigNoSite, ConfigPut, ConfigInvalid, ZonesEvacuated, EvacuationPut, ConfigReceived, ConfigApplied, ConfigRead, ConfigConfirmed,
 	}
 }
--- a/node/process/routed_entry.go
+++ b/node/process/routed_entry.go
@@ -150,7 +150,10 @@
 	opt.Silence = routedLinkTimeout
 	e.registry = registry.New(metrics.Directory{Log: p.Log}, e.targets.Update)
 	e.origins = origins.NewClient()
-	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{Registry: e.registry, Link: opt, OnLoads: e.onLoads, Origins: e.origins})
+	e.follower = registry.NewFollower(e.ctx, registry.FollowerOptions{
+		Registry: e.registry, Link: opt, OnLoads: e.onLoads, Origins: e.origins,
+		OnHome: func(addr string) { events.ControlHomeMoved.Log(p.Log).Str("address", addr).Send() },
+	})
 	e.client = control.NewClient(control.ClientOptions{
 		Seeds:     set.Seeds,
 		ReadSeeds: set.ReadSeeds,
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	Member bool
 	// Origins is notified of the members that keep the origins of streams. It may be nil.
 	Origins OriginClient
+	// OnHome is called with the address of each new home, empty for none. It must neither block
+	// nor call the Follower. It may be nil.
+	OnHome func(addr string)
 }
 
 // OriginClient is notified of the members that keep the origins of streams (package origins), and of
@@ -71,15 +75,18 @@
 	ctx     context.Context
 	wg      conc.WaitGroup
 	cancels map[string]context.CancelFunc
-	conns   map[string]*member
-	// home is the address of the home member, empty for none.
-	home string
+	// conns holds the open links, by address.
+	conns map[string]*member
+	// home is the home member, nil for none. Another link to the same address is another member: it
+	// has subscribed to nothing yet.
+	home *member
 	// homeSince is the time at which home was last set.
 	homeSince time.Time
 }
 
 // member is a control member to which a link is open.
 type member struct {
+	addr string
 	conn Conn
 	// peerCount is the number of other members from which this member receives load
 	// reports, as it last stated.
@@ -99,6 +106,9 @@
 	if opt.OnLoads == nil {
 		opt.OnLoads = func([]fleetload.Report) {}
 	}
+	if opt.OnHome == nil {
+		opt.OnHome = func(string) {}
+	}
 	return &Follower{opt: opt, ctx: ctx, cancels: make(map[string]context.CancelFunc), conns: make(map[string]*member)}
 }
 
@@ -143,20 +153,20 @@
 	if err != nil {
 		return false
 	}
-	f.addConn(addr, conn)
-	conn.Run(ctx, func(m wire.Message) { f.handle(addr, m) })
-	f.removeConn(addr, conn)
+	m := f.addConn(ctx, addr, conn)
+	conn.Run(ctx, func(msg wire.Message) { f.handle(m, msg) })
+	f.removeConn(m)
 	return true
 }
 
-func (f *Follower) handle(addr string, m wire.Message) {
+func (f *Follower) handle(from *member, m wire.Message) {
 	switch m := m.(type) {
 	case *Records:
 		f.opt.Registry.Merge(m.List)
 	case *Loads:
 		f.opt.OnLoads(m.List)
 	case *PeerCount:
-		f.peerCount(addr, m)
+		f.peerCount(from, m)
 	case *origins.Answer:
 		if f.opt.Origins != nil {
 			f.opt.Origins.Answered(m)
@@ -164,54 +174,70 @@
 	}
 }
 
-func (f *Follower) addConn(addr string, conn Conn) {
+// addConn adds an open link to the member at addr and subscribes to it. It replaces another link to the
+// same address: after Follow has removed an address and added it again, the first link may end later than
+// the second one is opened. A link is not added if its ctx is done, which then has been replaced itself.
+func (f *Follower) addConn(ctx context.Context, addr string, conn Conn) *member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conns[addr] = &member{conn: conn}
+	m := &member{addr: addr, conn: conn}
+	if ctx.Err() != nil {
+		return m
+	}
+	if replaced := f.conns[addr]; replaced != nil {
+		f.forget(replaced)
+	}
+	f.conns[addr] = m
 	if f.opt.Member {
 		f.opt.Registry.SetPeerCount(len(f.conns))
 		// Send fails only on a link that has ended; the next dial subscribes again.
 		_ = conn.Send(&Subscribe{Loads: LoadsFromEntries})
-		return
+		return m
 	}
-	if f.home == "" {
-		f.moveHome(addr)
-		return
+	if f.home == nil {
+		f.moveHome(m)
+		return m
 	}
 	_ = conn.Send(&Subscribe{Loads: LoadsNone})
+	return m
 }
 
-func (f *Follower) removeConn(addr string, conn Conn) {
+// removeConn removes a link that has ended, unless another one has replaced it.
+func (f *Follower) removeConn(m *member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known := f.conns[addr]; known == nil || known.conn != conn {
+	if f.conns[m.addr] != m {
 		return
 	}
-	if f.conns[addr].keepsOrigins {
-		f.opt.Origins.Left(addr)
-	}
-	delete(f.conns, addr)
+	f.forget(m)
 	if f.opt.Member {
 		f.opt.Registry.SetPeerCount(len(f.conns))
-		return
 	}
-	if f.home == addr {
+}
+
+// forget removes a link and moves the home if it was there. f.mu must be held.
+func (f *Follower) forget(m *member) {
+	if m.keepsOrigins {
+		f.opt.Origins.Left(m.addr)
+	}
+	delete(f.conns, m.addr)
+	if f.home == m {
+		f.home = nil
 		f.moveHome(f.bestHome())
 	}
 }
 
-// peerCount handles a PeerCount message of the member at addr.
-func (f *Follower) peerCount(addr string, m *PeerCount) {
+// peerCount handles a PeerCount message of a member. A link that is not open any more may still deliver one.
+func (f *Follower) peerCount(from *member, m *PeerCount) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.conns[addr]
-	if known == nil {
+	if f.conns[from.addr] != from {
 		return
 	}
-	known.peerCount = m.Members
-	if m.KeepsOrigins && !known.keepsOrigins && f.opt.Origins != nil {
-		known.keepsOrigins = true
-		f.opt.Origins.Joined(addr, known.conn)
+	from.peerCount = m.Members
+	if m.KeepsOrigins && !from.keepsOrigins && f.opt.Origins != nil {
+		from.keepsOrigins = true
+		f.opt.Origins.Joined(from.addr, from.conn)
 	}
 }
 
@@ -227,7 +253,7 @@
 // others miss the reports of its entries. Members that reach the others are therefore
 // preferred.
 func (f *Follower) reconsiderHome(now time.Time) {
-	if f.home == "" || now.Sub(f.homeSince) < minHomeDuration {
+	if f.home == nil || now.Sub(f.homeSince) < minHomeDuration {
 		return
 	}
 	if best := f.bestHome(); best != f.home {
@@ -235,32 +261,33 @@
 	}
 }
 
-// moveHome makes the member at addr the home; an empty addr leaves the entry without one.
-// f.mu must be held.
+// moveHome makes next the home; nil leaves the entry without one. f.mu must be held.
 //
 // The subscription to the new home begins before the one to the old home ends, so that no
 // change is lost in between. All records are requested again only if there was no old
 // home or if it was not well connected and may have missed changes.
-func (f *Follower) moveHome(addr string) {
-	old, next := f.conns[f.home], f.conns[addr]
+func (f *Follower) moveHome(next *member) {
+	old := f.home
+	f.home, f.homeSince = next, time.Now()
 	if next != nil {
 		_ = next.conn.Send(&Subscribe{Loads: LoadsAll, Whole: old == nil || !f.wellConnected(old)})
+		f.opt.OnHome(next.addr)
+	} else {
+		f.opt.OnHome("")
 	}
 	if old != nil {
 		_ = old.conn.Send(&Subscribe{Loads: LoadsNone})
 	}
-	f.home, f.homeSince = addr, time.Now()
 }
 
-// bestHome returns the address of the member that should be home, or an empty string if no
-// link is open. f.mu must be held.
-func (f *Follower) bestHome() string {
-	addrs := slices.Sorted(maps.Keys(f.conns))
-	if len(addrs) == 0 {
-		return ""
+// bestHome returns the member that should be home, or nil if no link is open. f.mu must be held.
+func (f *Follower) bestHome() *member {
+	members := slices.Collect(maps.Values(f.conns))
+	if len(members) == 0 {
+		return nil
 	}
-	return slices.MaxFunc(addrs, func(a, b string) int {
-		return cmp.Or(cmp.Compare(f.homeScore(a), f.homeScore(b)), cmp.Compare(f.homeTieBreak(a), f.homeTieBreak(b)))
+	return slices.MaxFunc(members, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(f.homeScore(a), f.homeScore(b)), cmp.Compare(f.homeTieBreak(a.addr), f.homeTieBreak(b.addr)), strings.Compare(a.addr, b.addr))
 	})
 }
 
@@ -281,11 +308,11 @@
 	homeScoreConnected = 2
 )
 
-// homeScore returns the preference for the member at addr as home: well-connected members
+// homeScore returns the preference for a member as home: well-connected members
 // first, then members in this process's availability zone. Between members of equal score
 // homeTieBreak decides.
-func (f *Follower) homeScore(addr string) int {
-	m, score := f.conns[addr], 0
+func (f *Follower) homeScore(m *member) int {
+	score := 0
 	if f.wellConnected(m) {
 		score += homeScoreConnected
 	}
@@ -307,8 +334,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reconsiderHome(time.Now())
-	if home := f.conns[f.home]; home != nil {
-		_ = home.conn.Send(&Loads{List: []fleetload.Report{r}})
+	if f.home != nil {
+		_ = f.home.conn.Send(&Loads{List: []fleetload.Report{r}})
 	}
 }
 
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -188,9 +188,10 @@
 	c := qt.New(t)
 	f := NewFollower(context.Background(), FollowerOptions{Registry: New(noObserver{}, nil), Link: link.Options{Self: link.Peer{Instance: "e", Zone: "a"}}})
 	links := map[string]*fakeLink{}
+	members := map[string]*member{}
 	connect := func(addr string, zone api.Zone) {
 		links[addr] = &fakeLink{peer: link.Peer{Zone: zone}, to: New(noObserver{}, nil), back: newReportCounter()}
-		f.addConn(addr, links[addr])
+		members[addr] = f.addConn(context.Background(), addr, links[addr])
 	}
 	// reports sends a report and returns the address of the member that received it.
 	reports := func() string {
@@ -214,13 +215,13 @@
 	c.Assert(reports(), qt.Equals, "1", qt.Commentf("the home is kept for minHomeDuration"))
 	endMinHomeDuration()
 	c.Assert(reports(), qt.Equals, "2", qt.Commentf("a member in the entry's own zone is preferred"))
-	f.peerCount("1", &PeerCount{Members: 2})
+	f.peerCount(members["1"], &PeerCount{Members: 2})
 	endMinHomeDuration()
 	c.Assert(reports(), qt.Equals, "1", qt.Commentf("a member without links to other members is not preferred"))
-	f.peerCount("2", &PeerCount{Members: 2})
+	f.peerCount(members["2"], &PeerCount{Members: 2})
 	endMinHomeDuration()
 	c.Assert(reports(), qt.Equals, "2")
-	f.removeConn("2", links["2"])
+	f.removeConn(members["2"])
 	delete(links, "2")
 	c.Assert(reports(), qt.Equals, "1", qt.Commentf("a home whose link has ended is replaced at once"))
 }
@@ -231,15 +232,15 @@
 	c := qt.New(t)
 	f := NewFollower(context.Background(), FollowerOptions{Registry: New(noObserver{}, nil), Link: link.Options{Self: link.Peer{Instance: "e", Zone: "a"}}})
 	one, two := &subscriptionLog{zone: "b"}, &subscriptionLog{zone: "a"}
-	f.addConn("1", one)
-	f.addConn("2", two)
+	first := f.addConn(context.Background(), "1", one)
+	second := f.addConn(context.Background(), "2", two)
 	c.Assert(one.sent, qt.DeepEquals, []Subscribe{{Loads: LoadsAll, Whole: true}})
 	c.Assert(two.sent, qt.DeepEquals, []Subscribe{{Loads: LoadsNone}})
-	f.moveHome("2")
+	f.moveHome(second)
 	c.Assert(two.sent[1], qt.Equals, Subscribe{Loads: LoadsAll})
 	c.Assert(one.sent[1], qt.Equals, Subscribe{Loads: LoadsNone})
-	f.peerCount("1", &PeerCount{Members: 3})
-	f.moveHome("1")
+	f.peerCount(first, &PeerCount{Members: 3})
+	f.moveHome(first)
 	c.Assert(one.sent[2], qt.Equals, Subscribe{Loads: LoadsAll, Whole: true}, qt.Commentf("the old home was not well connected"))
 }
 
