Pauses at a lone control member that belongs to no group

Cause: a client leaves a member without a group at once, and a link that was opened resets the pause between two dials to 20 ms. If all known addresses are like that, the client dials without end, reads the settings each time (all known addresses have failed) and writes as many log lines.

Change: if an address is left that has not failed of late, the client leaves at once, as before. Otherwise it stays on the link for a pause that doubles from retryMin to retryMax (250 ms, jittered). The member states its leader on that link as soon as it has a group, so a member that joins is heard at once, and no sooner before. The pause is forgotten when a member with a group is met.

The cost: if only the settings name a live member and the only seed has no group, they are read 375 ms later at worst where it was 30 ms; this is what unreachable seeds cost.

--- a/node/control/choose.go
+++ b/node/control/choose.go
@@ -42,19 +42,24 @@
 // and addresses that failed less than failedAddressPause ago, as long as others are known:
 // several members may be partitioned at once, and a dial to each of them takes long.
 func (c *Client) chooseAddress(now time.Time) string {
-	known := c.knownAddresses()
-	healthy := slices.DeleteFunc(c.knownAddresses(), func(a string) bool {
-		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
-	})
+	known, untried := c.knownAddresses(), c.untriedAddresses(now)
 	switch {
-	case len(healthy) > 0:
-		return healthy[rand.IntN(len(healthy))]
+	case len(untried) > 0:
+		return untried[rand.IntN(len(untried))]
 	case len(known) > 0:
 		return known[rand.IntN(len(known))]
 	}
 	return c.seeds[rand.IntN(len(c.seeds))]
 }
 
+// untriedAddresses returns the known addresses other than the last one that have not failed of late. c.mu
+// must be held.
+func (c *Client) untriedAddresses(now time.Time) []string {
+	return slices.DeleteFunc(c.knownAddresses(), func(a string) bool {
+		return a == c.lastAddr || now.Sub(c.failedAt[a]) < failedAddressPause
+	})
+}
+
 // knownAddresses returns the addresses that may be dialled. c.mu must be held.
 func (c *Client) knownAddresses() []string {
 	known := slices.Concat(c.seeds, c.members)
@@ -157,7 +162,7 @@
 // then, and closes the link afterwards and avoids the member for a while. Several
 // members may be partitioned from the majority together, and a client that moved
 // between them would miss what the majority accepts until the partition ends. A member
-// that belongs to no group is left at once.
+// that belongs to no group is left at once if another address may be dialled.
 func (c *Client) handleLeader(conn linkCloser, m *Leader) {
 	if len(m.Members) > 0 {
 		c.setMembers(m.Members, m.Index)
@@ -165,13 +170,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopLeaderTimer()
+	if !m.Groupless {
+		c.grouplessPause = 0
+	}
 	switch {
 	case m.Self:
 	case m.Addr != "":
 		c.followLeader(conn, m.Addr)
 	case m.Groupless:
-		c.failedAt[c.lastAddr] = time.Now()
-		c.leave(conn)
+		c.leaveGroupless(conn, time.Now())
 	default:
 		addr := c.lastAddr
 		c.leaderTimer = time.AfterFunc(leaderlessTimeout, func() {
@@ -183,6 +190,23 @@
 	}
 }
 
+// leaveGroupless leaves a member that belongs to no group. If all other known addresses have failed, the
+// client stays for a pause that doubles each time, from retryMin to retryMax: it would come back at once, and
+// the member states its group on the link as soon as it has one. c.mu must be held.
+func (c *Client) leaveGroupless(conn linkCloser, now time.Time) {
+	c.failedAt[c.lastAddr] = now
+	if len(c.untriedAddresses(now)) > 0 {
+		c.leave(conn)
+		return
+	}
+	c.grouplessPause = max(retryMin, min(2*c.grouplessPause, retryMax))
+	c.leaderTimer = time.AfterFunc(c.grouplessPause/2+rand.N(c.grouplessPause), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.leave(conn)
+	})
+}
+
 // setMembers stores the group's addresses, which are dialled in addition to the
 // seeds. It ignores a list that is older than the one known: a member that was removed while
 // it was cut off states the members of that time.
--- a/node/control/client.go
+++ b/node/control/client.go
@@ -39,11 +39,14 @@
 	failedAt map[string]time.Time
 	// seedsReadAt is the time at which ReadSeeds was called last.
 	seedsReadAt time.Time
-	// leaderTimer closes the link to a member that knows no leader, or that names one which
-	// has just failed. It is nil on other links.
+	// leaderTimer closes the link to a member that knows no leader, that belongs to no group, or that
+	// names a leader which has just failed. It is nil on other links.
 	leaderTimer *time.Timer
-	seq         uint64
-	waiting     map[uint64]waitingAttempt
+	// grouplessPause is the last pause at a member that belongs to no group, zero if the last member
+	// belonged to one.
+	grouplessPause time.Duration
+	seq            uint64
+	waiting        map[uint64]waitingAttempt
 
 	// handling is held while a message other than a Reply is handled. A link that was left may
 	// still deliver some while the next link is up.
