Comments on the newest configuration, standbys and watchers in plain terms

Cause: the read of the diff found comments in the older manner (a thing that tells, five lines where two carry the reason).

Change: wording only.

Result: go build and gofmt are clean; no code differs.

--- a/node/callers/newest.go
+++ b/node/callers/newest.go
@@ -9,7 +9,7 @@
 	"almondseam.dev/core/rollout"
 )
 
-// Newest tells whether the configuration in force is the newest. It is safe for concurrent use.
+// Newest determines whether the configuration in force is the newest accepted one. It is safe for concurrent use.
 type Newest interface {
 	// Await waits until every configuration that was accepted before since is in force, or replaced
 	// by one that is, and a majority of the control group has confirmed that. It returns false if ctx
--- a/node/control/member.go
+++ b/node/control/member.go
@@ -326,12 +326,9 @@
 	m.wakeWatchers()
 }
 
-// publish stores the status of the consensus node for readers, and passes the
-// group's membership to the transport, and once it is committed to the watchers, if it has
-// changed.
-//
-// Clients find the group only by the addresses that members send them. One that missed
-// the replacement of every member it knew could not reach the group any more.
+// publish stores the status of the consensus node for readers. A changed membership goes to the
+// transport at once and to the watchers when it is committed: clients find the group only by the
+// addresses that members send them.
 func (m *Member) publish() {
 	st := m.node.Status()
 	m.status.Store(&st)
--- a/node/relay/halfclose_test.go
+++ b/node/relay/halfclose_test.go
@@ -133,7 +133,7 @@
 type readAnswer struct {
 	resp *http.Response
 	body string
-	// err tells that the answer is incomplete.
+	// err is not nil if the answer is incomplete.
 	err error
 }
 
--- a/node/relay/lookup.go
+++ b/node/relay/lookup.go
@@ -11,7 +11,7 @@
 	"almondseam.dev/core/routeconf"
 )
 
-// Newest tells whether the configuration in force is the newest.
+// Newest determines whether the configuration in force is the newest accepted one.
 type Newest interface {
 	// Await waits until every configuration that was accepted before since is in force, or replaced
 	// by one that is, and a majority of the control group has confirmed that. It returns false if ctx
--- a/node/relay/standby.go
+++ b/node/relay/standby.go
@@ -46,10 +46,9 @@
 // migrateByStandby continues the run at the engine that holds its standby copy. It returns
 // false if that fails or the stream has ended.
 //
-// The current run is ended only after the next engine has accepted the request: the copy may be
-// missing for lack of memory, and then a run that was ended could not be continued. For a few
-// milliseconds both engines generate the same events; the event numbers tell which ones the
-// caller already has.
+// The current run is ended only after the next engine has accepted the request, because the copy
+// may be missing for lack of memory. Until then both engines generate the same events; those that
+// the caller already has are known by their numbers.
 func (s *streamRun) migrateByStandby(ctx context.Context, l *leg) bool {
 	if s.relay.check(l.target, targetstate.UseHeld) != nil {
 		return false // the run could not be stopped
--- a/node/rollout/newest.go
+++ b/node/rollout/newest.go
@@ -9,7 +9,7 @@
 	"almondseam.dev/core/rollout"
 )
 
-// Newest tells whether the configuration in force is the newest. It asks the control group only when a
+// Newest determines whether the configuration in force is the newest accepted one. It asks the control group only when a
 // request needs it, and requests that wait together share a read. Run drives it.
 type Newest struct {
 	highest func(context.Context) (api.Revision, error)
