A member without a group confirms no announcements of targets

Cause: entries follow the members of the control group, by the list that the group has committed. A process of the role control that has no group (a new member, or one with an empty disk at a new address, until it is added, which takes a majority) or no running member (its disk has failed: its links are closed, its HTTP interface still serves) confirmed a target's draining or departure all the same. No entry was linked to it, so none learnt of it, while the target took it as confirmed and called nobody else.

What was announced is kept, for those that subscribe once the member has joined. The refusals are counted in the metric of the member's refusals.

Not changed: a member that belongs to the group but has lost the majority confirms as before, since entries are linked to it.

--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -269,11 +269,33 @@
 	}
 }
 
-// Announce applies the announcement of a target.
-func (c *RoutedControl) Announce(r directory.Record) { c.registry.Announce(r) }
+// ErrNoGroup reports that this member belongs to no control group.
+var ErrNoGroup = errors.New("this control member belongs to no group, so entries do not follow it")
 
-// Leave applies the deregistration of a target.
-func (c *RoutedControl) Leave(id api.TargetID, born int64) { c.registry.Leave(id, born) }
+// Announce applies the announcement of a target. After an error it must not be confirmed.
+func (c *RoutedControl) Announce(r directory.Record) error {
+	c.registry.Announce(r)
+	return c.checkFollowed()
+}
+
+// Leave applies the deregistration of a target, with the same result as Announce.
+func (c *RoutedControl) Leave(id api.TargetID, born int64) error {
+	c.registry.Leave(id, born)
+	return c.checkFollowed()
+}
+
+// checkFollowed returns an error unless this member belongs to the group: entries follow no other members, and a
+// target whose departure were confirmed by one of those would get requests after its end.
+func (c *RoutedControl) checkFollowed() error {
+	if role := c.role.Load(); role != nil {
+		st := role.Member().Status()
+		if st.Membership.IsVoter(st.ID) || st.Membership.IsLearner(st.ID) {
+			return nil
+		}
+	}
+	c.observer.Refused(api.ReasonControlUnavailable)
+	return ErrNoGroup
+}
 
 // Unusable logs an announcement that could not be read.
 func (c *RoutedControl) Unusable(id string, err error) {
