Test: the size at which a configuration is refused is the stated bound

Cause: the test took a document of 2 MiB for too large. Members accept 4 MiB since large entries travel in parts, so it failed on the merged code.

Change: a document of exactly the bound is accepted, one byte more is refused for good at each member. That is stricter: the bound is met from both sides.

--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -96,8 +96,9 @@
 func TestTooLargeConfigurationIsRefusedForGood(t *testing.T) {
 	g := newRoutedGroup(t, 3)
 	g.put(0, 1)
+	g.c.Assert(g.members[1].Put(context.Background(), 2, make([]byte, maxRoutedDocument)), qt.IsNil)
 	for i := range g.members {
-		err := g.members[i].Put(context.Background(), 2, make([]byte, 2<<20))
+		err := g.members[i].Put(context.Background(), 3, make([]byte, maxRoutedDocument+1))
 		g.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonTooLarge)
 		g.c.Assert(api.AsError(err).Outcome, qt.Equals, api.OutcomeNotRun)
 	}
