A member whose clock is behind does not extend quarantines

Cause: an entry counts how long a request is still refused from the clock in the group's list (the time of the last command that the member has applied). A list was ignored only by a lower index. Each new link gets the whole list again; from a member that lags it has the same index and an older clock, and each quarantine in it began anew from that clock. A leader's clock is up to 5 s old as well when nothing else is proposed.

Change: of two lists with the same index the one whose clock is later holds, counted on from its arrival. A list with a higher index applies as before.

Tests: TestLaggingMemberDoesNotExtendTheQuarantine: before, a request with 10 s left is refused for 45 s after the same list from a member cut off 35 s ago; now 10 s, and a clock that is ahead still applies. 5 of 5 with -race. Tests of quarantine and crashes in process, relay and entry pass with -race.

--- a/node/crash/quarantine.go
+++ b/node/crash/quarantine.go
@@ -136,7 +136,7 @@
 // a lagging member may send.
 func (q *Quarantine) Update(list quarantine.List) {
 	q.change(func() {
-		if list.Index < q.group.Index {
+		if q.outdates(list, time.Now()) {
 			return
 		}
 		for _, r := range q.group.Records {
@@ -149,6 +149,15 @@
 	})
 }
 
+// outdates reports whether a list is older than the last one: by its index, or by its clock if it is the same
+// list. A clock that is behind would extend each quarantine. The caller holds q.mu.
+func (q *Quarantine) outdates(list quarantine.List, now time.Time) bool {
+	if list.Index != q.group.Index {
+		return list.Index < q.group.Index
+	}
+	return list.Now < q.group.Now+now.Sub(q.groupAt).Milliseconds()
+}
+
 func listed(list quarantine.List, f quarantine.Fingerprint) bool {
 	return slices.ContainsFunc(list.Records, func(r quarantine.Record) bool { return r.Fingerprint == f })
 }
--- a/node/crash/quarantine_test.go
+++ b/node/crash/quarantine_test.go
@@ -97,6 +97,27 @@
 	})
 }
 
+// TestLaggingMemberDoesNotExtendTheQuarantine guards against a request that is refused for longer than the control group
+// has decided, because a member that lags states the same list by a clock that is behind.
+func TestLaggingMemberDoesNotExtendTheQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := NewQuarantine(&fakeGroup{}, nil)
+		bad := identity("bad")
+		list := listOf(5, bad)
+		list.Now = 10_000
+		q.Update(list)
+		time.Sleep(40 * time.Second)
+		list.Now = 15_000 // of a member that was cut off after 5 s
+		q.Update(list)
+		c.Assert(q.Refuses(bad), qt.Equals, 10*time.Second)
+		list.Now = 52_000
+		q.Update(list)
+		c.Assert(q.Refuses(bad), qt.Equals, 8*time.Second)
+		q.Stop()
+	})
+}
+
 // listOf returns a list in which a request is refused for a minute.
 func listOf(index uint64, id *Identity) quarantine.List {
 	r := quarantine.Record{Fingerprint: id.Fingerprint(), Customer: id.Customer, BodyBytes: len(id.Body), Until: 60_000}
