A departure that states no run does not hide later runs for ever

Cause: a deregistration need not state the run. A member that knows the target fills it in; one that does not (it has just started) passes on a record that says gone and names no run. It took the run's start away from every process that knew the target, and of two records of which one states no start the departure wins. Members delete it after a minute; entries delete none, so a target that started again under its name was never used again by any entry that had been told, and was used by those that started later.

Change: Merge keeps the run that the process knows, so a later run is told from it at once. Where no run is known the departure counts for tombstoneTTL (one minute), as in members, also in a process that calls no Expire.

Tests: TestRestartAfterALeaveWithoutARun, with and without a known run, fails in both cases before; delayed announcements of the run that left, and any within the minute where no run is known, still list nothing. go test -race -count=3 ./core/directory ./node/registry passes.

Not changed: entries keep the records of departed targets that state their run without a bound in time.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -120,11 +120,21 @@
 	return next.State > known.State || statesSoftware(next, known)
 }
 
+// known returns what is known of a target, nil if nothing. A departure that states no run counts for tombstoneTTL
+// only, also in a process that calls no Expire: no later run could be told from the one that has left.
+func (d *Directory) known(id api.TargetID, now time.Time) *trackedTarget {
+	e := d.targets[id]
+	if e != nil && e.record.State == StateGone && e.record.Born == 0 && now.Sub(e.lastHeard) > tombstoneTTL {
+		return nil
+	}
+	return e
+}
+
 // Announce applies an announcement that a target makes to this process. It returns the
 // records that changed and must be passed on: that of the target, and those of the
 // targets whose address it has taken.
 func (d *Directory) Announce(r Record, now time.Time) []Record {
-	e := d.targets[r.Target]
+	e := d.known(r.Target, now)
 	if e != nil && !supersedes(r, e.record) {
 		if e.record.State != StateGone && r.Sequence == e.record.Sequence {
 			e.lastHeard = now
@@ -186,10 +196,15 @@
 // something changed that routing depends on: the target's own, and those of the targets
 // whose address it has taken.
 func (d *Directory) Merge(r Record, now time.Time) []Record {
-	e := d.targets[r.Target]
+	e := d.known(r.Target, now)
 	if e != nil && !supersedes(r, e.record) {
 		return e.doubtSoftware(r)
 	}
+	if e != nil && r.State == StateGone && r.Born == 0 && e.record.Born != 0 {
+		// The process that was told of the departure did not know the run.
+		r = e.record
+		r.State = StateGone
+	}
 	if e != nil {
 		r = inheritSoftware(r, e.record)
 	}
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -131,6 +131,31 @@
 	c.Assert(d.Records(now.Add(2*tombstoneTTL)), qt.HasLen, 0)
 }
 
+// TestRestartAfterALeaveWithoutARun guards against a target that an entry never uses again, because it started again under
+// its name after a departure that was told to a process which did not know it and did not state its run.
+func TestRestartAfterALeaveWithoutARun(t *testing.T) {
+	start := time.Unix(0, 0)
+	left := New().Leave("t", 0, start)[0]
+	for name, known := range map[string][]Record{"known run": {rec("t", 5, 3, StateReady)}, "unknown run": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			entry := New()
+			for _, r := range append(known, left, rec("t", 5, 4, StateReady)) {
+				entry.Merge(r, start)
+			}
+			got, _ := entry.Get("t")
+			c.Assert(got.State, qt.Equals, StateGone, qt.Commentf("an announcement that was delayed"))
+			next := rec("t", 9, 1, StateReady)
+			if len(known) == 0 {
+				entry.Merge(next, start.Add(tombstoneTTL))
+				got, _ = entry.Get("t")
+				c.Assert(got.State, qt.Equals, StateGone, qt.Commentf("it may have been delayed as well"))
+			}
+			c.Assert(entry.Merge(next, start.Add(tombstoneTTL+time.Millisecond)), qt.DeepEquals, []Record{next})
+		})
+	}
+}
+
 // TestAddressesAreIndexedAsTheyAre guards against an address index that differs from the records.
 // Requests for a target that is still listed at an address which another target has taken would
 // be sent to that other target.
