A stranded agent dials the entries that it was linked to before

Cause: an agent without links dials its seeds and the entries of its last list. The list is the part of the fleet that it is to link to; the agent forgets the entries of earlier lists. If the seeds and the part were replaced while it was cut off, it stayed lost although entries that it had been linked to ran. Seeds come from flags and cannot change while a process runs.

Change: the agent keeps the last 32 addresses at which it has reached an entry (the handshake has proved the fleet key) and dials them with its seeds. The next list closes the links that it does not want, as before.

Not changed: if all entries that an agent ever met were replaced while it was cut off it stays lost, unless a seed is a name. For an entry with agents earlier members are no help: the list that a member states is the group's whole one.

Tests: TestStrandedAgentTriesAllEntriesThatItHasMet fails before (no link), passes 10 of 10 with -race, as does TestMetEntriesAreBounded. TestNamesAreResolvedAtEachDial shows what the help says; it passes before, too.

--- a/node/link/dial_test.go
+++ b/node/link/dial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 
@@ -43,3 +44,20 @@
 	})
 	return ln.Addr().String()
 }
+
+// TestNamesAreResolvedAtEachDial guards against a process that never reaches its peers again although their name leads
+// to other machines now.
+func TestNamesAreResolvedAtEachDial(t *testing.T) {
+	c := qt.New(t)
+	var dialled []string
+	refused := errors.New("refused")
+	opt := Options{Key: []byte("key"), NetDial: func(_ context.Context, _, addr string) (net.Conn, error) {
+		dialled = append(dialled, addr)
+		return nil, refused
+	}}
+	for range 2 {
+		_, err := Dial(context.Background(), "members.example:7401", opt)
+		c.Assert(errors.Is(err, refused), qt.IsTrue)
+	}
+	c.Assert(dialled, qt.DeepEquals, []string{"members.example:7401", "members.example:7401"})
+}
--- a/node/process/links.go
+++ b/node/process/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +20,12 @@
 	// period after that.
 	linkChangeSpread = 5 * time.Second
 	// seedRetryInterval is the interval at which an agent checks that it has a
-	// link. If it has none at two checks in a row, it dials its seeds again: all
-	// entries that it knew may have been replaced meanwhile.
+	// link. If it has none at two checks in a row, it dials its seeds again, and the
+	// entries that it was linked to before: all entries of its list may have been
+	// replaced meanwhile.
 	seedRetryInterval = 10 * time.Second
+	// maxMetEntries bounds the number of these entries.
+	maxMetEntries = 32
 )
 
 // linkManagerSettings holds the settings and dependencies of a linkManager.
@@ -45,6 +49,8 @@
 
 	mu   sync.Mutex
 	held map[string]*heldLink // by address
+	// met holds the addresses at which entries were reached, the latest last.
+	met []string
 	// wanted holds the addresses in the newest list, nil before the first list. A
 	// change that was scheduled for an older list is skipped if it contradicts
 	// wanted when it is due.
@@ -102,7 +108,10 @@
 }
 
 func (k *linkManager) openSeeds(ctx context.Context) {
-	for _, addr := range k.set.seeds {
+	k.mu.Lock()
+	addrs := slices.Concat(k.set.seeds, k.met)
+	k.mu.Unlock()
+	for _, addr := range addrs {
 		k.openLink(ctx, addr, membership.Entry{Instance: api.InstanceID(addr)})
 	}
 }
@@ -196,14 +205,21 @@
 	h := &heldLink{entry: e, cancel: cancel}
 	k.held[addr] = h
 	k.work.Go(func() {
-		redial(ctx, func() { k.set.dial(ctx, addr, func(c *link.Conn) { k.setLinkConn(h, c) }) })
+		redial(ctx, func() { k.set.dial(ctx, addr, func(c *link.Conn) { k.setLinkConn(addr, h, c) }) })
 	})
 }
 
-func (k *linkManager) setLinkConn(h *heldLink, c *link.Conn) {
+func (k *linkManager) setLinkConn(addr string, h *heldLink, c *link.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h.conn = c
+	if c == nil {
+		return
+	}
+	k.met = append(slices.DeleteFunc(k.met, func(a string) bool { return a == addr }), addr)
+	if len(k.met) > maxMetEntries {
+		k.met = k.met[1:]
+	}
 }
 
 // closeLink closes a link once no request depends on it. It keeps the last link that
--- a/node/process/links_test.go
+++ b/node/process/links_test.go
@@ -40,6 +40,20 @@
 	f.open[addr] = false
 }
 
+// cut ends the links to the addresses, which cannot be reached any more.
+func (f *fakeDialer) cut(k *linkManager, addrs ...string) {
+	f.mu.Lock()
+	for _, a := range addrs {
+		f.down[a], f.open[a] = true, false
+	}
+	f.mu.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, h := range k.held {
+		h.conn = nil
+	}
+}
+
 func (f *fakeDialer) retire(context.Context, *link.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -118,6 +132,41 @@
 	})
 }
 
+// TestStrandedAgentTriesAllEntriesThatItHasMet guards against an agent that is lost for good, because its seeds and the
+// entries of its last list were replaced while it was cut off, although others that it was linked to before still run.
+func TestStrandedAgentTriesAllEntriesThatItHasMet(t *testing.T) {
+	runLinkManager(t, func(c *qt.C, k *linkManager, f *fakeDialer) {
+		k.setList(entryInfos(1, 2))
+		time.Sleep(changesDone)
+		k.setList(entryInfos(3, 4))
+		time.Sleep(changesDone)
+		c.Assert(f.links(), qt.DeepEquals, []string{"addr3", "addr4"})
+		f.cut(k, "addr0", "addr3", "addr4")
+		time.Sleep(3 * seedRetryInterval)
+		c.Assert(f.links(), qt.DeepEquals, []string{"addr1", "addr2"})
+		// It leaves them as soon as it has another list.
+		k.setList(entryInfos(5, 6))
+		time.Sleep(changesDone)
+		c.Assert(f.links(), qt.DeepEquals, []string{"addr5", "addr6"})
+	})
+}
+
+// TestMetEntriesAreBounded guards against an agent that keeps, and dials when it is stranded, the address of each entry
+// that there ever was.
+func TestMetEntriesAreBounded(t *testing.T) {
+	runLinkManager(t, func(c *qt.C, k *linkManager, f *fakeDialer) {
+		const lists = 3 * maxMetEntries
+		for i := 1; i <= lists; i++ {
+			k.setList(entryInfos(i))
+			time.Sleep(changesDone)
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		c.Assert(k.met, qt.HasLen, maxMetEntries)
+		c.Assert(k.met[maxMetEntries-1], qt.Equals, fmt.Sprint("addr", lists))
+	})
+}
+
 // All entries that the agent knows are replaced at once and it receives no new list. It must
 // dial its seeds again instead of dialling unreachable addresses for ever.
 func TestStrandedAgentGoesBackToItsSeeds(t *testing.T) {
