A link on which no member says anything counts as a failure

Cause: the client of the control group took each opened link for a success. If another process of the fleet has the address of the only known member (or a member cannot read the client's messages), it accepts the link and ends it at once: the pause between two dials stayed at 20 ms, and as the address was never marked as failed, not all known addresses had failed and the seeds were never read again from the settings.

Change: a link on which nothing has arrived when it ends counts as a failed dial: the address is avoided for a while, the pause grows, the seeds are read. A member states its leader as the first thing on each link.

--- a/node/control/client.go
+++ b/node/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -93,7 +94,7 @@
 }
 
 // runLink dials one member and serves the link until it ends or is left. It reports whether
-// the dial succeeded.
+// the member has sent anything: another process that has its address may accept the link and end it.
 func (c *Client) runLink(ctx context.Context) bool {
 	addr := c.nextAddress()
 	conn, err := c.patience.Dial(ctx, addr, c.opt.Link)
@@ -111,10 +112,14 @@
 	reporting, stopReports := context.WithCancel(ctx)
 	defer stopReports()
 	c.leftLinks.Go(func() { c.reportLoop(reporting, conn) })
+	var heard atomic.Bool
 	ended := make(chan struct{})
 	c.leftLinks.Go(func() {
 		defer close(ended)
-		conn.Run(ctx, func(m wire.Message) { c.handle(conn, m) })
+		conn.Run(ctx, func(m wire.Message) {
+			heard.Store(true)
+			c.handle(conn, m)
+		})
 		c.detach(conn)
 	})
 	select {
@@ -122,10 +127,13 @@
 	case <-left:
 		return true
 	}
-	if conn.CloseReason() == link.CloseSilence {
+	switch {
+	case conn.CloseReason() == link.CloseSilence:
 		c.markSilent(addr)
+	case !heard.Load():
+		c.markFailed(addr)
 	}
-	return true
+	return heard.Load()
 }
 
 // reportDialFailure reports the first of several consecutive failures. It does not
--- a/node/control/seeds_test.go
+++ b/node/control/seeds_test.go
@@ -47,6 +47,44 @@
 	<-ended
 }
 
+// TestPeerThatEndsEachLinkIsNoMember guards against a process that dials an address without end, and never reads its seeds
+// again, because another process that ends each link has taken the address of its only member.
+func TestPeerThatEndsEachLinkIsNoMember(t *testing.T) {
+	const maxLinks = 50
+	links, tooMany := 0, make(chan struct{})
+	other := serveScript(t, func(conn *link.Conn, m wire.Message) {
+		conn.Close()
+		if links++; links == maxLinks {
+			close(tooMany)
+		}
+	})
+	present := serveScript(t, func(conn *link.Conn, m wire.Message) {
+		if _, ok := m.(*Watch); ok {
+			_ = conn.Send(&Update{Revision: 3, Document: []byte("three")})
+		}
+	})
+	revisions := make(chan api.Revision, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	client := NewClient(ClientOptions{
+		Seeds: []string{other}, Link: LinkOptions([]byte(testKey), link.Peer{Instance: "entry", Role: link.RoleEntry}, nil),
+		ReadSeeds: func() []string { return []string{present} },
+		OnConfig:  func(r api.Revision, _ []byte) { revisions <- r },
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		client.Run(ctx)
+	}()
+	select {
+	case r := <-revisions:
+		qt.Check(t, r, qt.Equals, api.Revision(3))
+	case <-tooMany:
+		t.Errorf("%d links to a process that is no member", maxLinks)
+	}
+	cancel()
+	<-ended
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(c *qt.C) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
