Targets: an entry that has failed before counts among those that fail now

Cause: the part of the evidence since many good answers in turn is the sum of all entries less an earlier sum, and the number of entries was subtracted like the counts. An entry whose earlier failures were still reported did not count when it failed again. With three entries of which two had seen a failure less than 3 s before, no two could be left: the target was neither taken out nor kept free of at-most-once calls, while each other entry that had set its base at another moment took it out. The probability in the log of such an entry fell to 1e-60 with nothing done.

Change: fleetload gives each failing entry of a sum a number that rises when the entry reports a further failure; targetfault remembers the highest number with each base and counts the entries above it. Nothing new is sent between entries.

TestInstanceThatFailsAgainCounts fails with the subtraction and passes without it. TestSumsAreThoseOfAllReports checks the numbers against a model. The tests of targetfault state the numbers of their instances, as instances that have each failed once; what they expect is unchanged. go test ./core/targetfault ./core/fleetload passes; go test -count=3 ./node/relay -run 'Fault|Takes|Restarted|Mixed|Trial|Entry' passes.

--- a/core/fleetload/fleetload.go
+++ b/core/fleetload/fleetload.go
@@ -110,6 +110,45 @@
 	// FailingBefore is the number of FailingEntries that come before the owner of the Table in the
 	// order in which entries try the target again, which is that of the migrations.
 	FailingBefore int
+	// Rises holds, for each entry that reports a failure, the number of the report in which its Failed
+	// last grew. Later reports of the same target have higher numbers.
+	Rises []uint64
+}
+
+// targetSum is a sum as a Table keeps it.
+type targetSum struct {
+	Sum
+	// failing holds the entries that report a failure.
+	failing []failingEntry
+}
+
+// failingEntry is an entry that reports a failure, with its number in Sum.Rises.
+type failingEntry struct {
+	entry api.InstanceID
+	rise  uint64
+}
+
+// setFailed records that an entry reports another number of failures than before, in the report with
+// the given number.
+func (s *targetSum) setFailed(entry api.InstanceID, before, failed int, number uint64) {
+	i := slices.IndexFunc(s.failing, func(f failingEntry) bool { return f.entry == entry })
+	switch {
+	case failed <= 0 && i >= 0:
+		s.failing = slices.Delete(s.failing, i, i+1)
+	case failed > before && i >= 0:
+		s.failing[i].rise = number
+	case failed > 0 && i < 0:
+		s.failing = append(s.failing, failingEntry{entry, number})
+	}
+}
+
+// take returns the sum with a copy of the numbers of its failing entries.
+func (s *targetSum) take() Sum {
+	out := s.Sum
+	for _, f := range s.failing {
+		out.Rises = append(out.Rises, f.rise)
+	}
+	return out
 }
 
 // Backlog is the amount of work to migrate runs from a target.
@@ -125,9 +164,11 @@
 type Table struct {
 	self    api.InstanceID
 	reports map[api.InstanceID]*report
-	sums    map[api.TargetID]*Sum
+	sums    map[api.TargetID]*targetSum
 	// changed holds the targets whose sums have changed since the last call of Take.
 	changed map[api.TargetID]struct{}
+	// changes counts the changes of loads.
+	changes uint64
 	// badPaces counts the paces that boundPace has dropped.
 	badPaces int
 	// dropped counts loads that are not plausible.
@@ -146,7 +187,7 @@
 func NewTable(self api.InstanceID) *Table {
 	return &Table{
 		self: self, reports: make(map[api.InstanceID]*report),
-		sums: make(map[api.TargetID]*Sum), changed: make(map[api.TargetID]struct{}),
+		sums: make(map[api.TargetID]*targetSum), changed: make(map[api.TargetID]struct{}),
 	}
 }
 
@@ -223,7 +264,7 @@
 	}
 	sum := t.sums[id]
 	if sum == nil {
-		sum = &Sum{Target: id}
+		sum = &targetSum{Sum: Sum{Target: id}}
 		t.sums[id] = sum
 	}
 	sum.Load = sum.Load.Add(l).sub(old)
@@ -232,6 +273,10 @@
 		sum.Ahead.Tokens += l.Moving - old.Moving
 		sum.Ahead.Runs += l.MovingRuns - old.MovingRuns
 	}
+	t.changes++
+	if old.Failed != l.Failed {
+		sum.setFailed(entry, old.Failed, l.Failed, t.changes)
+	}
 	if old.FailingEntries != l.FailingEntries && migratesBefore(id, entry, t.self) {
 		sum.FailingBefore += l.FailingEntries - old.FailingEntries
 	}
@@ -285,7 +330,7 @@
 	out := make([]Sum, 0, len(t.changed))
 	for id := range t.changed {
 		sum := t.sums[id]
-		out = append(out, *sum)
+		out = append(out, sum.take())
 		if sum.Load == (Load{}) && sum.Ahead == (Backlog{}) {
 			delete(t.sums, id)
 		}
--- a/core/fleetload/fleetload_test.go
+++ b/core/fleetload/fleetload_test.go
@@ -72,10 +72,12 @@
 	// loads and reportedAt hold the last load of each entry and the time of its last report.
 	loads := map[api.InstanceID]map[api.TargetID]Load{}
 	reportedAt := map[api.InstanceID]time.Time{}
+	rises := newRiseModel()
 	now := time.Unix(0, 0)
 	for range 5000 {
 		now = now.Add(time.Duration(rng.IntN(700)) * time.Millisecond)
 		r := Report{Entry: entries[rng.IntN(len(entries))], Whole: rng.IntN(3) == 0}
+		before := maps.Clone(loads[r.Entry])
 		if r.Whole || loads[r.Entry] == nil {
 			loads[r.Entry] = map[api.TargetID]Load{}
 		}
@@ -116,11 +118,85 @@
 			}
 		}
 		maps.DeleteFunc(want, func(_ api.TargetID, s Sum) bool { return s.Load == (Load{}) })
-		c.Assert(got, qt.DeepEquals, want)
+		if r.Entry != "self" {
+			rises.report(r.Entry, before, loads[r.Entry])
+		}
+		sums := maps.Clone(got)
+		for _, id := range targets {
+			failing, risen := rises.count(id, loads)
+			sum := got[id]
+			c.Assert(sum.Rises, qt.HasLen, failing)
+			c.Assert(rises.above(id, sum.Rises), qt.Equals, risen)
+			if rng.IntN(10) == 0 {
+				rises.setMark(id, sum.Rises)
+			}
+			if sum.Target != "" {
+				sum.Rises = nil
+				sums[id] = sum
+			}
+		}
+		c.Assert(sums, qt.DeepEquals, want)
 		c.Assert(count, qt.Equals, others)
 	}
 }
 
+// riseModel holds, by target, the entries of which the failures have grown since a mark.
+type riseModel struct {
+	risen map[api.TargetID]map[api.InstanceID]bool
+	marks map[api.TargetID]uint64
+}
+
+func newRiseModel() *riseModel {
+	return &riseModel{risen: map[api.TargetID]map[api.InstanceID]bool{}, marks: map[api.TargetID]uint64{}}
+}
+
+func (m *riseModel) report(entry api.InstanceID, before, after map[api.TargetID]Load) {
+	for id, l := range after {
+		if l.Failed > before[id].Failed {
+			if m.risen[id] == nil {
+				m.risen[id] = map[api.InstanceID]bool{}
+			}
+			m.risen[id][entry] = true
+		}
+	}
+	for id := range m.risen {
+		if after[id].Failed == 0 {
+			delete(m.risen[id], entry)
+		}
+	}
+}
+
+// count returns the number of other entries that report failures of a target, and of those among them
+// whose failures have grown since the mark.
+func (m *riseModel) count(id api.TargetID, loads map[api.InstanceID]map[api.TargetID]Load) (failing, risen int) {
+	for entry, of := range loads {
+		if entry == "self" || of[id].Failed == 0 {
+			continue
+		}
+		failing++
+		if m.risen[id][entry] {
+			risen++
+		}
+	}
+	return failing, risen
+}
+
+func (m *riseModel) above(id api.TargetID, rises []uint64) (n int) {
+	for _, r := range rises {
+		if r > m.marks[id] {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *riseModel) setMark(id api.TargetID, rises []uint64) {
+	for _, r := range rises {
+		m.marks[id] = max(m.marks[id], r)
+	}
+	delete(m.risen, id)
+}
+
 // Guards against an entry that, by reports that no entry sends, takes a target from all others or
 // keeps a faulty one in use; and against sums that are wrong after such a report.
 func TestFailuresThatNoEntryReportsAreNotCounted(t *testing.T) {
--- a/core/targetfault/service.go
+++ b/core/targetfault/service.go
@@ -30,6 +30,9 @@
 	// report a failure and come before this one in the order of the trials.
 	Others Counts
 	Before int
+	// Rises holds a number for each of the other instances that report a failure. It grows, above
+	// the numbers of all others, when the instance reports a further one.
+	Rises []uint64
 	// Running is the number of requests in progress, from all instances; Slots the number that the
 	// target runs at once, zero if unknown.
 	Running int
@@ -67,10 +70,12 @@
 }
 
 // Begin begins the judgement of a run that follows another one of its target. What the others
-// report of the target by then concerns the run before.
-func (s *Service) Begin(run Run, others Counts, now time.Time) {
+// report of the target by then, with the given rises (see Input), concerns the run before.
+func (s *Service) Begin(run Run, others Counts, rises []uint64, now time.Time) {
 	st := s.state(run, now)
-	st.seen, st.base, st.recentBase = others, others, others
+	st.seen, st.rises = others, rises
+	st.base = st.mark()
+	st.recentBase, st.lastMark = st.base, st.base
 }
 
 // Forget forgets a run that has ended.
@@ -91,7 +96,7 @@
 		st, own := s.state(in.Run, now), Counts{Failed: counted[in.Run], Answered: min(in.Answered, MaxCount)}
 		states[i] = st
 		verdicts[i].Report = st.reports(own)
-		fresh := st.observe(verdicts[i].Report.Add(in.Others), in.Slots, now)
+		fresh := st.observe(verdicts[i].Report.Add(in.Others), in.Rises, in.Slots, now)
 		verdicts[i].OthersAnswered = fresh.Answered > 0
 		verdicts[i].Held = fresh.Failed > 0
 		st.rank = in.Before
--- a/core/targetfault/state.go
+++ b/core/targetfault/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -37,11 +38,18 @@
 	since time.Time
 	// seen is the sum of all instances at the last update, and base the least one since the phase
 	// began: what is counted in it was seen before, or at a run before this one.
-	seen, base Counts
+	seen Counts
+	base mark
+	// rises are those of the other instances at the last update (see Input), and ownRises the number
+	// of times that this instance's own failures have grown.
+	rises    []uint64
+	ownRises uint64
 	// goodRun is the number of good answers since the last failure, and recentBase the base of
 	// the counts since it was last large.
 	goodRun    int
-	recentBase Counts
+	recentBase mark
+	// lastMark is that of the last update.
+	lastMark mark
 	// heldAt is when at-most-once requests were first kept away, zero if there was a good answer
 	// since.
 	heldAt time.Time
@@ -56,6 +64,39 @@
 	rank int
 }
 
+// mark is what was known of a target at some time, so that later failures can be told from earlier
+// ones.
+type mark struct {
+	// counts is the least sum since then.
+	counts Counts
+	// rise is the highest of the other instances' rises, own the number of the instance's own.
+	rise, own uint64
+}
+
+func (s *state) mark() mark {
+	m := mark{counts: s.seen, own: s.ownRises}
+	if len(s.rises) > 0 {
+		m.rise = slices.Max(s.rises)
+	}
+	return m
+}
+
+// above returns the counts since a mark. An instance that has seen failures before it and after it
+// counts.
+func (s *state) above(m mark) Counts {
+	c := s.seen.above(m.counts)
+	c.Instances = 0
+	for _, r := range s.rises {
+		if r > m.rise {
+			c.Instances++
+		}
+	}
+	if s.own.Failed > 0 && s.ownRises > m.own {
+		c.Instances++
+	}
+	return c
+}
+
 // reports returns what the instance reports, of its failures and good answers within Window. Good
 // answers are left out while nobody reports a failure.
 func (s *state) reports(c Counts) Counts {
@@ -68,26 +109,31 @@
 	if c.Failed > 0 {
 		c.Instances = 1
 	}
+	if c.Failed > s.own.Failed {
+		s.ownRises++
+	}
 	s.own = c
 	return c
 }
 
 // observe records the sum of all instances, and returns what is new in it. Failures before many
 // good answers in turn, and those after them, are no evidence of the same fault.
-func (s *state) observe(sum Counts, slots int, now time.Time) Counts {
+func (s *state) observe(sum Counts, rises []uint64, slots int, now time.Time) Counts {
 	fresh := sum.above(s.seen)
 	if fresh.Failed == 0 {
 		s.goodRun += fresh.Answered
 	} else {
 		if s.phase == Well && s.goodRun >= max(separateAnswers, separateAnswersPerSlot*slots) {
-			s.recentBase = s.seen
+			s.recentBase = s.lastMark
 		}
 		s.goodRun = 0
 	}
 	if fresh.Answered > 0 {
 		s.heldAt = time.Time{}
 	}
-	s.seen, s.base, s.recentBase = sum, s.base.least(sum), s.recentBase.least(sum)
+	s.seen, s.rises = sum, rises
+	s.base.counts, s.recentBase.counts = s.base.counts.least(sum), s.recentBase.counts.least(sum)
+	s.lastMark = s.mark()
 	if s.phase == Out && fresh.Failed > 0 {
 		if now.Sub(s.since) >= MinTrialInterval { // earlier ones were in progress when it was taken out
 			s.interval = min(2*s.interval, MaxTrialInterval)
@@ -98,10 +144,10 @@
 }
 
 // evidence returns the counts since the phase began.
-func (s *state) evidence() Counts { return s.seen.above(s.base) }
+func (s *state) evidence() Counts { return s.above(s.base) }
 
 // recent returns the counts since there were many good answers in turn.
-func (s *state) recent() Counts { return s.seen.above(s.recentBase) }
+func (s *state) recent() Counts { return s.above(s.recentBase) }
 
 // isSilent reports whether at-most-once requests were kept away for holdTime without a good answer.
 func (s *state) isSilent(now time.Time) bool {
@@ -140,7 +186,9 @@
 }
 
 func (s *state) enter(p Phase, now time.Time) bool {
-	s.phase, s.since, s.newsAt, s.base, s.recentBase = p, now, now, s.seen, s.seen
+	s.phase, s.since, s.newsAt = p, now, now
+	s.base = s.mark()
+	s.recentBase = s.base
 	s.goodRun, s.heldAt = 0, time.Time{}
 	return true
 }
--- a/core/targetfault/targetfault_test.go
+++ b/core/targetfault/targetfault_test.go
@@ -192,9 +192,18 @@
 	c.Assert(f+g, qt.Equals, 0)
 }
 
+// rises returns those of the given number of instances, of which each has failed once, in turn.
+func rises(instances int) []uint64 {
+	var out []uint64
+	for i := range instances {
+		out = append(out, uint64(i+1))
+	}
+	return out
+}
+
 // step is one update of a Service of which the target t is the only one that fails.
 func step(s *Service, others Counts, before, answered int, now time.Time) Verdict {
-	in := Input{Run: run("t"), Others: others, Before: before, Answered: answered, Slots: 6}
+	in := Input{Run: run("t"), Others: others, Rises: rises(others.Instances), Before: before, Answered: answered, Slots: 6}
 	return s.Update([]Input{in}, Rest{Targets: 2, Answered: 200, Slots: 12}, 30, 7, now)[0]
 }
 
@@ -287,6 +296,22 @@
 	c.Assert(step(&s, Counts{11, 60, 4}, 0, 0, at(1950*time.Millisecond)).Phase, qt.Equals, Out)
 }
 
+// Guards against a fault that an instance does not see for as long as failures of the same instances
+// before it, between which the target has answered well, are still reported.
+func TestInstanceThatFailsAgainCounts(t *testing.T) {
+	c := qt.New(t)
+	var s Service
+	update := func(others Counts, now time.Time, rises ...uint64) Verdict {
+		in := Input{Run: run("t"), Others: others, Rises: rises, Slots: 6}
+		return s.Update([]Input{in}, Rest{Targets: 2, Answered: 200, Slots: 12}, 3, 0, now)[0]
+	}
+	c.Assert(update(Counts{2, 42, 2}, t0, 1, 2).Phase, qt.Equals, Well)
+	c.Assert(update(Counts{2, 64, 2}, at(100*time.Millisecond), 1, 2).Phase, qt.Equals, Well)
+	c.Assert(update(Counts{5, 64, 2}, at(110*time.Millisecond), 1, 5).Held, qt.IsFalse) // all of one instance
+	c.Assert(update(Counts{6, 64, 2}, at(120*time.Millisecond), 6, 5).Held, qt.IsTrue)
+	c.Assert(update(Counts{7, 64, 2}, at(130*time.Millisecond), 6, 7).Phase, qt.Equals, Out)
+}
+
 // Guards against a target that is taken out because the first failures of requests that fail
 // everywhere were there, and against at-most-once requests that are sent there meanwhile.
 func TestFewFailuresHoldAtMostOnceRequests(t *testing.T) {
@@ -311,9 +336,9 @@
 	c.Assert(step(&s, Counts{5, 0, 5}, 0, 0, t0).Phase, qt.Equals, Out)
 	next := Run{Target: "t", Born: 2}
 	s.Forget(run("t"))
-	s.Begin(next, Counts{5, 0, 5}, t0)
+	s.Begin(next, Counts{5, 0, 5}, rises(5), t0)
 	update := func(others Counts) Verdict {
-		in := Input{Run: next, Others: others, Slots: 6}
+		in := Input{Run: next, Others: others, Rises: rises(others.Instances), Slots: 6}
 		return s.Update([]Input{in}, Rest{Targets: 2, Answered: 200, Slots: 12}, 30, 7, at(time.Millisecond))[0]
 	}
 	c.Assert(update(Counts{5, 0, 5}).Phase, qt.Equals, Well)
@@ -328,7 +353,7 @@
 	c := qt.New(t)
 	var s Service
 	input := func(name string, failed int) Input {
-		return Input{Run: run(name), Others: Counts{failed, 0, failed}, Slots: 6}
+		return Input{Run: run(name), Others: Counts{failed, 0, failed}, Rises: rises(failed), Slots: 6}
 	}
 	rest := Rest{Targets: 2, Answered: 200, Slots: 12}
 	c.Assert(s.Update([]Input{input("t", 6)}, rest, 30, 0, t0)[0].Phase, qt.Equals, Out)
@@ -347,7 +372,7 @@
 			var s Service
 			list := make([]Input, n)
 			for i := range list {
-				list[i] = Input{Run: run(fmt.Sprint(i)), Answered: 20, LongAnswered: 200, Others: Counts{3, 20, 2}, Running: 3, Slots: 6}
+				list[i] = Input{Run: run(fmt.Sprint(i)), Answered: 20, LongAnswered: 200, Others: Counts{3, 20, 2}, Rises: rises(2), Running: 3, Slots: 6}
 			}
 			rest := Rest{Targets: 2 * n, Answered: 200 * n, Failed: 40 * n, Slots: 12 * n}
 			for b.Loop() {
--- a/node/relay/faults.go
+++ b/node/relay/faults.go
@@ -146,8 +146,8 @@
 
 // beginRun begins the judgement of a target that follows another run of it, while other entries
 // still report failures of that one.
-func (t *Targets) beginRun(next *Target, others fleetload.Load) {
-	if others.Failed == 0 {
+func (t *Targets) beginRun(next *Target, others fleetload.Sum) {
+	if others.Load.Failed == 0 {
 		return
 	}
 	service := (*t.services.Load())[next.Service]
@@ -157,7 +157,7 @@
 	f, now := &service.faults, time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.judgement.Begin(next.run(), countsOf(others), now)
+	f.judgement.Begin(next.run(), countsOf(others.Load), others.Rises, now)
 	f.suspect(next, now)
 	next.markDirty(true) // this entry reports nothing of the new run
 }
@@ -224,15 +224,16 @@
 func (t *Target) faultInput(now time.Time) targetfault.Input {
 	load := t.Load()
 	var others targetfault.Counts
+	var rises []uint64
 	if o := t.others.Load(); o != nil {
-		others = countsOf(*o)
+		others, rises = countsOf(o.Load), o.Rises
 	}
 	_, answered := t.faults.window.Load().Count(now)
 	longFailed, long := t.faults.answers.Count(now)
 	failedLately, goodLately := t.faults.answers.Recent(now)
 	return targetfault.Input{
 		Run: t.run(), Answered: answered, Used: failedLately+goodLately > 0, Failing: t.faults.failing.Load(), LongFailed: longFailed, LongAnswered: long,
-		Others: others, Before: int(t.faults.before.Load()), Running: max(0, load.Running), Slots: t.Slots,
+		Others: others, Rises: rises, Before: int(t.faults.before.Load()), Running: max(0, load.Running), Slots: t.Slots,
 	}
 }
 
--- a/node/relay/pace_test.go
+++ b/node/relay/pace_test.go
@@ -231,7 +231,7 @@
 func BenchmarkObserveGap(b *testing.B) {
 	f := newPaceFixture(b, 1)
 	e := f.engine(0)
-	e.others.Store(&fleetload.Load{Running: 3, PaceWeight: 32, PaceSum: 1300})
+	e.others.Store(&fleetload.Sum{Load: fleetload.Load{Running: 3, PaceWeight: 32, PaceSum: 1300}})
 	req := &Request{decision: decision{Service: service, Route: f.route}}
 	s, l := &streamRun{relay: f.relay, req: req}, &leg{target: e}
 	b.ReportAllocs()
--- a/node/relay/targets.go
+++ b/node/relay/targets.go
@@ -44,7 +44,7 @@
 	// incoming is the memory of this entry's runs that are being copied to the target.
 	incoming atomic.Int64
 	// others is the load from other entry processes, as last reported.
-	others atomic.Pointer[fleetload.Load]
+	others atomic.Pointer[fleetload.Sum]
 	// pace is what this entry has learnt of the engine's pace.
 	pace targetPace
 	// ahead is what other entry processes migrate from the target before this one does; nil if
@@ -222,7 +222,7 @@
 		known.setSoftware(r.Software)
 		if sum, ok := t.others[r.Target]; ok {
 			known.setOthers(sum)
-			t.beginRun(known, sum.Load)
+			t.beginRun(known, sum)
 		}
 		t.applyListedLimit(known)
 	}
@@ -358,7 +358,7 @@
 func (t *Target) Load() fleetload.Load {
 	l := t.ownLoad()
 	if o := t.others.Load(); o != nil {
-		l = l.Add(*o)
+		l = l.Add(o.Load)
 	}
 	return l
 }
@@ -485,7 +485,7 @@
 }
 
 func (t *Target) setOthers(sum fleetload.Sum) {
-	t.others.Store(&sum.Load)
+	t.others.Store(&sum)
 	next := reportedBacklog{Backlog: sum.Ahead, since: time.Now()}
 	if old := t.ahead.Load(); old != nil && old.Runs == next.Runs {
 		next.since = old.since
