Targets: good answers from before a fault do not hide it at a target that has returned lately

Cause: good answers are to count from the first failure in the fleet on. They are counted by a window that begins when a target is first suspected, and a target stays suspected for 10 s after its return. In that time the good answers of 3 s before a fault counted.

Change: the verdict says when a failure is the first one while the target is well and nobody reported any; the window begins anew then. Other entries hear of it by the report and do the same.

TestGoodAnswersBeforeTheFirstFailureAreNotCounted fails without the change.

--- a/core/targetfault/service.go
+++ b/core/targetfault/service.go
@@ -17,7 +17,7 @@
 type Input struct {
 	Run Run
 	// Answered is the number of the instance's own good answers since the target was first given
-	// to Update, within Window.
+	// to Update, or Update last set Verdict.Begins, within Window.
 	Answered int
 	// Used is set if the instance has had an answer of the target within Window, good or failed,
 	// and Failing if the last one was a failure.
@@ -52,6 +52,10 @@
 	// TrialAt is from when the instance may send a repeatable request as the trial, and OnceAt from
 	// when any request; both only while the target is out.
 	TrialAt, OnceAt time.Time
+	// Begins is set at the first failure, after a time in which no instance has reported one. Good
+	// answers are counted from then on: those before would hide a target that has just begun to
+	// fail. They are not counted in this verdict.
+	Begins bool
 	// OthersAnswered is set if another instance has had a good answer since the last call.
 	OthersAnswered bool
 	// Held is set if new failures do not suffice to take the target out, but it gets no
@@ -95,6 +99,9 @@
 	for i, in := range list {
 		st, own := s.state(in.Run, now), Counts{Failed: counted[in.Run], Answered: min(in.Answered, MaxCount)}
 		states[i] = st
+		if st.begins(own, in.Others) {
+			verdicts[i].Begins, own.Answered = true, 0
+		}
 		verdicts[i].Report = st.reports(own)
 		fresh := st.observe(verdicts[i].Report.Add(in.Others), in.Rises, in.Slots, now)
 		verdicts[i].OthersAnswered = fresh.Answered > 0
--- a/core/targetfault/state.go
+++ b/core/targetfault/state.go
@@ -97,6 +97,12 @@
 	return c
 }
 
+// begins reports whether a failure is the first one since the target was well and no instance
+// reported one.
+func (s *state) begins(own, others Counts) bool {
+	return s.phase == Well && s.seen.Failed == 0 && own.Failed+others.Failed > 0
+}
+
 // reports returns what the instance reports, of its failures and good answers within Window. Good
 // answers are left out while nobody reports a failure.
 func (s *state) reports(c Counts) Counts {
--- a/core/targetfault/targetfault_test.go
+++ b/core/targetfault/targetfault_test.go
@@ -296,6 +296,25 @@
 	c.Assert(step(&s, Counts{11, 60, 4}, 0, 0, at(1950*time.Millisecond)).Phase, qt.Equals, Out)
 }
 
+// Guards against good answers from before a fault that hide it, where an instance still counts them
+// because the target has returned lately.
+func TestGoodAnswersBeforeTheFirstFailureAreNotCounted(t *testing.T) {
+	c := qt.New(t)
+	var s Service
+	c.Assert(step(&s, Counts{5, 0, 5}, 0, 0, t0).Phase, qt.Equals, Out)
+	c.Assert(step(&s, Counts{5, 1, 5}, 0, 0, at(time.Second)).Phase, qt.Equals, Returning)
+	c.Assert(step(&s, Counts{}, 0, 20, at(time.Second+3*ReturnStep)).Phase, qt.Equals, Well)
+	v := step(&s, Counts{}, 0, 40, at(4*time.Second))
+	c.Assert(v.Done || v.Begins, qt.IsFalse)
+	v = step(&s, Counts{1, 0, 1}, 0, 60, at(5*time.Second))
+	c.Assert(v.Begins, qt.IsTrue)
+	c.Assert(v.Report.Answered, qt.Equals, 0)
+	v = step(&s, Counts{3, 0, 3}, 0, 0, at(5*time.Second))
+	c.Assert(v.Begins, qt.IsFalse)
+	c.Assert(v.Held, qt.IsTrue)
+	c.Assert(step(&s, Counts{5, 0, 5}, 0, 0, at(5*time.Second)).Phase, qt.Equals, Out)
+}
+
 // Guards against a fault that an instance does not see for as long as failures of the same instances
 // before it, between which the target has answered well, are still reported.
 func TestInstanceThatFailsAgainCounts(t *testing.T) {
--- a/node/relay/faults.go
+++ b/node/relay/faults.go
@@ -267,6 +267,9 @@
 // applyVerdict applies the judgement on a target and reports its changes.
 func (t *Targets) applyVerdict(target *Target, v targetfault.Verdict, now time.Time) {
 	target.report(v.Report)
+	if v.Begins {
+		target.faults.window.Load().Reset()
+	}
 	if v.Changed && v.Phase == targetfault.Out {
 		// Answers from before do not tell whether the target is well again.
 		target.faults.window.Load().Reset()
