--- a/core/targetfault/service.go
+++ b/core/targetfault/service.go
@@ -17,7 +17,7 @@
 type Input struct {
 	Run Run
 	// Answered is the number of the instance's own good answers since the target was first given
-	// to Update, within Window.
+	// to Update, or Update last set Verdict.Begins, within Window.
 	Answered int
 	// Used is set if the instance has had an answer of the target within Window, good or failed,
 	// and Failing if the last one was a failure.
@@ -30,6 +30,9 @@
 	// report a failure and come before this one in the order of the trials.
 	Others Counts
 	Before int
+	// Rises holds a number for each of the other instances that report a failure. It grows, above
+	// the numbers of all others, when the instance reports a further one.
+	Rises []uint64
 	// Running is the number of requests in progress, from all instances; Slots the number that the
 	// target runs at once, zero if unknown.
 	Running int
@@ -49,6 +52,10 @@
 	// TrialAt is from when the instance may send a repeatable request as the trial, and OnceAt from
 	// when any request; both only while the target is out.
 	TrialAt, OnceAt time.Time
+	// Begins is set at the first failure, after a time in which no instance has reported one. Good
+	// answers are counted from then on: those before would hide a target that has just begun to
+	// fail. They are not counted in this verdict.
+	Begins bool
 	// OthersAnswered is set if another instance has had a good answer since the last call.
 	OthersAnswered bool
 	// Held is set if new failures do not suffice to take the target out, but it gets no
@@ -67,10 +74,12 @@
 }
 
 // Begin begins the judgement of a run that follows another one of its target. What the others
-// report of the target by then concerns the run before.
-func (s *Service) Begin(run Run, others Counts, now time.Time) {
+// report of the target by then, with the given rises (see Input), concerns the run before.
+func (s *Service) Begin(run Run, others Counts, rises []uint64, now time.Time) {
 	st := s.state(run, now)
-	st.seen, st.base, st.recentBase = others, others, others
+	st.seen, st.rises = others, rises
+	st.base = st.mark()
+	st.recentBase, st.lastMark = st.base, st.base
 }
 
 // Forget forgets a run that has ended.
@@ -90,8 +99,11 @@
 	for i, in := range list {
 		st, own := s.state(in.Run, now), Counts{Failed: counted[in.Run], Answered: min(in.Answered, MaxCount)}
 		states[i] = st
+		if st.begins(own, in.Others) {
+			verdicts[i].Begins, own.Answered = true, 0
+		}
 		verdicts[i].Report = st.reports(own)
-		fresh := st.observe(verdicts[i].Report.Add(in.Others), in.Slots, now)
+		fresh := st.observe(verdicts[i].Report.Add(in.Others), in.Rises, in.Slots, now)
 		verdicts[i].OthersAnswered = fresh.Answered > 0
 		verdicts[i].Held = fresh.Failed > 0
 		st.rank = in.Before
