soak: control members replaced one after another, and everything stopped

Cause: no play of the soak replaced control members, so the incident of a configuration that was confirmed and not in force at an entry could not show.

Settings files are exchanged with a lag and SIGHUP, and few changes or a storm of them by two operators come meanwhile.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -61,8 +61,10 @@
 
 // node is one process of the system together with the forwarders in front of it.
 type node struct {
-	name            string
-	role            string
+	name string
+	role string
+	// number is the number of a control member's address.
+	number          int
 	config          standin.Process
 	args            []string
 	dir             string
@@ -95,11 +97,8 @@
 		seeds = append(seeds, hostPort(a.advertised(groupControl, i), portOperators))
 	}
 	for i := range controls {
-		n := &node{name: fmt.Sprintf("control-%d", i), role: "control", args: []string{"--links-listen", a.listen(groupControl, i)}}
-		n.config = standin.Process{
-			Host: a.advertised(groupControl, i), Founding: true, Operators: hostPort(a.listen(groupControl, i), portOperators),
-			DataDir: filepath.Join(dir, n.name+".data"),
-		}
+		n := newControl(a, dir, i, fmt.Sprintf("control-%d", i))
+		n.config.Founding = true
 		f.control = append(f.control, n)
 	}
 	for i := range entries {
@@ -110,10 +109,8 @@
 		f.entries = append(f.entries, n)
 	}
 	for _, n := range f.nodes() {
-		n.dir, n.binary, n.onFailure = dir, binary, onFailure
-		n.config.Name, n.config.Zone, n.config.Seeds, n.config.LinkPort = n.name, ownZone, seeds, portLinks
-		n.config.Grace, n.config.Every = gracePeriod, announceInterval
-		n.config.RetryRatio, n.config.RetrySlack, n.config.RetryWindow = retryRatio, retrySlack, retryWindow
+		n.binary, n.onFailure = binary, onFailure
+		n.configure(dir, seeds)
 		if err := n.startForwarders(); err != nil {
 			return f, err
 		}
@@ -124,6 +121,24 @@
 	return f, nil
 }
 
+// newControl returns a control member at the address with the number i.
+func newControl(a addresses, dir string, i int, name string) *node {
+	n := &node{name: name, number: i, role: "control", args: []string{"--links-listen", a.listen(groupControl, i)}}
+	n.config = standin.Process{
+		Host: a.advertised(groupControl, i), Operators: hostPort(a.listen(groupControl, i), portOperators),
+		DataDir: filepath.Join(dir, n.name+".data"),
+	}
+	return n
+}
+
+// configure sets what the settings of all processes have in common.
+func (n *node) configure(dir string, seeds []string) {
+	n.dir = dir
+	n.config.Name, n.config.Zone, n.config.Seeds, n.config.LinkPort = n.name, ownZone, seeds, portLinks
+	n.config.Grace, n.config.Every = gracePeriod, announceInterval
+	n.config.RetryRatio, n.config.RetrySlack, n.config.RetryWindow = retryRatio, retrySlack, retryWindow
+}
+
 func (f *fleet) nodes() []*node { return append(append([]*node(nil), f.control...), f.entries...) }
 
 func (f *fleet) operators() []string {
@@ -165,14 +180,10 @@
 			return err
 		}
 	}
-	file, err := n.config.File()
+	path, err := n.writeSettings()
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(n.dir, n.name+".yaml")
-	if err := os.WriteFile(path, file, 0o644); err != nil {
-		return err
-	}
 	log, err := os.OpenFile(filepath.Join(n.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -192,6 +203,22 @@
 	return nil
 }
 
+// writeSettings writes the settings file, which a running process may read at any time, and returns its
+// path.
+func (n *node) writeSettings() (string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	file, err := n.config.File()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(n.dir, n.name+".yaml")
+	if err := os.WriteFile(path+".new", file, 0o644); err != nil {
+		return "", err
+	}
+	return path, os.Rename(path+".new", path)
+}
+
 // pid returns the ID of the process that was started last.
 func (n *node) pid() int {
 	n.mu.Lock()
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -48,6 +48,7 @@
 	// noReports is set if targets have no page on which they state their runs.
 	noReports bool
 	rush      rushSettings
+	members   memberSettings
 	out       io.Writer
 }
 
@@ -87,6 +88,13 @@
 	app.Flag("rush-again", "Callers come back at once if their connection is closed unread.").BoolVar(&set.rush.again)
 	app.Flag("rush-turns", "A second entry gets most connections after the first.").BoolVar(&set.rush.turns)
 	app.Flag("rush-stop", "The entry receives SIGTERM meanwhile.").BoolVar(&set.rush.stop)
+	app.Flag("replace-members", "Instead of other faults, control members are replaced and everything is stopped, over --storms acts.").Action(func(*kingpin.ParseContext) error {
+		run = runMembers
+		return nil
+	}).Bool()
+	app.Flag("replace-gap", "Least time from the start of a successor to the next loss of a member.").Default("8s").DurationVar(&set.members.gap)
+	app.Flag("replace-storms", "Probability that the configuration changes all the time during an act.").Default("0.4").Float64Var(&set.members.stormShare)
+	app.Flag("replace-act", "An act to play, 0 to 4, in place of random ones; may be repeated.").IntsVar(&set.members.acts)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	// An interrupted run must kill its processes: a process suspended by SIGSTOP would hold
 	// its addresses forever.
