A process that is starting is not ended by SIGHUP

Cause: SIGHUP, which says that the settings file has changed, was handled only once the process had started.

Change: routed processes handle SIGHUP before they read their settings. The time before the program's main function remains.

--- a/cmd/almondseam/routed.go
+++ b/cmd/almondseam/routed.go
@@ -82,6 +82,9 @@
 }
 
 func (c *routedCommand) execute(out streams) int {
+	// SIGHUP may come before the process has started, and would end it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	set, err := platform.LoadSettings()
 	if err != nil {
 		return out.usage(err)
@@ -103,7 +106,7 @@
 	if err := r.start(); err != nil {
 		return out.failed(&log, err)
 	}
-	return r.wait()
+	return r.wait(reload)
 }
 
 func (r *routed) start() error {
@@ -227,14 +230,16 @@
 // SIGHUP, which reports a changed settings file, is only logged: of the settings only the
 // seeds change while a process runs. The control group itself supplies more accurate
 // addresses, and a process that has lost it reads the file again.
-func (r *routed) wait() int {
-	sig := make(chan os.Signal, 2)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range sig {
-		if s != syscall.SIGHUP {
-			break
+func (r *routed) wait(reload <-chan os.Signal) int {
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	for ended := false; !ended; {
+		select {
+		case <-end:
+			ended = true
+		case <-reload:
+			events.ProcessReloaded.Log(r.log).Send()
 		}
-		events.ProcessReloaded.Log(r.log).Send()
 	}
 	code := exitOK
 	if err := r.stop(context.Background()); err != nil {
