A restarted group with long delays elects a leader in the end

Cause: a member that has known no leader since its start uses half the election timeout, without an end.

Change: a member uses the shorter timeout for its first two elections; pre-votes do not count, so a group whose members start one after the other is elected as soon as before.

--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -15,8 +15,8 @@
 	// ElectionTicks is the shortest time without contact from a leader after
 	// which a follower starts an election, and the time after which a leader that
 	// hears from no majority steps down. The election timeout is drawn at random
-	// from [ElectionTicks, 2*ElectionTicks). Until the member has known a leader
-	// since its start, both bounds are halved.
+	// from [ElectionTicks, 2*ElectionTicks). Both bounds are halved in the first
+	// elections of a member that has known no leader since its start.
 	ElectionTicks int
 	// HeartbeatTicks is the interval between heartbeats. It is at most a third of
 	// ElectionTicks, so that a single lost heartbeat starts no election.
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -23,6 +23,9 @@
 func (n *Node) campaign(role Role) { n.campaignWith(role, false) }
 
 func (n *Node) campaignWith(role Role, force bool) {
+	if role == RoleCandidate && !n.leaderSeen {
+		n.initialElections++
+	}
 	n.resetElection()
 	n.leader = 0
 	n.role = role
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -23,7 +23,9 @@
 	electionTimeout int // drawn at random by each resetElection
 	// leaderSeen is set once a leader has been known since the start.
 	leaderSeen bool
-	votes      map[MemberID]bool
+	// initialElections counts the elections that this member started before leaderSeen.
+	initialElections int
+	votes            map[MemberID]bool
 
 	lead leaderState // used on the leader only
 
@@ -153,11 +155,13 @@
 //
 // A member that has known no leader since its start uses a shorter timeout, so that a group
 // whose members were all stopped elects a leader sooner. If the group does have a leader, the
-// other members ignore or reject the pre-votes and the leader is not disturbed.
+// other members ignore or reject the pre-votes and the leader is not disturbed. Where messages and
+// saves take longer than that timeout, such elections end before their votes arrive, so only the
+// first few use it.
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
 	minTicks := n.cfg.ElectionTicks
-	if !n.leaderSeen {
+	if !n.leaderSeen && n.initialElections <= maxInitialElections {
 		minTicks = max(minTicks/initialElectionDivisor, 1)
 	}
 	n.electionTimeout = minTicks + n.cfg.Rand.IntN(minTicks)
@@ -167,6 +171,9 @@
 // since its start.
 const initialElectionDivisor = 2
 
+// maxInitialElections bounds the elections that use the shorter timeout.
+const maxInitialElections = 2
+
 // becomeFollower switches to the follower role, adopts a later term and marks
 // pending reads as lost. The leader is zero if unknown.
 func (n *Node) becomeFollower(term uint64, leader MemberID) {
