--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -23,6 +23,9 @@
 func (n *Node) campaign(role Role) { n.campaignWith(role, false) }
 
 func (n *Node) campaignWith(role Role, force bool) {
+	if role == RoleCandidate && !n.leaderSeen {
+		n.initialElections++
+	}
 	n.resetElection()
 	n.leader = 0
 	n.role = role
@@ -76,7 +79,7 @@
 	n.leaderSeen = true
 	n.votes = nil
 	n.electionElapsed = 0
-	n.lead = leaderState{peers: map[MemberID]*peer{}, termStart: n.log.last() + 1}
+	n.lead = leaderState{peers: map[MemberID]*peer{}, termStart: n.log.last() + 1, startTick: n.now}
 	n.syncPeers()
 	for _, e := range n.log.slice(n.log.commit, n.log.last(), int(^uint(0)>>1)) {
 		n.lead.uncommitted += entrySize(e)
