Targets: a request that fails at two targets counts at neither

Cause: TestRequestsThatFailEverywhereTakeNoneOut/4_entries,_3_targets. Each request there fails at up to three targets in turn. When the last answers of two of three targets were failures, the entry forgets all of them as its own fault; what is counted, and reported, is the first failure of each request until its second one, some milliseconds. The failures at the other targets are missing from the rate against which a target is judged. A failing run: five failures in 148 ms, all at the target that each request tried first (it answers at once and looks idle), none counted at the two others, although the entry itself had seen two there: rate 0.045, chance 4e-6, out at three entries of four. The class: evidence that is dropped on one side of a comparison. The judgement is wrong, not the test: no probability of error covers it.

Change: a second failure of a request, at another target and within the 3 s for which failures count, is not counted and withdraws the first. A trial's failure stays, as it did. Nothing new is sent.

TestWithdrawnFailureIsNotReported is new.

--- a/core/targetfault/log.go
+++ b/core/targetfault/log.go
@@ -1,6 +1,7 @@
 package targetfault
 
 import (
+	"slices"
 	"time"
 
 	"almondseam.dev/core/api"
@@ -26,6 +27,13 @@
 	l.list = append(l.list, f)
 }
 
+// remove removes one failure, if it is there.
+func (l *failureLog) remove(f failure) {
+	if i := slices.Index(l.list, f); i >= 0 {
+		l.list = slices.Delete(l.list, i, i+1)
+	}
+}
+
 // forget removes the failures of a run.
 func (l *failureLog) forget(run Run) {
 	kept := l.list[:0]
--- a/core/targetfault/service.go
+++ b/core/targetfault/service.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// Withdraw withdraws a failure that Fail has counted at the given time: its request has failed at
+// another target as well, so that the request is probably the cause. What a target that is out has
+// failed stays.
+func (s *Service) Withdraw(run Run, customer api.CustomerID, at time.Time) {
+	s.log.remove(failure{run, customer, at})
+}
+
 // Begin begins the judgement of a run that follows another one of its target. What the others
 // report of the target by then, with the given rises (see Input), concerns the run before.
 func (s *Service) Begin(run Run, others Counts, rises []uint64, now time.Time) {
--- a/core/targetfault/targetfault_test.go
+++ b/core/targetfault/targetfault_test.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// Guards against a failure that counts although its request has failed elsewhere as well, and against
+// others that are withdrawn with it.
+func TestWithdrawnFailureIsNotReported(t *testing.T) {
+	c := qt.New(t)
+	var s Service
+	s.Fail(run("t"), "", t0)
+	s.Fail(run("t"), "", at(time.Millisecond))
+	c.Assert(step(&s, Counts{}, 0, 0, at(time.Millisecond)).Report, qt.Equals, Counts{Failed: 2, Instances: 1})
+	for range 2 {
+		s.Withdraw(run("t"), "", t0)
+		c.Assert(step(&s, Counts{}, 0, 0, at(time.Millisecond)).Report, qt.Equals, Counts{Failed: 1, Instances: 1})
+	}
+	s.Withdraw(run("t"), "", at(time.Millisecond))
+	c.Assert(step(&s, Counts{}, 0, 0, at(time.Millisecond)).Report, qt.Equals, Counts{})
+}
+
 // Guards against a log of failures that grows with their rate.
 func TestFailuresKeptAreBounded(t *testing.T) {
 	var l failureLog
--- a/node/relay/faults.go
+++ b/node/relay/faults.go
@@ -128,12 +128,29 @@
 		return
 	}
 	f.mu.Lock()
-	f.judgement.Fail(t.run(), req.customerID(), now)
+	f.count(req, t, now)
 	f.suspect(t, now)
 	f.mu.Unlock()
 	t.table.judge(t.Service, now)
 }
 
+// countedFault is a failure of a request as it was counted.
+type countedFault struct {
+	run targetfault.Run
+	at  time.Time
+}
+
+// count counts a failure of a request at a target. A request that fails at two targets within
+// targetfault.Window counts at neither: they would be judged by the order in which it was sent to them. The caller holds f.mu.
+func (f *serviceFaults) count(req *Request, t *Target, now time.Time) {
+	if first := req.fault; !first.at.IsZero() && first.run != t.run() && now.Sub(first.at) <= targetfault.Window {
+		f.judgement.Withdraw(first.run, req.customerID(), first.at)
+		return
+	}
+	req.fault = countedFault{t.run(), now}
+	f.judgement.Fail(t.run(), req.customerID(), now)
+}
+
 // suspect adds a target to those that are judged. The caller holds f.mu.
 func (f *serviceFaults) suspect(t *Target, now time.Time) {
 	if t.faults.window.Load() != nil {
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -62,6 +62,8 @@
 	sends int
 	// failure is an error response of a target that another target may improve on.
 	failure *failure
+	// fault is the last failure that was counted towards the judgement on a target, zero if there is none.
+	fault countedFault
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
 	// work is the context of the work at a target if that may outlive the caller, nil otherwise.
