soak: members are replaced in TestSoak too; no SIGHUP before a program runs

Cause: the plays of replaced members ran by hand alone.

Change: two short cases in TestSoak, one with each member replaced in turn and few changes, one with a series of stops after a replacement under a storm of changes. SIGHUP goes only to processes that have run for a second. A run settles once more only after closing stops.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -75,6 +75,7 @@
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
+	started      time.Time
 	exited       chan struct{}
 	expectedExit bool // a signal that ends the process was sent
 	// busy is held while the process is being restarted.
@@ -196,7 +197,7 @@
 		return err
 	}
 	n.mu.Lock()
-	n.cmd, n.exited, n.expectedExit = cmd, make(chan struct{}), false
+	n.cmd, n.started, n.exited, n.expectedExit = cmd, time.Now(), make(chan struct{}), false
 	exited := n.exited
 	n.mu.Unlock()
 	go n.watch(cmd, exited)
@@ -226,6 +227,13 @@
 	return n.cmd.Process.Pid
 }
 
+// age returns the time since the process was started last.
+func (n *node) age() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.started)
+}
+
 // watch waits for the process to exit and reports an unexpected exit to onFailure.
 func (n *node) watch(cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
--- a/bench/soak/members.go
+++ b/bench/soak/members.go
@@ -141,8 +141,8 @@
 	}
 	if p.rng.IntN(2) == 0 {
 		p.stopSeries(ctx)
+		p.settle(ctx)
 	}
-	p.settle(ctx)
 	cancel()
 	work.Wait()
 	p.work.Wait()
--- a/bench/soak/members_group.go
+++ b/bench/soak/members_group.go
@@ -56,6 +56,10 @@
 // maxSeeds is the number of members that settings files name.
 const maxSeeds = 3
 
+// startTime is the time for which a process that has just started gets no SIGHUP, which would end it
+// before its program runs.
+const startTime = time.Second
+
 // exchangeSeeds writes the settings files anew and tells targets the members. Each running process gets
 // SIGHUP with probability 3/4.
 func (g *memberGroup) exchangeSeeds(rng *rand.Rand) error {
@@ -72,7 +76,7 @@
 		if _, err := n.writeSettings(); err != nil {
 			return err
 		}
-		if rng.IntN(4) > 0 {
+		if rng.IntN(4) > 0 && n.age() > startTime {
 			n.signal(syscall.SIGHUP)
 		}
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -67,4 +67,20 @@
 			qt.New(t).Assert(runSeed(t.Context(), set), qt.IsNil)
 		})
 	}
+	for _, tt := range []struct {
+		name       string
+		seed       uint64
+		act        int
+		stormShare float64
+	}{
+		{"members are replaced by others while the configuration hardly changes", 2, 0, 0},
+		{"everything stops after a member was replaced", 3, 4, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			set := shortRun(binary, filepath.Join(t.TempDir(), "run"), tt.seed)
+			set.members = memberSettings{gap: 8 * time.Second, stormShare: tt.stormShare, acts: []int{tt.act}}
+			qt.New(t).Assert(runMembers(t.Context(), set), qt.IsNil)
+		})
+	}
 }
