--- a/bench/soak/doc.go
+++ b/bench/soak/doc.go
@@ -8,6 +8,9 @@
 // Process faults are signals; a control member may also lose its data directory. Clock
 // faults are not injected, since all processes share the clock of one machine.
 //
+// With --replace-members, control members are replaced one after another, processes are stopped right
+// after a confirmation, and probes at each entry show which version of the configuration it goes by.
+//
 //	go build -o bin/ ./cmd/almondseam
 //	go run ./bench/soak --binary bin/almondseam --seed 1 --seeds 50
 package main
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -193,6 +193,9 @@
 	cmd := exec.Command(n.binary, append([]string{"routed", n.role, "--fleet-key", fleetKey}, n.args...)...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = log, log
+	// In a process group of its own, a suspended process is not woken when the shell that started the
+	// soak ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
