A large entry for a link that has ended is not kept

Cause: Links.Send chooses a link, and parts.start records the large entry for it afterwards. If the link ended and was forgotten in between, nothing removed the record: up to a document of 4 MiB stayed in memory for each such link.

Change: the entry is recorded only if its first part was queued. Send fails once the link is closed, and forget runs after that, under the same lock as start.

Before: TestEndedLinkKeepsNoEntry fails, one entry of the closed link is kept.

--- a/node/control/parts.go
+++ b/node/control/parts.go
@@ -93,8 +93,11 @@
 	out := &outgoingEntry{message: m, data: e.Data}
 	e.Data = nil
 	out.message.Entries = []consensus.Entry{e}
-	p.outgoing[conn] = out
-	out.send(conn, 0)
+	if out.send(conn, 0) == nil {
+		p.outgoing[conn] = out
+		return
+	}
+	delete(p.outgoing, conn) // the link may have been forgotten already
 }
 
 // blocks reports whether m must not be sent now.
@@ -105,10 +108,10 @@
 	return o.message.Term == m.Term && o.message.Index == m.Index && time.Since(o.ended) < repeatInterval
 }
 
-func (o *outgoingEntry) send(conn *link.Conn, offset int) {
+// send sends the part at an offset. An error means that the link has ended.
+func (o *outgoingEntry) send(conn *link.Conn, offset int) error {
 	end := min(offset+o.pieces.Next(), len(o.data))
-	// An error means that the link has ended.
-	_ = conn.Send(&Part{Message: o.message, Offset: offset, Total: len(o.data), Data: o.data[offset:end]})
+	return conn.Send(&Part{Message: o.message, Offset: offset, Total: len(o.data), Data: o.data[offset:end]})
 }
 
 // receiveAck sends the next part.
@@ -121,7 +124,7 @@
 	case a.Received >= len(out.data):
 		out.ended, out.data = time.Now(), nil
 	default:
-		out.send(conn, a.Received)
+		_ = out.send(conn, a.Received) // fails only on a link that has ended, which is forgotten soon
 	}
 }
 
