The end of a large message has a write deadline of its own

Cause: the last frame of a paced message was written with the deadline of its last piece, which is set before the wait for the peer's answer. A peer that answers pings may take longer than Options.Silence to read that piece, for example when the rate of the link drops. Then the deadline was over, the link was closed with the reason "write", and the whole message had to be sent again.

Change: the deadline is set anew before the last frame.

--- a/node/link/paced.go
+++ b/node/link/paced.go
@@ -41,6 +41,8 @@
 			return err
 		}
 	}
+	// The peer may have taken longer than Options.Silence to read the last piece.
+	_ = c.ws.SetWriteDeadline(time.Now().Add(c.opt.Silence))
 	return w.Close()
 }
 
