A read that waits behind a document does not close the link

What callers saw: an entry that starts while the newest document is large and links are slow serves nothing.

Cause: the member queues the whole document when a client links up, and the reply to the client's read after it. attemptTimeout, 2 s, closed the link before 3 MiB had come over 10 Mbit/s (2.5 s); the next link began with the whole document again, without end. Reads for requests that would be refused as unknown close the link of a running entry in the same way.

Change: an attempt does not close a link in the middle of a message. A peer that hangs there is found by Options.Silence.

--- a/node/control/attempt.go
+++ b/node/control/attempt.go
@@ -125,22 +125,33 @@
 		defer probe.Stop()
 	}
 	began := time.Now()
-	limit := time.NewTimer(attemptTime(&req))
+	r, why := awaitReply(ctx, conn, ch, attemptTime(&req))
+	if r == nil {
+		c.opt.Observer.AttemptLost(string(conn.Peer().Instance), why, time.Since(began))
+	}
+	return r, true
+}
+
+// awaitReply returns the reply, or why there is none. It closes the link after the given time, but not in the
+// middle of a message: the reply comes after a document that takes longer to arrive, and the next link would
+// have to carry the whole document again.
+func awaitReply(ctx context.Context, conn *link.Conn, replies <-chan *Reply, within time.Duration) (r *Reply, why string) {
+	limit := time.NewTimer(within)
 	defer limit.Stop()
-	why := lostTimeout
-	select {
-	case r = <-ch:
-		if r != nil {
-			return r, true
+	for {
+		select {
+		case r = <-replies:
+			return r, conn.CloseReason()
+		case <-limit.C:
+			if !conn.Receiving() {
+				conn.Close()
+				return nil, lostTimeout
+			}
+			limit.Reset(within)
+		case <-ctx.Done():
+			return nil, lostCallEnded
 		}
-		why = conn.CloseReason()
-	case <-limit.C:
-		conn.Close()
-	case <-ctx.Done():
-		why = lostCallEnded
 	}
-	c.opt.Observer.AttemptLost(string(conn.Peer().Instance), why, time.Since(began))
-	return nil, true
 }
 
 // Why an attempt got no reply, if its link was not closed; otherwise the reason is that of the link.
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -122,6 +122,8 @@
 
 	// received counts what has arrived from the peer: messages, pings and pongs.
 	received atomic.Uint64
+	// receiving is set while a message of which a part has arrived is read.
+	receiving atomic.Bool
 
 	mu     sync.Mutex
 	queue  [][]byte // batches of encoded messages that the writer has not taken yet
--- a/node/link/paced.go
+++ b/node/link/paced.go
@@ -102,9 +102,15 @@
 	if err != nil {
 		return nil, err
 	}
+	c.receiving.Store(true)
+	defer c.receiving.Store(false)
 	return io.ReadAll(pieceReader{r, c.extendReadDeadline})
 }
 
+// Receiving reports whether a part of a message has arrived and the rest is awaited. Messages that were sent
+// after it arrive after it.
+func (c *Conn) Receiving() bool { return c.receiving.Load() }
+
 // pieceReader calls arrived after each read that yields bytes.
 type pieceReader struct {
 	io.Reader
