--- a/node/process/routed_newest_test.go
+++ b/node/process/routed_newest_test.go
@@ -103,6 +103,11 @@
 // startEntryAtMember starts an entry that follows the member and knows a target. It returns the address for
 // callers.
 func startEntryAtMember(c *qt.C, m *scriptedMember) string {
+	return startEntryWith(c, m, secondRouteTable)
+}
+
+// startEntryWith is startEntryAtMember with another decoder of documents.
+func startEntryWith(c *qt.C, m *scriptedMember, decode func([]byte, func()) (*routeconf.Table, error)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	log := zerolog.Nop()
@@ -112,7 +117,7 @@
 		Instance: "front-0", Zone: "z", Key: []byte("a key of the tests"), Callers: ln, Seeds: []string{m.addr},
 		Retries: retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Grace: time.Second,
 	}, RoutedEntryPorts{
-		Dialect: keyDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observer, Metrics: set, Log: &log, Decode: secondRouteTable,
+		Dialect: keyDialect{}, Pool: upstream.NewPool(observer), Engines: noEngines{}, Observer: observer, Metrics: set, Log: &log, Decode: decode,
 	})
 	entry.Start()
 	c.TB.(*testing.T).Cleanup(func() { c.Check(entry.Stop(context.Background()), qt.IsNil) })
