The test of too large documents sends one above the stated limit

Change: it sends one byte more than maxRoutedDocument and asks for the same reason and outcome at each member, and then that a document of exactly maxRoutedDocument is accepted at each, which it did not ask before.

--- a/node/process/routed_test.go
+++ b/node/process/routed_test.go
@@ -92,15 +92,21 @@
 }
 
 // TestTooLargeConfigurationIsRefusedForGood guards against answering an operator with a passing error for a
-// document that no member can accept.
+// document that no member can accept, and against refusing the largest one that members bear.
 func TestTooLargeConfigurationIsRefusedForGood(t *testing.T) {
 	g := newRoutedGroup(t, 3)
 	g.put(0, 1)
 	for i := range g.members {
-		err := g.members[i].Put(context.Background(), 2, make([]byte, 2<<20))
+		err := g.members[i].Put(context.Background(), 2, make([]byte, maxRoutedDocument+1))
 		g.c.Assert(api.AsError(err).Reason, qt.Equals, api.ReasonTooLarge)
 		g.c.Assert(api.AsError(err).Outcome, qt.Equals, api.OutcomeNotRun)
 	}
+	for i := range g.members {
+		version := uint64(3 + i)
+		until(func() bool {
+			return g.members[i].Put(context.Background(), version, make([]byte, maxRoutedDocument)) == nil
+		})
+	}
 }
 
 func document(version uint64) []byte { return binary.BigEndian.AppendUint64(nil, version) }
