--- a/node/link/paced_test.go
+++ b/node/link/paced_test.go
@@ -20,7 +20,6 @@
 	delay time.Duration
 
 	mu       sync.Mutex
-	written  int
 	deadline time.Time
 	queue    chan []byte
 }
