A member confirms departures only once it has known a leader

What targets saw: a departure that was confirmed, and requests after it.

Cause: a member that was removed from the group while it did not run starts with the membership on its disk, which still has it. No entry is linked to it before it has joined again. The class: a confirmation by one that nobody obeys.

Change: Status says whether a leader has been known since the start; without one, announcements are answered 503 and the target calls the next member. A member that belongs to the group hears of its leader within a heartbeat; one that loses the majority later confirms as before, since entries are linked.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -248,6 +248,7 @@
 		PendingReads: len(n.lead.queuedReads) + len(n.lead.roundReads),
 		Transferee:   n.lead.transferee,
 		Membership:   n.members().clone(), ChangePending: n.changePending(),
+		LeaderSeen: n.leaderSeen,
 	}
 	committed := n.membershipHistory.entryAt(n.log.commit)
 	s.Committed, s.CommittedIndex = committed.membership.clone(), committed.index
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -210,5 +210,7 @@
 	// leaves out, and that does not know it, has a lower one.
 	CommittedIndex uint64
 	ChangePending  bool
-	Members        []Progress // set on the leader only, sorted by ID
+	// LeaderSeen is set once a leader has been known since the start.
+	LeaderSeen bool
+	Members    []Progress // set on the leader only, sorted by ID
 }
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -291,11 +291,12 @@
 }
 
 // checkFollowed returns an error unless this member belongs to the group: entries follow no other members, and a
-// target whose departure were confirmed by one of those would get requests after its end.
+// target whose departure were confirmed by one of those would get requests after its end. A member that has known
+// no leader since its start may have been removed while it did not run.
 func (c *RoutedControl) checkFollowed() error {
 	if role := c.role.Load(); role != nil {
 		st := role.Member().Status()
-		if st.Membership.IsVoter(st.ID) || st.Membership.IsLearner(st.ID) {
+		if st.LeaderSeen && (st.Membership.IsVoter(st.ID) || st.Membership.IsLearner(st.ID)) {
 			return nil
 		}
 	}
