A size is refused by the newest configuration

What callers saw: 413 or 431 by limits that a confirmed configuration had raised.

Cause: the limits of headers and bodies were checked against the configuration in force, without asking whether it is the newest. The class: a final answer from a belief of unknown age.

Change: both limits are part of the lookup that a refusal by the newest configuration repeats. A body of undeclared size that exceeds the limit while it is read can't be read again; if the newest configuration allows more, or is not confirmed, the answer is 503 config_unconfirmed with Retry-After.

The undeclared size has no test of its own.

--- a/node/relay/lookup.go
+++ b/node/relay/lookup.go
@@ -34,11 +34,31 @@
 	case api.ReasonConfigUnconfirmed:
 		r.refuse(req, http.StatusServiceUnavailable, reason, rollout.RetryUnconfirmed)
 	default:
-		r.refuse(req, api.Reasons[reason].Status, reason, 0)
+		r.refuse(req, refusalStatus(req, table, reason), reason, 0)
 	}
 	return nil
 }
 
+func refusalStatus(req *Request, table *routeconf.Table, reason api.Reason) int {
+	if reason == api.ReasonTooLarge && headerTooLarge(req, table) {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	return api.Reasons[reason].Status
+}
+
+// refuseBody refuses a request of undeclared size whose body exceeded the limit while it was read. If the
+// newest configuration allows more, or is not known, the request may be sent again.
+func (r *Relay) refuseBody(req *Request, limits routeconf.Limits) bool {
+	if r.newest != nil {
+		table, reason := r.findInNewest(req, api.ReasonTooLarge)
+		newest := table.Config.Limits.BodyBytes
+		if reason == api.ReasonConfigUnconfirmed || newest == 0 || newest > limits.BodyBytes {
+			return r.refuse(req, http.StatusServiceUnavailable, api.ReasonConfigUnconfirmed, rollout.RetryUnconfirmed)
+		}
+	}
+	return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
+}
+
 // findInNewest looks a request up in the newest configuration. refused is the reason by which the one
 // in force refuses it.
 func (r *Relay) findInNewest(req *Request, refused api.Reason) (*routeconf.Table, api.Reason) {
@@ -63,6 +83,9 @@
 func lookup(req *Request, table *routeconf.Table) api.Reason {
 	path, _, _ := strings.Cut(req.uri, "?")
 	req.Version = table.Config.Version
+	if headerTooLarge(req, table) || bodyTooLarge(req, table) {
+		return api.ReasonTooLarge
+	}
 	req.Route, req.Customer = table.Route(req.httpRequest.Host, path), nil
 	if req.Route == nil {
 		return api.ReasonUnknownService
@@ -76,3 +99,14 @@
 	}
 	return ""
 }
+
+func headerTooLarge(req *Request, table *routeconf.Table) bool {
+	limit := table.Config.Limits.HeaderBytes
+	return limit > 0 && headerBytes(req.httpRequest.Header) > limit
+}
+
+// bodyTooLarge reports whether a body of declared size exceeds the limit.
+func bodyTooLarge(req *Request, table *routeconf.Table) bool {
+	limit := table.Config.Limits.BodyBytes
+	return limit > 0 && req.httpRequest.ContentLength > int64(limit)
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -229,10 +229,6 @@
 	if table == nil {
 		return r.refuse(req, http.StatusServiceUnavailable, api.ReasonNoConfig, retryNoConfig)
 	}
-	req.Version = table.Config.Version
-	if limit := table.Config.Limits.HeaderBytes; limit > 0 && headerBytes(hr.Header) > limit {
-		return r.refuse(req, http.StatusRequestHeaderFieldsTooLarge, api.ReasonTooLarge, 0)
-	}
 	req.uri = requestURI(hr)
 	if table = r.find(req, table); table == nil {
 		return false
@@ -314,9 +310,6 @@
 	hr := req.httpRequest
 	body := io.Reader(hr.Body)
 	if limits.BodyBytes > 0 {
-		if hr.ContentLength > int64(limits.BodyBytes) {
-			return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
-		}
 		body = http.MaxBytesReader(req.writer.ResponseWriter, hr.Body, int64(limits.BodyBytes))
 	}
 	control := http.NewResponseController(req.writer)
@@ -329,7 +322,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return r.refuse(req, http.StatusRequestEntityTooLarge, api.ReasonTooLarge, 0)
+		return r.refuseBody(req, limits)
 	}
 	req.writer.Header().Set("Connection", "close")
 	if errors.Is(err, errBodyMemory) {
