The share of a returned target is counted for 8 s; what was found of the red tests of faulty targets

Cause of faults_test.go:360: of 34 requests in 2 s, the usual share of one of seven targets, 21 are asked for; with Poisson arrivals 0.6% of the runs have fewer. The bound stays 60% of the stated share and is counted for 8 s: 137 requests, 82 asked for, 4.7 standard deviations, so that it is stricter for a target that gets less.

The soak was not run.

--- a/node/relay/faults_test.go
+++ b/node/relay/faults_test.go
@@ -294,7 +294,7 @@
 					time.Sleep(5 * time.Second)
 					to = time.Now()
 					w.setFault(nil)
-					time.Sleep(maxFirstTrial + 4*time.Second)
+					time.Sleep(maxFirstTrial + usedFrom + usedFor)
 				})
 				failed := w.selectArrivals(func(a *faultArrival) bool { return a.failed })
 				c.Assert(len(failed) >= 5, qt.IsTrue)
@@ -356,6 +356,13 @@
 // the time in which the first entry has no repeatable request, until the next one takes its place.
 const maxFirstTrial = targetfault.MaxTrialInterval + 2500*time.Millisecond + time.Second
 
+// usedFor is the time for which the share of a target that has returned is counted, from usedFrom after
+// its first answer on: so long that the share of one of seven varies little.
+const (
+	usedFrom = 2 * time.Second
+	usedFor  = 8 * time.Second
+)
+
 // checkReturn checks that the first target returns by steps after its fault has ended.
 func (w *faultWorld) checkReturn(c *qt.C, healed time.Time, targets int) {
 	good := w.selectArrivals(func(a *faultArrival) bool { return a.target == 0 && a.at.After(healed) })
@@ -371,9 +378,9 @@
 		return n
 	}
 	usual := float64(callRate) / float64(targets) / 2 // in a step
-	quarter, half, all := count(0, targetfault.ReturnStep), count(targetfault.ReturnStep, 2*targetfault.ReturnStep), count(2*time.Second, 4*time.Second)
+	quarter, half, all := count(0, targetfault.ReturnStep), count(targetfault.ReturnStep, 2*targetfault.ReturnStep), count(usedFrom, usedFrom+usedFor)
 	c.Logf("returned after %v with %d and %d requests in the first steps, %.0f usual", first.Sub(healed), quarter, half, usual)
 	c.Check(float64(quarter) < 0.75*usual+3, qt.IsTrue)
 	c.Check(float64(half) < usual+3, qt.IsTrue)
-	c.Check(float64(all) > 0.6*4*usual, qt.IsTrue)
+	c.Check(float64(all) > 0.6*usual*float64(usedFor/targetfault.ReturnStep), qt.IsTrue, qt.Commentf("%d requests", all))
 }
