--- a/bench/soak/members_group.go
+++ b/bench/soak/members_group.go
@@ -60,7 +60,7 @@
 // before its program runs.
 const startTime = time.Second
 
-// exchangeSeeds writes the settings files anew and tells targets the members. Each running process gets
+// exchangeSeeds writes the settings files anew and passes the members to the targets. Each running process gets
 // SIGHUP with probability 3/4.
 func (g *memberGroup) exchangeSeeds(rng *rand.Rand) error {
 	members := g.operators()
@@ -86,7 +86,7 @@
 	return nil
 }
 
-// setControl tells the target the addresses at which members accept announcements.
+// setControl passes the target the addresses at which members accept announcements.
 func (p *targetSlot) setControl(addrs []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/bench/soak/members_probe.go
+++ b/bench/soak/members_probe.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// readAt reads the configuration at a member. It reports whether the member gave one.
+// readAt reads the configuration at a member. It reports whether the member returned one.
 func (o *memberOperators) readAt(ctx context.Context, op *standin.Operator, member string) bool {
 	sent := time.Now()
 	number, document, ok := op.GetDocument(ctx, member)
--- a/cmd/almondseam/routed_signal_test.go
+++ b/cmd/almondseam/routed_signal_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// startsProcess is the variable by which a test tells its own program to be a process of the system.
+// startsProcess is the variable that makes the test program run as a process of the system.
 const startsProcess = "ALMONDSEAM_TEST_PROCESS"
 
 // TestChangedSettingsDoNotEndAStart guards against a process that SIGHUP ends before it has started.
--- a/core/consensus/absence.go
+++ b/core/consensus/absence.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Absence records that a voter was silent when a member was added, and that no leader has heard
+// Absence records that a voter was silent when a member was added, and that no leader has had a response
 // from it since: the member may run in place of the voter's machine. It is part of the membership so
 // that a new leader knows of it too. It decides which changes are proposed, never what counts as a
 // majority.
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -116,10 +116,9 @@
 // precedes reports whether this member has just begun a pre-vote of its own that goes before a
 // candidate's of the same term and the same log.
 //
-// Members that miss their leader at the same time often stand at the same time. If each grants the
-// other's pre-vote, both raise the term and vote for themselves, and the group waits for another
-// election timeout. The one with the higher ID goes first, for as long as its answers may be on the way:
-// if it can't win itself, the other may soon.
+// If two members that lost their leader at the same time grant each other's pre-vote, both vote for
+// themselves, and the group waits for another election timeout. The higher ID goes first while
+// responses to it may be on the way.
 func (n *Node) precedes(m Message) bool {
 	sameLog := m.Index == n.log.last() && m.LogTerm == n.log.lastTerm()
 	return sameLog && n.role == RolePreCandidate && m.Term == n.term+1 && n.id > m.From && n.electionElapsed <= precedenceTicks
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -121,7 +121,7 @@
 }
 
 // known returns what is known of a target, nil if nothing. A departure that states no run counts for tombstoneTTL
-// only, also in a process that calls no Expire: no later run could be told from the one that has left.
+// only, also in a process that calls no Expire: a later run could not be distinguished from the one that has left.
 func (d *Directory) known(id api.TargetID, now time.Time) *trackedTarget {
 	e := d.targets[id]
 	if e != nil && e.record.State == StateGone && e.record.Born == 0 && now.Sub(e.lastHeard) > tombstoneTTL {
@@ -201,7 +201,7 @@
 		return e.doubtSoftware(r)
 	}
 	if e != nil && r.State == StateGone && r.Born == 0 && e.record.Born != 0 {
-		// The process that was told of the departure did not know the run.
+		// The process that received the deregistration did not know the run.
 		r = e.record
 		r.State = StateGone
 	}
--- a/node/control/attempt.go
+++ b/node/control/attempt.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt, of a request without a document. A frozen process keeps its connections
-	// open, so without this bound a call would wait for the silence timeout of the
-	// link.
+	// attemptTimeout bounds one attempt of a request without a document. A frozen process
+	// keeps its connections open, so without this bound a call would wait for the silence
+	// timeout of the link.
 	attemptTimeout = 2 * time.Second
 	// probeDelay is how long a call waits for a reply before it probes the link.
 	probeDelay = 100 * time.Millisecond
--- a/node/process/routed_control.go
+++ b/node/process/routed_control.go
@@ -191,10 +191,9 @@
 // maxRoutedDocument is the maximum size of an operator's document in bytes, which is
 // enough for some twenty thousand routes.
 //
-// It follows from the memory of a member, 280 MB, of which the runtime gets 0.7. For each byte of
-// a document a member holds up to 40 at once: 3 in the state, 4 in the log, 12 while a snapshot of both is
-// written and the one before is
-// kept, 16 for eight orders in progress, and 5 for the one that is decoded. An entry, with 134 MB, holds 8: the
+// It follows from the memory of a member, 280 MB, of which the runtime gets 0.7, and of an entry, 134 MB. For
+// each byte of a document a member holds up to 40 at once: 3 in the state, 4 in the log, 12 while a snapshot
+// of both replaces another, 16 for eight orders in progress, and 5 to decode one. An entry holds 8: the
 // document in force, the next one, the message that brings it, and 5 to decode it.
 const maxRoutedDocument = 4 << 20
 
