A reset that only the writing of a request meets ends no response

What callers saw: a target answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written.

Cause: the kernel reports the failure of a connection to one call only. An upload over 8 KiB is written by a goroutine of its own; woken by the reset, it takes ECONNRESET, and the read that follows returns 0 bytes, which Go calls io.EOF, as at the end of a connection that the target has closed. The exchange took that for the end of the response, and ConfirmEnd asks only whether a stop or the end of the process explains it. The result of the write was looked at only where the connection is kept. The same with a request of any size that is written after the reset: the write takes the error, the part is read, and then the end.

Evidence: in the new tests the write is seen to fail with "connection reset by peer" and reading then ends without an error; where the target closes its sending side first and resets then, the write fails with "broken pipe".

Change: at the end of a connection that is to end a response, the rest of the request is given up (a write deadline in the past) and what writing has met is looked at. An error other than that deadline and EPIPE means that the connection failed, and the response is lost. Why it works: whichever of the two calls meets the failure, one of them returns it, and both are looked at. The writer has returned from the kernel with the error before the reader can see the end, so giving up the write can't hide it. A target that has stated its end (FIN) and resets afterwards, because it reads no further, leaves EPIPE: that response is complete (RFC 9112, 9.6). A write that is merely blocked holds no response.

Held before: chunks, a length, FIN then reset, FIN with the upload unread.

--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -29,9 +29,9 @@
 	Match func(status int, h http.Header) bool
 	// OpenedSince excludes idle connections that were opened before that time.
 	OpenedSince time.Time
-	// ConfirmEnd is called at the end of the connection of a response that has neither a length nor chunks. If
-	// it returns an error, that end is not the end of the response, and reading the body returns the error. If
-	// it is nil, the end of the connection ends the response.
+	// ConfirmEnd is called once the target has closed the connection of a response that has neither a length nor
+	// chunks. If it returns an error, that end is not the end of the response, and reading the body returns the
+	// error. If it is nil, the end of the connection ends the response. A connection that fails ends no response.
 	ConfirmEnd func(context.Context) error
 	// Opened is called with the opening of the connection before Admit. It may be nil.
 	Opened func(Opening)
@@ -131,7 +131,7 @@
 	conn       *conn
 	resp       *http.Response
 	stopCancel func() bool
-	written    chan error
+	write      *requestWrite
 	complete   bool
 	maxIdle    int
 	confirmEnd func(context.Context) error
@@ -157,7 +157,7 @@
 	}
 	x := &Exchange{Opening: c.opening, ctx: cmp.Or(req.Context, ctx), pool: p, conn: c, maxIdle: req.MaxIdle, confirmEnd: req.ConfirmEnd}
 	x.stopCancel = context.AfterFunc(x.ctx, func() { _ = c.Close() })
-	x.send(req)
+	x.write = startWrite(c, encodeHead(req), req.Body)
 	if err := x.readHead(req); err != nil {
 		x.Close()
 		return nil, fmt.Errorf("%w: %w", ErrLost, err)
@@ -176,28 +176,6 @@
 	return ctx.Err()
 }
 
-// maxInlineBody is the size of the largest body that is written before the response is read.
-// A larger body is written concurrently: a target may respond before it has read the whole
-// body, and if both sides only wrote, they would deadlock.
-const maxInlineBody = 8 << 10
-
-func (x *Exchange) send(req *Request) {
-	head := encodeHead(req)
-	x.written = make(chan error, 1)
-	if len(req.Body) <= maxInlineBody {
-		_, err := x.conn.Write(append(head, req.Body...))
-		x.written <- err
-		return
-	}
-	go func() {
-		_, err := x.conn.Write(head)
-		if err == nil {
-			_, err = x.conn.Write(req.Body)
-		}
-		x.written <- err
-	}()
-}
-
 func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
 	b.Grow(1024)
@@ -309,8 +287,8 @@
 
 // endBody returns io.EOF if the response has ended.
 func (x *Exchange) endBody() error {
-	if x.Framing == FramedByConnection && x.confirmEnd != nil {
-		if err := x.confirmEnd(x.ctx); err != nil {
+	if x.Framing == FramedByConnection {
+		if err := x.checkConnectionEnd(); err != nil {
 			return fmt.Errorf("%w: %w", ErrLost, err)
 		}
 	}
@@ -318,12 +296,23 @@
 	return io.EOF
 }
 
+// checkConnectionEnd returns an error if the end of the connection is not the end of the response.
+func (x *Exchange) checkConnectionEnd() error {
+	if err := x.write.abandon(x.conn); err != nil {
+		return err
+	}
+	if x.confirmEnd == nil {
+		return nil
+	}
+	return x.confirmEnd(x.ctx)
+}
+
 // Close ends the exchange. It returns the connection to the pool only if it brought no response to no
 // request, the response was read to its end, the request was written completely, ctx was not done, and the target keeps the
 // connection open.
 func (x *Exchange) Close() {
 	live := x.stopCancel()
-	if !live || x.strays > 0 || !x.complete || !x.requestWritten() || x.resp.Close || x.Framing == FramedByConnection {
+	if !live || x.strays > 0 || !x.complete || !x.write.complete() || x.resp.Close || x.Framing == FramedByConnection {
 		_ = x.conn.Close() // not reusable
 		return
 	}
@@ -333,17 +322,6 @@
 // Abort closes the connection, so that a read of the body fails. It may be called while the body is read.
 func (x *Exchange) Abort() { _ = x.conn.Close() }
 
-// requestWritten reports whether the request was written completely. A target that responded
-// early may still expect the rest of the body, and would take the next request for it.
-func (x *Exchange) requestWritten() bool {
-	select {
-	case err := <-x.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTimeout returns for how long the connection may be kept idle: the response's Keep-Alive
 // timeout less keepAliveMargin, or the pool's default if the response has none.
 func (x *Exchange) keepAliveTimeout() time.Duration {
