--- a/cmd/almondctl/cut_test.go
+++ b/cmd/almondctl/cut_test.go
@@ -64,3 +64,27 @@
 	err := c.call(http.MethodPost, opapi.PathMembers, nil, opapi.MemberChange{}, nil)
 	qt.Assert(t, err, qt.IsNotNil)
 }
+
+// TestAnswerCutUnderALongChange guards against reporting a change as made although the member has answered before it
+// has read the change, and has reset the connection.
+func TestAnswerCutUnderALongChange(t *testing.T) {
+	const smallWindow, longChange = 16 << 10, 64 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(smallWindow) // the connection is open
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{\"change\":")
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}()
+	c := &cli{servers: []string{ln.Addr().String()}, timeout: time.Minute}
+	err = c.call(http.MethodPost, opapi.PathConfig, nil, make([]byte, longChange), nil)
+	qt.Assert(t, err, qt.IsNotNil)
+}
