A head or trailer with a line without a valid field name is no response

What callers saw: a target sends a head in which a field's name holds or ends with a blank, or a line that is nothing but a blank before its colon. The caller gets it as an answer: with that line as part of the value before (a blank as the whole name), with all bytes to the end of the connection ("Content-Length : 2"), or with the chunks' own lines in its body ("Transfer-Encoding : chunked"). Names with control bytes were refused before.

Cause: net/http checks no field names in responses. A name with a blank is kept as it is, so that "Content-Length " is another field and frames nothing; a line that begins with a blank is joined to the line before. Only forwarding left such names out. The same in interim and skipped responses, in trailers, and in the answers to the entry's own calls.

Change: node/fieldline checks each byte of the field lines as they arrive from the connection, before net/http parses them: a name is a token that the colon follows, and no line begins with a blank (RFC 9112, 5.1 and 5.2, which lets a gateway refuse continued lines). Whatever else stands there is ErrNoResponse. Chunked bodies are read by httputil's reader, and the trailer section by the same check; a body whose trailer section is none has not ended. Why it works: the check is made where all responses are read, final, interim and skipped ones, of callers' requests and own calls alike, and does not depend on what the library makes of a line. Its error stays: net/textproto returns the part of a line in front of an error without the error.

Tests: TestHeadsWithBadFieldLinesAreNoResponse, TestTrailersWithBadFieldLinesEndNoResponse, TestBadFieldLineReachesNoCaller, TestBadTrailerEndsNoStream, TestBadFieldLineAnswersNoCall, the tests of node/fieldline.

--- a/node/upstream/exchange.go
+++ b/node/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/statusline"
 )
 
@@ -162,7 +163,6 @@
 		x.Close()
 		return nil, fmt.Errorf("%w: %w", ErrLost, err)
 	}
-	x.Body = &body{x: x}
 	return x, nil
 }
 
@@ -204,8 +204,8 @@
 // must end, by its size and in headTime, unless it is the response's body: such bytes are no answer, and
 // without an end they would occupy this process until its caller leaves.
 func (x *Exchange) readHead(req *Request) error {
-	x.conn.limit.begin(maxHead)
-	defer x.conn.limit.end()
+	x.conn.reader.begin(maxHead)
+	defer x.conn.reader.end()
 	for {
 		if _, err := x.conn.r.Peek(1); err != nil {
 			return err
@@ -237,7 +237,7 @@
 	if err := x.conn.awaitStatusLine(); err != nil {
 		return false, err
 	}
-	resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
+	resp, err := x.conn.readHead(req.Method)
 	if err != nil {
 		return false, err
 	}
@@ -246,12 +246,13 @@
 	}
 	if req.Match == nil || req.Match(resp.StatusCode, resp.Header) {
 		x.resp, x.Status, x.Header, x.Length, x.Framing = resp, resp.StatusCode, resp.Header, resp.ContentLength, framingOf(resp)
+		x.Body = &body{x: x, from: x.conn.bodyOf(resp)}
 		return true, nil
 	}
 	x.strays++
-	x.conn.limit.suspend()
-	defer x.conn.limit.resume()
-	return false, skipBody(resp.Body)
+	x.conn.reader.suspend()
+	defer x.conn.reader.resume()
+	return false, skipBody(x.conn.bodyOf(resp))
 }
 
 // skipBody reads the body of a response to another request.
@@ -260,15 +261,19 @@
 	if n > maxStrayBody {
 		return fmt.Errorf("%w: a response to another request does not end", ErrNoResponse)
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		return nil
+	case errors.Is(err, fieldline.ErrInvalid), errors.Is(err, fieldline.ErrTrailerTooLong):
+		return fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	return err
 }
 
 // body reads the response body and records in the exchange when it has reached its end.
 type body struct {
-	x *Exchange
+	x    *Exchange
+	from io.Reader
 	// err is what reading has ended with.
 	err error
 }
@@ -277,7 +282,7 @@
 	if b.err != nil {
 		return 0, b.err
 	}
-	n, err := b.x.resp.Body.Read(p)
+	n, err := b.from.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = b.x.endBody()
 	}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -93,9 +93,9 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
-	// limit is what r reads from.
-	limit *limitedReader
-	addr  string
+	// reader is what r reads from.
+	reader *connReader
+	addr   string
 	// fresh is set until the connection is reused.
 	fresh   bool
 	opening Opening
@@ -160,9 +160,9 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	setOptions(nc)
-	limit := &limitedReader{from: nc}
+	reader := &connReader{from: nc}
 	p.open.Add(1)
-	return &conn{open: &p.open, Conn: nc, r: bufio.NewReaderSize(limit, readBufferSize), limit: limit, addr: addr, fresh: true, opening: Opening{Began: began, Ended: time.Now()}}, nil
+	return &conn{open: &p.open, Conn: nc, r: bufio.NewReaderSize(reader, readBufferSize), reader: reader, addr: addr, fresh: true, opening: Opening{Began: began, Ended: time.Now()}}, nil
 }
 
 // Presence is what an attempt to connect to a target shows.
