Agents: a head or trailer with a line without a valid field name is no answer

Cause: fasthttp trims blanks before the colon, passes names with inner blanks on, and joins lines that begin with a blank. Change: the head of each response, interim ones too, is checked by node/fieldline once its status line has arrived, before fasthttp reads it; chunked bodies are read by its reader, with the trailer section. A bad one means that the engine's answer is lost: outcome unknown, or interrupted for a trailer.

A generation ends at its end marker, before any trailer; nothing changes there.

--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -16,6 +16,7 @@
 
 	"almondseam.dev/core/api"
 	"almondseam.dev/node/agent"
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -230,13 +231,22 @@
 		return err
 	}
 	x.endsWithConnection = endsWithConnection(&x.resp)
-	x.body = x.resp.BodyStream()
-	if x.body == nil {
-		x.body = strings.NewReader("")
-	}
+	x.body = x.responseBody()
 	return nil
 }
 
+// responseBody returns the body of the response whose header has been read.
+func (x *exchange) responseBody() io.Reader {
+	stream := x.resp.BodyStream()
+	switch {
+	case stream == nil:
+		return strings.NewReader("")
+	case x.resp.Header.ContentLength() == lengthChunked:
+		return fieldline.NewChunkedReader(x.br) // that of fasthttp takes trailers with invalid names
+	}
+	return stream
+}
+
 // Call implements agent.Target. Once the first byte may have been sent, the
 // outcome of a failure is unknown: the service may have acted on what it read.
 func (c *Client) Call(ctx context.Context, w agent.Work) (agent.Answer, error) {
@@ -262,8 +272,8 @@
 	return a.resp.StatusCode(), hs
 }
 
-// Next implements agent.Answer. fasthttp returns an error for a body that ends
-// before its declared length or its last chunk, so io.EOF means that such a body
+// Next implements agent.Answer. Reading returns an error for a body that ends
+// before its declared length or the trailer after its last chunk, so io.EOF means that such a body
 // is complete. A body with neither ends when the connection is closed, which is its end only if the target's
 // process still runs.
 func (a *callAnswer) Next() ([]byte, error) {
--- a/node/engine/ending.go
+++ b/node/engine/ending.go
@@ -13,9 +13,12 @@
 // end then too.
 var errEndUnconfirmed = errors.New("the response has neither length nor chunks, and its connection has ended")
 
+// lengthChunked is the length that fasthttp returns for chunks. It returns a lower one for neither length nor chunks.
+const lengthChunked = -1
+
 // endsWithConnection reports whether nothing but the end of the connection ends the response body.
 func endsWithConnection(resp *fasthttp.Response) bool {
-	return resp.BodyStream() != nil && resp.Header.ContentLength() < -1
+	return resp.BodyStream() != nil && resp.Header.ContentLength() < lengthChunked
 }
 
 // confirmEnd returns io.EOF if the end of x's connection is the end of its response. The kernel closes the
--- a/node/engine/statusline.go
+++ b/node/engine/statusline.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/statusline"
 	"github.com/valyala/fasthttp"
 )
@@ -19,16 +20,19 @@
 	maxInterimResponses = 100
 )
 
-// awaitFinal skips interim responses until the status line of the final response has arrived. The target may work for
-// any time up to the deadline before the first byte of each. An error wraps statusline.ErrInvalid if what the target
-// sends is no response.
+// awaitFinal skips interim responses until the head of the final response has arrived. The target may work for
+// any time up to the deadline before the first byte of each. An error wraps statusline.ErrInvalid or
+// fieldline.ErrInvalid if what the target sends is no response.
 func (x *exchange) awaitFinal(ctx context.Context, deadline time.Time) error {
 	for range maxInterimResponses {
 		if _, err := x.br.Peek(1); err != nil {
 			return err
 		}
 		status, err := x.peekStatus(ctx, deadline)
-		if err != nil || statusline.IsFinal(status) {
+		if err != nil {
+			return err
+		}
+		if err := fieldline.PeekHead(x.br); err != nil || statusline.IsFinal(status) {
 			return err
 		}
 		if err := x.skipInterim(status); err != nil {
@@ -60,9 +64,7 @@
 	if err := head.Read(x.br); err != nil {
 		return err
 	}
-	// A negative length stands for chunks, or for none of both.
-	const chunked = -1
-	if n := head.ContentLength(); n > 0 || n == chunked {
+	if n := head.ContentLength(); n > 0 || n == lengthChunked {
 		return fmt.Errorf("%w: an interim response, status %d, announces a body", statusline.ErrInvalid, status)
 	}
 	return nil
