Entries pass on no head with a field without a valid name

What callers would see: an agent of another version, as during a rollout, reports a head that its target should not have sent, or an answer kept by such an entry has one; the field reaches the caller, or breaks the answer's own head. Cause: entries checked only the status of what agents report and of kept answers. Change: both are checked for valid field names too; a bad head ends the attempt as one with a bad status does (served elsewhere if it may be repeated, else unknown), a bad kept answer is unknown. Tests, failing before in 29 of the new rows (22 heads, 7 kept answers): TestHeadThatIsNoAnswerReachesNoCaller and TestStoredHeadThatIsNoAnswerIsNotGiven, the two tests of statuses with the rows for names added and renamed; their rows for statuses are unchanged.

--- a/node/callers/claims.go
+++ b/node/callers/claims.go
@@ -9,6 +9,7 @@
 	"almondseam.dev/core/api"
 	"almondseam.dev/core/claim"
 	"almondseam.dev/node/entry"
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/statusline"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -55,6 +56,19 @@
 	Body    []byte         `cbor:"3,keyasint"`
 }
 
+// check returns an error unless the stored answer has the head of a final response.
+func (a *storedAnswer) check() error {
+	if !statusline.IsFinal(a.Status) {
+		return fmt.Errorf("%w: status %d", statusline.ErrInvalid, a.Status)
+	}
+	for _, h := range a.Headers {
+		if !fieldline.IsName(h.Name) {
+			return fmt.Errorf("%w: name %.40q", fieldline.ErrInvalid, h.Name)
+		}
+	}
+	return nil
+}
+
 type storedHeader struct {
 	Name  string `cbor:"1,keyasint"`
 	Value string `cbor:"2,keyasint"`
@@ -135,9 +149,9 @@
 	if err := cbor.Unmarshal(r.Answer, &answer); err != nil {
 		return cc.refuse(r.Outcome, api.ReasonIntegrity, "the kept answer cannot be read")
 	}
-	if !statusline.IsFinal(answer.Status) {
+	if err := answer.check(); err != nil {
 		// An entry of another version took it for an answer.
-		return cc.refuse(api.OutcomeUnknown, api.ReasonIntegrity, fmt.Sprintf("the kept answer has the status %d", answer.Status))
+		return cc.refuse(api.OutcomeUnknown, api.ReasonIntegrity, "the kept answer is none: "+err.Error())
 	}
 	cc.storedAnswer = &answer
 	return cc.refuse(api.OutcomeCompleted, api.ReasonDuplicate, "the kept answer is given")
--- a/node/callers/head_test.go
+++ b/node/callers/head_test.go
@@ -11,12 +11,19 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// TestStoredStatusThatIsNoAnswerIsNotGiven guards against an answer, stored by an entry of another version, whose
-// status is no final answer and reaches a caller.
-func TestStoredStatusThatIsNoAnswerIsNotGiven(t *testing.T) {
+// TestStoredHeadThatIsNoAnswerIsNotGiven guards against an answer, stored by an entry of another version, whose
+// status is no final answer, or which has a field without a valid name, and reaches a caller.
+func TestStoredHeadThatIsNoAnswerIsNotGiven(t *testing.T) {
+	var answers []storedAnswer
 	for _, status := range []int{-1, 0, 99, 100, 101, 199, 600, 999} {
-		t.Run(fmt.Sprint(status), func(t *testing.T) {
-			stored, err := cbor.Marshal(storedAnswer{Status: status, Body: []byte("old")})
+		answers = append(answers, storedAnswer{Status: status, Body: []byte("old")})
+	}
+	for _, name := range []string{"", " ", "X Bad", "X-Bad ", "X\tBad", "X\x00Bad", "Content-Length "} {
+		answers = append(answers, storedAnswer{Status: 200, Headers: []storedHeader{{"X", "v"}, {name, "v"}}, Body: []byte("old")})
+	}
+	for _, answer := range answers {
+		t.Run(fmt.Sprintf("%d %q", answer.Status, answer.Headers), func(t *testing.T) {
+			stored, err := cbor.Marshal(answer)
 			qt.Assert(t, err, qt.IsNil)
 			group := &fakeClaimer{decide: decided(claim.Answered, claim.Record{Outcome: api.OutcomeCompleted, Kept: true, Answer: stored})}
 			f := newTestServer(t, Config{}, group, func(*fakeAgent, *wire.Offer) { panic("offered") })
--- a/node/entry/dispatches.go
+++ b/node/entry/dispatches.go
@@ -27,7 +27,7 @@
 	// would send a tombstone for a request that is running, and the agent would end
 	// it.
 	acceptReceived atomic.Bool
-	// badHead is set once the agent has reported a status that is no final response's.
+	// badHead is set once the agent has reported a head that is no final response's.
 	badHead atomic.Bool
 	// received carries the agent's messages, other than items, valid heads and states, to
 	// the goroutine that drives the request. A message that finds the buffer full
--- a/node/entry/head.go
+++ b/node/entry/head.go
@@ -4,16 +4,17 @@
 	"fmt"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/statusline"
 	"almondseam.dev/node/wire"
 )
 
 // onHead processes the head of a response. It runs on the link's reading goroutine.
 //
-// An agent of another version may report any status. One that is no final response's is kept from the caller, with
+// An agent of another version may report any head. One that is no final response's is kept from the caller, with
 // the items that follow: they would make the attempt look as if it had brought a part of an answer.
 func (d *dispatch) onHead(m *wire.Head) {
-	if statusline.IsFinal(m.Status) {
+	if checkHead(m) == nil {
 		d.answer.setHead(m)
 		return
 	}
@@ -21,8 +22,21 @@
 	d.deliver(m)
 }
 
+// checkHead returns an error unless m is the head of a final response.
+func checkHead(m *wire.Head) error {
+	if !statusline.IsFinal(m.Status) {
+		return fmt.Errorf("%w: status %d", statusline.ErrInvalid, m.Status)
+	}
+	for _, h := range m.Headers {
+		if !fieldline.IsName(h.Name) {
+			return fmt.Errorf("%w: name %.40q", fieldline.ErrInvalid, h.Name)
+		}
+	}
+	return nil
+}
+
 // badHead ends a dispatch whose target has sent no final response.
 func (f *follower) badHead(m *wire.Head) error {
 	f.cancel(&wire.Cancel{Key: f.d.key})
-	return f.e.newError(f.d, api.StepEngine, api.OutcomeUnknown, api.ReasonEngineDied, fmt.Errorf("%w: status %d", statusline.ErrInvalid, m.Status))
+	return f.e.newError(f.d, api.StepEngine, api.OutcomeUnknown, api.ReasonEngineDied, checkHead(m))
 }
--- a/node/entry/head_test.go
+++ b/node/entry/head_test.go
@@ -11,19 +11,34 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestStatusThatIsNoAnswerReachesNoCaller guards against an agent of another version that reports a status which is no
-// final answer: what may be repeated is served elsewhere, and what must not ends as unknown.
-func TestStatusThatIsNoAnswerReachesNoCaller(t *testing.T) {
+// badHeads are heads that are no final response's.
+func badHeads() map[string]wire.Head {
+	heads := make(map[string]wire.Head)
 	for _, status := range []int{-1, 0, 1, 99, 100, 101, 103, 199, 600, 999, 1200} {
+		heads[fmt.Sprint(status)] = wire.Head{Status: status}
+	}
+	for _, name := range []string{"", " ", "X Bad", "X-Bad ", " X-Bad", "X\tBad", "X\x00Bad", "X\r\nBad", "X:Bad", "X-B\xe4d", "Content-Length "} {
+		heads[fmt.Sprintf("%q", name)] = wire.Head{Status: 200, Headers: []wire.Header{{Name: "X", Value: "v"}, {Name: name, Value: "v"}}}
+	}
+	return heads
+}
+
+// TestHeadThatIsNoAnswerReachesNoCaller guards against an agent of another version that reports a status which is no
+// final answer, or a field without a valid name: what may be repeated is served elsewhere, and what must not ends as
+// unknown.
+func TestHeadThatIsNoAnswerReachesNoCaller(t *testing.T) {
+	for name, head := range badHeads() {
 		for _, repeatable := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%d/repeatable=%v", status, repeatable), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/repeatable=%v", name, repeatable), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					h := newHarness(t)
 					a1, a2 := h.agent("t1", 1), h.agent("t2", 1)
 					ans := h.start(&Request{Service: "s", Query: routing.Query{Service: "s"}, Method: "GET", Repeatable: repeatable})
 					o := expect[*wire.Offer](a1)
 					a1.accept(o)
-					a1.send(&wire.Head{Key: o.Key, Generation: "g-t1", Status: status})
+					bad := head
+					bad.Key, bad.Generation = o.Key, "g-t1"
+					a1.send(&bad)
 					a1.data(o, "g-t1", 0, "bad")
 					a1.final(o, "g-t1", "bad")
 					want := callerResult{end: End{Outcome: api.OutcomeUnknown, Reason: api.ReasonEngineDied}}
