almondctl: a bad status line behind an interim response is no answer

What operators would see: a server sends an interim response and then a head whose status is 000, 600 or none; almondctl reports success or a refusal. Cause: only the first status line on a connection was checked; fasthttp skips interim responses itself and reads the next line, 000 as 200. Tests, failing before: 7 of 7 new rows of TestBadStatusLineIsNoAnswer (after an interim response; its other rows held already), TestInterimResponsesAreSkipped. The check of TestBadStatusLineIsNoAnswer is a function now, unchanged.

--- a/cmd/almondctl/client_test.go
+++ b/cmd/almondctl/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,24 +41,45 @@
 	return ln.Addr().String()
 }
 
+const soundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n" + `{"reason":"r"}`
+
+// assertNoAnswer checks that a server which sends text counts as unavailable, and that the next one is asked.
+func assertNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	c := qt.New(t)
+	bad := startServer(t, text)
+	command := cli{servers: []string{bad}, timeout: 10 * time.Second}
+	err := command.call(http.MethodGet, "/", nil, nil, nil)
+	var coded *exitError
+	c.Assert(errors.As(err, &coded), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(coded.code, qt.Equals, exitUnavailable)
+	command.servers = []string{bad, startServer(t, soundAnswer)}
+	var answer struct{ Reason string }
+	c.Assert(command.call(http.MethodGet, "/", nil, nil, &answer), qt.IsNil)
+	c.Assert(answer.Reason, qt.Equals, "r")
+}
+
 // TestBadStatusLineIsNoAnswer guards against a command that reports success, or a refusal, although a server's status
 // line is no final answer. The next server is asked.
 func TestBadStatusLineIsNoAnswer(t *testing.T) {
 	const rest = "\r\nContent-Length: 14\r\n\r\n" + `{"reason":"r"}`
-	sound := startServer(t, "HTTP/1.1 200 OK"+rest)
 	for _, line := range []string{"HTTP/1.1 000 Nothing", "HTTP/1.1 001 One", "HTTP/1.1 099 Almost", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Beyond", "HTTP/1.1  200 OK", "HTTP/3.1 200 OK"} {
-		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
-			c := qt.New(t)
-			bad := startServer(t, line+rest)
-			command := cli{servers: []string{bad}, timeout: 10 * time.Second}
-			err := command.call(http.MethodGet, "/", nil, nil, nil)
-			var coded *exitError
-			c.Assert(errors.As(err, &coded), qt.IsTrue, qt.Commentf("%v", err))
-			c.Assert(coded.code, qt.Equals, exitUnavailable)
-			command.servers = []string{bad, sound}
-			var answer struct{ Reason string }
-			c.Assert(command.call(http.MethodGet, "/", nil, nil, &answer), qt.IsNil)
-			c.Assert(answer.Reason, qt.Equals, "r")
-		})
+		for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"} {
+			t.Run(fmt.Sprintf("%q/after %d bytes", line, len(interim)), func(t *testing.T) {
+				assertNoAnswer(t, interim+line+rest)
+			})
+		}
 	}
 }
+
+// TestInterimResponsesAreSkipped guards against an answer that is lost because of interim responses before it, and
+// against one that announces a body.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	const interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	var answer struct{ Reason string }
+	command := cli{servers: []string{startServer(t, interim+soundAnswer)}, timeout: 10 * time.Second}
+	qt.Assert(t, command.call(http.MethodGet, "/", nil, nil, &answer), qt.IsNil)
+	qt.Assert(t, answer.Reason, qt.Equals, "r")
+	assertNoAnswer(t, fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nContent-Length: %d\r\n\r\n%s", len(soundAnswer), soundAnswer))
+	assertNoAnswer(t, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)+soundAnswer)
+}
