almondctl: a head with a line without a valid field name is no answer

What operators would see: a server's head has a field whose name holds or ends with a blank, or "Transfer-Encoding : chunked"; almondctl reports success, a refusal, or what fasthttp makes of the body. Cause: as at agents, fasthttp takes such lines. Change: the head of each response, interim ones too, is checked by node/fieldline before fasthttp reads it. Not checked here: trailers, which members do not send; the JSON in front of them must be whole.

--- a/cmd/almondctl/client_test.go
+++ b/cmd/almondctl/client_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestHeadsWithBadFieldLinesAreNoAnswer guards against a command that reports success, or a refusal, although a server's
+// head has a line without a valid field name.
+func TestHeadsWithBadFieldLinesAreNoAnswer(t *testing.T) {
+	const begin, rest = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n", "\r\n\r\n" + `{"reason":"r"}`
+	for _, line := range []string{"X Bad: v", "X-Bad : v", " : v", "X\tBad: v", "X\x00Bad: v", "X-Bad", "Transfer-Encoding : chunked"} {
+		for name, text := range map[string]string{
+			"last":                      begin + line + rest,
+			"without a length":          "HTTP/1.1 200 OK\r\nX: v\r\n" + line + rest,
+			"of a refusal":              "HTTP/1.1 409 Conflict\r\nContent-Length: 14\r\n" + line + rest,
+			"of an interim response":    "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + soundAnswer,
+			"after an interim response": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + begin + line + rest,
+		} {
+			t.Run(fmt.Sprintf("%q/%s", line, name), func(t *testing.T) { assertNoAnswer(t, text) })
+		}
+	}
+}
+
 // TestInterimResponsesAreSkipped guards against an answer that is lost because of interim responses before it, and
 // against one that announces a body.
 func TestInterimResponsesAreSkipped(t *testing.T) {
--- a/cmd/almondctl/head.go
+++ b/cmd/almondctl/head.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 
+	"almondseam.dev/node/fieldline"
 	"almondseam.dev/node/statusline"
 	"github.com/valyala/fasthttp"
 )
@@ -12,8 +13,9 @@
 // maxInterimResponses bounds the interim responses to one request.
 const maxInterimResponses = 100
 
-// checkedConn is a connection on which the first final response must begin with a valid status line: fasthttp returns
-// the status 200 for 000. It leaves out interim responses, behind which fasthttp would read the status.
+// checkedConn is a connection on which the first final response must have a valid status line and valid field names:
+// fasthttp returns the status 200 for 000, and takes names with blanks. It leaves out interim responses, behind which
+// fasthttp would read the final one's head.
 type checkedConn struct {
 	net.Conn
 	r       *bufio.Reader
@@ -40,11 +42,14 @@
 	return c.r.Read(b)
 }
 
-// awaitFinal skips interim responses until the status line of the final response has arrived.
+// awaitFinal skips interim responses until the head of the final response has arrived.
 func (c *checkedConn) awaitFinal() error {
 	for range maxInterimResponses {
 		status, err := statusline.Peek(c.r)
-		if err != nil || statusline.IsFinal(status) {
+		if err != nil {
+			return err
+		}
+		if err := fieldline.PeekHead(c.r); err != nil || statusline.IsFinal(status) {
 			return err
 		}
 		if err := c.skipInterim(status); err != nil {
