Links: an upgrade with a field without a valid name opens no link

What a process would see: the response to a link's upgrade has a field whose name holds or ends with a blank, and the handshake goes on. Nothing of that head is passed on, and the handshake proves the peer, so no wrong answer is known to have come of it. Cause: the WebSocket library reads the response with net/http, which takes such names. Change: their names are checked before the handshake. Test: TestUpgradeWithABadHeadOpensNoLink; the rows for names with blanks fail on the code before. Names with control bytes and the statuses 000, 200 and 100 open no link there either.

--- a/node/link/dial.go
+++ b/node/link/dial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondseam.dev/core/api"
+	"almondseam.dev/node/fieldline"
 	"github.com/fasthttp/websocket"
 )
 
@@ -32,6 +33,10 @@
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
+	if err := checkUpgrade(resp); err != nil {
+		_ = ws.Close()
+		return nil, &api.Error{Step: api.StepLink, Peer: addr, Outcome: api.OutcomeNotRun, Reason: api.ReasonLinkLost, Err: err}
+	}
 	peer, err := dialHandshake(ctx, ws, opt)
 	if ctx.Err() != nil {
 		_ = ws.Close()
@@ -45,6 +50,17 @@
 	return newConn(ws, opt, peer), nil
 }
 
+// checkUpgrade returns an error if the response to the upgrade has a field without a valid name, which the WebSocket
+// library takes.
+func checkUpgrade(resp *http.Response) error {
+	for name := range resp.Header {
+		if !fieldline.IsName(name) {
+			return fmt.Errorf("%w: name %.40q", fieldline.ErrInvalid, name)
+		}
+	}
+	return nil
+}
+
 // dialHandshake proves this end's identity and checks the peer's. When ctx is done it closes the
 // connection: a peer that stopped after the upgrade sends nothing more, and may not close it either.
 func dialHandshake(ctx context.Context, ws *websocket.Conn, opt Options) (Peer, error) {
