The bodies of skipped responses do not count to the limit of heads

What callers would see: a target sends a response to another request, with a body of over 16 KiB, and then a sound one; the sound one is lost as a head that does not end. Cause: since field lines are checked, what was read while the limit was suspended was subtracted from it. Test: TestSkippedBodyIsNoPartOfTheHead, failing without the change.

--- a/node/upstream/connreader.go
+++ b/node/upstream/connreader.go
@@ -37,20 +37,25 @@
 	if r.err != nil {
 		return 0, r.err
 	}
-	if r.limited && r.left <= 0 {
-		return 0, fmt.Errorf("%w: its head does not end", ErrNoResponse)
-	}
-	if r.limited {
-		b = b[:min(len(b), r.left)]
-	}
-	n, err := r.from.Read(b)
-	r.left -= n
+	n, err := r.readLimited(b)
 	if err := r.check(b[:n]); err != nil {
 		return 0, err
 	}
 	return n, err
 }
 
+func (r *connReader) readLimited(b []byte) (int, error) {
+	if !r.limited {
+		return r.from.Read(b)
+	}
+	if r.left <= 0 {
+		return 0, fmt.Errorf("%w: its head does not end", ErrNoResponse)
+	}
+	n, err := r.from.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 func (r *connReader) check(b []byte) error {
 	if r.fields == nil {
 		return nil
--- a/node/upstream/fieldline_test.go
+++ b/node/upstream/fieldline_test.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// TestSkippedBodyIsNoPartOfTheHead guards against a sound response that is lost because the body of a response to another
+// request counts to the limit of its head.
+func TestSkippedBodyIsNoPartOfTheHead(t *testing.T) {
+	c := qt.New(t)
+	text := response("9", strings.Repeat("x", 2*maxHead)) + response("1", "own")
+	addr, _ := respondOnce(t, text, len(text))
+	x, err := NewPool(noObserver{}).Do(t.Context(), addr, newGetRequest("1"))
+	c.Assert(err, qt.IsNil)
+	body, err := x.readAndClose()
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "own")
+}
+
 // TestConnectionIsKeptAfterATrailer guards against a connection that is closed, or used again with bytes of the response
 // before, because of a trailer.
 func TestConnectionIsKeptAfterATrailer(t *testing.T) {
