--- a/node/fieldline/fieldline.go
+++ b/node/fieldline/fieldline.go
@@ -77,14 +77,16 @@
 	return nil
 }
 
-// IsName reports whether name is a valid field name.
-func IsName(name string) bool {
+// CheckName returns an error that wraps ErrInvalid unless name is a valid field name.
+func CheckName(name string) error {
+	valid := name != ""
 	for i := range len(name) {
-		if !isTokenByte(name[i]) {
-			return false
-		}
+		valid = valid && isTokenByte(name[i])
+	}
+	if !valid {
+		return fmt.Errorf("%w: name %.40q", ErrInvalid, name)
 	}
-	return name != ""
+	return nil
 }
 
 // isTokenByte reports whether c may stand in a token (RFC 9110, section 5.6.2).
