Relay: no timer is awaited for no time

Of six whole runs of the package with -race, two and four beside each other, one ended by SIGSEGV in runtime.(*timer).maybeRunChan, under the select of sleep, called by askedProcess with no time to wait. Change: sleep returns at once if there is no time to wait.

--- a/node/relay/room.go
+++ b/node/relay/room.go
@@ -195,6 +195,9 @@
 
 // sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
