--- a/bench/soak/broken_test.go
+++ b/bench/soak/broken_test.go
@@ -192,7 +192,7 @@
 	}
 	sleep(t.Context(), 2*time.Second) // all entries know the targets
 	p.play(t.Context(), set.seed)
-	// A fleet that serves nothing tells nothing wrong either.
+	// Otherwise a fleet that fails every request would pass.
 	c.Check(2*p.served > p.ids, qt.IsTrue, qt.Commentf("%d of %d calls were served", p.served, p.ids))
 	t.Logf("%d of %d calls were served", p.served, p.ids)
 	for kind := range brokenKinds {
--- a/node/fieldline/fieldline.go
+++ b/node/fieldline/fieldline.go
@@ -1,8 +1,7 @@
 // Package fieldline checks the field lines of HTTP/1.1 messages, in heads and trailers (RFC 9112, sections 5 and 7.1.2).
 //
-// HTTP libraries accept more than may be taken from a target: blanks in and after the name of a field, and lines that
-// begin with a blank. Libraries differ in what they make of them. One that leaves a line out, or takes "Content-Length "
-// for an unknown field, reads another body than the target has sent.
+// HTTP libraries accept whitespace in and after field names, and lines that begin with whitespace, and differ in how they
+// interpret them: one that ignores "Content-Length " delimits the body differently from one that trims the name.
 package fieldline
 
 import (
--- a/node/upstream/reset_test.go
+++ b/node/upstream/reset_test.go
@@ -81,9 +81,8 @@
 	return reset(conn)
 }
 
-// TestResetUnderALongUploadEndsNoResponse guards against a part of a response that counts as complete because its
-// target has reset the connection while the request was being written: the kernel tells that to the write alone, and
-// reading then ends as if the target had closed the connection.
+// TestResetUnderALongUploadEndsNoResponse guards against a partial response that counts as complete because the kernel
+// reports a reset to the pending write only, and the next read returns io.EOF.
 func TestResetUnderALongUploadEndsNoResponse(t *testing.T) {
 	for _, tt := range []struct {
 		name, head string
--- a/node/upstream/write.go
+++ b/node/upstream/write.go
@@ -52,12 +52,10 @@
 	}
 }
 
-// abandon ends the writing of the rest of the request. It returns the error that writing has met, unless the target
-// merely reads no further.
+// abandon stops writing the request and returns the error with which the connection failed, if writing returned one.
 //
-// The kernel reports the failure of a connection to one call only, whether that reads or writes. Reading ends with
-// io.EOF after a write that was told of a reset, as it does after the target has closed the connection. If the
-// target has closed its sending side before the reset, the write fails with EPIPE instead.
+// The kernel reports a connection's error to one call only: once a write has returned ECONNRESET, reads return io.EOF,
+// as after an orderly close. EPIPE means that the target had closed its sending side before the reset.
 func (w *requestWrite) abandon(c *conn) error {
 	longAgo := time.Unix(1, 0)
 	_ = c.SetWriteDeadline(longAgo) // fails if the connection is closed, which ends the write as well
